--- /dev/null
+++ b/pkg/settings/process.go
@@ -0,0 +1,102 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+)
+
+// Process is the settings file of one host.
+type Process struct {
+	Name     string   `json:"name"`    // unique in the fleet
+	Place    string   `json:"place"`   // the data centre the host is in
+	Ordinal  int      `json:"ordinal"` // number of the host within its place, from 0
+	Listen   Listen   `json:"listen"`
+	Platform Platform `json:"platform"`
+	TLS      KeyFiles `json:"tls"`
+	LogLevel string   `json:"log_level,omitempty"`
+}
+
+// Listen holds the addresses that a host listens on.
+type Listen struct {
+	Callers   string `json:"callers"`   // TCP, HTTP for callers
+	Peers     string `json:"peers"`     // UDP, QUIC between hosts
+	Operators string `json:"operators"` // TCP, HTTP for operators
+}
+
+// Platform holds the addresses of what the platform publishes.
+type Platform struct {
+	ConfigURL string `json:"config_url"` // the configuration document
+	HostsURL  string `json:"hosts_url"`  // the host list
+}
+
+// KeyFiles names the PEM files for mutual TLS between hosts.
+type KeyFiles struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+}
+
+// ParseProcess decodes and checks process settings. The error is an
+// *InvalidError that names the path of every fault.
+func ParseProcess(data []byte) (*Process, error) {
+	p := &Process{LogLevel: "info"}
+	if err := decodeStrict(data, "process", p); err != nil {
+		return nil, err
+	}
+	var found faults
+	addresses := []struct{ path, value string }{
+		{"listen.callers", p.Listen.Callers}, {"listen.peers", p.Listen.Peers}, {"listen.operators", p.Listen.Operators},
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.value); err != nil {
+			found.addf(a.path, "%v", err)
+		}
+	}
+	urls := []struct{ path, value string }{
+		{"platform.config_url", p.Platform.ConfigURL}, {"platform.hosts_url", p.Platform.HostsURL},
+	}
+	for _, u := range urls {
+		parsed, err := url.Parse(u.value)
+		if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+			found.addf(u.path, "%q is not an http or https URL", u.value)
+		}
+	}
+	return p, found.err()
+}
+
+// LoadProcess reads process settings from a file.
+func LoadProcess(file string) (*Process, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("process settings: %w", err)
+	}
+	p, err := ParseProcess(data)
+	if err != nil {
+		return nil, fmt.Errorf("process settings %s: %w", file, err)
+	}
+	return p, nil
+}
+
+// LoadDocument reads a configuration document from a file.
+func LoadDocument(file string) (*Tree, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("configuration document: %w", err)
+	}
+	t, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("configuration document %s: %w", file, err)
+	}
+	return t, nil
+}
+
+// checkAddress accepts an IP and port. Names are refused because a daemon must
+// not depend on a name service.
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("%q is not an IP address with a port", address)
+	}
+	return nil
+}
