--- /dev/null
+++ b/cmd/lacewingyard/entries.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/spf13/cobra"
+)
+
+func newEntries() *cobra.Command {
+	var entry string
+	cmd := &cobra.Command{
+		Use:     "entries",
+		GroupID: "queries",
+		Short:   "Show which addresses callers are told to use",
+		Example: "  lacewingyard entries --entry 127.0.0.1:8080",
+		Args:    cobra.NoArgs,
+	}
+	format := outputFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		var answer api.EntriesResponse
+		if err := call(cmd.Context(), http.MethodGet, entry, "/v1/entries", nil, nil, &answer); err != nil {
+			return err
+		}
+		return format.print(cmd.OutOrStdout(), answer, func(w io.Writer) {
+			fmt.Fprintln(w, "HOST\tPLACE\tADDRESS")
+			for _, e := range answer.Entries {
+				fmt.Fprintf(w, "%s\t%s\t%s\n", e.Host, e.Place, e.Address)
+			}
+		})
+	}
+	cmd.Flags().StringVar(&entry, "entry", "", "address of any entry host (IP:port)")
+	_ = cmd.MarkFlagRequired("entry")
+	return cmd
+}
--- /dev/null
+++ b/cmd/lacewingyard/explain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/spf13/cobra"
+)
+
+func newExplain() *cobra.Command {
+	var file, place, service string
+	cmd := &cobra.Command{
+		Use:     "explain",
+		GroupID: "queries",
+		Short:   "Show where each effective setting comes from",
+		Example: "  lacewingyard explain --config examples/riga/config.json --place riga-a --service order-desk",
+		Args:    cobra.NoArgs,
+	}
+	format := outputFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		tree, err := settings.LoadDocument(file)
+		if err != nil {
+			return usageError{err}
+		}
+		if _, ok := tree.Doc.Places[place]; !ok {
+			return usageError{fmt.Errorf("place %q does not exist", place)}
+		}
+		if _, ok := tree.Doc.Services[service]; !ok {
+			return usageError{fmt.Errorf("service %q does not exist", service)}
+		}
+		explained := tree.Explain(place, service)
+		return format.print(cmd.OutOrStdout(), explained, func(w io.Writer) {
+			fmt.Fprintln(w, "FIELD\tVALUE\tLEVEL\tOVERRULED")
+			for _, e := range explained {
+				overruled := make([]string, len(e.Overruled))
+				for i, v := range e.Overruled {
+					overruled[i] = fmt.Sprintf("%s %s", v.Level, v.Value)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Field, e.Value, e.Level, strings.Join(overruled, ", "))
+			}
+		})
+	}
+	cmd.Flags().StringVar(&file, "config", "", "configuration document (JSON)")
+	cmd.Flags().StringVar(&place, "place", "", "place")
+	cmd.Flags().StringVar(&service, "service", "", "service")
+	for _, name := range []string{"config", "place", "service"} {
+		_ = cmd.MarkFlagRequired(name)
+	}
+	return cmd
+}
--- /dev/null
+++ b/cmd/lacewingyard/output.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+)
+
+// output is the value of the -o flag.
+type output string
+
+func (o *output) String() string { return string(*o) }
+func (o *output) Type() string   { return "json|table" }
+func (o *output) Set(text string) error {
+	if text != "json" && text != "table" {
+		return fmt.Errorf("%q is not json or table", text)
+	}
+	*o = output(text)
+	return nil
+}
+
+// outputFlag adds the -o flag to a command that prints data.
+func outputFlag(cmd *cobra.Command) *output {
+	o := output("table")
+	cmd.Flags().VarP(&o, "output", "o", "output format")
+	return &o
+}
+
+// print writes a value as JSON, or the rows of a table.
+func (o output) print(w io.Writer, value any, rows func(w io.Writer)) error {
+	if o == "json" {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	rows(table)
+	return table.Flush()
+}
--- /dev/null
+++ b/cmd/lacewingyard/serve.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/daemon"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/spf13/cobra"
+)
+
+func newServe() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "serve",
+		GroupID: "commands",
+		Short:   "Run one entry host in the foreground",
+		Long: "Run one entry host in the foreground. On SIGTERM or SIGINT it finishes the\n" +
+			"requests in progress and exits with status 0; a second signal ends it at once.",
+		Example: "  lacewingyard serve --settings /etc/lacewingyard/host.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			process, err := settings.LoadProcess(file)
+			if err != nil {
+				return usageError{err}
+			}
+			conf, err := peer.LoadTLS(process.TLS)
+			if err != nil {
+				return usageError{err}
+			}
+			log := hclog.New(&hclog.LoggerOptions{
+				Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
+			})
+			d, err := daemon.New(daemon.Options{Process: process, TLS: conf, Logger: log})
+			if err != nil {
+				return err
+			}
+			return d.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "process settings file (JSON)")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
--- /dev/null
+++ b/internal/api/commands/commands.go
@@ -0,0 +1,62 @@
+// Package commands serves the requests of callers that read one record,
+// including those that may not be repeated.
+package commands
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Backend is the entry role as far as commands need it.
+type Backend interface {
+	// Lookup returns an answer, or the outcome if there is none.
+	Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome)
+	// Service returns the kind and the settings of a service.
+	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
+}
+
+// Register adds the routes of this package.
+func Register(router *mux.Router, backend Backend) {
+	h := handler{backend}
+	router.HandleFunc("/v1/services/{service}/lookup", h.lookup).Methods(http.MethodPost)
+}
+
+type handler struct{ backend Backend }
+
+func (h handler) lookup(w http.ResponseWriter, r *http.Request) {
+	service := mux.Vars(r)["service"]
+	kind, policy, ok := h.backend.Service(service)
+	if !ok {
+		api.WriteJSON(w, http.StatusNotFound, api.Error{Outcome: outcome.NotRun, Reason: outcome.Invalid, Message: "service " + service + " does not exist"})
+		return
+	}
+	if kind == settings.KindSearch {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "service %s is a search service, it has no lookup", service))
+		return
+	}
+	meta, err := api.ReadMeta(r.Header)
+	if err != nil {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+		return
+	}
+	var req api.LookupRequest
+	if err := api.DecodeBody(r.Body, policy.MaxBodyBytes, &req); err != nil {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+		return
+	}
+	if err := req.Check(); err != nil {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+		return
+	}
+	answer, o := h.backend.Lookup(r.Context(), service, meta, &req)
+	if answer == nil {
+		api.WriteOutcome(w, o)
+		return
+	}
+	api.WriteJSON(w, http.StatusOK, answer)
+}
--- /dev/null
+++ b/internal/daemon/branch.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// branch is the role that owns connections to the targets of its own place.
+type branch struct {
+	self    *settings.Process
+	config  *config
+	targets *dispatcher
+}
+
+func newBranch(self *settings.Process, config *config, dial target.Dialer) *branch {
+	return &branch{self: self, config: config, targets: newDispatcher(self, config, dial)}
+}
+
+func (b *branch) close() { b.targets.close() }
+
+// serveSearch answers a search stream: parts are sent as they become ready,
+// and the entry host may withdraw groups meanwhile.
+func (b *branch) serveSearch(ctx context.Context, s *peer.Stream) {
+	var req wire.SearchRequest
+	if err := s.Receive(&req); err != nil {
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	run := newBranchRun(ctx, req.Parts)
+	go func() {
+		for {
+			var withdrawn wire.Cancel
+			if err := s.Receive(&withdrawn); err != nil {
+				if !errors.Is(err, io.EOF) {
+					cancel() // the stream broke, nobody waits for the answer
+				}
+				return
+			}
+			run.cancel(withdrawn.Groups)
+		}
+	}()
+	err := b.search(run, &req, func(parts []wire.PartResult, final bool) error {
+		return s.Send(&wire.SearchReply{Parts: parts, Final: final})
+	})
+	if err != nil {
+		s.Reset()
+	}
+}
+
+// branchRun holds a context per part, so that a part can be withdrawn alone.
+type branchRun struct {
+	contexts map[string]context.Context
+	cancels  map[string]context.CancelFunc
+}
+
+func newBranchRun(ctx context.Context, parts []wire.PartRequest) *branchRun {
+	r := &branchRun{contexts: map[string]context.Context{}, cancels: map[string]context.CancelFunc{}}
+	for _, p := range parts {
+		r.contexts[p.Group], r.cancels[p.Group] = context.WithCancel(ctx)
+	}
+	return r
+}
+
+// cancel withdraws groups; none given withdraws all. The maps are not written
+// after construction, so it may run beside the search.
+func (r *branchRun) cancel(groups []string) {
+	if len(groups) == 0 {
+		for _, cancel := range r.cancels {
+			cancel()
+		}
+		return
+	}
+	for _, g := range groups {
+		if cancel, ok := r.cancels[g]; ok {
+			cancel()
+		}
+	}
+}
+
+// search runs the parts of a request on this host's targets and emits results
+// as they arrive; several that are ready together go in one emission.
+func (b *branch) search(run *branchRun, req *wire.SearchRequest, emit func([]wire.PartResult, bool) error) error {
+	defer run.cancel(nil)
+	results := make(chan wire.PartResult, len(req.Parts))
+	for _, part := range req.Parts {
+		go func() { results <- b.searchPart(run.contexts[part.Group], req, part) }()
+	}
+	for left := len(req.Parts); left > 0; {
+		ready := []wire.PartResult{<-results}
+		for more := true; more; {
+			select {
+			case r := <-results:
+				ready = append(ready, r)
+			default:
+				more = false
+			}
+		}
+		left -= len(ready)
+		if err := emit(ready, left == 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *branch) searchPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
+	result := wire.PartResult{Group: part.Group, Target: part.Target}
+	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
+	work := &work{
+		target: part.Target, service: req.Service, class: settings.Priority(req.Class),
+		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
+			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: req.Traceparent}, body)
+			result.Version, result.Covered, result.Records = answer.Version, answer.Covered, answer.Records
+			return status, o
+		},
+	}
+	done := b.targets.do(ctx, work)
+	result.Outcome, result.Status = done.outcome, done.status
+	result.QueueUS, result.TargetUS = done.queued.Microseconds(), done.served.Microseconds()
+	return result
+}
+
+// serveLookup answers a lookup stream.
+func (b *branch) serveLookup(ctx context.Context, s *peer.Stream) {
+	var req wire.LookupRequest
+	if err := s.Receive(&req); err != nil {
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	reply := b.lookup(ctx, &req)
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+	}
+}
+
+func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) wire.LookupReply {
+	var reply wire.LookupReply
+	work := &work{
+		target: req.Target, service: req.Service, class: settings.Priority(req.Class),
+		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
+			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: req.Traceparent},
+				target.LookupBody{Service: req.Service, ID: req.ID})
+			reply.Found, reply.Record, reply.Version = answer.Found, answer.Record, answer.Version
+			return status, o
+		},
+	}
+	done := b.targets.do(ctx, work)
+	reply.Outcome, reply.Status = done.outcome, done.status
+	return reply
+}
--- /dev/null
+++ b/internal/daemon/branchclient.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// branchClient sends requests to branch hosts; those for this host's own
+// branch role do not touch the network.
+type branchClient struct {
+	self      *settings.Process
+	local     *branch
+	directory *directory
+	transport *peer.Transport
+}
+
+// notReachedError says that a branch host did not receive the request.
+type notReachedError struct{ cause error }
+
+func (e *notReachedError) Error() string { return "branch host was not reached: " + e.cause.Error() }
+func (e *notReachedError) Unwrap() error { return e.cause }
+
+func (c *branchClient) isSelf(at seat) bool {
+	return at == seat{c.self.Place, c.self.Ordinal}
+}
+
+func (c *branchClient) open(ctx context.Context, at seat, exchange wire.Exchange) (*peer.Stream, error) {
+	host, ok := c.directory.hosts().bySeat[at]
+	if !ok {
+		return nil, &notReachedError{errors.Newf("no host is listed for ordinal %d of place %s", at.ordinal, at.place)}
+	}
+	s, err := c.transport.Open(ctx, host.Peers, exchange)
+	if err != nil {
+		return nil, &notReachedError{err}
+	}
+	return s, nil
+}
+
+// search sends a search to a branch host and passes on each batch of results.
+// withdraw names groups whose answer is no longer wanted. It returns nil after
+// the last result, a *notReachedError if the host cannot have received the
+// request, or another error if results may be missing.
+func (c *branchClient) search(ctx context.Context, at seat, req *wire.SearchRequest, withdraw <-chan string, emit func([]wire.PartResult)) error {
+	if c.isSelf(at) {
+		return c.searchLocal(ctx, req, withdraw, emit)
+	}
+	s, err := c.open(ctx, at, wire.ExchangeSearch)
+	if err != nil {
+		return err
+	}
+	defer s.Reset() // after a complete exchange this is a no-op for the peer
+	if err := s.Send(req); err != nil {
+		return err
+	}
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() {
+		for {
+			select {
+			case group := <-withdraw:
+				if err := s.Send(&wire.Cancel{Groups: []string{group}}); err != nil {
+					return
+				}
+			case <-ctx.Done():
+				s.Reset()
+				return
+			case <-finished:
+				return
+			}
+		}
+	}()
+	for {
+		var reply wire.SearchReply
+		if err := s.Receive(&reply); err != nil {
+			return errors.Wrap(err, "branch host answered incompletely")
+		}
+		emit(reply.Parts)
+		if reply.Final {
+			return nil
+		}
+	}
+}
+
+func (c *branchClient) searchLocal(ctx context.Context, req *wire.SearchRequest, withdraw <-chan string, emit func([]wire.PartResult)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := newBranchRun(ctx, req.Parts)
+	go func() {
+		for {
+			select {
+			case group := <-withdraw:
+				run.cancel([]string{group})
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return c.local.search(run, req, func(parts []wire.PartResult, _ bool) error {
+		emit(parts)
+		return nil
+	})
+}
+
+// lookup sends a lookup to a branch host.
+func (c *branchClient) lookup(ctx context.Context, at seat, req *wire.LookupRequest) wire.LookupReply {
+	if c.isSelf(at) {
+		return c.local.lookup(ctx, req)
+	}
+	s, err := c.open(ctx, at, wire.ExchangeLookup)
+	if err != nil {
+		return wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "%v", err)}
+	}
+	defer s.Reset()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	var reply wire.LookupReply
+	if err = s.Send(req); err == nil {
+		err = s.Receive(&reply)
+	}
+	if err != nil {
+		reason := outcome.ConnLost
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = outcome.Deadline
+		}
+		return wire.LookupReply{Outcome: outcome.Uncertain(reason, "branch host did not answer: %v", err)}
+	}
+	return reply
+}
+
+// remaining returns the time left until the context's deadline.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Until(deadline)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/api/commands"
+	"github.com/lacewingyard/lacewingyard/internal/api/queries"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Options are what a daemon is built from.
+type Options struct {
+	Process *settings.Process
+	TLS     *tls.Config // mutual TLS between hosts
+	Logger  hclog.Logger
+
+	// Listen opens the sockets for callers and operators; nil listens on TCP.
+	Listen func(address string) (net.Listener, error)
+	// ListenPacket opens the socket for peers; nil listens on UDP.
+	ListenPacket func(address string) (net.PacketConn, error)
+	// DialTarget opens connections to targets; nil dials TCP.
+	DialTarget target.Dialer
+}
+
+// Daemon is one running host.
+type Daemon struct {
+	opts      Options
+	log       hclog.Logger
+	config    *config
+	directory *directory
+	branch    *branch
+	entry     *entry
+	transport *peer.Transport
+	callers   *http.Server
+	operators *http.Server
+	ready     chan struct{}
+}
+
+// New opens the sockets of a daemon. Run serves on them.
+func New(opts Options) (*Daemon, error) {
+	if opts.Listen == nil {
+		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if opts.ListenPacket == nil {
+		opts.ListenPacket = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
+	}
+	if opts.DialTarget == nil {
+		opts.DialTarget = (&net.Dialer{}).DialContext
+	}
+	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{})}
+	d.config = newConfig(d.log)
+	d.directory = newDirectory(d.log)
+	d.branch = newBranch(opts.Process, d.config, opts.DialTarget)
+
+	conn, err := opts.ListenPacket(opts.Process.Listen.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	d.transport, err = peer.Listen(conn, opts.TLS, d.servePeer)
+	if err != nil {
+		return nil, err
+	}
+	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
+	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	return d, nil
+}
+
+// Ready is closed when the daemon serves callers.
+func (d *Daemon) Ready() <-chan struct{} { return d.ready }
+
+// Run serves until the context ends, then shuts down gracefully: it finishes
+// the requests in progress and returns nil.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	published := d.opts.Process.Platform
+	wg.Go(func() { platform.NewClient(published.ConfigURL).Watch(background, d.config.offer) })
+	wg.Go(func() { platform.NewClient(published.HostsURL).Watch(background, d.directory.offer) })
+
+	if err := d.waitForConfig(ctx); err != nil {
+		stop()
+		wg.Wait()
+		return errors.CombineErrors(err, d.transport.Close())
+	}
+	err := d.serve(ctx)
+	stop()
+	wg.Wait()
+	d.branch.close()
+	return errors.CombineErrors(err, d.transport.Close())
+}
+
+// waitForConfig blocks until a configuration and a host list are in force: a
+// host that has none serves nothing.
+func (d *Daemon) waitForConfig(ctx context.Context) error {
+	for _, first := range []<-chan struct{}{d.config.first, d.directory.first} {
+		select {
+		case <-first:
+		case <-ctx.Done():
+			return errors.New("stopped before a configuration and a host list could be read")
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) serve(ctx context.Context) error {
+	callers, err := d.opts.Listen(d.opts.Process.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	operators, err := d.opts.Listen(d.opts.Process.Listen.Operators)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(err, "listen for operators")
+	}
+	d.callers = newServer(d.callerRoutes())
+	d.operators = newServer(d.operatorRoutes())
+	failed := make(chan error, 2)
+	go func() { failed <- d.callers.Serve(callers) }()
+	go func() { failed <- d.operators.Serve(operators) }()
+	d.log.Info("serving", "callers", callers.Addr(), "peers", d.opts.Process.Listen.Peers, "operators", operators.Addr())
+	close(d.ready)
+
+	select {
+	case err = <-failed:
+		err = errors.Wrap(err, "HTTP server")
+	case <-ctx.Done():
+		err = nil
+	}
+	return errors.CombineErrors(err, d.shutdown())
+}
+
+// shutdown stops accepting and waits for the requests in progress.
+func (d *Daemon) shutdown() error {
+	grace := d.config.tree().Effective(d.opts.Process.Place, "").DrainGrace
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	d.log.Info("draining", "grace", grace)
+	err := d.callers.Shutdown(ctx)
+	return errors.CombineErrors(err, d.operators.Shutdown(ctx))
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (d *Daemon) callerRoutes() http.Handler {
+	router := mux.NewRouter()
+	queries.Register(router, d.entry)
+	commands.Register(router, d.entry)
+	return router
+}
+
+func (d *Daemon) operatorRoutes() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	router.HandleFunc("/status", d.serveStatus).Methods(http.MethodGet)
+	return router
+}
+
+// servePeer serves one stream from another host.
+func (d *Daemon) servePeer(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
+	switch exchange {
+	case wire.ExchangeSearch:
+		d.branch.serveSearch(ctx, s)
+	case wire.ExchangeLookup:
+		d.branch.serveLookup(ctx, s)
+	default:
+		s.Reset() // a newer version of the peer may know more exchanges
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
+)
+
+// entry is the role that takes callers' requests, plans them and merges parts.
+type entry struct {
+	self      *settings.Process
+	config    *config
+	directory *directory
+	branches  *branchClient
+
+	mu       sync.Mutex // guards what follows
+	router   *routing.Router
+	versions *snapshot.Versions
+}
+
+func newEntry(self *settings.Process, config *config, directory *directory, branches *branchClient) *entry {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &entry{
+		self: self, config: config, directory: directory, branches: branches,
+		router:   routing.NewRouter(self.Place, rng),
+		versions: snapshot.NewVersions(),
+	}
+}
+
+// Service returns the kind and the settings of a service at this host's place.
+func (e *entry) Service(name string) (settings.ServiceKind, *settings.Policy, bool) {
+	tree := e.config.tree()
+	service, ok := tree.Doc.Services[name]
+	return service.Kind, tree.Effective(e.self.Place, name), ok
+}
+
+// Entries returns the addresses for callers, this host's place first.
+func (e *entry) Entries() api.EntriesResponse {
+	tree := e.config.tree()
+	answer := api.EntriesResponse{
+		Entries: []api.Entry{},
+		TTLMS:   tree.Effective(e.self.Place, "").EntriesTTL.Milliseconds(),
+	}
+	for _, h := range e.directory.hosts().list.Hosts {
+		if h.State != platform.HostLive || !tree.PlaceIsIn(h.Place) || slices.Contains(tree.Doc.HostsOut, h.Name) {
+			continue
+		}
+		answer.Entries = append(answer.Entries, api.Entry{Host: h.Name, Place: h.Place, Address: h.Callers})
+	}
+	slices.SortStableFunc(answer.Entries, func(a, b api.Entry) int {
+		return cmp.Compare(e.distance(a.Place), e.distance(b.Place))
+	})
+	return answer
+}
+
+func (e *entry) distance(place string) int {
+	if place == e.self.Place {
+		return 0
+	}
+	return 1
+}
+
+// deadline returns the time a request may take.
+func deadline(meta api.Meta, policy *settings.Policy) time.Duration {
+	if meta.Deadline == 0 {
+		return policy.DeadlineDefault
+	}
+	return min(meta.Deadline, policy.DeadlineMax)
+}
+
+// class returns the priority class of a request.
+func class(meta api.Meta, policy *settings.Policy) settings.Priority {
+	if meta.HasPriority {
+		return meta.Priority
+	}
+	return policy.Priority
+}
+
+func requestID(meta api.Meta) string {
+	if meta.RequestID != "" {
+		return meta.RequestID
+	}
+	return uuid.NewString()
+}
+
+// options returns the usable targets of a group with the owners that are
+// listed, leaving out those in tried and those known not to serve the version.
+// The caller holds e.mu.
+func (e *entry) options(tree *settings.Tree, g *settings.Group, version uint64, tried map[string]bool) routing.Group {
+	result := routing.Group{ID: g.ID}
+	hosts := e.directory.hosts()
+	for _, t := range g.Targets {
+		info, ok := tree.Target(t.ID)
+		if !ok || info.Out || hosts.leaving[t.ID] || tried[t.ID] || !tree.PlaceIsIn(t.Place) || !e.versions.Serves(t.ID, version) {
+			continue
+		}
+		option := routing.Option{Target: t.ID, Place: t.Place}
+		for _, ordinal := range info.Owners {
+			if h, ok := hosts.bySeat[seat{t.Place, ordinal}]; ok && h.State == platform.HostLive && !slices.Contains(tree.Doc.HostsOut, h.Name) {
+				option.Owners = append(option.Owners, ordinal)
+			}
+		}
+		result.Options = append(result.Options, option)
+	}
+	return result
+}
+
+// Lookup reads one record. It tries another target only after an outcome that
+// proves that the request did not run.
+func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
+	start := time.Now()
+	tree := e.config.tree()
+	policy := tree.Effective(e.self.Place, service)
+	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
+	defer cancel()
+	group := groupOf(tree.Doc.Services[service].Groups, keyspace.KeyOf(req.ID))
+	tried := map[string]bool{}
+	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", service)
+	for attempt := 0; attempt <= policy.RetryLimit && ctx.Err() == nil; attempt++ {
+		e.mu.Lock()
+		choice, ok := e.router.Next(time.Now(), e.options(tree, group, 0, tried))
+		if ok {
+			e.router.Sent(choice.Path)
+		}
+		e.mu.Unlock()
+		if !ok {
+			break
+		}
+		tried[choice.Path.Target] = true
+		sent := time.Now()
+		reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, &wire.LookupRequest{
+			RequestID: requestID(meta), Service: service, ID: req.ID, Target: choice.Path.Target,
+			TimeoutMS: remaining(ctx).Milliseconds(), Class: uint8(class(meta, policy)),
+			Once: tree.Doc.Services[service].Kind == settings.KindCommand, Traceparent: meta.Traceparent,
+		})
+		e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
+		if reply.Outcome.Kind == outcome.Answered {
+			return &api.LookupResponse{
+				RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered, Found: reply.Found,
+				Record: reply.Record, Snapshot: reply.Version, ElapsedMS: milliseconds(time.Since(start)),
+			}, reply.Outcome
+		}
+		last = reply.Outcome
+		if !last.RanNothing() {
+			break
+		}
+	}
+	return nil, last
+}
+
+// observe feeds the result of a request to a target into the routing state.
+func (e *entry) observe(path routing.Path, o outcome.Outcome, status wire.TargetStatus, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.versions.Observe(path.Target, status.Versions)
+	switch {
+	case o.Kind == outcome.Answered:
+		e.router.Answered(path, took)
+	case o.Reason == outcome.Canceled:
+		e.router.Canceled(path, took)
+	default:
+		e.router.Failed(time.Now(), path)
+	}
+}
+
+// groupOf returns the group that holds a key; the configuration was checked to
+// cover the key space.
+func groupOf(groups []settings.Group, key uint64) *settings.Group {
+	for i := range groups {
+		if groups[i].Range.Contains(key) {
+			return &groups[i]
+		}
+	}
+	panic("the groups of a checked configuration cover every key")
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,241 @@
+// Package fleet runs a whole deployment in one process on loopback: the
+// stand-ins for platform, targets and links, and the hosts of the tier with
+// real sockets between them. The demo, the load tool and tests use it.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/daemon"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Names of the published values.
+const (
+	ConfigKey = "config"
+	HostsKey  = "hosts"
+)
+
+// Deployment is what the files of a deployment directory say.
+type Deployment struct {
+	Document settings.Document
+	Model    *standin.Model
+}
+
+// Load reads config.json and model.json of a directory.
+func Load(dir string) (*Deployment, error) {
+	tree, err := settings.LoadDocument(filepath.Join(dir, "config.json"))
+	if err != nil {
+		return nil, err
+	}
+	model, err := standin.LoadModel(filepath.Join(dir, "model.json"))
+	if err != nil {
+		return nil, err
+	}
+	for name := range tree.Doc.Services {
+		if _, ok := model.Services[name]; !ok {
+			return nil, errors.Newf("%s: service %q of the configuration has no model", dir, name)
+		}
+	}
+	return &Deployment{Document: tree.Doc, Model: model}, nil
+}
+
+// Host is one running daemon.
+type Host struct {
+	Entry  platform.Host
+	Daemon *daemon.Daemon
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Stop shuts the host down gracefully and returns its error.
+func (h *Host) Stop() error {
+	h.cancel()
+	return <-h.done
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform  *standin.Platform
+	Network   *standin.Network
+	Searchers map[string]*standin.Searcher // by target identifier
+	Datasets  map[string]*standin.Dataset  // by service
+	Hosts     []*Host
+	Model     *standin.Model
+
+	log       hclog.Logger
+	authority *standin.Authority
+
+	mu       sync.Mutex
+	document settings.Document
+	list     platform.HostList
+}
+
+// Start starts the stand-ins and one host per ordinal, and waits until every
+// host serves. The given document's target addresses are replaced by those on
+// which the stand-ins listen.
+func Start(ctx context.Context, d *Deployment, log hclog.Logger) (*Fleet, error) {
+	f := &Fleet{
+		Searchers: map[string]*standin.Searcher{}, Datasets: map[string]*standin.Dataset{},
+		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log, document: d.Document,
+	}
+	err := f.start(ctx)
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.authority, err = standin.NewAuthority(); err != nil {
+		return errors.Wrap(err, "make certificates")
+	}
+	if f.Platform, err = standin.NewPlatform(); err != nil {
+		return errors.Wrap(err, "start platform stand-in")
+	}
+	if err := f.startSearchers(); err != nil {
+		return errors.Wrap(err, "start searchers")
+	}
+	if err := f.PublishConfig(func(*settings.Document) {}); err != nil {
+		return err
+	}
+	for place, p := range f.document.Places {
+		for ordinal := range p.Hosts {
+			if _, err := f.AddHost(ctx, place, ordinal); err != nil {
+				return err
+			}
+		}
+	}
+	for _, h := range f.Hosts {
+		select {
+		case <-h.Daemon.Ready():
+		case err := <-h.done:
+			return errors.Wrapf(err, "host %s ended", h.Entry.Name)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startSearchers() error {
+	for name, service := range f.document.Services {
+		model := f.Model.Services[name]
+		data := standin.NewDataset(model.Noun, model.Records, f.Model.Seed)
+		f.Datasets[name] = data
+		for _, group := range service.Groups {
+			shard := data.Shard(group.Range)
+			for i := range group.Targets {
+				t := &group.Targets[i]
+				s, err := standin.NewSearcher(*t, name, model, shard, group.Range, service.PartitionEpoch, f.Model.Seed)
+				if err != nil {
+					return err
+				}
+				t.Address = s.Address()
+				f.Searchers[t.ID] = s
+				f.Network.Register(t.Address, t.Place, time.Duration(model.ConnectMS*float64(time.Millisecond)))
+			}
+		}
+	}
+	return nil
+}
+
+// PublishConfig changes the configuration document and publishes it as the
+// next version.
+func (f *Fleet) PublishConfig(change func(*settings.Document)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.document.Version++
+	change(&f.document)
+	data, err := json.Marshal(&f.document)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	f.Platform.Publish(ConfigKey, f.document.Version, data)
+	return nil
+}
+
+// PublishHosts changes the host list and publishes it as the next version.
+func (f *Fleet) PublishHosts(change func(*platform.HostList)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list.Version++
+	change(&f.list)
+	return f.Platform.PublishJSON(HostsKey, f.list.Version, &f.list)
+}
+
+// AddHost starts a daemon for an ordinal of a place and lists it.
+func (f *Fleet) AddHost(ctx context.Context, place string, ordinal int) (*Host, error) {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	peers, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.Network.Register(peers.LocalAddr().String(), place, 0)
+	process := &settings.Process{
+		Name: fmt.Sprintf("%s-%d-%d", place, ordinal, len(f.Hosts)), Place: place, Ordinal: ordinal,
+		Listen: settings.Listen{
+			Callers: callers.Addr().String(), Operators: operators.Addr().String(), Peers: peers.LocalAddr().String(),
+		},
+		Platform: settings.Platform{ConfigURL: f.Platform.URL(ConfigKey), HostsURL: f.Platform.URL(HostsKey)},
+	}
+	conf, err := f.authority.TLS(process.Name)
+	if err != nil {
+		return nil, err
+	}
+	listeners := map[string]net.Listener{process.Listen.Callers: callers, process.Listen.Operators: operators}
+	d, err := daemon.New(daemon.Options{
+		Process: process, TLS: conf, Logger: f.log,
+		Listen:       func(address string) (net.Listener, error) { return listeners[address], nil },
+		ListenPacket: func(string) (net.PacketConn, error) { return f.Network.PacketConn(peers, place), nil },
+		DialTarget:   f.Network.Dialer(place),
+	})
+	if err != nil {
+		return nil, err
+	}
+	hostCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	h := &Host{
+		Daemon: d, cancel: cancel, done: make(chan error, 1),
+		Entry: platform.Host{
+			Name: process.Name, Place: place, Ordinal: ordinal, State: platform.HostLive,
+			Callers: process.Listen.Callers, Peers: process.Listen.Peers,
+		},
+	}
+	go func() { h.done <- d.Run(hostCtx) }()
+	f.Hosts = append(f.Hosts, h)
+	return h, f.PublishHosts(func(list *platform.HostList) { list.Hosts = append(list.Hosts, h.Entry) })
+}
+
+// Close stops everything. Hosts finish their open requests first.
+func (f *Fleet) Close() {
+	var wg sync.WaitGroup
+	for _, h := range f.Hosts {
+		wg.Go(func() { _ = h.Stop() })
+	}
+	wg.Wait()
+	for _, s := range f.Searchers {
+		s.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,221 @@
+// Package peer carries streams between hosts over QUIC with mutual TLS 1.3.
+//
+// One connection per peer is kept open and shared. A connection that goes
+// silent is given up after maxIdle, because keep-alives are sent more often;
+// the next stream then opens a new one.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	// protocol is the ALPN identifier; another version of the messages gets another one.
+	protocol = "lacewingyard/1"
+	// ServerName is the DNS name in every host's certificate. Hosts are
+	// reached by IP address, so the name says "is a host", not which one.
+	ServerName = "lacewingyard.host"
+
+	keepAlive      = 250 * time.Millisecond
+	maxIdle        = time.Second // a silent connection holds up a query for at most this long
+	handshakeLimit = 2 * time.Second
+	maxStreams     = 10000 // open streams per connection; one per query in progress
+)
+
+// Errors by which the stream's application closes it.
+const (
+	codeDone     quic.ApplicationErrorCode = 0
+	codeCanceled quic.StreamErrorCode      = 1
+)
+
+// Handler serves one stream that a peer opened. The stream is closed when it returns.
+type Handler func(ctx context.Context, exchange wire.Exchange, s *Stream)
+
+// Transport opens and accepts streams.
+type Transport struct {
+	quic     *quic.Transport
+	listener *quic.Listener
+	tls      *tls.Config
+	handler  Handler
+	dialing  context.Context
+	stop     context.CancelFunc
+
+	mu    sync.Mutex
+	conns map[string]*outgoing
+	wg    sync.WaitGroup
+}
+
+// outgoing is a connection to one peer; done is closed when dialing ended.
+type outgoing struct {
+	done chan struct{}
+	conn *quic.Conn
+	err  error
+}
+
+// Listen starts a transport on an open packet connection, which it owns from
+// then on. The TLS configuration must hold the host's certificate, the roots
+// for both directions and require client certificates.
+func Listen(conn net.PacketConn, conf *tls.Config, handler Handler) (*Transport, error) {
+	conf = conf.Clone()
+	conf.NextProtos = []string{protocol}
+	conf.ServerName = ServerName
+	conf.MinVersion = tls.VersionTLS13
+	t := &Transport{quic: &quic.Transport{Conn: conn}, tls: conf, handler: handler, conns: map[string]*outgoing{}}
+	t.dialing, t.stop = context.WithCancel(context.Background())
+	listener, err := t.quic.Listen(conf, quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	t.listener = listener
+	t.wg.Go(t.accept)
+	return t, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod:      keepAlive,
+		MaxIdleTimeout:       maxIdle,
+		HandshakeIdleTimeout: handshakeLimit,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+// Close closes all connections and waits for the handlers.
+func (t *Transport) Close() error {
+	t.stop()
+	err := t.listener.Close()
+	t.mu.Lock()
+	for _, out := range t.conns {
+		select {
+		case <-out.done:
+			if out.conn != nil {
+				_ = out.conn.CloseWithError(codeDone, "shutdown")
+			}
+		default: // the dial context was canceled above
+		}
+	}
+	t.mu.Unlock()
+	// Incoming connections end with the transport, and their handlers with them.
+	closeErr := t.quic.Close()
+	t.wg.Wait()
+	return errors.CombineErrors(err, errors.CombineErrors(closeErr, t.quic.Conn.Close()))
+}
+
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listener.Accept(t.dialing)
+		if err != nil {
+			return
+		}
+		t.wg.Go(func() { t.serve(conn) })
+	}
+}
+
+func (t *Transport) serve(conn *quic.Conn) {
+	for {
+		s, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		t.wg.Go(func() { t.serveStream(s) })
+	}
+}
+
+func (t *Transport) serveStream(qs *quic.Stream) {
+	s := &Stream{qs: qs}
+	var first [1]byte
+	if _, err := io.ReadFull(qs, first[:]); err != nil {
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithCancel(qs.Context())
+	defer cancel()
+	t.handler(ctx, wire.Exchange(first[0]), s)
+	_ = qs.Close()
+	qs.CancelRead(codeCanceled)
+}
+
+// Open opens a stream to the peer at an IP and port. It dials if there is no
+// live connection. An error means that nothing reached the peer.
+func (t *Transport) Open(ctx context.Context, address string, exchange wire.Exchange) (*Stream, error) {
+	conn, err := t.connect(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to peer %s", address)
+	}
+	qs, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open stream to peer %s", address)
+	}
+	if _, err := qs.Write([]byte{byte(exchange)}); err != nil {
+		return nil, errors.Wrapf(err, "open stream to peer %s", address)
+	}
+	return &Stream{qs: qs}, nil
+}
+
+// connect returns the live connection to a peer; one caller dials, the others wait.
+func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	t.mu.Lock()
+	out, ok := t.conns[address]
+	if !ok || out.dead() {
+		out = &outgoing{done: make(chan struct{})}
+		t.conns[address] = out
+		t.wg.Go(func() { t.dial(address, out) })
+	}
+	t.mu.Unlock()
+	select {
+	case <-out.done:
+		return out.conn, out.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *Transport) dial(address string, out *outgoing) {
+	defer close(out.done)
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		out.err = err
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.dialing, handshakeLimit)
+	defer cancel()
+	out.conn, out.err = t.quic.Dial(ctx, addr, t.tls, quicConfig())
+}
+
+// dead reports whether the connection failed or has ended.
+func (o *outgoing) dead() bool {
+	select {
+	case <-o.done:
+		return o.err != nil || o.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+// Stream is one exchange with a peer. Sending and receiving may run
+// concurrently; neither may run twice at the same time.
+type Stream struct{ qs *quic.Stream }
+
+// Send writes one message.
+func (s *Stream) Send(message any) error { return wire.Write(s.qs, message) }
+
+// Receive reads one message. It returns io.EOF after the peer's last one.
+func (s *Stream) Receive(message any) error { return wire.Read(s.qs, message) }
+
+// CloseSend tells the peer that no message follows.
+func (s *Stream) CloseSend() error { return s.qs.Close() }
+
+// Reset aborts both directions; the peer's handler sees its context end.
+func (s *Stream) Reset() {
+	s.qs.CancelWrite(codeCanceled)
+	s.qs.CancelRead(codeCanceled)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,145 @@
+// Package platform reads what the organisation's platform publishes: the
+// configuration document and the host list. It never writes.
+//
+// Both are HTTP resources with a version in the ETag header. A read with
+// ?after=VERSION&wait_ms=N waits until a newer version exists and answers 304
+// when the wait ends without one.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// WatchWait is how long one watch call waits at the service. Each call counts
+// against the service's read budget, so it is long.
+const WatchWait = 20 * time.Second
+
+const (
+	maxValueBytes = 1 << 20
+	retryPause    = 500 * time.Millisecond // wait after a failed read
+)
+
+// ErrUnchanged says that no newer version exists.
+var ErrUnchanged = errors.New("no newer version")
+
+// Client reads one published value.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client for the value at a URL.
+func NewClient(url string) *Client {
+	return &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}}
+}
+
+// Get reads the value. With after > 0 it waits up to wait for a version above
+// after and returns ErrUnchanged if there is none.
+func (c *Client) Get(ctx context.Context, after uint64, wait time.Duration) (data []byte, version uint64, err error) {
+	url := c.url
+	if after > 0 {
+		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", c.url, after, wait.Milliseconds())
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "platform request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read from platform")
+	}
+	defer resp.Body.Close()
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	switch {
+	case err != nil:
+		return nil, 0, errors.Wrap(err, "read from platform")
+	case resp.StatusCode == http.StatusNotModified:
+		return nil, 0, ErrUnchanged
+	case resp.StatusCode != http.StatusOK:
+		return nil, 0, errors.Newf("platform answered %s", resp.Status)
+	case len(data) > maxValueBytes:
+		return nil, 0, errors.Newf("platform value exceeds %d bytes", maxValueBytes)
+	}
+	version, err = strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "platform ETag is not a version")
+	}
+	return data, version, nil
+}
+
+// Watch passes each newer value to offer until the context ends. A value that
+// offer refuses is not read again; the next version is awaited.
+func (c *Client) Watch(ctx context.Context, offer func(data []byte)) {
+	defer c.http.CloseIdleConnections()
+	var seen uint64
+	for ctx.Err() == nil {
+		data, version, err := c.Get(ctx, seen, WatchWait)
+		switch {
+		case errors.Is(err, ErrUnchanged):
+		case err != nil:
+			pause(ctx, retryPause)
+		default:
+			offer(data)
+			seen = max(seen, version)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// HostState is a host's state in the host list.
+type HostState string
+
+// Host states.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// HostList is the published list of live and leaving hosts. It lags.
+type HostList struct {
+	Version uint64  `json:"version"`
+	Hosts   []Host  `json:"hosts"`
+	Targets []State `json:"targets,omitempty"` // targets that are leaving
+}
+
+// Host is one host of the tier.
+type Host struct {
+	Name    string    `json:"name"`
+	Place   string    `json:"place"`
+	Ordinal int       `json:"ordinal"`
+	State   HostState `json:"state"`
+	Callers string    `json:"callers"` // IP and port for callers
+	Peers   string    `json:"peers"`   // IP and port for hosts
+}
+
+// State is the state of one target in the host list.
+type State struct {
+	ID    string    `json:"id"`
+	State HostState `json:"state"`
+}
+
+// ParseHostList decodes a host list.
+func ParseHostList(data []byte) (*HostList, error) {
+	var list HostList
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, errors.Wrap(err, "decode host list")
+	}
+	return &list, nil
+}
--- /dev/null
+++ b/internal/standin/dataset.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+)
+
+// vocabulary holds the words of record texts; each record has wordsPerRecord of them.
+var vocabulary = strings.Fields(`red blue green grey black white oak pine maple birch cedar larch
+	juniper elm ash small large folding twin single navy amber ivory slate copper brass
+	basket canopy wheel brake handle spring hood harness strap cushion tray lock hinge
+	table bench slab stand plinth turntable shelf frame rail corner edge polished rough oiled`)
+
+const wordsPerRecord = 4
+
+// Dataset is the set of records of one service. The text of a record depends on
+// the index version, so that an answer from two versions is recognised.
+type Dataset struct {
+	records []coverage.Record // ordered by identifier
+}
+
+// NewDataset generates records from a seed.
+func NewDataset(noun string, count int, seed uint64) *Dataset {
+	rng := rand.New(rand.NewPCG(seed, uint64(count)))
+	d := &Dataset{records: make([]coverage.Record, count)}
+	for i := range d.records {
+		words := make([]string, wordsPerRecord)
+		for w := range words {
+			words[w] = vocabulary[rng.IntN(len(vocabulary))]
+		}
+		id := fmt.Sprintf("%s-%06d", noun, i)
+		d.records[i] = coverage.Record{ID: id, Key: keyspace.KeyOf(id), Text: strings.Join(words, " ")}
+	}
+	slices.SortFunc(d.records, func(a, b coverage.Record) int { return cmp.Compare(a.ID, b.ID) })
+	return d
+}
+
+// Word returns a word that records may hold.
+func Word(rng *rand.Rand) string { return vocabulary[rng.IntN(len(vocabulary))] }
+
+// ID returns the identifier of some record.
+func (d *Dataset) ID(rng *rand.Rand) string { return d.records[rng.IntN(len(d.records))].ID }
+
+// Search is the naive search of all records that the answers of the tier are
+// compared with.
+func (d *Dataset) Search(version uint64, terms []string, limit int) []coverage.Record {
+	return d.SearchRange(version, terms, limit, keyspace.Full())
+}
+
+// SearchRange searches the records of a key range.
+func (d *Dataset) SearchRange(version uint64, terms []string, limit int, r keyspace.Range) []coverage.Record {
+	found := []coverage.Record{}
+	for _, rec := range d.records {
+		if !r.Contains(rec.Key) || !matches(rec.Text, terms) {
+			continue
+		}
+		found = append(found, atVersion(rec, version))
+		if limit > 0 && len(found) == limit {
+			break
+		}
+	}
+	return found
+}
+
+// Lookup returns the record with an identifier.
+func (d *Dataset) Lookup(version uint64, id string) (coverage.Record, bool) {
+	i, ok := slices.BinarySearchFunc(d.records, id, func(r coverage.Record, id string) int { return cmp.Compare(r.ID, id) })
+	if !ok {
+		return coverage.Record{}, false
+	}
+	return atVersion(d.records[i], version), true
+}
+
+// Shard returns the records of a key range as a dataset of their own.
+func (d *Dataset) Shard(r keyspace.Range) *Dataset {
+	shard := &Dataset{}
+	for _, rec := range d.records {
+		if r.Contains(rec.Key) {
+			shard.records = append(shard.records, rec)
+		}
+	}
+	return shard
+}
+
+// Len returns the number of records.
+func (d *Dataset) Len() int { return len(d.records) }
+
+func atVersion(rec coverage.Record, version uint64) coverage.Record {
+	rec.Text = fmt.Sprintf("%s @%d", rec.Text, version)
+	return rec
+}
+
+func matches(text string, terms []string) bool {
+	words := strings.Fields(text)
+	for _, term := range terms {
+		if !slices.Contains(words, term) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/keys.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+)
+
+// Authority issues host certificates for tests and the demo.
+type Authority struct {
+	cert   *x509.Certificate
+	key    *ecdsa.PrivateKey
+	serial int64
+}
+
+// NewAuthority makes a certificate authority.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "lacewingyard test authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	return &Authority{cert: cert, key: key, serial: 1}, err
+}
+
+// Pool returns the authority as a pool of roots.
+func (a *Authority) Pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return pool
+}
+
+// TLS issues a certificate for a host and returns its configuration.
+func (a *Authority) TLS(host string) (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	a.serial++
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: host}, DNSNames: []string{peer.ServerName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	return peer.TLSConfig(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, a.Pool()), nil
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Platform stands in for the configuration service and the host list. Values
+// can be read and watched over HTTP; only the test that owns it publishes.
+type Platform struct {
+	server *http.Server
+	base   string
+	reads  atomic.Int64
+	down   atomic.Bool
+
+	mu     sync.Mutex
+	values map[string]*value
+}
+
+type value struct {
+	data    []byte
+	version uint64
+	changed chan struct{} // closed when a newer version was published
+}
+
+// NewPlatform starts the stand-in on a loopback port.
+func NewPlatform() (*Platform, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{base: "http://" + listener.Addr().String(), values: map[string]*value{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{key}", p.serve)
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(listener) }()
+	return p, nil
+}
+
+// Close stops the stand-in.
+func (p *Platform) Close() { _ = p.server.Close() }
+
+// URL returns the address of a value.
+func (p *Platform) URL(key string) string { return p.base + "/v1/values/" + key }
+
+// Reads returns the number of calls so far; a waiting watch counts as one.
+func (p *Platform) Reads() int64 { return p.reads.Load() }
+
+// SetDown makes every call fail while down.
+func (p *Platform) SetDown(down bool) { p.down.Store(down) }
+
+// Publish sets a value.
+func (p *Platform) Publish(key string, version uint64, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.values[key]; ok {
+		close(old.changed)
+	}
+	p.values[key] = &value{data: data, version: version, changed: make(chan struct{})}
+}
+
+// PublishJSON sets a value from a Go value.
+func (p *Platform) PublishJSON(key string, version uint64, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	p.Publish(key, version, data)
+	return nil
+}
+
+func (p *Platform) get(key string) *value {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[key]
+}
+
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
+	p.reads.Add(1)
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		v := p.get(r.PathValue("key"))
+		switch {
+		case p.down.Load():
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case v == nil:
+			http.NotFound(w, r)
+			return
+		case v.version > after:
+			w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(v.version, 10)))
+			_, _ = w.Write(v.data)
+			return
+		}
+		select {
+		case <-v.changed:
+		case <-timer.C:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/target/client.go
@@ -0,0 +1,200 @@
+// Package target is the client to the back ends.
+//
+// The protocol is HTTP/1.1 with JSON. A refusal with status 503 and
+// {"run":false} says that the target did not run the request; every other
+// failure after the first byte was sent leaves that open.
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// Header names of the target protocol.
+const (
+	HeaderDeadline  = "Deadline-Ms" // milliseconds until the answer is useless
+	HeaderRequestID = "Request-Id"
+	HeaderTrace     = "Traceparent"
+)
+
+const (
+	maxAnswerBytes = 8 << 20
+	idleTimeout    = 90 * time.Second
+)
+
+// SearchBody is the body of POST /search.
+type SearchBody struct {
+	Service string   `json:"service"`
+	Terms   []string `json:"terms"`
+	Limit   int      `json:"limit,omitempty"`
+	Version uint64   `json:"version,omitempty"` // 0 asks for the newest
+}
+
+// SearchAnswer is the body of a successful answer to POST /search.
+type SearchAnswer struct {
+	wire.TargetStatus
+	Version uint64             `json:"version"`
+	Covered []coverage.Covered `json:"covered"`
+	Records []coverage.Record  `json:"records"`
+}
+
+// LookupBody is the body of POST /lookup.
+type LookupBody struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+}
+
+// LookupAnswer is the body of a successful answer to POST /lookup.
+type LookupAnswer struct {
+	wire.TargetStatus
+	Version uint64           `json:"version"`
+	Found   bool             `json:"found"`
+	Record  *coverage.Record `json:"record,omitempty"`
+}
+
+// Refusal is the body of an answer with a status other than 200.
+type Refusal struct {
+	wire.TargetStatus
+	Run     *bool          `json:"run,omitempty"` // false: the request did not run
+	Reason  outcome.Reason `json:"reason,omitempty"`
+	Message string         `json:"message,omitempty"`
+}
+
+// Dialer opens a connection to a target.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends requests to one target over at most a fixed number of
+// connections. It is safe for concurrent use.
+type Client struct {
+	base      string
+	http      *http.Client
+	transport *http.Transport
+}
+
+// NewClient returns a client for the target at an IP and port. connections is
+// the share of the target's connections that this host holds.
+func NewClient(address string, connections int, dial Dialer) *Client {
+	transport := &http.Transport{
+		DialContext:         dial,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, transport: transport}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Request carries what every request to a target has.
+type Request struct {
+	ID          string
+	Timeout     time.Duration
+	Traceparent string
+}
+
+// Search sends a search. The status is valid whenever the target answered.
+func (c *Client) Search(ctx context.Context, r Request, body SearchBody) (SearchAnswer, wire.TargetStatus, outcome.Outcome) {
+	var answer SearchAnswer
+	status, o := c.post(ctx, "/search", r, body, &answer)
+	if o.Kind == outcome.Answered {
+		status = answer.TargetStatus
+	}
+	return answer, status, o
+}
+
+// Lookup reads one record.
+func (c *Client) Lookup(ctx context.Context, r Request, body LookupBody) (LookupAnswer, wire.TargetStatus, outcome.Outcome) {
+	var answer LookupAnswer
+	status, o := c.post(ctx, "/lookup", r, body, &answer)
+	if o.Kind == outcome.Answered {
+		status = answer.TargetStatus
+	}
+	return answer, status, o
+}
+
+func (c *Client) post(ctx context.Context, path string, r Request, body, answer any) (wire.TargetStatus, outcome.Outcome) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return wire.TargetStatus{}, outcome.Refused(outcome.Invalid, "encode request: %v", err)
+	}
+	// Bytes may be on the way as soon as a connection was assigned. Without
+	// GetBody, net/http resends on another connection only if it wrote nothing.
+	var assigned atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return wire.TargetStatus{}, outcome.Refused(outcome.Invalid, "build request: %v", err)
+	}
+	req.ContentLength = int64(len(data))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderRequestID, r.ID)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
+	if r.Traceparent != "" {
+		req.Header.Set(HeaderTrace, r.Traceparent)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return wire.TargetStatus{}, failed(ctx, err, assigned.Load())
+	}
+	defer resp.Body.Close()
+	return decode(ctx, resp, answer)
+}
+
+// failed classifies an error without an answer.
+func failed(ctx context.Context, err error, maySent bool) outcome.Outcome {
+	reason := outcome.ConnLost
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = outcome.Deadline
+	case ctx.Err() != nil:
+		reason = outcome.Canceled
+	case !maySent:
+		reason = outcome.Unavailable
+	}
+	if !maySent {
+		return outcome.Refused(reason, "not sent: %v", err)
+	}
+	return outcome.Uncertain(reason, "no answer: %v", err)
+}
+
+// decode reads an answer or a refusal.
+func decode(ctx context.Context, resp *http.Response, answer any) (wire.TargetStatus, outcome.Outcome) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return wire.TargetStatus{}, failed(ctx, err, true)
+	}
+	if len(data) > maxAnswerBytes {
+		return wire.TargetStatus{}, outcome.Uncertain(outcome.Internal, "answer exceeds %d bytes", maxAnswerBytes)
+	}
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return wire.TargetStatus{}, outcome.Uncertain(outcome.Internal, "decode answer: %v", err)
+		}
+		return wire.TargetStatus{}, outcome.OK()
+	}
+	var refusal Refusal
+	if err := json.Unmarshal(data, &refusal); err != nil {
+		return wire.TargetStatus{}, outcome.Uncertain(outcome.Internal, "status %d without a readable body", resp.StatusCode)
+	}
+	if refusal.Run != nil && !*refusal.Run {
+		return refusal.TargetStatus, outcome.Refused(refusal.Reason, "target refused: %s", refusal.Message)
+	}
+	return refusal.TargetStatus, outcome.Uncertain(refusal.Reason, "status %d: %s", resp.StatusCode, refusal.Message)
+}
--- /dev/null
+++ b/pkg/coverage/suite_test.go
@@ -0,0 +1,13 @@
+package coverage_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCoverage(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "coverage")
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,90 @@
+package settings_test
+
+import (
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// document returns a valid document with the given designated level, fleet,
+// place and service settings.
+func document(level, fleet, place, service string) string {
+	return fmt.Sprintf(`{"version": 1, "designated_level": %q,
+		"fleet": {"settings": {%s}},
+		"places": {"north": {"state": "in", "hosts": 2, "settings": {%s}}},
+		"services": {"tags": {"kind": "search", "partition_epoch": 1, "settings": {%s}, "groups": [
+			{"id": "g0", "range": {"from": 0, "to": 4294967296}, "targets": [
+				{"id": "t0", "place": "north", "address": "127.0.0.1:9000", "slots": 4, "connections": 36}]}]}}}`,
+		level, fleet, place, service)
+}
+
+var _ = Describe("Parse", func() {
+	// Guards against a bad document being applied in part, or refused without
+	// saying where the fault is.
+	DescribeTable("refuses a faulty document with the path of the fault",
+		func(old, replacement, message string) {
+			good := document("place", `"hedge_quantile": 0.9`, "", "")
+			bad := strings.Replace(good, old, replacement, 1)
+			Expect(bad).NotTo(Equal(good))
+			_, err := settings.Parse([]byte(bad))
+			Expect(err).To(MatchError(ContainSubstring(message)))
+		},
+		Entry("unknown setting", `"hedge_quantile"`, `"hedge_quantil"`, "fleet.settings.hedge_quantil: unknown field"),
+		Entry("unknown field", `"state"`, `"condition"`, "places.north.condition: unknown field"),
+		Entry("missing unit", `"hedge_quantile": 0.9`, `"hedge_min_delay": 5`, "fleet.settings.hedge_min_delay: 5 is not a duration"),
+		Entry("wrong unit", `"hedge_quantile": 0.9`, `"hedge_min_delay": "5 parsecs"`, "fleet.settings.hedge_min_delay"),
+		Entry("out of range", `0.9`, `1.5`, "fleet.settings.hedge_quantile: 1.5 is outside 0.5 to 0.9999"),
+		Entry("bad level", `"place"`, `"town"`, "designated_level"),
+		Entry("unknown place", `"place": "north"`, `"place": "south"`, `place "south" does not exist`),
+		Entry("name for an address", `127.0.0.1:9000`, `localhost:9000`, "is not an IP address with a port"),
+		Entry("gap in the ranges", `"to": 4294967296`, `"to": 4294967295`, "services.tags.groups: the ranges leave 1 of"),
+		Entry("key set twice", `"version": 1`, `"version": 1, "version": 2`, "version: set twice"),
+		Entry("trailing data", `"version": 1`, `"version": 1}{"version": 1`, "data after the JSON document"),
+		Entry("not JSON", `{"version"`, `{version`, "not valid JSON"),
+		Entry("version zero", `"version": 1`, `"version": 0`, "version"),
+	)
+
+	// Guards against an accepted document that does not have the settings of
+	// the level that operators designated.
+	DescribeTable("resolves levels that disagree",
+		func(designated, fleet, place, service string, level settings.Level, value string, overruled int) {
+			set := func(v string) string {
+				if v == "" {
+					return ""
+				}
+				return `"retry_limit": ` + v
+			}
+			tree, err := settings.Parse([]byte(document(designated, set(fleet), set(place), set(service))))
+			Expect(err).NotTo(HaveOccurred())
+			for _, e := range tree.Explain("north", "tags") {
+				if e.Field == "retry_limit" {
+					Expect(e.Level).To(Equal(level))
+					Expect(e.Value).To(Equal(value))
+					Expect(e.Overruled).To(HaveLen(overruled))
+				}
+			}
+			Expect(fmt.Sprint(tree.Effective("north", "tags").RetryLimit)).To(Equal(value))
+		},
+		Entry("the designated place decides", "place", "1", "2", "3", settings.LevelPlace, "2", 2),
+		Entry("the designated fleet decides", "fleet", "1", "2", "3", settings.LevelFleet, "1", 2),
+		Entry("the designated service decides", "service", "1", "2", "3", settings.LevelService, "3", 2),
+		Entry("the most specific level wins where the designated one is silent", "fleet", "", "2", "3", settings.LevelService, "3", 1),
+		Entry("inherited from the fleet", "place", "1", "", "", settings.LevelFleet, "1", 0),
+		Entry("built-in default", "place", "", "", "", settings.LevelDefault, "2", 0),
+	)
+})
+
+var _ = Describe("ParseProcess", func() {
+	// Guards against a daemon that starts with half-understood settings.
+	It("names every fault", func() {
+		_, err := settings.ParseProcess([]byte(`{"name": "h", "place": "north", "ordinal": 0,
+			"listen": {"callers": "here:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+			"platform": {"config_url": "ftp://x", "hosts_url": "http://127.0.0.1:1/hosts"},
+			"tls": {"cert_file": "c", "key_file": "k", "ca_file": "a"}}`))
+		Expect(err).To(MatchError(And(ContainSubstring("listen.callers"), ContainSubstring("platform.config_url"))))
+	})
+})
