--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -17,16 +17,36 @@
 	rng     *rand.Rand
 	places  map[string]string        // place of an address
 	connect map[string]time.Duration // connect time of a target's address
+	cuts    map[[2]string]bool       // addresses or places that cannot send to each other, one way
+	delayMS float64
+	loss    float64
 }
 
 // NewNetwork returns links with the delays of a model.
 func NewNetwork(model *Model) *Network {
 	return &Network{
 		model: model, rng: rand.New(rand.NewPCG(model.Seed, 1)),
-		places: map[string]string{}, connect: map[string]time.Duration{},
+		places: map[string]string{}, connect: map[string]time.Duration{}, cuts: map[[2]string]bool{},
+		delayMS: model.OneWayDelayMS, loss: model.Loss,
 	}
 }
 
+// SetLinks changes the delay and the loss between places.
+func (n *Network) SetLinks(oneWayMS, loss float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delayMS, n.loss = oneWayMS, loss
+}
+
+// Cut drops every datagram from one end to another, or lets them pass again.
+// An end is a place or the peer address of one host; cut both directions for a
+// full partition.
+func (n *Network) Cut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{from, to}] = cut
+}
+
 // Register says in which place an address is and how long a connection to it
 // takes to open.
 func (n *Network) Register(address, place string, connect time.Duration) {
@@ -59,16 +79,24 @@
 }
 
 // fate draws what happens to a datagram: its delay, or its loss.
-func (n *Network) fate(from, address string) (delay time.Duration, lost bool) {
+func (n *Network) fate(place, from, to string) (delay time.Duration, lost bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if to, ok := n.places[address]; !ok || to == from {
+	toPlace, known := n.places[to]
+	for _, a := range []string{place, from} {
+		for _, b := range []string{toPlace, to} {
+			if n.cuts[[2]string{a, b}] {
+				return 0, true
+			}
+		}
+	}
+	if !known || toPlace == place {
 		return 0, false
 	}
-	if n.rng.Float64() < n.model.Loss {
+	if n.rng.Float64() < n.loss {
 		return 0, true
 	}
-	return millis(n.model.OneWayDelayMS + n.model.JitterMS*n.rng.Float64()), false
+	return millis(n.delayMS + n.model.JitterMS*n.rng.Float64()), false
 }
 
 // delayedConn delays and drops what is sent. It hides the UDP connection's
@@ -81,7 +109,7 @@
 
 // WriteTo sends a datagram after the delay of the link.
 func (c *delayedConn) WriteTo(data []byte, addr net.Addr) (int, error) {
-	delay, lost := c.network.fate(c.place, addr.String())
+	delay, lost := c.network.fate(c.place, c.LocalAddr().String(), addr.String())
 	if lost {
 		return len(data), nil
 	}
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -39,10 +38,13 @@
 	versions []uint64
 	state    wire.TargetState
 	boot     int
-	conns    map[net.Conn]bool
-	runs     map[string]int // times each request ran, by request identifier
+	conns    map[net.Conn]bool // true: the connection is silent
+	runs     map[string]int    // times each request ran, by request identifier
 	server   *http.Server
 
+	faults Faults
+	cold   coldState
+
 	active atomic.Int64
 	counts Counts
 }
@@ -53,6 +55,10 @@
 	Lookups   atomic.Int64 // lookups run
 	OverSlots atomic.Int64 // requests refused because every slot was in use
 	OverConns atomic.Int64 // connections refused
+	OverCold  atomic.Int64 // requests above what the cold searcher bears
+	FellOver  atomic.Int64 // crashes from load while cold
+	Crashed   atomic.Int64 // crashes from a killer query
+	Shed      atomic.Int64 // requests shed on purpose
 	Canceled  atomic.Int64 // requests cancelled while they ran
 }
 
@@ -124,9 +130,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /search", s.search)
 	mux.HandleFunc("POST /lookup", s.lookup)
-	server := &http.Server{Handler: mux, ConnState: s.connState}
+	server := &http.Server{
+		Handler: mux, ConnState: s.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	s.mu.Lock()
-	s.boot++
+	if s.boot++; s.boot > 1 {
+		s.cold = coldState{active: true, announced: true}
+	}
 	s.server = server
 	s.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
@@ -143,7 +154,7 @@
 			_ = conn.Close()
 			return
 		}
-		s.conns[conn] = true
+		s.conns[conn] = false
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, conn)
 	}
@@ -151,7 +162,11 @@
 
 // status returns what the searcher says about itself. The caller holds s.mu.
 func (s *Searcher) status() wire.TargetStatus {
-	return wire.TargetStatus{State: s.state, BootID: fmt.Sprintf("%s#%d", s.ID, s.boot), Versions: slices.Clone(s.versions)}
+	state := s.state
+	if s.cold.active && s.cold.announced && state == wire.TargetWarm {
+		state = wire.TargetCold
+	}
+	return wire.TargetStatus{State: state, BootID: fmt.Sprintf("%s#%d", s.ID, s.boot), Versions: slices.Clone(s.versions)}
 }
 
 func (s *Searcher) search(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +188,7 @@
 		return
 	}
 	s.counts.Searches.Add(1)
-	if !s.work(r.Context()) {
+	if s.killedBy(body.Terms) || !s.work(r.Context()) {
 		return
 	}
 	writeJSON(w, http.StatusOK, target.SearchAnswer{
@@ -207,8 +222,13 @@
 // admit takes a slot and decodes the body. It answers the request itself and
 // returns false if the request does not run.
 func (s *Searcher) admit(w http.ResponseWriter, r *http.Request, body any) bool {
+	if s.silent(r.Context()) {
+		<-r.Context().Done()
+		return false
+	}
 	s.mu.Lock()
 	status := s.status()
+	shed := s.faults.ShedRatio > 0 && s.rng.Float64() < s.faults.ShedRatio
 	s.mu.Unlock()
 	if err := json.NewDecoder(r.Body).Decode(body); err != nil {
 		refuse(w, status, outcome.Invalid, err.Error())
@@ -218,24 +238,31 @@
 		refuse(w, status, outcome.Draining, "draining")
 		return false
 	}
+	if shed {
+		s.counts.Shed.Add(1)
+		refuse(w, status, outcome.Overload, "shedding load")
+		return false
+	}
 	if s.active.Add(1) > int64(s.spec.Slots) {
 		s.active.Add(-1)
 		s.counts.OverSlots.Add(1)
 		refuse(w, status, outcome.Overload, "every slot is in use")
 		return false
 	}
+	if s.overCold() {
+		s.active.Add(-1)
+		return false
+	}
 	return true
 }
 
 // work takes the service time. It returns false if the request was cancelled.
 func (s *Searcher) work(ctx context.Context) bool {
-	s.mu.Lock()
-	took := millis(s.model.MedianMS * math.Exp(s.model.Sigma*s.rng.NormFloat64()))
-	s.mu.Unlock()
-	timer := time.NewTimer(took)
+	timer := time.NewTimer(s.serviceTime())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		s.warmUp()
 		return true
 	case <-ctx.Done():
 		s.counts.Canceled.Add(1)
