Reload keys without a restart and refuse strangers

Certificates and the authority are read again when their files change; a broken file leaves the keys in use. A peer without a certificate of the authority is refused and counted. Adds the decision packages entries (addresses for callers) and drain (phases of a graceful shutdown).

--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -25,14 +25,14 @@
 			if err != nil {
 				return usageError{err}
 			}
-			conf, err := peer.LoadTLS(process.TLS)
+			keys, err := peer.LoadKeys(process.TLS)
 			if err != nil {
 				return usageError{err}
 			}
 			log := hclog.New(&hclog.LoggerOptions{
 				Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
 			})
-			d, err := daemon.New(daemon.Options{Process: process, TLS: conf, Logger: log})
+			d, err := daemon.New(daemon.Options{Process: process, TLS: keys.Config(), Logger: log})
 			if err != nil {
 				return err
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,13 +62,10 @@
 }
 
 // Listen starts a transport on an open packet connection, which it owns from
-// then on. The TLS configuration must hold the host's certificate, the roots
-// for both directions and require client certificates.
+// then on. The TLS configuration comes from Keys.
 func Listen(conn net.PacketConn, conf *tls.Config, handler Handler) (*Transport, error) {
 	conf = conf.Clone()
 	conf.NextProtos = []string{protocol}
-	conf.ServerName = ServerName
-	conf.MinVersion = tls.VersionTLS13
 	t := &Transport{quic: &quic.Transport{Conn: conn}, tls: conf, handler: handler, conns: map[string]*outgoing{}}
 	t.dialing, t.stop = context.WithCancel(context.Background())
 	listener, err := t.quic.Listen(conf, quicConfig())
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,144 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+)
+
+// echo answers a search request with a final reply.
+func echo(_ context.Context, _ wire.Exchange, s *peer.Stream) {
+	var req wire.SearchRequest
+	if err := s.Receive(&req); err == nil {
+		_ = s.Send(&wire.SearchReply{Final: true})
+	}
+}
+
+func listen(conf *tls.Config) (*peer.Transport, string) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	t, err := peer.Listen(conn, conf, echo)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(t.Close)
+	return t, conn.LocalAddr().String()
+}
+
+func exchange(from *peer.Transport, to string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s, err := from.Open(ctx, to, wire.ExchangeSearch)
+	if err != nil {
+		return err
+	}
+	defer s.Reset()
+	if err := s.Send(&wire.SearchRequest{QueryID: "q"}); err != nil {
+		return err
+	}
+	return s.Receive(&wire.SearchReply{})
+}
+
+var _ = Describe("Transport", func() {
+	var authority *standin.Authority
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(before)).To(Succeed()) })
+		var err error
+		authority, err = standin.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a stranger that takes part in the fleet, with a
+	// certificate of another authority or without one.
+	It("refuses strangers and counts them", func() {
+		dir := GinkgoT().TempDir()
+		files, err := authority.WriteFiles(dir, "host")
+		Expect(err).NotTo(HaveOccurred())
+		keys, err := peer.LoadKeys(files)
+		Expect(err).NotTo(HaveOccurred())
+		_, address := listen(keys.Config())
+
+		strangers, err := standin.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+		conf, err := strangers.TLS("stranger")
+		Expect(err).NotTo(HaveOccurred())
+		conf.VerifyConnection = nil // the stranger accepts any host
+		stranger, _ := listen(conf)
+		Expect(exchange(stranger, address)).NotTo(Succeed())
+		conf.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &tls.Certificate{}, nil }
+		nameless, _ := listen(conf)
+		Expect(exchange(nameless, address)).NotTo(Succeed())
+		Eventually(keys.Refused).Should(Equal(int64(2)))
+	})
+
+	// Guards against certificates that can only be replaced by a restart, and
+	// against a broken file that takes the working keys away.
+	It("follows replaced key files without a restart", func() {
+		dir := GinkgoT().TempDir()
+		files, err := authority.WriteFiles(dir, "host")
+		Expect(err).NotTo(HaveOccurred())
+		keys, err := peer.LoadKeys(files)
+		Expect(err).NotTo(HaveOccurred())
+		_, address := listen(keys.Config())
+
+		next, err := standin.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+		conf, err := next.TLS("other")
+		Expect(err).NotTo(HaveOccurred())
+		other, _ := listen(conf)
+		Expect(exchange(other, address)).NotTo(Succeed())
+
+		Expect(os.WriteFile(files.CAFile, []byte("broken"), 0o600)).To(Succeed())
+		touch(files.CAFile)
+		_, err = keys.Reload()
+		Expect(err).To(MatchError(ContainSubstring("no certificate found")))
+		old, err := authority.TLS("old")
+		Expect(err).NotTo(HaveOccurred())
+		same, _ := listen(old)
+		Expect(exchange(same, address)).To(Succeed())
+
+		_, err = next.WriteFiles(dir, "host")
+		Expect(err).NotTo(HaveOccurred())
+		touch(files.CAFile)
+		Expect(keys.Reload()).To(BeTrue())
+		Expect(exchange(other, address)).To(Succeed())
+	})
+
+	// Guards against queries that hang on a connection whose other end is gone.
+	It("opens a new connection after the peer was replaced", func() {
+		conf, err := authority.TLS("a")
+		Expect(err).NotTo(HaveOccurred())
+		client, _ := listen(conf)
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := conn.LocalAddr().String()
+		first, err := peer.Listen(conn, conf, echo)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(exchange(client, address)).To(Succeed())
+		Expect(first.Close()).To(Succeed())
+
+		conn, err = net.ListenPacket("udp", address)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := peer.Listen(conn, conf, echo)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(second.Close)
+		Eventually(func() error { return exchange(client, address) }, "3s", "50ms").Should(Succeed())
+	})
+})
+
+// touch moves a file's modification time, which a rewrite within the clock's
+// resolution may leave unchanged.
+func touch(file string) {
+	later := time.Now().Add(time.Minute)
+	Expect(os.Chtimes(filepath.Clean(file), later, later)).To(Succeed())
+}
--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -7,10 +7,14 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // Authority issues host certificates for tests and the demo.
@@ -48,10 +52,46 @@
 
 // TLS issues a certificate for a host and returns its configuration.
 func (a *Authority) TLS(host string) (*tls.Config, error) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	cert, err := a.issue(host)
 	if err != nil {
 		return nil, err
 	}
+	return peer.NewKeys(cert, a.Pool()).Config(), nil
+}
+
+// WriteFiles issues a certificate for a host and writes the key files into a
+// directory.
+func (a *Authority) WriteFiles(dir, host string) (settings.KeyFiles, error) {
+	cert, err := a.issue(host)
+	if err != nil {
+		return settings.KeyFiles{}, err
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return settings.KeyFiles{}, err
+	}
+	files := settings.KeyFiles{
+		CertFile: filepath.Join(dir, host+".crt"), KeyFile: filepath.Join(dir, host+".key"), CAFile: filepath.Join(dir, host+".ca"),
+	}
+	blocks := map[string]*pem.Block{
+		files.CertFile: {Type: "CERTIFICATE", Bytes: cert.Certificate[0]},
+		files.KeyFile:  {Type: "PRIVATE KEY", Bytes: key},
+		files.CAFile:   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	}
+	for file, block := range blocks {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			return settings.KeyFiles{}, err
+		}
+	}
+	return files, nil
+}
+
+// issue signs a certificate for a host.
+func (a *Authority) issue(host string) (tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
 	a.serial++
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: host}, DNSNames: []string{peer.ServerName},
@@ -60,8 +100,5 @@
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		return nil, err
-	}
-	return peer.TLSConfig(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, a.Pool()), nil
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, err
 }
--- /dev/null
+++ b/pkg/drain/drain_test.go
@@ -0,0 +1,29 @@
+package drain_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
+)
+
+var _ = Describe("Shutdown", func() {
+	start := time.Unix(1000, 0)
+
+	// Guards against a host that refuses callers which still hold its address,
+	// or that ends while a request is open.
+	It("passes the phases in order", func() {
+		var s drain.Shutdown
+		Expect(s.Phase(start, 3)).To(Equal(drain.Serving))
+		s.Begin(start, 5*time.Second, 30*time.Second)
+		s.Begin(start.Add(time.Hour), time.Second, time.Second) // a repeated signal does not extend it
+		Expect(s.Phase(start, 0)).To(Equal(drain.Leaving))
+		Expect(s.Phase(start.Add(4*time.Second), 0)).To(Equal(drain.Leaving))
+		Expect(s.Phase(start.Add(5*time.Second), 1)).To(Equal(drain.Closing))
+		Expect(s.Until(start.Add(5*time.Second), drain.Closing)).To(Equal(30 * time.Second))
+		Expect(s.Phase(start.Add(5*time.Second), 0)).To(Equal(drain.Done))
+		Expect(s.Phase(start.Add(35*time.Second), 1)).To(Equal(drain.Done))
+	})
+})
--- /dev/null
+++ b/pkg/entries/entries.go
@@ -0,0 +1,97 @@
+// Package entries chooses the addresses that a caller is told to use.
+//
+// No balancer stands before the hosts: a caller asks any host, keeps the
+// answer for a while and connects to the addresses itself. So the answer must
+// spread callers over the hosts near them, must not name a host that is
+// leaving, taken out or not heard of, and must never be empty while any host
+// could serve.
+//
+// The package holds no state; the caller passes what it knows of each host.
+package entries
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Max is the number of addresses in an answer. Eight names all hosts of today;
+// at 1,300 hosts a longer list would only cost bytes, since a caller that
+// exhausts eight addresses asks again.
+const Max = 8
+
+// Host is what is known of one host.
+type Host struct {
+	Name    string
+	Place   string
+	Address string
+	Leaving bool    // it shuts down, or operators took it out
+	PlaceIn bool    // its place is in service
+	Heard   bool    // it answered a heartbeat lately
+	Load    float64 // fraction of its capacity in use; 0 if not known
+}
+
+// usable is a preference class of hosts; lower is better.
+type usable int
+
+const (
+	heard    usable = iota // in service and heard of lately
+	listed                 // in service by the list, not heard of: it may be cut off from this host only
+	unusable               // leaving or out of service
+)
+
+func (h *Host) class() usable {
+	switch {
+	case h.Leaving || !h.PlaceIn:
+		return unusable
+	case h.Heard:
+		return heard
+	default:
+		return listed
+	}
+}
+
+// Choose returns the hosts to name, best first. Hosts of the given place come
+// before others. Within a place the order is random, weighted by free
+// capacity, so that callers which take the first address spread by load. Hosts
+// that were not heard of come last, because callers may reach what this host
+// cannot.
+func Choose(hosts []Host, place string, rng *rand.Rand) []Host {
+	type ranked struct {
+		host  Host
+		class usable
+		far   int
+		draw  float64
+	}
+	candidates := make([]ranked, 0, len(hosts))
+	for _, h := range hosts {
+		class := h.class()
+		if class == unusable {
+			continue
+		}
+		far := 1
+		if h.Place == place {
+			far = 0
+		}
+		candidates = append(candidates, ranked{h, class, far, draw(h.Load, rng)})
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.far, b.far), cmp.Compare(a.draw, b.draw))
+	})
+	chosen := make([]Host, 0, min(Max, len(candidates)))
+	for _, c := range candidates[:min(Max, len(candidates))] {
+		chosen = append(chosen, c.host)
+	}
+	return chosen
+}
+
+// minFree keeps a host that reports full load eligible: its report may be old.
+const minFree = 0.05
+
+// draw is the key of a weighted random order: the smallest of exponential
+// variables with rate w is theirs with probability w over the sum of rates.
+func draw(load float64, rng *rand.Rand) float64 {
+	free := max(minFree, 1-load)
+	return -math.Log(1-rng.Float64()) / free
+}
--- /dev/null
+++ b/pkg/entries/entries_test.go
@@ -0,0 +1,60 @@
+package entries_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/entries"
+)
+
+func host(name, place string, change func(*entries.Host)) entries.Host {
+	h := entries.Host{Name: name, Place: place, PlaceIn: true, Heard: true}
+	if change != nil {
+		change(&h)
+	}
+	return h
+}
+
+var _ = Describe("Choose", func() {
+	rng := rand.New(rand.NewPCG(1, 1))
+
+	// Guards against callers that are sent to a host which is going away.
+	It("never names a leaving host or one of a place that is out", func() {
+		chosen := entries.Choose([]entries.Host{
+			host("a", "north", func(h *entries.Host) { h.Leaving = true }),
+			host("b", "north", func(h *entries.Host) { h.PlaceIn = false }),
+			host("c", "south", nil),
+		}, "north", rng)
+		Expect(chosen).To(HaveLen(1))
+		Expect(chosen[0].Name).To(Equal("c"))
+	})
+
+	// Guards against an empty answer while this host is cut off from the rest:
+	// callers may reach hosts that it cannot.
+	It("names hosts that were not heard of, last", func() {
+		chosen := entries.Choose([]entries.Host{
+			host("a", "north", func(h *entries.Host) { h.Heard = false }),
+			host("b", "south", nil),
+		}, "north", rng)
+		Expect(chosen).To(HaveLen(2))
+		Expect(chosen[0].Name).To(Equal("b"))
+	})
+
+	// Guards against all callers taking the same first address.
+	It("spreads first addresses by free capacity, near hosts before far ones", func() {
+		hosts := []entries.Host{
+			host("idle", "north", nil),
+			host("busy", "north", func(h *entries.Host) { h.Load = 0.75 }),
+			host("far", "south", nil),
+		}
+		first := map[string]int{}
+		for range 10000 {
+			first[entries.Choose(hosts, "north", rng)[0].Name]++
+		}
+		Expect(first).NotTo(HaveKey("far"))
+		Expect(first["idle"]).To(BeNumerically("~", 8000, 300), fmt.Sprint(first))
+	})
+})
