Shut down gracefully in phases and test real processes

A host that gets SIGTERM leaves the entries answers, accepts requests until kept answers have run out, finishes what is open and exits with status 0. A second signal ends it at once and logs the number of requests it cut. Tests run 'serve' as child processes of the test binary: a query through two processes equals the naive search, and a request that was open at SIGTERM as well as one that came after it are answered.

--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -27,7 +27,8 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	// A second signal gets the default action: the process ends at once.
+	// A second signal gets the default action, the end of the process, unless
+	// the command handles it.
 	context.AfterFunc(ctx, stop)
 	err := newRoot().ExecuteContext(ctx)
 	stop()
--- /dev/null
+++ b/cmd/lacewingyard/process_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// runMain makes the test binary act as the lacewingyard command, so that tests
+// can run real processes without building the command again.
+const runMain = "LACEWINGYARD_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is one running `lacewingyard serve`.
+type process struct {
+	cmd      *exec.Cmd
+	settings settings.Process
+	log      bytes.Buffer
+}
+
+// startProcess starts a host for an ordinal of a place and lists it.
+func startProcess(t *testing.T, f *fleet.Fleet, place string, ordinal int) *process {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	files, err := f.Authority.WriteFiles(dir, "host")
+	g.Expect(err).NotTo(HaveOccurred())
+	p := &process{settings: settings.Process{
+		Name: place, Place: place, Ordinal: ordinal, TLS: files, LogLevel: "info",
+		Listen:   settings.Listen{Callers: freeTCP(g), Operators: freeTCP(g), Peers: freeUDP(g)},
+		Platform: settings.Platform{ConfigURL: f.Platform.URL(fleet.ConfigKey), HostsURL: f.Platform.URL(fleet.HostsKey)},
+	}}
+	data, err := json.Marshal(p.settings)
+	g.Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(dir, "host.json")
+	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
+	p.cmd = exec.Command(os.Args[0], "serve", "--settings", file)
+	p.cmd.Env = append(os.Environ(), runMain+"=1")
+	p.cmd.Stderr = &p.log
+	g.Expect(p.cmd.Start()).To(Succeed())
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	g.Expect(f.PublishHosts(func(list *platform.HostList) {
+		list.Hosts = append(list.Hosts, platform.Host{
+			Name: place, Place: place, Ordinal: ordinal, State: platform.HostLive,
+			Callers: p.settings.Listen.Callers, Peers: p.settings.Listen.Peers,
+		})
+	})).To(Succeed())
+	return p
+}
+
+func (p *process) ready() error {
+	resp, err := http.Get("http://" + p.settings.Listen.Operators + "/healthz")
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
+
+// search asks for the records with a word.
+func (p *process) search(term string) (api.SearchResponse, error) {
+	var answer api.SearchResponse
+	body, _ := json.Marshal(api.SearchRequest{Terms: []string{term}, MinCoverage: 1})
+	err := call(context.Background(), http.MethodPost, p.settings.Listen.Callers, "/v1/services/tags/search", nil, bytes.NewReader(body), &answer)
+	return answer, err
+}
+
+func freeTCP(g Gomega) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func freeUDP(g Gomega) string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// smallDeployment has two places with one host each and four shard groups, the
+// first two in the north and the others in the south.
+func smallDeployment() *fleet.Deployment {
+	doc := settings.Document{
+		DesignatedLevel: settings.LevelPlace,
+		Fleet: settings.Node{Settings: settings.Overrides{
+			"entries_ttl": json.RawMessage(`"300ms"`), "deadline_default": json.RawMessage(`"3s"`),
+		}},
+		Places: map[string]settings.Place{"north": {State: settings.PlaceIn, Hosts: 1}, "south": {State: settings.PlaceIn, Hosts: 1}},
+	}
+	service := settings.Service{Kind: settings.KindSearch, PartitionEpoch: 1}
+	ranges := keyspace.Split(4)
+	for i, r := range ranges {
+		place := []string{"north", "south"}[i/2]
+		id := place + string(rune('a'+i))
+		service.Groups = append(service.Groups, settings.Group{ID: id, Range: r, Targets: []settings.Target{
+			{ID: id + "-0", Place: place, Address: "127.0.0.1:1", Slots: 2, Connections: 8},
+		}})
+	}
+	doc.Services = map[string]settings.Service{"tags": service}
+	return &fleet.Deployment{Document: doc, Model: &standin.Model{
+		Seed: 1, Services: map[string]standin.ServiceModel{"tags": {Records: 400, MedianMS: 150, Noun: "tag"}},
+	}}
+}
+
+// Guards against a path that works only within one process, and against a
+// shutdown that cuts a request or refuses callers that still hold the address.
+func TestServeProcesses(t *testing.T) {
+	g := NewWithT(t)
+	f, err := fleet.StartStandins(smallDeployment(), hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	north := startProcess(t, f, "north", 0)
+	south := startProcess(t, f, "south", 0)
+	for _, p := range []*process{north, south} {
+		g.Eventually(p.ready, "15s", "20ms").Should(Succeed())
+	}
+
+	// Half of the groups are reached through the other process.
+	answer, err := north.search("red")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Coverage).To(Equal(1.0))
+	g.Expect(answer.Records).To(Equal(f.Datasets["tags"].Search(answer.Snapshot, []string{"red"}, 0)))
+
+	open := make(chan error, 1)
+	go func() {
+		_, err := north.search("blue")
+		open <- err
+	}()
+	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(Equal(int64(2)))
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	_, err = north.search("green")
+	g.Expect(err).NotTo(HaveOccurred(), "a caller that kept the address is still served")
+	g.Expect(<-open).NotTo(HaveOccurred())
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+}
+
+// Guards against a second signal that is ignored or that hides what it cut.
+func TestSecondSignal(t *testing.T) {
+	g := NewWithT(t)
+	f, err := fleet.StartStandins(smallDeployment(), hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	for _, s := range f.Searchers {
+		s.SetFaults(standin.Faults{Stuck: true})
+	}
+	north := startProcess(t, f, "north", 0)
+	g.Eventually(north.ready, "15s", "20ms").Should(Succeed())
+	go func() { _, _ = north.search("red") }()
+	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(BeNumerically(">", 0))
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	time.Sleep(50 * time.Millisecond) // equal signals that are pending at once are merged
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(north.cmd.Wait()).NotTo(Succeed())
+	g.Expect(north.cmd.ProcessState.ExitCode()).To(Equal(exitFailed), north.log.String())
+	g.Expect(north.log.String()).To(ContainSubstring(`"open":1`))
+}
+
+// Guards against bad input that starts half a daemon or hides its cause.
+func TestServeRefusesBadSettings(t *testing.T) {
+	g := NewWithT(t)
+	file := filepath.Join(t.TempDir(), "host.json")
+	g.Expect(os.WriteFile(file, []byte(`{"name": "a", "plaice": "north"}`), 0o600)).To(Succeed())
+	cmd := exec.Command(os.Args[0], "serve", "--settings", file)
+	cmd.Env = append(os.Environ(), runMain+"=1")
+	out, _ := cmd.CombinedOutput()
+	g.Expect(cmd.ProcessState.ExitCode()).To(Equal(exitUsage))
+	g.Expect(string(out)).To(ContainSubstring("plaice: unknown field"))
+}
--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
@@ -10,6 +13,14 @@
 	"github.com/spf13/cobra"
 )
 
+// abortOnSignal ends a shutdown at the next signal.
+func abortOnSignal(d *daemon.Daemon) {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+	<-again
+	d.Abort()
+}
+
 func newServe() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
@@ -36,6 +47,16 @@
 			if err != nil {
 				return err
 			}
+			go keys.Watch(cmd.Context(), func(err error) {
+				if err != nil {
+					log.Error("key files were not reloaded", "error", err)
+					return
+				}
+				log.Info("key files reloaded")
+			})
+			// The first signal ends the command's context; a second one is
+			// caught here.
+			context.AfterFunc(cmd.Context(), func() { abortOnSignal(d) })
 			return d.Run(cmd.Context())
 		},
 	}
--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -26,8 +26,8 @@
 			return err
 		}
 		return format.print(cmd.OutOrStdout(), status, func(w io.Writer) {
-			fmt.Fprintf(w, "host\t%s\nplace\t%s\nordinal\t%d\nconfiguration version\t%d\nhost list version\t%d\n",
-				status.Host, status.Place, status.Ordinal, status.ConfigVersion, status.HostsVersion)
+			fmt.Fprintf(w, "host\t%s\nplace\t%s\nordinal\t%d\nphase\t%s\nopen requests\t%d\nconfiguration version\t%d\nhost list version\t%d\n",
+				status.Host, status.Place, status.Ordinal, status.Phase, status.Open, status.ConfigVersion, status.HostsVersion)
 			names := make([]string, 0, len(status.Places))
 			for name := range status.Places {
 				names = append(names, name)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,7 +52,10 @@
 	transport *peer.Transport
 	callers   *http.Server
 	operators *http.Server
+	open      openRequests
 	ready     chan struct{}
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // New opens the sockets of a daemon. Run serves on them.
@@ -66,7 +69,7 @@
 	if opts.DialTarget == nil {
 		opts.DialTarget = (&net.Dialer{}).DialContext
 	}
-	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{})}
+	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), aborted: make(chan struct{})}
 	d.config = newConfig(d.log)
 	d.directory = newDirectory(d.log)
 	d.branch = newBranch(opts.Process, d.config, opts.DialTarget)
@@ -115,6 +118,8 @@
 	for _, first := range []<-chan struct{}{d.config.first, d.directory.first} {
 		select {
 		case <-first:
+		case <-d.aborted:
+			return errors.New("aborted before a configuration and a host list could be read")
 		case <-ctx.Done():
 			return errors.New("stopped before a configuration and a host list could be read")
 		}
@@ -122,43 +127,6 @@
 	return nil
 }
 
-func (d *Daemon) serve(ctx context.Context) error {
-	callers, err := d.opts.Listen(d.opts.Process.Listen.Callers)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	operators, err := d.opts.Listen(d.opts.Process.Listen.Operators)
-	if err != nil {
-		_ = callers.Close()
-		return errors.Wrap(err, "listen for operators")
-	}
-	d.callers = newServer(d.callerRoutes())
-	d.operators = newServer(d.operatorRoutes())
-	failed := make(chan error, 2)
-	go func() { failed <- d.callers.Serve(callers) }()
-	go func() { failed <- d.operators.Serve(operators) }()
-	d.log.Info("serving", "callers", callers.Addr(), "peers", d.opts.Process.Listen.Peers, "operators", operators.Addr())
-	close(d.ready)
-
-	select {
-	case err = <-failed:
-		err = errors.Wrap(err, "HTTP server")
-	case <-ctx.Done():
-		err = nil
-	}
-	return errors.CombineErrors(err, d.shutdown())
-}
-
-// shutdown stops accepting and waits for the requests in progress.
-func (d *Daemon) shutdown() error {
-	grace := d.config.tree().Effective(d.opts.Process.Place, "").DrainGrace
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	d.log.Info("draining", "grace", grace)
-	err := d.callers.Shutdown(ctx)
-	return errors.CombineErrors(err, d.operators.Shutdown(ctx))
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- /dev/null
+++ b/internal/daemon/entries.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
+	"github.com/lacewingyard/lacewingyard/pkg/entries"
+)
+
+// Entries returns the addresses that a caller may use.
+func (e *entry) Entries() api.EntriesResponse {
+	tree := e.config.tree()
+	answer := api.EntriesResponse{
+		Entries: []api.Entry{},
+		TTLMS:   tree.Effective(e.self.Place, "").EntriesTTL.Milliseconds(),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	selfLeaving := e.shutdown.Phase(time.Now(), 0) != drain.Serving
+	list := e.directory.hosts().list.Hosts
+	known := make([]entries.Host, 0, len(list))
+	for _, h := range list {
+		known = append(known, entries.Host{
+			Name: h.Name, Place: h.Place, Address: h.Callers,
+			Leaving: h.State != platform.HostLive || slices.Contains(tree.Doc.HostsOut, h.Name) || h.Name == e.self.Name && selfLeaving,
+			PlaceIn: tree.PlaceIsIn(h.Place),
+			Heard:   true,
+		})
+	}
+	for _, h := range entries.Choose(known, e.self.Place, e.rng) {
+		answer.Entries = append(answer.Entries, api.Entry{Host: h.Name, Place: h.Place, Address: h.Address})
+	}
+	return answer
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
@@ -29,12 +29,15 @@
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
 	versions *snapshot.Versions
+	rng      *rand.Rand
+	shutdown drain.Shutdown
 }
 
 func newEntry(self *settings.Process, config *config, directory *directory, branches *branchClient) *entry {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &entry{
 		self: self, config: config, directory: directory, branches: branches,
+		rng:      rng,
 		router:   routing.NewRouter(self.Place, rng),
 		versions: snapshot.NewVersions(),
 	}
@@ -47,32 +50,6 @@
 	return service.Kind, tree.Effective(e.self.Place, name), ok
 }
 
-// Entries returns the addresses for callers, this host's place first.
-func (e *entry) Entries() api.EntriesResponse {
-	tree := e.config.tree()
-	answer := api.EntriesResponse{
-		Entries: []api.Entry{},
-		TTLMS:   tree.Effective(e.self.Place, "").EntriesTTL.Milliseconds(),
-	}
-	for _, h := range e.directory.hosts().list.Hosts {
-		if h.State != platform.HostLive || !tree.PlaceIsIn(h.Place) || slices.Contains(tree.Doc.HostsOut, h.Name) {
-			continue
-		}
-		answer.Entries = append(answer.Entries, api.Entry{Host: h.Name, Place: h.Place, Address: h.Callers})
-	}
-	slices.SortStableFunc(answer.Entries, func(a, b api.Entry) int {
-		return cmp.Compare(e.distance(a.Place), e.distance(b.Place))
-	})
-	return answer
-}
-
-func (e *entry) distance(place string) int {
-	if place == e.self.Place {
-		return 0
-	}
-	return 1
-}
-
 // deadline returns the time a request may take.
 func deadline(meta api.Meta, policy *settings.Policy) time.Duration {
 	if meta.Deadline == 0 {
--- /dev/null
+++ b/internal/daemon/shutdown.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// openRequests counts the requests of callers in progress.
+type openRequests struct{ count atomic.Int64 }
+
+// track counts the requests that pass through a handler.
+func (o *openRequests) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o.count.Add(1)
+		defer o.count.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// AbortedError says that a shutdown was cut short.
+type AbortedError struct{ Cut int64 }
+
+func (e *AbortedError) Error() string {
+	return errors.Newf("shutdown was aborted with %d requests open", e.Cut).Error()
+}
+
+// Abort ends a shutdown, or a host that serves, at once. Run then returns an
+// *AbortedError if requests were cut.
+func (d *Daemon) Abort() { d.abortOnce.Do(func() { close(d.aborted) }) }
+
+// serve answers callers and operators until the context ends, then shuts down.
+func (d *Daemon) serve(ctx context.Context) error {
+	callers, err := d.opts.Listen(d.opts.Process.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	operators, err := d.opts.Listen(d.opts.Process.Listen.Operators)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(err, "listen for operators")
+	}
+	d.callers = newServer(d.open.track(d.callerRoutes()))
+	d.operators = newServer(d.operatorRoutes())
+	failed := make(chan error, 2)
+	go func() { failed <- d.callers.Serve(callers) }()
+	go func() { failed <- d.operators.Serve(operators) }()
+	d.log.Info("serving", "callers", callers.Addr(), "peers", d.opts.Process.Listen.Peers, "operators", operators.Addr())
+	close(d.ready)
+
+	select {
+	case err = <-failed:
+		err = errors.Wrap(err, "HTTP server")
+	case <-ctx.Done():
+		err = d.shutdown()
+	case <-d.aborted:
+		err = d.cut()
+	}
+	return errors.CombineErrors(err, errors.CombineErrors(d.callers.Close(), d.operators.Close()))
+}
+
+// shutdown takes this host out of the entries answers, accepts requests until
+// kept answers have run out, and finishes what is open.
+func (d *Daemon) shutdown() error {
+	policy := d.config.tree().Effective(d.opts.Process.Place, "")
+	s := d.entry.beginShutdown(policy)
+	d.log.Info("leaving", "accepting_for", policy.EntriesTTL, "open", d.open.count.Load())
+	if !d.wait(s.Until(time.Now(), drain.Leaving)) {
+		return d.cut()
+	}
+	d.log.Info("closing", "open", d.open.count.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), s.Until(time.Now(), drain.Closing))
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- d.callers.Shutdown(ctx) }()
+	select {
+	case err := <-closed:
+		if err != nil {
+			return d.cut() // the grace period is over
+		}
+		return nil
+	case <-d.aborted:
+		return d.cut()
+	}
+}
+
+// beginShutdown takes this host out of the entries answers.
+func (e *entry) beginShutdown(policy *settings.Policy) drain.Shutdown {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shutdown.Begin(time.Now(), policy.EntriesTTL, policy.DrainGrace)
+	return e.shutdown
+}
+
+// phase returns the phase of this host's life.
+func (d *Daemon) phase() drain.Phase {
+	d.entry.mu.Lock()
+	defer d.entry.mu.Unlock()
+	return d.entry.shutdown.Phase(time.Now(), int(d.open.count.Load()))
+}
+
+// wait returns true after a duration and false if the shutdown was aborted.
+func (d *Daemon) wait(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.aborted:
+		return false
+	}
+}
+
+// cut reports the requests that end unanswered.
+func (d *Daemon) cut() error {
+	open := d.open.count.Load()
+	if open == 0 {
+		return nil
+	}
+	d.log.Error("shutdown cuts requests", "open", open)
+	return &AbortedError{Cut: open}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,12 @@
 	return <-h.done
 }
 
+// Kill ends the host at once.
+func (h *Host) Kill() error {
+	h.Daemon.Abort()
+	return <-h.done
+}
+
 // Fleet is a running deployment.
 type Fleet struct {
 	Platform  *standin.Platform
@@ -73,8 +79,9 @@
 	Hosts     []*Host
 	Model     *standin.Model
 
-	log       hclog.Logger
-	authority *standin.Authority
+	Authority *standin.Authority // signs the certificates of the hosts
+
+	log hclog.Logger
 
 	mu       sync.Mutex
 	document settings.Document
@@ -85,21 +92,34 @@
 // host serves. The given document's target addresses are replaced by those on
 // which the stand-ins listen.
 func Start(ctx context.Context, d *Deployment, log hclog.Logger) (*Fleet, error) {
+	f, err := StartStandins(d, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.startHosts(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// StartStandins starts only what surrounds the hosts. Hosts are added with
+// AddHost, or run as processes of their own.
+func StartStandins(d *Deployment, log hclog.Logger) (*Fleet, error) {
 	f := &Fleet{
 		Searchers: map[string]*standin.Searcher{}, Datasets: map[string]*standin.Dataset{},
 		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log, document: d.Document,
 	}
-	err := f.start(ctx)
-	if err != nil {
+	if err := f.startStandins(); err != nil {
 		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *Fleet) start(ctx context.Context) error {
+func (f *Fleet) startStandins() error {
 	var err error
-	if f.authority, err = standin.NewAuthority(); err != nil {
+	if f.Authority, err = standin.NewAuthority(); err != nil {
 		return errors.Wrap(err, "make certificates")
 	}
 	if f.Platform, err = standin.NewPlatform(); err != nil {
@@ -108,9 +128,10 @@
 	if err := f.startSearchers(); err != nil {
 		return errors.Wrap(err, "start searchers")
 	}
-	if err := f.PublishConfig(func(*settings.Document) {}); err != nil {
-		return err
-	}
+	return f.PublishConfig(func(*settings.Document) {})
+}
+
+func (f *Fleet) startHosts(ctx context.Context) error {
 	for place, p := range f.document.Places {
 		for ordinal := range p.Hosts {
 			if _, err := f.AddHost(ctx, place, ordinal); err != nil {
@@ -198,7 +219,7 @@
 		},
 		Platform: settings.Platform{ConfigURL: f.Platform.URL(ConfigKey), HostsURL: f.Platform.URL(HostsKey)},
 	}
-	conf, err := f.authority.TLS(process.Name)
+	conf, err := f.Authority.TLS(process.Name)
 	if err != nil {
 		return nil, err
 	}
@@ -225,11 +246,11 @@
 	return h, f.PublishHosts(func(list *platform.HostList) { list.Hosts = append(list.Hosts, h.Entry) })
 }
 
-// Close stops everything. Hosts finish their open requests first.
+// Close stops everything at once.
 func (f *Fleet) Close() {
 	var wg sync.WaitGroup
 	for _, h := range f.Hosts {
-		wg.Go(func() { _ = h.Stop() })
+		wg.Go(func() { _ = h.Kill() })
 	}
 	wg.Wait()
 	for _, s := range f.Searchers {
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -22,7 +22,9 @@
 )
 
 // String returns the name used in status and logs.
-func (p Phase) String() string { return [...]string{"serving", "leaving", "closing", "done"}[min(p, Done)] }
+func (p Phase) String() string {
+	return [...]string{"serving", "leaving", "closing", "done"}[min(p, Done)]
+}
 
 // Shutdown tracks the phases of one host.
 type Shutdown struct {
