Add metrics by client_golang and traces by OpenTelemetry

The entry role is wrapped by a decorator that counts outcomes, latency and coverage and makes the root span of each request; /metrics is served on the operators' listener. Spans go to an OTLP endpoint or a file as the process settings say.

--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -6,9 +6,11 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
 )
@@ -43,7 +45,14 @@
 			log := hclog.New(&hclog.LoggerOptions{
 				Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
 			})
-			d, err := daemon.New(daemon.Options{Process: process, TLS: keys.Config(), Logger: log})
+			tracer, err := telemetry.NewTracer(cmd.Context(), process.Traces, process.Name, process.Place)
+			if err != nil {
+				return err
+			}
+			metrics := telemetry.NewMetrics()
+			metrics.Counter("handshakes_refused_total", "Handshakes with peers that had no certificate of the authority.",
+				func() float64 { return float64(keys.Refused()) })
+			d, err := daemon.New(daemon.Options{Process: process, TLS: keys.Config(), Logger: log, Metrics: metrics, Tracer: tracer})
 			if err != nil {
 				return err
 			}
@@ -57,7 +66,7 @@
 			// The first signal ends the command's context; a second one is
 			// caught here.
 			context.AfterFunc(cmd.Context(), func() { abortOnSignal(d) })
-			return d.Run(cmd.Context())
+			return errors.CombineErrors(d.Run(cmd.Context()), tracer.Close())
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "process settings file (JSON)")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -32,6 +33,8 @@
 	Process *settings.Process
 	TLS     *tls.Config // mutual TLS between hosts
 	Logger  hclog.Logger
+	Metrics *telemetry.Metrics // nil makes new ones
+	Tracer  *telemetry.Tracer  // nil makes no spans
 
 	// Listen opens the sockets for callers and operators; nil listens on TCP.
 	Listen func(address string) (net.Listener, error)
@@ -60,6 +63,12 @@
 
 // New opens the sockets of a daemon. Run serves on them.
 func New(opts Options) (*Daemon, error) {
+	if opts.Metrics == nil {
+		opts.Metrics = telemetry.NewMetrics()
+	}
+	if opts.Tracer == nil {
+		opts.Tracer = &telemetry.Tracer{}
+	}
 	if opts.Listen == nil {
 		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
@@ -82,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.registerGauges()
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
 	return d, nil
@@ -138,14 +148,16 @@
 
 func (d *Daemon) callerRoutes() http.Handler {
 	router := mux.NewRouter()
-	queries.Register(router, d.entry)
-	commands.Register(router, d.entry)
+	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
+	queries.Register(router, entry)
+	commands.Register(router, entry)
 	return router
 }
 
 func (d *Daemon) operatorRoutes() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	router.Handle("/metrics", d.opts.Metrics.Handler())
 	router.HandleFunc("/status", d.serveStatus).Methods(http.MethodGet)
 	return router
 }
--- a/pkg/settings/process.go
+++ b/pkg/settings/process.go
@@ -16,6 +16,14 @@
 	Platform Platform `json:"platform"`
 	TLS      KeyFiles `json:"tls"`
 	LogLevel string   `json:"log_level,omitempty"`
+	Traces   Traces   `json:"traces,omitzero"`
+}
+
+// Traces says where spans are exported to. Without endpoint and file none are.
+type Traces struct {
+	Endpoint    string  `json:"endpoint,omitempty"` // URL of an OTLP collector over HTTP
+	File        string  `json:"file,omitempty"`     // appended to, one span per line
+	SampleRatio float64 `json:"sample_ratio"`       // fraction of traces that start at this host
 }
 
 // Listen holds the addresses that a host listens on.
@@ -57,6 +65,9 @@
 	urls := []struct{ path, value string }{
 		{"platform.config_url", p.Platform.ConfigURL}, {"platform.hosts_url", p.Platform.HostsURL},
 	}
+	if p.Traces.Endpoint != "" {
+		urls = append(urls, struct{ path, value string }{"traces.endpoint", p.Traces.Endpoint})
+	}
 	for _, u := range urls {
 		parsed, err := url.Parse(u.value)
 		if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
