--- /dev/null
+++ b/internal/api/limits.go
@@ -0,0 +1,69 @@
+package api
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxCallers bounds the callers that are told apart. When it is reached
+	// the table starts anew, which forgives at most one burst a caller.
+	maxCallers = 10000
+	// burstSeconds of the rate may come at once.
+	burstSeconds = 1
+)
+
+// RateLimit refuses requests of a caller address above a rate.
+type RateLimit struct {
+	limit func() int // requests a second, 0 for no limit
+
+	mu      sync.Mutex
+	rate    int
+	callers map[string]*rate.Limiter
+}
+
+// NewRateLimit returns a limit whose rate is read at each request, so that it
+// follows the configuration.
+func NewRateLimit(limit func() int) *RateLimit {
+	return &RateLimit{limit: limit, callers: map[string]*rate.Limiter{}}
+}
+
+// Wrap puts the limit before a handler.
+func (l *RateLimit) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !l.allow(r.RemoteAddr, time.Now()) {
+			o := outcome.Refused(outcome.Overload, "caller exceeds %d requests a second", l.limit())
+			o.RetryAfter = time.Second
+			WriteOutcome(w, o)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (l *RateLimit) allow(remote string, now time.Time) bool {
+	limit := l.limit()
+	if limit == 0 {
+		return true
+	}
+	caller, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		caller = remote
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit != l.rate || len(l.callers) >= maxCallers {
+		l.rate, l.callers = limit, map[string]*rate.Limiter{}
+	}
+	limiter, ok := l.callers[caller]
+	if !ok {
+		limiter = rate.NewLimiter(rate.Limit(limit), limit*burstSeconds)
+		l.callers[caller] = limiter
+	}
+	return limiter.AllowN(now, 1)
+}
--- /dev/null
+++ b/internal/api/queries/queries_test.go
@@ -0,0 +1,90 @@
+package queries_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/api/queries"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// backend answers every search and counts them.
+type backend struct{ searches int }
+
+func (b *backend) Search(context.Context, string, api.Meta, *api.SearchRequest) (*api.SearchResponse, outcome.Outcome) {
+	b.searches++
+	return &api.SearchResponse{Outcome: outcome.Answered, Coverage: 1}, outcome.OK()
+}
+
+func (b *backend) Entries() api.EntriesResponse { return api.EntriesResponse{} }
+
+func (b *backend) Service(name string) (settings.ServiceKind, *settings.Policy, bool) {
+	policy := settings.DefaultPolicy()
+	policy.MaxBodyBytes = 100
+	kinds := map[string]settings.ServiceKind{"tags": settings.KindSearch, "renewals": settings.KindCommand}
+	return kinds[name], &policy, kinds[name] != ""
+}
+
+func request(path, body string, header ...string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+var _ = DescribeTable("search refuses bad input before anything runs",
+	// Guards against a request that is understood in part, and against an
+	// error that does not name the field.
+	func(r *http.Request, status int, message string) {
+		b := &backend{}
+		router := mux.NewRouter()
+		queries.Register(router, b)
+		w := httptest.NewRecorder()
+		router.ServeHTTP(w, r)
+		Expect(w.Code).To(Equal(status))
+		var e api.Error
+		Expect(json.Unmarshal(w.Body.Bytes(), &e)).To(Succeed())
+		Expect(e.Outcome).To(Equal(outcome.NotRun))
+		Expect(e.Reason).To(Equal(outcome.Invalid))
+		Expect(e.Message).To(ContainSubstring(message))
+		Expect(b.searches).To(BeZero())
+	},
+	Entry("unknown service", request("/v1/services/nope/search", `{"terms":["a"]}`), 404, "service nope does not exist"),
+	Entry("service of another kind", request("/v1/services/renewals/search", `{"terms":["a"]}`), 400, "does not search"),
+	Entry("not JSON", request("/v1/services/tags/search", `terms`), 400, "body is not the expected JSON"),
+	Entry("unknown field", request("/v1/services/tags/search", `{"term":["a"]}`), 400, `unknown field "term"`),
+	Entry("trailing data", request("/v1/services/tags/search", `{"terms":["a"]}{}`), 400, "data after the JSON body"),
+	Entry("too large", request("/v1/services/tags/search", `{"terms":["`+strings.Repeat("a", 100)+`"]}`), 400, "body exceeds 100 bytes"),
+	Entry("no terms", request("/v1/services/tags/search", `{}`), 400, "terms: at least one"),
+	Entry("empty term", request("/v1/services/tags/search", `{"terms":[""]}`), 400, "terms[0]"),
+	Entry("limit out of range", request("/v1/services/tags/search", `{"terms":["a"],"limit":-1}`), 400, "limit: -1"),
+	Entry("deadline in the past", request("/v1/services/tags/search", `{"terms":["a"]}`, "Deadline-Ms", "-5"), 400, "5 ms in the past"),
+	Entry("deadline without sense", request("/v1/services/tags/search", `{"terms":["a"]}`, "Deadline-Ms", "soon"), 400, "Deadline-Ms"),
+	Entry("unknown priority", request("/v1/services/tags/search", `{"terms":["a"]}`, "Priority", "urgent"), 400, `"urgent"`),
+)
+
+var _ = Describe("RateLimit", func() {
+	// Guards against one caller address that takes the whole host.
+	It("refuses one address above its rate and no other", func() {
+		limited := api.NewRateLimit(func() int { return 2 }).Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
+		status := func(remote string) int {
+			r := httptest.NewRequest(http.MethodGet, "/v1/entries", nil)
+			r.RemoteAddr = remote
+			w := httptest.NewRecorder()
+			limited.ServeHTTP(w, r)
+			return w.Code
+		}
+		Expect([]int{status("10.0.0.1:1"), status("10.0.0.1:2"), status("10.0.0.1:3")}).To(Equal([]int{200, 200, 429}))
+		Expect(status("10.0.0.2:1")).To(Equal(200))
+	})
+})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/api/commands"
 	"github.com/lacewingyard/lacewingyard/internal/api/queries"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
@@ -151,7 +152,8 @@
 	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
 	queries.Register(router, entry)
 	commands.Register(router, entry)
-	return router
+	limit := api.NewRateLimit(func() int { return d.config.tree().Effective(d.opts.Process.Place, "").CallerRateLimit })
+	return limit.Wrap(router)
 }
 
 func (d *Daemon) operatorRoutes() http.Handler {
--- a/pkg/settings/policy.go
+++ b/pkg/settings/policy.go
@@ -63,6 +63,7 @@
 	DrainGrace          time.Duration
 	SlotLimitRatio      float64
 	MaxBodyBytes        int
+	CallerRateLimit     int
 }
 
 // Field describes one policy setting.
@@ -129,6 +130,8 @@
 		"Fraction of a target's slots that the tier uses.", func(p *Policy) *float64 { return &p.SlotLimitRatio }),
 	bytesField("max_body_bytes", 64<<10, 1, 16<<20,
 		"Largest request body that is accepted.", func(p *Policy) *int { return &p.MaxBodyBytes }),
+	countField("caller_rate_limit", 0, 0, 1000000,
+		"Requests a second that one host accepts from one caller address; 0 accepts all.", func(p *Policy) *int { return &p.CallerRateLimit }),
 }
 
 var fieldByName = func() map[string]*Field {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -88,3 +89,10 @@
 		Expect(err).To(MatchError(And(ContainSubstring("listen.callers"), ContainSubstring("platform.config_url"))))
 	})
 })
+
+// Guards against a reference page that no longer says what the code accepts.
+var _ = It("agrees with docs/configuration.md", func() {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(page)).To(ContainSubstring(settings.Reference()))
+})
