--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -65,8 +65,9 @@
 	return t, nil
 }
 
-// Effective returns the settings of a service in a place. For a place or
-// service that does not exist it returns what the levels that do exist set.
+// Effective returns the settings of a service in a place, or those of a place
+// if service is empty. For a place or service that does not exist it returns
+// what the levels that do exist set.
 func (t *Tree) Effective(place, service string) *Policy {
 	if p, ok := t.policy[policyKey{place, service}]; ok {
 		return p
@@ -158,6 +159,8 @@
 func (t *Tree) resolve() {
 	t.policy = map[policyKey]*Policy{}
 	for place := range t.Doc.Places {
+		host := t.effective(place, "") // settings of a host, whatever the service
+		t.policy[policyKey{place, ""}] = &host
 		for service := range t.Doc.Services {
 			p := t.effective(place, service)
 			t.policy[policyKey{place, service}] = &p
