Let a fleet run without hosts and stop or crash single ones

The load tool needs the stand-ins alone for its flat policies, and hosts that stop, crash and are replaced while it runs. A stand-in frees a slot before it writes the answer, because the next request may come as soon as the answer is read, and the datasets index their words so that the stand-ins cost less processor time than the tier.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,9 +7,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +58,7 @@
 	Daemon *daemon.Daemon
 	cancel context.CancelFunc
 	done   chan error
+	socks  *sockets
 }
 
 // Stop shuts the host down gracefully and returns its error.
@@ -76,16 +79,19 @@
 	Network   *standin.Network
 	Searchers map[string]*standin.Searcher // by target identifier
 	Datasets  map[string]*standin.Dataset  // by service
-	Hosts     []*Host
+	Hosts     []*Host              // as started; use Running while hosts come and go
 	Model     *standin.Model
 
 	Authority *standin.Authority // signs the certificates of the hosts
 
 	log hclog.Logger
 
+	tree atomic.Pointer[settings.Tree]
+
 	mu       sync.Mutex
 	document settings.Document
 	list     platform.HostList
+	started  int // hosts started so far, for their names
 }
 
 // Start starts the stand-ins and one host per ordinal, and waits until every
@@ -108,7 +114,11 @@
 func StartStandins(d *Deployment, log hclog.Logger) (*Fleet, error) {
 	f := &Fleet{
 		Searchers: map[string]*standin.Searcher{}, Datasets: map[string]*standin.Dataset{},
-		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log, document: d.Document,
+		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log,
+	}
+	var err error
+	if f.document, err = clone(&d.Document); err != nil {
+		return nil, err
 	}
 	if err := f.startStandins(); err != nil {
 		f.Close()
@@ -117,6 +127,16 @@
 	return f, nil
 }
 
+// clone copies a document, so that a run leaves the deployment as it was.
+func clone(doc *settings.Document) (settings.Document, error) {
+	var copied settings.Document
+	data, err := json.Marshal(doc)
+	if err == nil {
+		err = json.Unmarshal(data, &copied)
+	}
+	return copied, errors.Wrap(err, "copy configuration")
+}
+
 func (f *Fleet) startStandins() error {
 	var err error
 	if f.Authority, err = standin.NewAuthority(); err != nil {
@@ -174,20 +194,34 @@
 }
 
 // PublishConfig changes the configuration document and publishes it as the
-// next version.
+// next version. It refuses a document that is not valid; Platform.Publish takes
+// anything.
 func (f *Fleet) PublishConfig(change func(*settings.Document)) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.document.Version++
-	change(&f.document)
-	data, err := json.Marshal(&f.document)
+	next, err := clone(&f.document)
+	if err != nil {
+		return err
+	}
+	next.Version++
+	change(&next)
+	data, err := json.Marshal(&next)
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
+	tree, err := settings.Parse(data)
+	if err != nil {
+		return errors.Wrap(err, "changed configuration")
+	}
+	f.document = next
+	f.tree.Store(tree)
 	f.Platform.Publish(ConfigKey, f.document.Version, data)
 	return nil
 }
 
+// Tree returns the configuration published last.
+func (f *Fleet) Tree() *settings.Tree { return f.tree.Load() }
+
 // PublishHosts changes the host list and publishes it as the next version.
 func (f *Fleet) PublishHosts(change func(*platform.HostList)) error {
 	f.mu.Lock()
@@ -212,8 +246,12 @@
 		return nil, err
 	}
 	f.Network.Register(peers.LocalAddr().String(), place, 0)
+	f.mu.Lock()
+	number := f.started
+	f.started++
+	f.mu.Unlock()
 	process := &settings.Process{
-		Name: fmt.Sprintf("%s-%d-%d", place, ordinal, len(f.Hosts)), Place: place, Ordinal: ordinal,
+		Name: fmt.Sprintf("%s-%d-%d", place, ordinal, number), Place: place, Ordinal: ordinal,
 		Listen: settings.Listen{
 			Callers: callers.Addr().String(), Operators: operators.Addr().String(), Peers: peers.LocalAddr().String(),
 		},
@@ -223,26 +261,32 @@
 	if err != nil {
 		return nil, err
 	}
-	listeners := map[string]net.Listener{process.Listen.Callers: callers, process.Listen.Operators: operators}
+	socks := &sockets{open: map[io.Closer]bool{}}
+	listeners := map[string]net.Listener{
+		process.Listen.Callers: socks.listener(callers), process.Listen.Operators: socks.listener(operators),
+	}
+	socks.add(peers)
 	d, err := daemon.New(daemon.Options{
 		Process: process, TLS: conf, Logger: f.log,
 		Listen:       func(address string) (net.Listener, error) { return listeners[address], nil },
 		ListenPacket: func(string) (net.PacketConn, error) { return f.Network.PacketConn(peers, place), nil },
-		DialTarget:   f.Network.Dialer(place),
+		DialTarget:   socks.dialer(f.Network.Dialer(place)),
 	})
 	if err != nil {
 		return nil, err
 	}
 	hostCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := &Host{
-		Daemon: d, cancel: cancel, done: make(chan error, 1),
+		Daemon: d, cancel: cancel, done: make(chan error, 1), socks: socks,
 		Entry: platform.Host{
 			Name: process.Name, Place: place, Ordinal: ordinal, State: platform.HostLive,
 			Callers: process.Listen.Callers, Peers: process.Listen.Peers,
 		},
 	}
 	go func() { h.done <- d.Run(hostCtx) }()
+	f.mu.Lock()
 	f.Hosts = append(f.Hosts, h)
+	f.mu.Unlock()
 	return h, f.PublishHosts(func(list *platform.HostList) { list.Hosts = append(list.Hosts, h.Entry) })
 }
 
--- a/internal/standin/dataset.go
+++ b/internal/standin/dataset.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
@@ -23,22 +24,38 @@
 // the index version, so that an answer from two versions is recognised.
 type Dataset struct {
 	records []coverage.Record // ordered by identifier
+	index   map[string][]int  // positions of the records that hold a word, ascending
+}
+
+// newDataset indexes records that are ordered by identifier. The index keeps
+// the processor time of a search in the stand-ins small beside the tier's.
+func newDataset(records []coverage.Record) *Dataset {
+	d := &Dataset{records: records, index: map[string][]int{}}
+	for i, rec := range records {
+		words := strings.Fields(rec.Text)
+		for w, word := range words {
+			if !slices.Contains(words[:w], word) {
+				d.index[word] = append(d.index[word], i)
+			}
+		}
+	}
+	return d
 }
 
 // NewDataset generates records from a seed.
 func NewDataset(noun string, count int, seed uint64) *Dataset {
 	rng := rand.New(rand.NewPCG(seed, uint64(count)))
-	d := &Dataset{records: make([]coverage.Record, count)}
-	for i := range d.records {
+	records := make([]coverage.Record, count)
+	for i := range records {
 		words := make([]string, wordsPerRecord)
 		for w := range words {
 			words[w] = vocabulary[rng.IntN(len(vocabulary))]
 		}
 		id := fmt.Sprintf("%s-%06d", noun, i)
-		d.records[i] = coverage.Record{ID: id, Key: keyspace.KeyOf(id), Text: strings.Join(words, " ")}
+		records[i] = coverage.Record{ID: id, Key: keyspace.KeyOf(id), Text: strings.Join(words, " ")}
 	}
-	slices.SortFunc(d.records, func(a, b coverage.Record) int { return cmp.Compare(a.ID, b.ID) })
-	return d
+	slices.SortFunc(records, func(a, b coverage.Record) int { return cmp.Compare(a.ID, b.ID) })
+	return newDataset(records)
 }
 
 // Word returns a word that records may hold.
@@ -56,8 +73,12 @@
 // SearchRange searches the records of a key range.
 func (d *Dataset) SearchRange(version uint64, terms []string, limit int, r keyspace.Range) []coverage.Record {
 	found := []coverage.Record{}
-	for _, rec := range d.records {
-		if !r.Contains(rec.Key) || !matches(rec.Text, terms) {
+	if len(terms) == 0 {
+		return found
+	}
+	for _, i := range d.index[terms[0]] {
+		rec := d.records[i]
+		if !r.Contains(rec.Key) || !matches(rec.Text, terms[1:]) {
 			continue
 		}
 		found = append(found, atVersion(rec, version))
@@ -79,20 +100,20 @@
 
 // Shard returns the records of a key range as a dataset of their own.
 func (d *Dataset) Shard(r keyspace.Range) *Dataset {
-	shard := &Dataset{}
+	var records []coverage.Record
 	for _, rec := range d.records {
 		if r.Contains(rec.Key) {
-			shard.records = append(shard.records, rec)
+			records = append(records, rec)
 		}
 	}
-	return shard
+	return newDataset(records)
 }
 
 // Len returns the number of records.
 func (d *Dataset) Len() int { return len(d.records) }
 
 func atVersion(rec coverage.Record, version uint64) coverage.Record {
-	rec.Text = fmt.Sprintf("%s @%d", rec.Text, version)
+	rec.Text += " @" + strconv.FormatUint(version, 10)
 	return rec
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,6 +21,8 @@
 	// it bears one more after each coldStep answers until all slots are warm.
 	coldBears = 1
 	coldStep  = 4
+	// cancelLag bounds the time after which the closing of a connection is noticed.
+	cancelLag = 5 * time.Millisecond
 	// stuckFor is the service time of a stuck searcher, longer than any deadline.
 	stuckFor = time.Minute
 )
@@ -32,6 +34,7 @@
 	Stuck      bool    // no request ever ends
 	ShedRatio  float64 // fraction of requests refused as overload
 	KillTerm   string  // a search for this word crashes the process
+	WrongRatio float64 // fraction of answers with a wrong record, to test the checks of the load tool
 }
 
 // coldState is the state of a searcher that has not warmed up.
@@ -51,6 +54,23 @@
 	s.faults = f
 }
 
+// ChangeFaults changes some of the faults and keeps the others.
+func (s *Searcher) ChangeFaults(change func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// spoil changes the text of the first record if the searcher is to answer wrong.
+func (s *Searcher) spoil(records []coverage.Record) []coverage.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(records) > 0 && s.faults.WrongRatio > 0 && s.rng.Float64() < s.faults.WrongRatio {
+		records[0].Text = "spoiled " + records[0].Text
+	}
+	return records
+}
+
 // SetDraining makes the searcher refuse new work and say so.
 func (s *Searcher) SetDraining(draining bool) {
 	s.mu.Lock()
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -39,7 +39,8 @@
 	state    wire.TargetState
 	boot     int
 	conns    map[net.Conn]bool // true: the connection is silent
-	runs     map[string]int    // times each request ran, by request identifier
+	runs     map[string]int    // times each lookup ran, by request identifier
+	searched map[string]int    // times each search ran, by request identifier
 	server   *http.Server
 
 	faults Faults
@@ -68,7 +69,7 @@
 		ID: spec.ID, Place: spec.Place, spec: spec, service: service, model: model, shard: shard,
 		covered:  coverage.Covered{Range: r, Epoch: epoch, Records: uint64(shard.Len())},
 		rng:      rand.New(rand.NewPCG(seed, keyspace.KeyOf(spec.ID))),
-		versions: []uint64{1}, state: wire.TargetWarm, conns: map[net.Conn]bool{}, runs: map[string]int{},
+		versions: []uint64{1}, state: wire.TargetWarm, conns: map[net.Conn]bool{}, runs: map[string]int{}, searched: map[string]int{},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -98,6 +99,22 @@
 	return id, runs
 }
 
+// Log returns how often each search and each lookup ran, by request
+// identifier. The caller must not change the maps; read them when the searcher
+// gets no more requests.
+func (s *Searcher) Log() (searches, lookups map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.searched, s.runs
+}
+
+// Versions returns the index versions that the searcher serves, oldest first.
+func (s *Searcher) Versions() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.versions)
+}
+
 // SetVersions sets the index versions that the searcher serves, oldest first.
 func (s *Searcher) SetVersions(versions ...uint64) {
 	s.mu.Lock()
@@ -174,7 +191,8 @@
 	if !s.admit(w, r, &body) {
 		return
 	}
-	defer s.active.Add(-1)
+	release := s.releaser()
+	defer release()
 	s.mu.Lock()
 	version := body.Version
 	if version == 0 {
@@ -188,12 +206,17 @@
 		return
 	}
 	s.counts.Searches.Add(1)
+	s.mu.Lock()
+	s.searched[r.Header.Get(target.HeaderRequestID)]++
+	s.mu.Unlock()
 	if s.killedBy(body.Terms) || !s.work(r.Context()) {
 		return
 	}
+	records := shard.Search(version, body.Terms, body.Limit)
+	release()
 	writeJSON(w, http.StatusOK, target.SearchAnswer{
 		TargetStatus: status, Version: version, Covered: []coverage.Covered{covered},
-		Records: shard.Search(version, body.Terms, body.Limit),
+		Records: s.spoil(records),
 	})
 }
 
@@ -202,7 +225,8 @@
 	if !s.admit(w, r, &body) {
 		return
 	}
-	defer s.active.Add(-1)
+	release := s.releaser()
+	defer release()
 	s.counts.Lookups.Add(1)
 	s.mu.Lock()
 	s.runs[r.Header.Get(target.HeaderRequestID)]++
@@ -214,8 +238,9 @@
 	}
 	answer := target.LookupAnswer{TargetStatus: status, Version: version}
 	if rec, ok := shard.Lookup(version, body.ID); ok {
-		answer.Found, answer.Record = true, &rec
+		answer.Found, answer.Record = true, &s.spoil([]coverage.Record{rec})[0]
 	}
+	release()
 	writeJSON(w, http.StatusOK, answer)
 }
 
@@ -243,8 +268,7 @@
 		refuse(w, status, outcome.Overload, "shedding load")
 		return false
 	}
-	if s.active.Add(1) > int64(s.spec.Slots) {
-		s.active.Add(-1)
+	if !s.takeSlot() {
 		s.counts.OverSlots.Add(1)
 		refuse(w, status, outcome.Overload, "every slot is in use")
 		return false
@@ -256,6 +280,37 @@
 	return true
 }
 
+// takeSlot takes a slot unless all are in use. A client cancels by closing a
+// connection and may use the freed slot at once on another one; the server
+// notices the close a little later. A request that finds every slot in use is
+// therefore admitted if a cancellation is noticed within cancelLag, and an
+// ordinary answer does not free a slot for it.
+func (s *Searcher) takeSlot() bool {
+	if s.active.Add(1) <= int64(s.spec.Slots) {
+		return true
+	}
+	s.active.Add(-1)
+	canceled := s.counts.Canceled.Load()
+	for start := time.Now(); time.Since(start) < cancelLag; {
+		time.Sleep(cancelLag / 10)
+		if s.counts.Canceled.Load() == canceled {
+			continue
+		}
+		if s.active.Add(1) <= int64(s.spec.Slots) {
+			return true
+		}
+		s.active.Add(-1)
+	}
+	return false
+}
+
+// releaser returns a function that frees the request's slot once. The slot is
+// freed before the answer is written: a client may send the next request as
+// soon as it has the answer.
+func (s *Searcher) releaser() func() {
+	return sync.OnceFunc(func() { s.active.Add(-1) })
+}
+
 // work takes the service time. It returns false if the request was cancelled.
 func (s *Searcher) work(ctx context.Context) bool {
 	timer := time.NewTimer(s.serviceTime())
