--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -59,7 +59,7 @@
 		&cobra.Group{ID: "queries", Title: "Queries (ask something):"},
 	)
 	root.AddCommand(
-		newServe(), newDemo(),
+		newServe(), newDemo(), newBench(),
 		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newVersion(),
 	)
 	return root
--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,266 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	// callerCount is the number of callers that keep entries answers of their own.
+	callerCount = 16
+	// callerPatience is how long a caller waits beyond the request's deadline.
+	callerPatience = 500 * time.Millisecond
+	// connectTries bounds the addresses tried when none accepts a connection.
+	connectTries   = 3
+	connectTimeout = time.Second
+)
+
+// reply is what a caller got.
+type reply struct {
+	id      string
+	search  *api.SearchResponse
+	lookup  *api.LookupResponse
+	outcome outcome.Outcome
+
+	notConnected bool
+}
+
+// caller is a client of the tier: it asks for addresses, keeps the answer for
+// its time, and connects to the addresses.
+type caller struct {
+	http  *http.Client
+	delay time.Duration   // one way to the hosts
+	seeds func() []string // addresses known from the caller's own settings
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	entries []api.Entry
+	until   time.Time
+	asking  bool
+}
+
+func newCaller(delay time.Duration, seeds func() []string, rng *rand.Rand) *caller {
+	return &caller{
+		delay: delay, seeds: seeds, rng: rng,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			MaxIdleConnsPerHost: 1024, DisableCompression: true,
+		}},
+	}
+}
+
+func (c *caller) close() { c.http.CloseIdleConnections() }
+
+// address picks one of the addresses in the kept entries answer. When that has
+// expired, one request renews it while the others use the old one.
+func (c *caller) address(ctx context.Context, now time.Time) (api.Entry, error) {
+	c.mu.Lock()
+	stale := now.After(c.until) && !c.asking
+	if stale {
+		c.asking = true
+	}
+	known := len(c.entries) > 0
+	c.mu.Unlock()
+	if stale || !known {
+		if err := c.renew(ctx); err != nil && !known {
+			return api.Entry{}, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.entries) == 0 {
+		return api.Entry{}, errors.New("the tier gave no address")
+	}
+	return c.entries[c.rng.IntN(len(c.entries))], nil
+}
+
+// renew asks one of the known addresses which ones to use.
+func (c *caller) renew(ctx context.Context) error {
+	defer func() {
+		c.mu.Lock()
+		c.asking = false
+		c.mu.Unlock()
+	}()
+	var last error
+	for range connectTries {
+		addresses := c.seeds()
+		c.mu.Lock()
+		for _, e := range c.entries {
+			addresses = append(addresses, e.Address)
+		}
+		if len(addresses) == 0 {
+			c.mu.Unlock()
+			return errors.New("no host is known")
+		}
+		address := addresses[c.rng.IntN(len(addresses))]
+		c.mu.Unlock()
+		var answer api.EntriesResponse
+		if last = c.do(ctx, http.MethodGet, address, "/v1/entries", nil, nil, &answer); last != nil {
+			continue
+		}
+		c.mu.Lock()
+		c.entries = answer.Entries
+		c.until = time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)
+		c.mu.Unlock()
+		return nil
+	}
+	return last
+}
+
+// drop forgets an address that accepts no connection until the next renewal.
+func (c *caller) drop(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := make([]api.Entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		if e.Address != address {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) > 0 {
+		c.entries = kept
+	}
+	c.until = time.Time{}
+}
+
+// requestID forms the identifier of a request that goes to an address. Tickets
+// of commands go in here: the prefix comes with the entry, and the suffix
+// makes the identifier unique.
+func requestID(kind settings.ServiceKind, entry api.Entry, suffix string) string {
+	_, _ = kind, entry
+	return suffix
+}
+
+// send sends a query and waits for the answer. Another address is tried only
+// if no connection was made, when nothing can have run.
+func (c *caller) send(ctx context.Context, q *query, suffix string) reply {
+	var r reply
+	for range connectTries {
+		entry, err := c.address(ctx, time.Now())
+		if err != nil {
+			r.outcome = outcome.Refused(outcome.Unavailable, "no address: %v", err)
+			return r
+		}
+		r = c.sendTo(ctx, entry, q, suffix)
+		if !r.notConnected {
+			return r
+		}
+		c.drop(entry.Address)
+	}
+	return r
+}
+
+// notConnected reports whether a request failed before it had a connection.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (c *caller) sendTo(ctx context.Context, entry api.Entry, q *query, suffix string) reply {
+	r := reply{id: requestID(q.kind, entry, suffix)}
+	header := http.Header{api.HeaderRequestID: {r.id}}
+	if q.class != "" {
+		header.Set(api.HeaderPriority, q.class)
+	}
+	path := "/v1/services/" + q.service
+	var err error
+	if q.kind == settings.KindSearch {
+		r.search = new(api.SearchResponse)
+		err = c.do(ctx, http.MethodPost, entry.Address, path+"/search", header, &q.search, r.search)
+		r.outcome.Kind = r.search.Outcome
+	} else {
+		r.lookup = new(api.LookupResponse)
+		err = c.do(ctx, http.MethodPost, entry.Address, path+"/lookup", header, &q.lookup, r.lookup)
+		r.outcome.Kind = r.lookup.Outcome
+	}
+	if err != nil {
+		r.search, r.lookup, r.outcome, r.notConnected = nil, nil, failure(err), notConnected(err)
+	}
+	return r
+}
+
+// refusedError is an error answer of the tier.
+type refusedError struct{ body api.Error }
+
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.body.Outcome, e.body.Reason, e.body.Message)
+}
+
+// protocolError is an answer that is not in the form of the caller protocol.
+type protocolError struct{ problem string }
+
+func (e *protocolError) Error() string { return e.problem }
+
+// failure converts an error to what the caller may conclude from it.
+func failure(err error) outcome.Outcome {
+	var refused *refusedError
+	var protocol *protocolError
+	switch {
+	case errors.As(err, &refused):
+		return outcome.Outcome{Kind: refused.body.Outcome, Reason: refused.body.Reason, Message: refused.body.Message}
+	case errors.As(err, &protocol):
+		return outcome.Uncertain(outcome.Internal, "%v", err)
+	case notConnected(err):
+		return outcome.Refused(outcome.Unavailable, "%v", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.Uncertain(outcome.Deadline, "%v", err)
+	default:
+		return outcome.Uncertain(outcome.ConnLost, "%v", err)
+	}
+}
+
+// do makes one HTTP exchange with the caller's delay in both directions.
+func (c *caller) do(ctx context.Context, method, address, path string, header http.Header, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		// NopCloser hides the buffer from net/http, which would otherwise send
+		// the request again on another connection by itself.
+		reader = io.NopCloser(bytes.NewReader(data))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	time.Sleep(c.delay)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	time.Sleep(c.delay)
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return &protocolError{fmt.Sprintf("answer is not the expected JSON: %v", err)}
+		}
+		return nil
+	}
+	refused := new(refusedError)
+	if err := json.Unmarshal(data, &refused.body); err != nil {
+		return &protocolError{fmt.Sprintf("status %s without a readable body", resp.Status)}
+	}
+	return refused
+}
--- /dev/null
+++ b/internal/bench/check.go
@@ -0,0 +1,188 @@
+package bench
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Violations count what must never happen.
+type Violations struct {
+	TwoSnapshots int `json:"two_snapshots"` // answers with records of another version than theirs
+	OverCoverage int `json:"over_coverage"` // answers that lack records they claim to cover
+	WrongRecord  int `json:"wrong_record"`  // answers with a record that is not the dataset's, or out of place
+	OverSlots    int `json:"over_slots"`    // requests refused by a target because every slot was in use
+	OverConns    int `json:"over_connections"`
+	OverCold     int `json:"over_cold"`   // requests above what a cold target bears
+	FellOver     int `json:"fell_over"`   // targets that crashed from load while cold
+	RunTwice     int `json:"run_twice"`   // commands that ran more than once
+	FalseNotRun  int `json:"ran_not_run"` // commands that ran although the caller was told "not run"
+}
+
+// Total returns the number of violations.
+func (v Violations) Total() int {
+	return v.TwoSnapshots + v.OverCoverage + v.WrongRecord + v.OverSlots + v.OverConns + v.OverCold + v.FellOver + v.RunTwice + v.FalseNotRun
+}
+
+func (v *Violations) add(o Violations) {
+	v.TwoSnapshots += o.TwoSnapshots
+	v.OverCoverage += o.OverCoverage
+	v.WrongRecord += o.WrongRecord
+	v.OverSlots += o.OverSlots
+	v.OverConns += o.OverConns
+	v.OverCold += o.OverCold
+	v.FellOver += o.FellOver
+	v.RunTwice += o.RunTwice
+	v.FalseNotRun += o.FalseNotRun
+}
+
+// checker compares answers with the naive search of the datasets. It is safe
+// for concurrent use.
+type checker struct {
+	data map[string]*standin.Dataset
+
+	mu     sync.Mutex
+	ranges map[string]keyspace.Range // by group, of every configuration so far
+	split  map[string]bool           // services whose groups were divided
+}
+
+func newChecker(data map[string]*standin.Dataset) *checker {
+	return &checker{data: data, ranges: map[string]keyspace.Range{}, split: map[string]bool{}}
+}
+
+// learn records the groups of a configuration.
+func (c *checker) learn(doc *settings.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, service := range doc.Services {
+		for _, g := range service.Groups {
+			c.ranges[g.ID] = g.Range
+		}
+	}
+}
+
+// splits notes that groups of a service are divided while queries run.
+func (c *checker) splits(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.split[service] = true
+}
+
+// missing returns the keys of the groups that an answer's warnings name.
+func (c *checker) missing(a *api.SearchResponse) (set keyspace.Set, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range a.Warnings {
+		r, ok := c.ranges[w.Group]
+		if !ok {
+			return set, false
+		}
+		set.Add(r)
+	}
+	return set, true
+}
+
+// search checks the answer to a search. Every record must be the dataset's at
+// the answer's snapshot and match the terms, in order. Every match outside the
+// groups that the warnings name must be there, up to the limit. The claimed
+// coverage may not exceed what the warnings leave, except while shards are
+// split: then a group may be covered in part and still have a warning.
+func (c *checker) search(req *api.SearchRequest, a *api.SearchResponse) Violations {
+	var v Violations
+	all := c.data[a.Service].Search(a.Snapshot, req.Terms, 0)
+	switch compare(a.Records, all, a.Snapshot) {
+	case wrongVersion:
+		v.TwoSnapshots++
+		return v
+	case wrongRecord:
+		v.WrongRecord++
+		return v
+	}
+	missing, known := c.missing(a)
+	c.mu.Lock()
+	split := c.split[a.Service]
+	c.mu.Unlock()
+	left := 1 - float64(missing.Len())/float64(keyspace.Size)
+	if !known || !split && a.Coverage > left+1e-9 || lacks(a.Records, all, req.Limit, &missing) {
+		v.OverCoverage++
+	}
+	return v
+}
+
+type verdict int
+
+const (
+	right verdict = iota
+	wrongVersion
+	wrongRecord
+)
+
+// compare checks that got is a sub-sequence of all.
+func compare(got, all []coverage.Record, snapshot uint64) verdict {
+	next := 0
+	for _, rec := range got {
+		found := slices.IndexFunc(all[next:], func(r coverage.Record) bool { return r.ID == rec.ID })
+		if found < 0 {
+			return wrongRecord
+		}
+		want := all[next+found]
+		if rec != want {
+			return versionOrRecord(rec, want, snapshot)
+		}
+		next += found + 1
+	}
+	return right
+}
+
+// versionOrRecord tells a record of another version from a wrong one.
+func versionOrRecord(got, want coverage.Record, snapshot uint64) verdict {
+	text := strings.TrimSuffix(want.Text, strconv.FormatUint(snapshot, 10))
+	rest, ok := strings.CutPrefix(got.Text, text)
+	if _, err := strconv.ParseUint(rest, 10, 64); ok && err == nil && got.Key == want.Key {
+		return wrongVersion
+	}
+	return wrongRecord
+}
+
+// lacks reports whether a match outside the missing keys is absent. With a
+// limit, records behind the last one of a full answer need not be there.
+func lacks(got, all []coverage.Record, limit int, missing *keyspace.Set) bool {
+	have := make(map[string]bool, len(got))
+	for _, r := range got {
+		have[r.ID] = true
+	}
+	for _, want := range all {
+		if limit > 0 && len(got) >= limit && want.ID > got[len(got)-1].ID {
+			return false
+		}
+		if !have[want.ID] && !missing.Contains(want.Key) {
+			return true
+		}
+	}
+	return false
+}
+
+// lookup checks the answer to a lookup of a record that exists.
+func (c *checker) lookup(req *api.LookupRequest, a *api.LookupResponse) Violations {
+	var v Violations
+	want, _ := c.data[a.Service].Lookup(a.Snapshot, req.ID)
+	if !a.Found || a.Record == nil {
+		v.WrongRecord++
+		return v
+	}
+	if *a.Record != want {
+		if versionOrRecord(*a.Record, want, a.Snapshot) == wrongVersion {
+			v.TwoSnapshots++
+		} else {
+			v.WrongRecord++
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,244 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/api/commands"
+	"github.com/lacewingyard/lacewingyard/internal/api/queries"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Policy says what stands between callers and searchers.
+type Policy string
+
+// Policies.
+const (
+	PolicyTier  Policy = "tier"  // the daemons
+	PolicyFlat  Policy = "flat"  // Flat hosts
+	PolicyNaive Policy = "naive" // Naive hosts
+)
+
+// Policies lists all policies.
+var Policies = []Policy{PolicyTier, PolicyFlat, PolicyNaive}
+
+// seat is the position of a host.
+type seat struct {
+	place   string
+	ordinal int
+}
+
+// parseSeat reads a position such as "boston-hall/0" or "#0/0".
+func parseSeat(text string, doc *settings.Document) (seat, error) {
+	name, number, ok := strings.Cut(text, "/")
+	if !ok {
+		return seat{}, errors.Newf("host %q is not place/ordinal", text)
+	}
+	place, err := resolve("place", name, doc.Places)
+	if err != nil {
+		return seat{}, err
+	}
+	ordinal, err := strconv.Atoi(number)
+	if err != nil || ordinal < 0 || ordinal >= doc.Places[place].Hosts {
+		return seat{}, errors.Newf("host %q: place %s has the ordinals 0 to %d", text, place, doc.Places[place].Hosts-1)
+	}
+	return seat{place, ordinal}, nil
+}
+
+// cluster is the hosts of one policy.
+type cluster interface {
+	// addresses returns where callers can connect, in no order.
+	addresses() []string
+	// peerAddress returns the address of a host on the links, if it has one.
+	peerAddress(at seat) string
+	// stop ends a host; forget takes it off the host list.
+	stop(at seat, graceful bool) (forget func() error, err error)
+	start(ctx context.Context, at seat) error
+	close()
+}
+
+// startCluster starts a deployment with the hosts of a policy.
+func startCluster(ctx context.Context, d *fleet.Deployment, policy Policy, seed uint64, log hclog.Logger) (*fleet.Fleet, cluster, error) {
+	if policy == PolicyTier {
+		f, err := fleet.Start(ctx, d, log)
+		return f, tierCluster{f}, err
+	}
+	f, err := fleet.StartTargets(d, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &scatterCluster{fleet: f, policy: policy, seed: seed, hosts: map[seat]*scatterHost{}}
+	for _, place := range f.Tree().Doc.Places {
+		c.total += place.Hosts
+	}
+	for name, place := range f.Tree().Doc.Places {
+		for ordinal := range place.Hosts {
+			if err := c.start(ctx, seat{name, ordinal}); err != nil {
+				c.close()
+				f.Close()
+				return nil, nil, err
+			}
+		}
+	}
+	return f, c, nil
+}
+
+type tierCluster struct{ *fleet.Fleet }
+
+func (c tierCluster) addresses() []string {
+	var all []string
+	for _, h := range c.Running() {
+		all = append(all, h.Entry.Callers)
+	}
+	return all
+}
+
+func (c tierCluster) at(at seat) *fleet.Host {
+	for _, h := range c.Running() {
+		if h.Entry.Place == at.place && h.Entry.Ordinal == at.ordinal {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c tierCluster) peerAddress(at seat) string {
+	if h := c.at(at); h != nil {
+		return h.Entry.Peers
+	}
+	return ""
+}
+
+func (c tierCluster) stop(at seat, graceful bool) (func() error, error) {
+	h := c.at(at)
+	if h == nil {
+		return nil, errors.Newf("host %s/%d does not run", at.place, at.ordinal)
+	}
+	return func() error { return c.Unlist(h) }, c.StopHost(h, graceful)
+}
+
+func (c tierCluster) start(ctx context.Context, at seat) error {
+	_, err := c.AddHost(ctx, at.place, at.ordinal)
+	return err
+}
+
+func (c tierCluster) close() {}
+
+// scatterCluster runs Flat or Naive hosts. They read the configuration without
+// delay, which is in their favour.
+type scatterCluster struct {
+	fleet  *fleet.Fleet
+	policy Policy
+	seed   uint64
+	total  int
+
+	mu      sync.Mutex
+	hosts   map[seat]*scatterHost
+	started int
+}
+
+type scatterHost struct {
+	entry  api.Entry
+	server *http.Server
+	closer interface{ Close() }
+}
+
+// backend is what both roles of the caller API need.
+type backend interface {
+	queries.Backend
+	commands.Backend
+	Close()
+}
+
+func (c *scatterCluster) start(_ context.Context, at seat) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	opts := ScatterOptions{
+		Place: at.place, Tree: c.fleet.Tree, Dial: c.fleet.Network.StreamDialer(at.place), Hosts: c.total,
+		Entries: func() api.EntriesResponse { return c.entries(at.place) },
+		Rand:    rand.New(rand.NewPCG(c.seed, uint64(c.started))),
+	}
+	var b backend = NewFlat(opts)
+	if c.policy == PolicyNaive {
+		b = NewNaive(opts)
+	}
+	router := mux.NewRouter()
+	queries.Register(router, b)
+	commands.Register(router, b)
+	address := listener.Addr().String()
+	h := &scatterHost{
+		entry:  api.Entry{Host: at.place + "-" + strconv.Itoa(at.ordinal), Place: at.place, Address: address},
+		server: &http.Server{Handler: router}, closer: b,
+	}
+	c.hosts[at] = h
+	go func() { _ = h.server.Serve(listener) }()
+	return nil
+}
+
+func (c *scatterCluster) entries(place string) api.EntriesResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tree := c.fleet.Tree()
+	answer := api.EntriesResponse{TTLMS: tree.Effective(place, "").EntriesTTL.Milliseconds()}
+	for at, h := range c.hosts {
+		if tree.PlaceIsIn(at.place) {
+			answer.Entries = append(answer.Entries, h.entry)
+		}
+	}
+	slices.SortFunc(answer.Entries, func(a, b api.Entry) int { return strings.Compare(a.Host, b.Host) })
+	return answer
+}
+
+func (c *scatterCluster) addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	for _, h := range c.hosts {
+		all = append(all, h.entry.Address)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (c *scatterCluster) peerAddress(seat) string { return "" }
+
+func (c *scatterCluster) stop(at seat, graceful bool) (func() error, error) {
+	c.mu.Lock()
+	h := c.hosts[at]
+	delete(c.hosts, at)
+	c.mu.Unlock()
+	if h == nil {
+		return nil, errors.Newf("host %s/%d does not run", at.place, at.ordinal)
+	}
+	defer h.closer.Close()
+	forget := func() error { return nil }
+	if graceful {
+		return forget, h.server.Shutdown(context.Background())
+	}
+	return forget, h.server.Close()
+}
+
+func (c *scatterCluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		_ = h.server.Close()
+		h.closer.Close()
+	}
+}
--- /dev/null
+++ b/internal/bench/events.go
@@ -0,0 +1,305 @@
+package bench
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	// listLag is how long the host list goes on naming a host that crashed.
+	listLag = 2 * time.Second
+	// replaceAfter is the time until a replacement starts if the case gives none.
+	replaceAfter = time.Second
+)
+
+// injector applies the steps of a timeline.
+type injector struct {
+	fleet   *fleet.Fleet
+	cluster cluster
+	checker *checker
+	log     hclog.Logger
+	begin   time.Time
+	killers func(ctx context.Context, e *Event) // sends killer queries until ctx ends
+
+	mu     sync.Mutex
+	undo   map[*Event]context.CancelFunc // killers in progress
+	failed error
+	wg     sync.WaitGroup
+}
+
+// run applies each step at its time and returns when the context ends. Steps
+// that take long run beside the others.
+func (in *injector) run(ctx context.Context, steps []step) {
+	for _, s := range steps {
+		if !sleepUntil(ctx, in.begin.Add(s.at)) {
+			break
+		}
+		in.wg.Go(func() {
+			if err := in.apply(ctx, s); err != nil && ctx.Err() == nil {
+				in.log.Error("fault was not applied", "action", s.event.Do, "error", err)
+				in.mu.Lock()
+				in.failed = errors.CombineErrors(in.failed, errors.Wrapf(err, "%s at %s", s.event.Do, s.at))
+				in.mu.Unlock()
+			}
+		})
+	}
+	<-ctx.Done()
+	in.wg.Wait()
+}
+
+// err returns the faults that could not be applied.
+func (in *injector) err() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.failed
+}
+
+// sleepUntil waits for a time and reports whether it came before the end.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (in *injector) apply(ctx context.Context, s step) error {
+	e := s.event
+	switch e.Do {
+	case DoRoll:
+		return in.roll(ctx, s.targets, time.Duration(e.Over))
+	case DoSplit:
+		return in.splitGroup(e)
+	case DoPlaceOut, DoPlaceIn:
+		return in.setPlace(e.On.Place, (e.Do == DoPlaceIn) != s.undo)
+	case DoLinks:
+		in.links(e, s.undo)
+	case DoCut:
+		return in.cut(e, !s.undo)
+	case DoKiller:
+		in.killer(ctx, s)
+	case DoHostStop, DoHostReplace:
+		return in.host(ctx, e)
+	case DoConfigDown, DoConfigUp:
+		in.fleet.Platform.SetDown((e.Do == DoConfigDown) != s.undo)
+	default:
+		for _, id := range s.targets {
+			if err := in.target(in.fleet.Searchers[id], e, s.undo); err != nil {
+				return errors.Wrapf(err, "target %s", id)
+			}
+		}
+	}
+	return nil
+}
+
+// target applies a fault to one searcher, or undoes it.
+func (in *injector) target(t *standin.Searcher, e *Event, undo bool) error {
+	on := func(v float64) float64 {
+		if undo {
+			return 0
+		}
+		return v
+	}
+	switch e.Do {
+	case DoStraggler:
+		t.ChangeFaults(func(f *standin.Faults) { f.SlowRatio, f.SlowFactor = on(e.Ratio), e.Factor })
+	case DoStuck:
+		t.ChangeFaults(func(f *standin.Faults) { f.Stuck = !undo })
+	case DoShed:
+		t.ChangeFaults(func(f *standin.Faults) { f.ShedRatio = on(e.Ratio) })
+	case DoWrong:
+		t.ChangeFaults(func(f *standin.Faults) { f.WrongRatio = on(e.Ratio) })
+	case DoDrain:
+		t.SetDraining(!undo)
+	case DoCold:
+		t.TurnCold(e.Announced)
+	case DoSilent:
+		t.SilenceConnections()
+	case DoKill, DoRestart:
+		t.Kill()
+		if undo || e.Do == DoRestart {
+			return t.Restart()
+		}
+	}
+	return nil
+}
+
+// roll brings in the next index version: first each searcher, replica by
+// replica, serves the old and the new one, then each drops the old one.
+func (in *injector) roll(ctx context.Context, targets []string, over time.Duration) error {
+	versions := in.fleet.Searchers[targets[0]].Versions()
+	old := versions[len(versions)-1]
+	pause := over / time.Duration(2*len(targets))
+	for _, serves := range [][]uint64{{old, old + 1}, {old + 1}} {
+		for _, id := range targets {
+			in.fleet.Searchers[id].SetVersions(serves...)
+			if !sleepUntil(ctx, time.Now().Add(pause)) {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// splitGroup divides a group in two: the first replica serves the upper half,
+// the others the lower one. The searchers change first, as data do before a
+// configuration that describes them is everywhere.
+func (in *injector) splitGroup(e *Event) error {
+	doc := &in.fleet.Tree().Doc
+	name, err := resolve("service", e.On.Service, doc.Services)
+	if err != nil {
+		return err
+	}
+	service := doc.Services[name]
+	if *e.On.Group >= len(service.Groups) || len(service.Groups[*e.On.Group].Targets) < 2 {
+		return errors.Newf("service %s has no group %d with two targets", name, *e.On.Group)
+	}
+	old := service.Groups[*e.On.Group]
+	middle := old.Range.From + old.Range.Len()/2
+	high := settings.Group{ID: old.ID + "b", Range: keyspace.Range{From: middle, To: old.Range.To}, Targets: old.Targets[:1]}
+	low := settings.Group{ID: old.ID + "a", Range: keyspace.Range{From: old.Range.From, To: middle}, Targets: old.Targets[1:]}
+	in.checker.splits(name)
+	epoch := service.PartitionEpoch + 1
+	for _, g := range []settings.Group{high, low} {
+		for _, t := range g.Targets {
+			in.fleet.Searchers[t.ID].SetRange(in.fleet.Datasets[name], g.Range, epoch)
+		}
+	}
+	return in.publish(func(doc *settings.Document) {
+		changed := doc.Services[name]
+		changed.PartitionEpoch = epoch
+		changed.Groups = slices.Replace(changed.Groups, *e.On.Group, *e.On.Group+1, low, high)
+		doc.Services[name] = changed
+	})
+}
+
+// publish changes the configuration and tells the checker of its groups.
+func (in *injector) publish(change func(*settings.Document)) error {
+	return in.fleet.PublishConfig(func(doc *settings.Document) {
+		change(doc)
+		in.checker.learn(doc)
+	})
+}
+
+func (in *injector) setPlace(text string, inService bool) error {
+	name, err := resolve("place", text, in.fleet.Tree().Doc.Places)
+	if err != nil {
+		return err
+	}
+	return in.publish(func(doc *settings.Document) {
+		place := doc.Places[name]
+		place.State = settings.PlaceOut
+		if inService {
+			place.State = settings.PlaceIn
+		}
+		doc.Places[name] = place
+	})
+}
+
+func (in *injector) links(e *Event, undo bool) {
+	delay, loss := in.fleet.Model.OneWayDelayMS, in.fleet.Model.Loss
+	if e.DelayMS != nil && !undo {
+		delay = *e.DelayMS
+	}
+	if e.Loss != nil && !undo {
+		loss = *e.Loss
+	}
+	in.fleet.Network.SetLinks(delay, loss)
+}
+
+func (in *injector) cut(e *Event, cut bool) error {
+	from, err := in.linkEnd(e.From)
+	if err != nil {
+		return err
+	}
+	to, err := in.linkEnd(e.To)
+	if err != nil {
+		return err
+	}
+	in.fleet.Network.Cut(from, to, cut)
+	if !e.OneWay {
+		in.fleet.Network.Cut(to, from, cut)
+	}
+	return nil
+}
+
+// linkEnd returns a place's name or a host's address on the links.
+func (in *injector) linkEnd(text string) (string, error) {
+	doc := &in.fleet.Tree().Doc
+	at, err := parseSeat(text, doc)
+	if err != nil {
+		return resolve("place", text, doc.Places)
+	}
+	return in.cluster.peerAddress(at), nil
+}
+
+// killer makes a word crash the searchers, and sends it.
+func (in *injector) killer(ctx context.Context, s step) {
+	term := s.event.Term
+	if s.undo {
+		term = ""
+	}
+	for _, id := range s.targets {
+		in.fleet.Searchers[id].ChangeFaults(func(f *standin.Faults) { f.KillTerm = term })
+	}
+	in.mu.Lock()
+	stop, running := in.undo[s.event]
+	if s.undo || running {
+		delete(in.undo, s.event)
+		in.mu.Unlock()
+		if running {
+			stop()
+		}
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	in.undo[s.event] = cancel
+	in.mu.Unlock()
+	defer cancel()
+	in.killers(ctx, s.event)
+}
+
+// host stops a host, and starts its replacement if the event says so.
+func (in *injector) host(ctx context.Context, e *Event) error {
+	at, err := parseSeat(e.Host, &in.fleet.Tree().Doc)
+	if err != nil {
+		return err
+	}
+	forget, err := in.cluster.stop(at, e.Graceful)
+	if err != nil {
+		return err
+	}
+	lag := listLag
+	if e.Graceful {
+		lag = 0
+	}
+	in.wg.Go(func() {
+		sleepUntil(ctx, time.Now().Add(lag))
+		if err := forget(); err != nil {
+			in.log.Error("host stays listed", "error", err)
+		}
+	})
+	if e.Do == DoHostStop {
+		return nil
+	}
+	wait := time.Duration(e.After)
+	if wait == 0 {
+		wait = replaceAfter
+	}
+	if !sleepUntil(ctx, time.Now().Add(wait)) {
+		return ctx.Err()
+	}
+	return in.cluster.start(ctx, at)
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,321 @@
+package bench
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// totalRow is the name of the row over all services.
+const totalRow = "total"
+
+// Report is the result of a run.
+type Report struct {
+	Case    string  `json:"case"`
+	Policy  Policy  `json:"policy"`
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	Hosts   int     `json:"hosts"`
+	Usage   Usage   `json:"usage"`
+	LinkMS  float64 `json:"link_ms"` // callers' and one link's delay, both ways: what the oracle leaves out
+	Rows    []*Row  `json:"rows"`
+}
+
+// Row is the result for one service, or for all.
+type Row struct {
+	Service  string `json:"service"`
+	Sent     int    `json:"sent"`
+	Answered int    `json:"answered"` // full answers
+	Partial  int    `json:"partial"`
+	NotRun   int    `json:"not_run"`
+	Unknown  int    `json:"unknown"`
+	Errors   int    `json:"errors"` // answers that are not in the protocol's form
+
+	// Latency from the intended start of everything but refusals.
+	Quantiles
+	Oracle Quantiles `json:"oracle"`
+
+	// Coverage of everything but refusals; an unknown outcome counts as 0.
+	CoverageMean float64 `json:"coverage_mean"`
+	CoverageMin  float64 `json:"coverage_min"`
+	// Goodput is the answers per second with at least the service's
+	// early_finish_coverage, within its deadline.
+	Goodput float64 `json:"goodput"`
+	// ExtraLoad is the sub-requests that targets ran beyond one per group and
+	// query, as a fraction of the latter.
+	ExtraLoad float64 `json:"extra_load"`
+
+	Reasons    map[string]int       `json:"reasons"` // outcomes without an answer
+	Classes    map[string]Quantiles `json:"classes,omitempty"`
+	Crashed    int                  `json:"crashed"`      // targets crashed by a killer query
+	CrashedMax int                  `json:"crashed_max"`  // most replicas of one group that one did
+	Violations Violations           `json:"violations"`   //
+	Valid      bool                 `json:"valid"`        // false: the machine was saturated
+	Series     []Second             `json:"series"`       // by second of the intended start
+	Samples    []string             `json:"samples"`      // a few failed checks
+	Necessary  int                  `json:"necessary"`    // sub-requests that ran first for their group and query
+	Extra      int                  `json:"extra"`        // sub-requests that ran besides
+	KillerSent int                  `json:"killer_sent"`  // killer queries, not counted elsewhere
+	RateWanted float64              `json:"rate_per_sec"` // intended arrivals
+}
+
+// Second is one second of a run.
+type Second struct {
+	Sent     int     `json:"sent"`
+	P99      float64 `json:"p99_ms"`
+	Coverage float64 `json:"coverage"` // mean
+	Refused  int     `json:"refused"`
+}
+
+// maxSamples bounds the failed checks that a row keeps.
+const maxSamples = 5
+
+// tally accumulates one row.
+type tally struct {
+	row      Row
+	latency  *hdrhistogram.Histogram
+	oracle   *hdrhistogram.Histogram
+	classes  map[string]*hdrhistogram.Histogram
+	coverage float64
+	answers  int // with a coverage
+	good     int
+	seconds  []second
+}
+
+type second struct {
+	latency             *hdrhistogram.Histogram
+	sent, refused, seen int
+	coverage            float64
+}
+
+func newTally(service string, seconds int) *tally {
+	t := &tally{
+		row:     Row{Service: service, CoverageMin: 1, Reasons: map[string]int{}},
+		latency: newHistogram(), oracle: newHistogram(), classes: map[string]*hdrhistogram.Histogram{},
+		seconds: make([]second, seconds),
+	}
+	for i := range t.seconds {
+		t.seconds[i].latency = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
+	}
+	return t
+}
+
+// result is one request with what became of it.
+type result struct {
+	query      *query
+	reply      reply
+	latency    time.Duration
+	coverage   float64
+	good       bool
+	violations Violations
+	sample     string
+}
+
+func (t *tally) add(r *result, at time.Duration) {
+	t.row.Violations.add(r.violations)
+	if r.sample != "" && len(t.row.Samples) < maxSamples {
+		t.row.Samples = append(t.row.Samples, r.sample)
+	}
+	if r.query.killer {
+		t.row.KillerSent++
+		return
+	}
+	t.row.Sent++
+	o := r.reply.outcome
+	s := &t.seconds[min(int(at/time.Second), len(t.seconds)-1)]
+	s.sent++
+	switch {
+	case o.Kind == outcome.Answered:
+		t.row.Answered++
+	case o.Kind == outcome.Partial:
+		t.row.Partial++
+	case o.Kind == outcome.NotRun:
+		t.row.NotRun++
+		t.row.Reasons[o.Kind.String()+"/"+string(o.Reason)]++
+		s.refused++
+		return
+	case o.Reason == outcome.Internal:
+		t.row.Errors++
+		t.row.Reasons["error"]++
+	default:
+		t.row.Unknown++
+		t.row.Reasons[o.Kind.String()+"/"+string(o.Reason)]++
+	}
+	us := r.latency.Microseconds()
+	_, _ = t.latency.RecordValue(us), s.latency.RecordValue(us)
+	if r.query.class != "" {
+		if t.classes[r.query.class] == nil {
+			t.classes[r.query.class] = newHistogram()
+		}
+		_ = t.classes[r.query.class].RecordValue(us)
+	}
+	t.coverage += r.coverage
+	t.answers++
+	s.coverage += r.coverage
+	s.seen++
+	t.row.CoverageMin = min(t.row.CoverageMin, r.coverage)
+	if r.good {
+		t.good++
+	}
+}
+
+// finish computes the row.
+func (t *tally) finish(seconds float64, valid bool) *Row {
+	t.row.Quantiles, t.row.Oracle, t.row.Valid = quantiles(t.latency), quantiles(t.oracle), valid
+	t.row.CoverageMean = mean(t.coverage, t.answers)
+	t.row.Goodput = float64(t.good) / seconds
+	t.row.RateWanted = float64(t.row.Sent) / seconds
+	if t.row.Necessary > 0 {
+		t.row.ExtraLoad = float64(t.row.Extra) / float64(t.row.Necessary)
+	}
+	if len(t.classes) > 0 {
+		t.row.Classes = map[string]Quantiles{}
+	}
+	for name, h := range t.classes {
+		t.row.Classes[name] = quantiles(h)
+	}
+	for _, s := range t.seconds {
+		t.row.Series = append(t.row.Series, Second{
+			Sent: s.sent, P99: float64(s.latency.ValueAtQuantile(99)) / 1000, Coverage: mean(s.coverage, s.seen), Refused: s.refused,
+		})
+	}
+	return &t.row
+}
+
+func mean(sum float64, n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// board holds the tallies of all services and of their sum.
+type board struct {
+	mu       sync.Mutex
+	services map[string]*tally
+	total    *tally
+	notRun   map[string]map[string]bool // by service: commands that callers were told did not run
+	killers  map[string]bool            // request identifiers of killer queries
+	warmup   map[string]bool            // request identifiers from before the measured time
+}
+
+func newBoard(doc *settings.Document, seconds int) *board {
+	b := &board{
+		services: map[string]*tally{}, total: newTally(totalRow, seconds),
+		notRun: map[string]map[string]bool{}, killers: map[string]bool{}, warmup: map[string]bool{},
+	}
+	for name := range doc.Services {
+		b.services[name] = newTally(name, seconds)
+		b.notRun[name] = map[string]bool{}
+	}
+	return b
+}
+
+func (b *board) add(r *result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.query.kind == settings.KindCommand && r.reply.outcome.Kind == outcome.NotRun && r.reply.id != "" {
+		b.notRun[r.query.service][r.reply.id] = true
+	}
+	if r.query.killer {
+		b.killers[r.reply.id] = true
+	}
+	service := b.services[r.query.service]
+	if r.query.at < 0 { // before the measured time only violations count
+		b.warmup[r.reply.id] = true
+		service.row.Violations.add(r.violations)
+		b.total.row.Violations.add(r.violations)
+		return
+	}
+	service.add(r, r.query.at)
+	b.total.add(r, r.query.at)
+}
+
+func (b *board) oracle(service string, latency time.Duration) {
+	us := min(latency, time.Minute).Microseconds()
+	_, _ = b.services[service].oracle.RecordValue(us), b.total.oracle.RecordValue(us)
+}
+
+// logs counts what the stand-ins logged. No request may be in progress.
+func (b *board) logs(f *fleet.Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	doc := &f.Tree().Doc
+	for name, service := range doc.Services {
+		row := &b.services[name].row
+		lookups := map[string]int{}
+		var v Violations
+		for _, g := range service.Groups {
+			searches, crashed := map[string]int{}, 0
+			for _, t := range g.Targets {
+				s := f.Searchers[t.ID]
+				counts := s.Counts()
+				v.OverSlots += int(counts.OverSlots.Load())
+				v.OverConns += int(counts.OverConns.Load())
+				v.OverCold += int(counts.OverCold.Load())
+				v.FellOver += int(counts.FellOver.Load())
+				row.Crashed += int(counts.Crashed.Load())
+				if counts.Crashed.Load() > 0 {
+					crashed++
+				}
+				searched, looked := s.Log()
+				merge(searches, searched)
+				merge(lookups, looked)
+			}
+			row.CrashedMax = max(row.CrashedMax, crashed)
+			b.extra(row, searches)
+		}
+		b.extra(row, lookups)
+		if service.Kind == settings.KindCommand {
+			for id, n := range lookups {
+				if n > 1 {
+					v.RunTwice++
+				}
+				if b.notRun[name][id] {
+					v.FalseNotRun++
+				}
+			}
+		}
+		row.Violations.add(v)
+		total := &b.total.row
+		total.Violations.add(v)
+		total.Necessary += row.Necessary
+		total.Extra += row.Extra
+		total.Crashed += row.Crashed
+		total.CrashedMax = max(total.CrashedMax, row.CrashedMax)
+	}
+}
+
+// extra counts the runs of each request beyond the first.
+func (b *board) extra(row *Row, runs map[string]int) {
+	for id, n := range runs {
+		if !b.killers[id] && !b.warmup[id] {
+			row.Necessary++
+			row.Extra += n - 1
+		}
+	}
+}
+
+func merge(into, from map[string]int) {
+	for id, n := range from {
+		into[id] += n
+	}
+}
+
+// rows returns the services in order of name, then the total.
+func (b *board) rows(seconds float64, valid bool) []*Row {
+	var all []*Row
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		all = append(all, b.services[name].finish(seconds, valid))
+	}
+	return append(all, b.total.finish(seconds, valid))
+}
+
+// Violations returns the number of violations of all services.
+func (r *Report) Violations() int { return r.Rows[len(r.Rows)-1].Violations.Total() }
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	// warmupTime is how long the load runs before it is measured, so that
+	// connections are open and routing has seen every path.
+	warmupTime = 1500 * time.Millisecond
+	// drainLimit bounds the wait for the last answers and for the stand-ins to
+	// notice cancelled requests.
+	drainLimit = 10 * time.Second
+	settleTime = 100 * time.Millisecond
+	// defaultSeconds is the length of a run that states none.
+	defaultSeconds   = 10
+	progressInterval = 5 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	Case     *Case
+	Policy   Policy
+	Seed     uint64
+	Seconds  float64 // 0 takes the case's
+	Rate     float64 // queries/s; 0 takes the case's load or rate
+	Logger   hclog.Logger
+	Progress io.Writer // nil reports no progress
+}
+
+// runner is one run.
+type runner struct {
+	opts    Options
+	fleet   *fleet.Fleet
+	cluster cluster
+	checker *checker
+	board   *board
+	callers []*caller
+	wg      sync.WaitGroup
+}
+
+// Run starts a deployment, sends it the load of a case and reports.
+func Run(ctx context.Context, d *fleet.Deployment, opts Options) (*Report, error) {
+	c := *opts.Case
+	if opts.Rate > 0 {
+		c.Rate, c.Load = opts.Rate, 0
+	}
+	if opts.Seconds == 0 {
+		opts.Seconds = c.Seconds
+	}
+	if opts.Seconds == 0 {
+		opts.Seconds = defaultSeconds
+	}
+	length := time.Duration(opts.Seconds * float64(time.Second))
+	doc := &d.Document
+	steps, err := timeline(&c, doc, opts.Seed, length)
+	if err != nil {
+		return nil, errors.Wrapf(err, "case %s", c.Name)
+	}
+	f, cl, err := startCluster(ctx, d, opts.Policy, opts.Seed, opts.Logger)
+	if err != nil {
+		return nil, errors.Wrap(err, "start the deployment")
+	}
+	defer f.Close()
+	defer cl.close()
+	r := &runner{opts: opts, fleet: f, cluster: cl, checker: newChecker(f.Datasets), board: newBoard(doc, int(math.Ceil(opts.Seconds)))}
+	r.checker.learn(doc)
+	r.startCallers()
+	defer r.closeCallers()
+	hosts := len(cl.addresses())
+
+	// The two parts of the load have seeds of their own, so that the length of
+	// the warm-up does not change the measured arrivals.
+	load := arrivals(&c, doc, f.Model, f.Datasets, opts.Seed+1<<32, warmupTime)
+	for i := range load {
+		load[i].at -= warmupTime
+	}
+	load = append(load, arrivals(&c, doc, f.Model, f.Datasets, opts.Seed, length)...)
+	usage, err := r.drive(ctx, load, steps, length)
+	if err != nil {
+		return nil, err
+	}
+	o := newOracle(doc, f.Model, steps, opts.Seed)
+	for i := range load {
+		if latency := o.query(&load[i]); load[i].at >= 0 {
+			r.board.oracle(load[i].service, latency)
+		}
+	}
+	r.board.logs(f)
+	return &Report{
+		Case: c.Name, Policy: opts.Policy, Seed: opts.Seed, Seconds: opts.Seconds, Hosts: hosts, Usage: usage,
+		LinkMS: 2 * (f.Model.CallerDelayMS + f.Model.OneWayDelayMS),
+		Rows:   r.board.rows(opts.Seconds, !usage.Saturated),
+	}, nil
+}
+
+func (r *runner) startCallers() {
+	delay := time.Duration(r.fleet.Model.CallerDelayMS * float64(time.Millisecond))
+	for i := range callerCount {
+		rng := rand.New(rand.NewPCG(r.opts.Seed, uint64(2000+i)))
+		r.callers = append(r.callers, newCaller(delay, r.cluster.addresses, rng))
+	}
+}
+
+func (r *runner) closeCallers() {
+	for _, c := range r.callers {
+		c.close()
+	}
+}
+
+// drive sends the load while the steps are applied, and waits for the answers.
+func (r *runner) drive(ctx context.Context, load []query, steps []step, length time.Duration) (Usage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begin := time.Now().Add(warmupTime)
+	in := &injector{
+		fleet: r.fleet, cluster: r.cluster, checker: r.checker, log: r.opts.Logger, begin: begin,
+		undo: map[*Event]context.CancelFunc{},
+	}
+	in.killers = func(ctx context.Context, e *Event) { r.killers(ctx, e, begin) }
+	var faults sync.WaitGroup
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	defer stopFaults()
+	faults.Go(func() { in.run(faultCtx, steps) })
+	if r.opts.Progress != nil {
+		go r.progress(faultCtx, begin, length)
+	}
+	stop := usageMeter()
+	for i := range load {
+		q := &load[i]
+		if !sleepUntil(ctx, begin.Add(q.at)) {
+			return stop(), ctx.Err()
+		}
+		r.wg.Go(func() { r.send(ctx, q, i, begin) })
+	}
+	sleepUntil(ctx, begin.Add(length))
+	usage := stop()
+	stopFaults()
+	faults.Wait()
+	r.wait()
+	if err := ctx.Err(); err != nil {
+		return usage, err
+	}
+	return usage, errors.Wrap(in.err(), "faults were not applied")
+}
+
+// wait blocks until every request has ended, which their deadlines bound.
+func (r *runner) wait() {
+	ended := make(chan struct{})
+	go func() { r.wg.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(drainLimit):
+	}
+	time.Sleep(settleTime)
+}
+
+// send makes one request and records what became of it.
+func (r *runner) send(ctx context.Context, q *query, number int, begin time.Time) {
+	start := begin.Add(q.at)
+	policy := r.fleet.Tree().Effective("", q.service)
+	limit := policy.DeadlineDefault
+	ctx, cancel := context.WithDeadline(ctx, start.Add(limit+callerPatience))
+	defer cancel()
+	c := r.callers[number%len(r.callers)]
+	res := &result{query: q, reply: c.send(ctx, q, fmt.Sprintf("%s-%d-%d", r.opts.Policy, r.opts.Seed, number))}
+	res.latency = time.Since(start)
+	switch {
+	case res.reply.search != nil:
+		res.coverage = res.reply.search.Coverage
+		res.violations = r.checker.search(&q.search, res.reply.search)
+	case res.reply.lookup != nil:
+		res.coverage = 1
+		res.violations = r.checker.lookup(&q.lookup, res.reply.lookup)
+	}
+	if res.violations.Total() > 0 {
+		res.sample = fmt.Sprintf("%+v: asked %v %v, got %+v %+v", res.violations, q.search.Terms, q.lookup.ID, res.reply.search, res.reply.lookup)
+	}
+	answered := res.reply.outcome.Kind == outcome.Answered || res.reply.outcome.Kind == outcome.Partial
+	callerDelay := time.Duration(2 * r.fleet.Model.CallerDelayMS * float64(time.Millisecond))
+	res.good = answered && res.coverage >= policy.EarlyFinishCoverage && res.latency <= limit+callerDelay
+	r.board.add(res)
+}
+
+// killers sends killer queries until the context ends, each through another host.
+func (r *runner) killers(ctx context.Context, e *Event, begin time.Time) {
+	service, err := resolve("service", e.On.Service, r.fleet.Tree().Doc.Services)
+	if err != nil {
+		return
+	}
+	rng := rand.New(rand.NewPCG(r.opts.Seed, 3000))
+	for number := 1 << 40; ; number++ {
+		if !sleepUntil(ctx, time.Now().Add(gap(rng, e.Rate))) {
+			return
+		}
+		q := &query{at: time.Since(begin), service: service, kind: settings.KindSearch, killer: true}
+		q.search.Terms = []string{e.Term}
+		r.wg.Go(func() { r.send(context.WithoutCancel(ctx), q, number, begin) })
+	}
+}
+
+func (r *runner) progress(ctx context.Context, begin time.Time, length time.Duration) {
+	for next := begin; sleepUntil(ctx, next); next = next.Add(progressInterval) {
+		r.board.mu.Lock()
+		row := r.board.total.row
+		r.board.mu.Unlock()
+		fmt.Fprintf(r.opts.Progress, "%s/%s: %.0f of %.0f s, %d answers, %d refused, %d unknown, %d violations\n",
+			r.opts.Case.Name, r.opts.Policy, time.Since(begin).Seconds(), length.Seconds(),
+			row.Answered+row.Partial, row.NotRun, row.Unknown, row.Violations.Total())
+	}
+}
--- /dev/null
+++ b/internal/bench/scatter.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// ScatterOptions are what a scatter host is built from.
+type ScatterOptions struct {
+	Place   string
+	Tree    func() *settings.Tree // the configuration in force
+	Dial    target.Dialer         // nil dials TCP
+	Entries func() api.EntriesResponse
+	Hosts   int // hosts that divide each target's connections
+	Rand    *rand.Rand
+}
+
+// scatter is what the flat and the naive policy share: a client per target.
+// It is safe for concurrent use.
+type scatter struct {
+	opts ScatterOptions
+
+	mu      sync.Mutex // guards what follows, and the random numbers
+	clients map[string]*target.Client
+}
+
+func newScatter(opts ScatterOptions) scatter {
+	return scatter{opts: opts, clients: map[string]*target.Client{}}
+}
+
+// Entries returns the addresses to use.
+func (s *scatter) Entries() api.EntriesResponse { return s.opts.Entries() }
+
+// Service returns the kind and the settings of a service.
+func (s *scatter) Service(name string) (settings.ServiceKind, *settings.Policy, bool) {
+	tree := s.opts.Tree()
+	service, ok := tree.Doc.Services[name]
+	return service.Kind, tree.Effective(s.opts.Place, name), ok
+}
+
+// Close closes idle connections.
+func (s *scatter) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
+
+// client returns the client of a target; 0 connections means no limit.
+func (s *scatter) client(t *settings.Target, connections int) *target.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.clients[t.Address]
+	if !ok {
+		c = target.NewClient(t.Address, connections, s.opts.Dial)
+		s.clients[t.Address] = c
+	}
+	return c
+}
+
+// context bounds a request by the deadline that it or its service states.
+func (s *scatter) context(ctx context.Context, service string, meta api.Meta) (context.Context, context.CancelFunc) {
+	policy := s.opts.Tree().Effective(s.opts.Place, service)
+	limit := policy.DeadlineDefault
+	if meta.Deadline > 0 {
+		limit = min(meta.Deadline, policy.DeadlineMax)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+func (s *scatter) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.Rand.IntN(n)
+}
+
+// groupAnswer is what the search of one group came to.
+type groupAnswer struct {
+	group   *settings.Group
+	answer  target.SearchAnswer
+	outcome outcome.Outcome
+	ran     bool // some target may have run it
+}
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
+func elapsedMS(start time.Time) float64 { return float64(time.Since(start).Microseconds()) / 1000 }
+
+// naiveTries bounds the attempts per group. Without it a group whose replicas
+// all refuse would be asked in a busy loop until the deadline.
+const naiveTries = 8
+
+// Naive is the flat scatter without any policy: it asks a random replica of
+// every group for the newest index version, has no limits, no hedging and no
+// handling of cold targets or versions, tries any replica again at once after
+// any failure, and waits for all groups until the deadline. It is the reference
+// of the differential tests. It is safe for concurrent use.
+type Naive struct{ scatter }
+
+// NewNaive returns a naive host.
+func NewNaive(opts ScatterOptions) *Naive { return &Naive{newScatter(opts)} }
+
+// Search asks every group and concatenates what they answer.
+func (n *Naive) Search(ctx context.Context, service string, meta api.Meta, req *api.SearchRequest) (*api.SearchResponse, outcome.Outcome) {
+	start := time.Now()
+	ctx, cancel := n.context(ctx, service, meta)
+	defer cancel()
+	groups := n.opts.Tree().Doc.Services[service].Groups
+	answers := make([]groupAnswer, len(groups))
+	var wg sync.WaitGroup
+	for i := range groups {
+		wg.Go(func() { answers[i] = n.searchGroup(ctx, &groups[i], service, meta, req) })
+	}
+	wg.Wait()
+	result := &api.SearchResponse{RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered, Records: []coverage.Record{}}
+	var covered keyspace.Set
+	ran := false
+	for _, a := range answers {
+		ran = ran || a.ran
+		if a.outcome.Kind != outcome.Answered {
+			result.Outcome = outcome.Partial
+			result.Warnings = append(result.Warnings, api.Warning{Group: a.group.ID, Reason: a.outcome.Reason, Message: a.outcome.Message})
+			continue
+		}
+		for _, c := range a.answer.Covered {
+			covered.Add(c.Range)
+		}
+		result.Snapshot = a.answer.Version
+		result.Records = append(result.Records, a.answer.Records...)
+	}
+	if !ran {
+		return nil, outcome.Refused(result.Warnings[0].Reason, "%s", result.Warnings[0].Message)
+	}
+	slices.SortFunc(result.Records, func(a, b coverage.Record) int { return cmp.Compare(a.ID, b.ID) })
+	if req.Limit > 0 && len(result.Records) > req.Limit {
+		result.Records = result.Records[:req.Limit]
+	}
+	result.Coverage = float64(covered.Len()) / float64(keyspace.Size)
+	result.ElapsedMS = elapsedMS(start)
+	return result, outcome.Outcome{Kind: result.Outcome}
+}
+
+func (n *Naive) searchGroup(ctx context.Context, g *settings.Group, service string, meta api.Meta, req *api.SearchRequest) groupAnswer {
+	result := groupAnswer{group: g}
+	for range naiveTries {
+		t := &g.Targets[n.intN(len(g.Targets))]
+		result.answer, _, result.outcome = n.client(t, 0).Search(ctx,
+			target.Request{ID: meta.RequestID, Timeout: timeLeft(ctx), Traceparent: meta.Traceparent},
+			target.SearchBody{Service: service, Terms: req.Terms, Limit: req.Limit})
+		result.ran = result.ran || !result.outcome.RanNothing()
+		if result.outcome.Kind == outcome.Answered || ctx.Err() != nil {
+			break
+		}
+	}
+	return result
+}
+
+// Lookup reads one record, and tries again after any failure.
+func (n *Naive) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
+	start := time.Now()
+	ctx, cancel := n.context(ctx, service, meta)
+	defer cancel()
+	g := groupOf(n.opts.Tree(), service, req.ID)
+	var o outcome.Outcome
+	for range naiveTries {
+		t := &g.Targets[n.intN(len(g.Targets))]
+		var answer target.LookupAnswer
+		if answer, _, o = lookup(ctx, n.client(t, 0), service, meta, req); o.Kind == outcome.Answered {
+			return lookupResponse(service, meta, &answer, start), o
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, o
+}
+
+func lookup(ctx context.Context, c *target.Client, service string, meta api.Meta, req *api.LookupRequest) (target.LookupAnswer, wire.TargetStatus, outcome.Outcome) {
+	return c.Lookup(ctx, target.Request{ID: meta.RequestID, Timeout: timeLeft(ctx), Traceparent: meta.Traceparent},
+		target.LookupBody{Service: service, ID: req.ID})
+}
+
+func lookupResponse(service string, meta api.Meta, a *target.LookupAnswer, start time.Time) *api.LookupResponse {
+	return &api.LookupResponse{
+		RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered,
+		Found: a.Found, Record: a.Record, Snapshot: a.Version, ElapsedMS: elapsedMS(start),
+	}
+}
+
+// groupOf returns the group that holds a record's key.
+func groupOf(tree *settings.Tree, service, id string) *settings.Group {
+	groups := tree.Doc.Services[service].Groups
+	i := slices.IndexFunc(groups, func(g settings.Group) bool { return g.Range.Contains(keyspace.KeyOf(id)) })
+	return &groups[i] // a checked configuration covers every key
+}
--- /dev/null
+++ b/internal/bench/timeline.go
@@ -0,0 +1,76 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// step is one application of an event.
+type step struct {
+	at      time.Duration
+	until   time.Duration // time of the undo; 0 if there is none
+	event   *Event
+	targets []string
+	undo    bool
+}
+
+// timeline expands the events of a case into steps, in order of time. Random
+// choices of targets are drawn here, from the seed and the event's position,
+// so that the oracle and the run see the same faults.
+func timeline(c *Case, doc *settings.Document, seed uint64, length time.Duration) ([]step, error) {
+	var steps []step
+	for i := range c.Events {
+		e := &c.Events[i]
+		rng := rand.New(rand.NewPCG(seed, uint64(1000+i)))
+		for at := time.Duration(e.At); at < length; at += time.Duration(e.Every) {
+			s := step{at: at, event: e}
+			var err error
+			if slices.Contains(onTargets, e.Do) {
+				if s.targets, err = e.On.pick(doc, rng); err != nil {
+					return nil, errors.Wrapf(err, "events[%d].on", i)
+				}
+			}
+			if err := checkNames(e, doc); err != nil {
+				return nil, errors.Wrapf(err, "events[%d]", i)
+			}
+			if e.For > 0 {
+				s.until = at + time.Duration(e.For)
+				undo := s
+				undo.at, undo.undo = s.until, true
+				steps = append(steps, undo)
+			}
+			steps = append(steps, s)
+			if e.Every <= 0 {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	return steps, nil
+}
+
+// checkNames resolves the names that an event uses besides its selector's.
+func checkNames(e *Event, doc *settings.Document) error {
+	switch e.Do {
+	case DoPlaceOut, DoPlaceIn:
+		_, err := resolve("place", e.On.Place, doc.Places)
+		return err
+	case DoHostStop, DoHostReplace:
+		_, err := parseSeat(e.Host, doc)
+		return err
+	case DoCut:
+		for _, end := range []string{e.From, e.To} {
+			if _, err := parseSeat(end, doc); err == nil {
+				continue
+			}
+			if _, err := resolve("place", end, doc.Places); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,7 +79,7 @@
 	Network   *standin.Network
 	Searchers map[string]*standin.Searcher // by target identifier
 	Datasets  map[string]*standin.Dataset  // by service
-	Hosts     []*Host              // as started; use Running while hosts come and go
+	Hosts     []*Host                      // as started; use Running while hosts come and go
 	Model     *standin.Model
 
 	Authority *standin.Authority // signs the certificates of the hosts
