Tell a slot that a cancellation frees from one too many

Ten seconds at 150 % load counted 15 requests over the slots. A refusal now counts unless a cancellation is noticed within 50 ms, one for one; ordinary answers explain nothing.

--- a/internal/bench/case.go
+++ b/internal/bench/case.go
@@ -42,7 +42,7 @@
 	Doc     string             `json:"doc"`               // what the case shows
 	Load    float64            `json:"load,omitempty"`    // fraction of every service's slot capacity
 	Rate    float64            `json:"rate,omitempty"`    // queries/s over all services, instead of load
-	Weights map[string]float64 `json:"weights,omitempty"` // by service name or kind; 1 where absent
+	Weights map[string]float64 `json:"weights,omitempty"` // by service name, "#N" or kind; 1 where absent
 	Classes map[string]float64 `json:"classes,omitempty"` // weight of each priority class; empty for the service's own
 	Seconds float64            `json:"seconds,omitempty"` // length if the command line gives none
 	Events  []Event            `json:"events,omitempty"`
@@ -231,15 +231,13 @@
 		if !ratio {
 			return errors.Newf("%s needs a ratio above 0 and at most 1", e.Do)
 		}
-	case DoRoll, DoSplit:
-		if e.On.Service == "" {
-			return errors.Newf("%s needs on.service", e.Do)
+	case DoRoll:
+		if (e.On != Selector{Service: e.On.Service, Kind: e.On.Kind}) {
+			return errors.New("roll takes only on.service and on.kind: it goes over all searchers of a service")
 		}
-		if e.Do == DoRoll && (e.On != Selector{Service: e.On.Service}) {
-			return errors.New("roll takes only on.service: it goes over all searchers of the service")
-		}
-		if e.Do == DoSplit && e.On.Group == nil {
-			return errors.New("split needs on.group")
+	case DoSplit:
+		if e.On.Service == "" || e.On.Group == nil {
+			return errors.New("split needs on.service and on.group")
 		}
 	case DoPlaceOut, DoPlaceIn:
 		if e.On.Place == "" || (e.On != Selector{Place: e.On.Place}) {
--- a/internal/bench/case_test.go
+++ b/internal/bench/case_test.go
@@ -35,7 +35,7 @@
 	It("resolve on both deployments", func() {
 		files, err := filepath.Glob("../../cases/*.json")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(files).To(HaveLen(11))
+		Expect(files).To(HaveLen(12))
 		for _, dir := range []string{"../../examples/new-england", "../../examples/riga"} {
 			d, err := fleet.Load(dir)
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/bench/events.go
+++ b/internal/bench/events.go
@@ -136,9 +136,26 @@
 	return nil
 }
 
-// roll brings in the next index version: first each searcher, replica by
-// replica, serves the old and the new one, then each drops the old one.
+// roll brings in the next index version of each service among the targets.
 func (in *injector) roll(ctx context.Context, targets []string, over time.Duration) error {
+	tree := in.fleet.Tree()
+	services := map[string][]string{}
+	for _, id := range targets {
+		if info, ok := tree.Target(id); ok {
+			services[info.Service] = append(services[info.Service], id)
+		}
+	}
+	var wg sync.WaitGroup
+	for _, ids := range services {
+		wg.Go(func() { in.rollService(ctx, ids, over) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+// rollService goes over the searchers of a service replica by replica: first
+// each serves the old and the new version, then each drops the old one.
+func (in *injector) rollService(ctx context.Context, targets []string, over time.Duration) {
 	versions := in.fleet.Searchers[targets[0]].Versions()
 	old := versions[len(versions)-1]
 	pause := over / time.Duration(2*len(targets))
@@ -146,11 +163,10 @@
 		for _, id := range targets {
 			in.fleet.Searchers[id].SetVersions(serves...)
 			if !sleepUntil(ctx, time.Now().Add(pause)) {
-				return ctx.Err()
+				return
 			}
 		}
 	}
-	return nil
 }
 
 // splitGroup divides a group in two: the first replica serves the upper half,
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -44,17 +45,20 @@
 
 // rates returns the queries/s of each service. With a load it is that fraction
 // of the service's capacity; a rate is divided in proportion to the capacities.
-// Weights by name, else by kind, multiply either.
+// Weights by name, else by position ("#N"), else by kind, multiply either.
 func rates(c *Case, doc *settings.Document, model *standin.Model) map[string]float64 {
 	result := map[string]float64{}
 	sum := 0.0
-	for name, service := range doc.Services {
+	for i, name := range slices.Sorted(maps.Keys(doc.Services)) {
+		service := doc.Services[name]
 		weight := 1.0
 		if w, ok := c.Weights[string(service.Kind)]; ok {
 			weight = w
 		}
-		if w, ok := c.Weights[name]; ok {
-			weight = w
+		for _, key := range []string{fmt.Sprintf("#%d", i), name} {
+			if w, ok := c.Weights[key]; ok {
+				weight = w
+			}
 		}
 		result[name] = weight * capacity(service, model.Services[name])
 		sum += result[name]
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -53,16 +53,16 @@
 
 	Reasons    map[string]int       `json:"reasons"` // outcomes without an answer
 	Classes    map[string]Quantiles `json:"classes,omitempty"`
-	Crashed    int                  `json:"crashed"`      // targets crashed by a killer query
-	CrashedMax int                  `json:"crashed_max"`  // most replicas of one group that one did
-	Violations Violations           `json:"violations"`   //
-	Valid      bool                 `json:"valid"`        // false: the machine was saturated
-	Series     []Second             `json:"series"`       // by second of the intended start
-	Samples    []string             `json:"samples"`      // a few failed checks
-	Necessary  int                  `json:"necessary"`    // sub-requests that ran first for their group and query
-	Extra      int                  `json:"extra"`        // sub-requests that ran besides
-	KillerSent int                  `json:"killer_sent"`  // killer queries, not counted elsewhere
-	RateWanted float64              `json:"rate_per_sec"` // intended arrivals
+	Crashed    int                  `json:"crashed"`           // targets crashed by a killer query
+	CrashedMax int                  `json:"crashed_max"`       // most replicas of one group that one did
+	Violations Violations           `json:"violations"`        //
+	Valid      bool                 `json:"valid"`             // false: the machine was saturated
+	Series     []Second             `json:"series"`            // by second of the intended start
+	Samples    []string             `json:"samples,omitempty"` // a few failed checks
+	Necessary  int                  `json:"necessary"`         // sub-requests that ran first for their group and query
+	Extra      int                  `json:"extra"`             // sub-requests that ran besides
+	KillerSent int                  `json:"killer_sent"`       // killer queries, not counted elsewhere
+	RateWanted float64              `json:"rate_per_sec"`      // intended arrivals
 }
 
 // Second is one second of a run.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,8 +21,6 @@
 	// it bears one more after each coldStep answers until all slots are warm.
 	coldBears = 1
 	coldStep  = 4
-	// cancelLag bounds the time after which the closing of a connection is noticed.
-	cancelLag = 5 * time.Millisecond
 	// stuckFor is the service time of a stuck searcher, longer than any deadline.
 	stuckFor = time.Minute
 )
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -45,6 +45,7 @@
 
 	faults Faults
 	cold   coldState
+	excess []*excess // refusals that a cancellation may still explain
 
 	active atomic.Int64
 	counts Counts
@@ -55,6 +56,7 @@
 	Searches  atomic.Int64 // searches run
 	Lookups   atomic.Int64 // lookups run
 	OverSlots atomic.Int64 // requests refused because every slot was in use
+	SlotRaces atomic.Int64 // requests refused before a cancellation that freed their slot was noticed
 	OverConns atomic.Int64 // connections refused
 	OverCold  atomic.Int64 // requests above what the cold searcher bears
 	FellOver  atomic.Int64 // crashes from load while cold
@@ -269,7 +271,7 @@
 		return false
 	}
 	if !s.takeSlot() {
-		s.counts.OverSlots.Add(1)
+		s.countExcess()
 		refuse(w, status, outcome.Overload, "every slot is in use")
 		return false
 	}
@@ -280,30 +282,6 @@
 	return true
 }
 
-// takeSlot takes a slot unless all are in use. A client cancels by closing a
-// connection and may use the freed slot at once on another one; the server
-// notices the close a little later. A request that finds every slot in use is
-// therefore admitted if a cancellation is noticed within cancelLag, and an
-// ordinary answer does not free a slot for it.
-func (s *Searcher) takeSlot() bool {
-	if s.active.Add(1) <= int64(s.spec.Slots) {
-		return true
-	}
-	s.active.Add(-1)
-	canceled := s.counts.Canceled.Load()
-	for start := time.Now(); time.Since(start) < cancelLag; {
-		time.Sleep(cancelLag / 10)
-		if s.counts.Canceled.Load() == canceled {
-			continue
-		}
-		if s.active.Add(1) <= int64(s.spec.Slots) {
-			return true
-		}
-		s.active.Add(-1)
-	}
-	return false
-}
-
 // releaser returns a function that frees the request's slot once. The slot is
 // freed before the answer is written: a client may send the next request as
 // soon as it has the answer.
@@ -321,6 +299,7 @@
 		return true
 	case <-ctx.Done():
 		s.counts.Canceled.Add(1)
+		s.excuseExcess()
 		return false
 	}
 }
