Crash hosts of a fleet through the daemon's abort

The load tool breaks the sockets first, because a killed process sends neither resets at the HTTP level nor QUIC closes, and then ends the daemon at once.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -74,7 +74,7 @@
 		f, err := fleet.Start(ctx, d, log)
 		return f, tierCluster{f}, err
 	}
-	f, err := fleet.StartTargets(d, log)
+	f, err := fleet.StartStandins(d, log)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -53,8 +53,7 @@
 // the process is killed.
 func (h *Host) Crash() {
 	h.socks.breakAll()
-	h.cancel()
-	<-h.done
+	_ = h.Kill()
 }
 
 // sockets are the open sockets of one host.
