--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -47,6 +47,8 @@
 	cold   coldState
 	excess []*excess // refusals that a cancellation may still explain
 
+	noticed time.Time // last cancellation
+
 	active atomic.Int64
 	counts Counts
 }
@@ -270,8 +272,9 @@
 		refuse(w, status, outcome.Overload, "shedding load")
 		return false
 	}
+	arrived := time.Now()
 	if !s.takeSlot() {
-		s.countExcess()
+		s.countExcess(arrived)
 		refuse(w, status, outcome.Overload, "every slot is in use")
 		return false
 	}
