--- a/internal/standin/slots.go
+++ b/internal/standin/slots.go
@@ -16,7 +16,7 @@
 	cancelPoll = 100 * time.Microsecond
 	// cancelLag is the time within which a notice still explains refusals. A
 	// trace of 10 s at 150 % load on a busy machine had notices up to 32 ms
-	// late, and each unnoticed cancellation refused a dozen requests in turn,
+	// late; in another of 8 s one such cancellation refused eleven requests in turn,
 	// because a refused client sends its next request into the same slot.
 	cancelLag = 50 * time.Millisecond
 )
