--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -39,11 +39,15 @@
 	state    wire.TargetState
 	boot     int
 	conns    map[net.Conn]bool // true: the connection is silent
-	runs     map[string]int    // times each request ran, by request identifier
+	runs     map[string]int    // times each lookup ran, by request identifier
+	searched map[string]int    // times each search ran, by request identifier
 	server   *http.Server
 
 	faults Faults
 	cold   coldState
+	excess []*excess // refusals that a cancellation may still explain
+
+	noticed time.Time // last cancellation
 
 	active atomic.Int64
 	counts Counts
@@ -54,6 +58,7 @@
 	Searches  atomic.Int64 // searches run
 	Lookups   atomic.Int64 // lookups run
 	OverSlots atomic.Int64 // requests refused because every slot was in use
+	SlotRaces atomic.Int64 // requests refused before a cancellation that freed their slot was noticed
 	OverConns atomic.Int64 // connections refused
 	OverCold  atomic.Int64 // requests above what the cold searcher bears
 	FellOver  atomic.Int64 // crashes from load while cold
@@ -68,7 +73,7 @@
 		ID: spec.ID, Place: spec.Place, spec: spec, service: service, model: model, shard: shard,
 		covered:  coverage.Covered{Range: r, Epoch: epoch, Records: uint64(shard.Len())},
 		rng:      rand.New(rand.NewPCG(seed, keyspace.KeyOf(spec.ID))),
-		versions: []uint64{1}, state: wire.TargetWarm, conns: map[net.Conn]bool{}, runs: map[string]int{},
+		versions: []uint64{1}, state: wire.TargetWarm, conns: map[net.Conn]bool{}, runs: map[string]int{}, searched: map[string]int{},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -98,6 +103,22 @@
 	return id, runs
 }
 
+// Log returns how often each search and each lookup ran, by request
+// identifier. The caller must not change the maps; read them when the searcher
+// gets no more requests.
+func (s *Searcher) Log() (searches, lookups map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.searched, s.runs
+}
+
+// Versions returns the index versions that the searcher serves, oldest first.
+func (s *Searcher) Versions() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.versions)
+}
+
 // SetVersions sets the index versions that the searcher serves, oldest first.
 func (s *Searcher) SetVersions(versions ...uint64) {
 	s.mu.Lock()
@@ -174,7 +195,8 @@
 	if !s.admit(w, r, &body) {
 		return
 	}
-	defer s.active.Add(-1)
+	release := s.releaser()
+	defer release()
 	s.mu.Lock()
 	version := body.Version
 	if version == 0 {
@@ -188,12 +210,17 @@
 		return
 	}
 	s.counts.Searches.Add(1)
+	s.mu.Lock()
+	s.searched[r.Header.Get(target.HeaderRequestID)]++
+	s.mu.Unlock()
 	if s.killedBy(body.Terms) || !s.work(r.Context()) {
 		return
 	}
+	records := shard.Search(version, body.Terms, body.Limit)
+	release()
 	writeJSON(w, http.StatusOK, target.SearchAnswer{
 		TargetStatus: status, Version: version, Covered: []coverage.Covered{covered},
-		Records: shard.Search(version, body.Terms, body.Limit),
+		Records: s.spoil(records),
 	})
 }
 
@@ -202,7 +229,8 @@
 	if !s.admit(w, r, &body) {
 		return
 	}
-	defer s.active.Add(-1)
+	release := s.releaser()
+	defer release()
 	s.counts.Lookups.Add(1)
 	s.mu.Lock()
 	s.runs[r.Header.Get(target.HeaderRequestID)]++
@@ -214,8 +242,9 @@
 	}
 	answer := target.LookupAnswer{TargetStatus: status, Version: version}
 	if rec, ok := shard.Lookup(version, body.ID); ok {
-		answer.Found, answer.Record = true, &rec
+		answer.Found, answer.Record = true, &s.spoil([]coverage.Record{rec})[0]
 	}
+	release()
 	writeJSON(w, http.StatusOK, answer)
 }
 
@@ -243,9 +272,9 @@
 		refuse(w, status, outcome.Overload, "shedding load")
 		return false
 	}
-	if s.active.Add(1) > int64(s.spec.Slots) {
-		s.active.Add(-1)
-		s.counts.OverSlots.Add(1)
+	arrived := time.Now()
+	if !s.takeSlot() {
+		s.countExcess(arrived)
 		refuse(w, status, outcome.Overload, "every slot is in use")
 		return false
 	}
@@ -256,6 +285,13 @@
 	return true
 }
 
+// releaser returns a function that frees the request's slot once. The slot is
+// freed before the answer is written: a client may send the next request as
+// soon as it has the answer.
+func (s *Searcher) releaser() func() {
+	return sync.OnceFunc(func() { s.active.Add(-1) })
+}
+
 // work takes the service time. It returns false if the request was cancelled.
 func (s *Searcher) work(ctx context.Context) bool {
 	timer := time.NewTimer(s.serviceTime())
@@ -266,6 +302,7 @@
 		return true
 	case <-ctx.Done():
 		s.counts.Canceled.Add(1)
+		s.excuseExcess()
 		return false
 	}
 }
