Decide which configuration version is in force and what a host pulls

Hosts read the service each on their own, so a stale reader can revert a host and every change costs one full read per host.

Add pkg/configsync: a position (version, digest) that only rises, sections cut from the document's own bytes so that joining them is exact, and the hosts of a place that watch the service.

--- /dev/null
+++ b/pkg/configsync/configsync_test.go
@@ -0,0 +1,152 @@
+package configsync_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+)
+
+func hostList(version int, hosts []int) []byte {
+	raw := fmt.Appendf(nil, `{"version":%d,"hosts":[`, version)
+	for i, h := range hosts {
+		if i > 0 {
+			raw = append(raw, ',')
+		}
+		raw = fmt.Appendf(raw, `{"name":"h%d \"}{","place":"north"}`, h)
+	}
+	return append(raw, "]}"...)
+}
+
+func pull(from, to *configsync.State) ([]uint64, error) {
+	m := from.Manifest()
+	missing := to.Missing(m)
+	raw, err := to.Assemble(m, from.Sections(m.Position, missing))
+	if err == nil {
+		_, err = to.Offer(raw)
+	}
+	return missing, err
+}
+
+var _ = Describe("State", func() {
+	// Guards against a stale service or peer reverting a host.
+	It("ignores an older document and counts it", func() {
+		s := configsync.NewState(versionOf)
+		_, _ = s.Offer([]byte(`{"version":7}`))
+		Expect(s.Offer([]byte(`{"version":6}`))).To(BeFalse())
+		Expect(s.Behind(configsync.Position{Version: 6, Digest: ^uint64(0)})).To(BeFalse())
+		Expect(s.Position().Version).To(Equal(uint64(7)))
+		Expect(s.Counters().Older).To(Equal(uint64(1)))
+	})
+
+	// Guards against two documents of one version staying in force.
+	It("lets the higher digest win on both sides and counts the conflict", func() {
+		a, b := configsync.NewState(versionOf), configsync.NewState(versionOf)
+		_, _ = a.Offer([]byte(`{"version":7,"x":1}`))
+		_, _ = b.Offer([]byte(`{"version":7,"x":2}`))
+		Expect(a.Behind(b.Position())).NotTo(Equal(b.Behind(a.Position())))
+		_, _ = a.Offer(b.Raw())
+		_, _ = b.Offer(a.Raw())
+		Expect(a.Position()).To(Equal(b.Position()))
+		Expect(a.Counters().Conflicts).To(Equal(uint64(1)))
+		Expect(b.Counters().Conflicts).To(Equal(uint64(1)))
+	})
+
+	// Guards against a faulty document replacing the one in force, and against
+	// pulling and checking it again every second.
+	It("keeps the old document when the check fails and does not pull the faulty one again", func() {
+		checks := 0
+		s := configsync.NewState(func(raw []byte) (uint64, error) {
+			checks++
+			if v, _ := versionOf(raw); v == 8 {
+				return 8, errors.New("faulty")
+			}
+			return versionOf(raw)
+		})
+		_, _ = s.Offer([]byte(`{"version":7}`))
+		for range 3 {
+			Expect(s.Offer([]byte(`{"version":8}`))).Error().To(MatchError("faulty"))
+		}
+		last, _ := s.LastRefusal()
+		Expect(s.Behind(last.Position)).To(BeFalse())
+		Expect(checks).To(Equal(2))
+		Expect(s.Counters().Refused).To(Equal(uint64(3)))
+		Expect(s.Position().Version).To(Equal(uint64(7)))
+	})
+
+	// Guards against a document joined from sections of different versions.
+	It("refuses sections that do not join to the digest of the manifest", func() {
+		peer, host := configsync.NewState(versionOf), configsync.NewState(versionOf)
+		_, _ = peer.Offer([]byte(`{"version":2,"places":{"a":{"state":"in"}}}`))
+		m := peer.Manifest()
+		_, err := host.Assemble(m, [][]byte{[]byte("{}")})
+		Expect(err).To(MatchError(ContainSubstring("missing")))
+		m.Position.Digest++
+		_, err = host.Assemble(m, peer.Sections(peer.Position(), host.Missing(m)))
+		Expect(err).To(MatchError(ContainSubstring("the manifest says")))
+	})
+
+	// Guards against a replaced host changing every section after it.
+	It("pulls few sections of a long list after one element was removed", func() {
+		var hosts []int
+		for i := range 1300 {
+			hosts = append(hosts, i)
+		}
+		peer, host := configsync.NewState(versionOf), configsync.NewState(versionOf)
+		_, _ = host.Offer(hostList(1, hosts))
+		_, _ = peer.Offer(hostList(2, append(hosts[:100:100], hosts[101:]...)))
+		missing, err := pull(peer, host)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(host.Raw()).To(Equal(peer.Raw()))
+		Expect(len(peer.Manifest().Sections)).To(BeNumerically(">", 20))
+		Expect(len(missing)).To(BeNumerically("<=", 3))
+	})
+})
+
+var _ = Describe("Watches", func() {
+	// Guards against a place without a reader and against every host reading.
+	It("names two hosts of a place, and a third while one is silent", func() {
+		count := func(heard func(int) bool) (n int) {
+			for ordinal := range 56 {
+				if configsync.Watches("north", ordinal, 56, heard) {
+					n++
+				}
+			}
+			return n
+		}
+		silent := configsync.Watchers("north", 56)[0]
+		Expect(count(func(int) bool { return true })).To(Equal(2))
+		Expect(count(func(o int) bool { return o != silent })).To(Equal(3))
+	})
+})
+
+// Guards against reassembly that is not exact: any two documents, JSON or not,
+// must be the same bytes on both hosts after a pull.
+func TestReassemblyIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		check := func(version uint64) configsync.Check {
+			return func([]byte) (uint64, error) { return version, nil }
+		}
+		piece := rapid.SampledFrom([]string{"{", "}", "[", "]", `"`, `\`, ",", `"a":`, `{"b":[{"c":{}}]}`, "x"})
+		text := func(label string) []byte {
+			var raw []byte
+			for _, p := range rapid.SliceOf(piece).Draw(t, label) {
+				raw = append(raw, p...)
+			}
+			return append(raw, ' ')
+		}
+		peer, host := configsync.NewState(check(2)), configsync.NewState(check(1))
+		_, _ = host.Offer(text("old"))
+		_, _ = peer.Offer(text("new"))
+		m := peer.Manifest()
+		raw, err := host.Assemble(m, peer.Sections(m.Position, host.Missing(m)))
+		if err != nil || string(raw) != string(peer.Raw()) {
+			t.Fatalf("got %q (%v), want %q", raw, err, peer.Raw())
+		}
+	})
+}
