Spread configuration and host list between hosts over QUIC

Every host watched the service alone and took what it got, and a paused or replaced process went on working.

Two hosts per place watch; the others learn from heartbeats, which carry the positions of both published values, and pull missing sections. A new host asks peers and the service before a configuration comes into force. Work is refused as not run while the host has not confirmed its state; the check also runs immediately before a request is sent to a target. The stand-in platform can be stale for one reader.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -115,10 +115,17 @@
 
 func (b *branch) searchPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
 	result := wire.PartResult{Group: part.Group, Target: part.Target}
+	if refused, ok := b.config.refusal(); ok {
+		result.Outcome = refused
+		return result
+	}
 	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
 	work := &work{
 		target: part.Target, service: req.Service, class: settings.Priority(req.Class),
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
+			if refused, ok := b.config.refusal(); ok {
+				return wire.TargetStatus{}, refused
+			}
 			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: req.Traceparent}, body)
 			result.Version, result.Covered, result.Records = answer.Version, answer.Covered, answer.Records
 			return status, o
@@ -147,9 +154,16 @@
 
 func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) wire.LookupReply {
 	var reply wire.LookupReply
+	if refused, ok := b.config.refusal(); ok {
+		reply.Outcome = refused
+		return reply
+	}
 	work := &work{
 		target: req.Target, service: req.Service, class: settings.Priority(req.Class),
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
+			if refused, ok := b.config.refusal(); ok {
+				return wire.TargetStatus{}, refused
+			}
 			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: req.Traceparent},
 				target.LookupBody{Service: req.Service, ID: req.ID})
 			reply.Found, reply.Record, reply.Version = answer.Found, answer.Record, answer.Version
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -2,40 +2,100 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-// config holds the configuration in force.
+// config holds the configuration in force. A new host collects documents from
+// the service and from peers and puts the newest in force when it has asked
+// them, so that a stale service does not revert it.
 type config struct {
+	published
 	log     hclog.Logger
+	self    *settings.Process
+	checked *settings.Tree // passed the check last; guarded by published.mu
 	current atomic.Pointer[settings.Tree]
-	first   chan struct{} // closed when a configuration is in force
+	owned   atomic.Pointer[map[string]time.Time] // since when this host owns a target; zero for the first configuration
+	first   chan struct{}                        // closed when a configuration is in force
+
+	// ready reports whether this host may start work; nil means always.
+	ready func() bool
+	// inForce is told the version in force or refused; nil tells nobody.
+	inForce func(version uint64)
 }
 
-func newConfig(log hclog.Logger) *config {
-	return &config{log: log, first: make(chan struct{})}
+func newConfig(self *settings.Process, log hclog.Logger) *config {
+	c := &config{self: self, log: log, first: make(chan struct{})}
+	c.init(c.check, c.enforce, true)
+	return c
 }
 
 // tree returns the configuration in force; nil before the first one.
 func (c *config) tree() *settings.Tree { return c.current.Load() }
 
-// offer puts a document in force if it is valid and newer than the current
-// one. It is called by one goroutine.
-func (c *config) offer(data []byte) {
-	tree, err := settings.Parse(data)
+// refusal returns the outcome with which new work is refused while this host
+// may not start any, because it was paused, replaced or has no confirmation.
+func (c *config) refusal() (outcome.Outcome, bool) {
+	if c.ready == nil || c.ready() {
+		return outcome.Outcome{}, false
+	}
+	return outcome.Refused(outcome.Unavailable, "host %s has not confirmed its state", c.self.Name), true
+}
+
+func (c *config) check(raw []byte) (uint64, error) {
+	tree, err := settings.Parse(raw)
 	if err != nil {
 		c.log.Error("configuration refused", "error", err)
-		return
+		return 0, err
 	}
-	old := c.current.Load()
-	if old != nil && tree.Doc.Version <= old.Doc.Version {
-		return
+	c.checked = tree
+	return tree.Doc.Version, nil
+}
+
+func (c *config) enforce() {
+	// A document that passed the check but was older may be in checked.
+	tree := c.checked
+	if digest := c.state.Position().Digest; tree.Digest != digest {
+		var err error
+		if tree, err = settings.Parse(c.state.Raw()); err != nil {
+			panic(err) // broken invariant: the state holds only checked documents
+		}
 	}
+	old := c.current.Load()
+	owned := ownedSince(c.self, old, tree, c.owned.Load())
+	c.owned.Store(&owned)
 	c.current.Store(tree)
+	c.checked = nil
 	c.log.Info("configuration in force", "version", tree.Doc.Version)
+	if c.inForce != nil {
+		c.inForce(tree.Doc.Version)
+	}
 	if old == nil {
 		close(c.first)
 	}
 }
+
+// ownedSince returns for each target that a host owns since when it holds its
+// rank. Owners of the first configuration hold theirs since ever.
+func ownedSince(self *settings.Process, old, tree *settings.Tree, before *map[string]time.Time) map[string]time.Time {
+	now, since := time.Now(), map[string]time.Time{}
+	tree.Targets(func(t *settings.TargetInfo) {
+		rank := ownership.Rank(t.Owners, self.Ordinal)
+		if t.Place != self.Place || rank < 0 {
+			return
+		}
+		since[t.ID] = time.Time{}
+		if old == nil {
+			return
+		}
+		since[t.ID] = now
+		if was, ok := old.Target(t.ID); ok && was.Place == t.Place && ownership.Rank(was.Owners, self.Ordinal) == rank {
+			since[t.ID] = (*before)[t.ID]
+		}
+	})
+	return since
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/lacewingyard/lacewingyard/internal/api/commands"
 	"github.com/lacewingyard/lacewingyard/internal/api/queries"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
-	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
@@ -37,6 +36,10 @@
 	Metrics *telemetry.Metrics // nil makes new ones
 	Tracer  *telemetry.Tracer  // nil makes no spans
 
+	// Incarnation is higher for each later process of an ordinal; 0 takes the
+	// start of the process in nanoseconds.
+	Incarnation uint64
+
 	// Listen opens the sockets for callers and operators; nil listens on TCP.
 	Listen func(address string) (net.Listener, error)
 	// ListenPacket opens the socket for peers; nil listens on UDP.
@@ -51,6 +54,7 @@
 	log       hclog.Logger
 	config    *config
 	directory *directory
+	control   *control
 	branch    *branch
 	entry     *entry
 	transport *peer.Transport
@@ -80,8 +84,9 @@
 		opts.DialTarget = (&net.Dialer{}).DialContext
 	}
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), aborted: make(chan struct{})}
-	d.config = newConfig(d.log)
+	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
+	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	d.branch = newBranch(opts.Process, d.config, opts.DialTarget)
 
 	conn, err := opts.ListenPacket(opts.Process.Listen.Peers)
@@ -93,6 +98,7 @@
 		return nil, err
 	}
 	d.registerGauges()
+	d.control.transport = d.transport
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
 	return d, nil
@@ -107,9 +113,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
-	published := d.opts.Process.Platform
-	wg.Go(func() { platform.NewClient(published.ConfigURL).Watch(background, d.config.offer) })
-	wg.Go(func() { platform.NewClient(published.HostsURL).Watch(background, d.directory.offer) })
+	wg.Go(func() { d.control.run(background) })
 
 	if err := d.waitForConfig(ctx); err != nil {
 		stop()
@@ -123,19 +127,17 @@
 	return errors.CombineErrors(err, d.transport.Close())
 }
 
-// waitForConfig blocks until a configuration and a host list are in force: a
-// host that has none serves nothing.
+// waitForConfig blocks until a configuration and a host list are in force and
+// confirmed: a host that has none serves nothing.
 func (d *Daemon) waitForConfig(ctx context.Context) error {
-	for _, first := range []<-chan struct{}{d.config.first, d.directory.first} {
-		select {
-		case <-first:
-		case <-d.aborted:
-			return errors.New("aborted before a configuration and a host list could be read")
-		case <-ctx.Done():
-			return errors.New("stopped before a configuration and a host list could be read")
-		}
+	select {
+	case <-d.control.joined:
+		return nil
+	case <-d.aborted:
+		return errors.New("aborted before a configuration and a host list could be read and confirmed")
+	case <-ctx.Done():
+		return errors.New("stopped before a configuration and a host list could be read and confirmed")
 	}
-	return nil
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -171,6 +173,10 @@
 		d.branch.serveSearch(ctx, s)
 	case wire.ExchangeLookup:
 		d.branch.serveLookup(ctx, s)
+	case wire.ExchangeHeartbeat:
+		d.control.serveHeartbeat(s)
+	case wire.ExchangePull:
+		d.control.servePull(s)
 	default:
 		s.Reset() // a newer version of the peer may know more exchanges
 	}
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -15,9 +15,14 @@
 
 // directory knows the hosts of the fleet from the published host list.
 type directory struct {
+	published
 	log     hclog.Logger
+	checked *platform.HostList // passed the check last; guarded by published.mu
 	current atomic.Pointer[hosts]
 	first   chan struct{} // closed when a list was read
+
+	// changed is told the hosts of each newer list; nil tells nobody.
+	changed func([]platform.Host)
 }
 
 // hosts is one version of the host list, indexed.
@@ -28,26 +33,31 @@
 }
 
 func newDirectory(log hclog.Logger) *directory {
-	return &directory{log: log, first: make(chan struct{})}
+	d := &directory{log: log, first: make(chan struct{})}
+	d.init(d.check, d.enforce, false)
+	return d
 }
 
 // hosts returns the current index; nil before the first list was read.
 func (d *directory) hosts() *hosts { return d.current.Load() }
 
-// offer adopts a host list that is newer than the current one. It is called by
-// one goroutine.
-func (d *directory) offer(data []byte) {
-	list, err := platform.ParseHostList(data)
+func (d *directory) check(raw []byte) (uint64, error) {
+	list, err := platform.ParseHostList(raw)
 	if err != nil {
 		d.log.Error("host list refused", "error", err)
-		return
+		return 0, err
 	}
-	old := d.hosts()
-	if old != nil && list.Version <= old.list.Version {
-		return
+	d.checked = list
+	return list.Version, nil
+}
+
+func (d *directory) enforce() {
+	first := d.hosts() == nil
+	d.current.Store(indexHosts(d.checked))
+	if d.changed != nil {
+		d.changed(d.checked.Hosts)
 	}
-	d.current.Store(indexHosts(list))
-	if old == nil {
+	if first {
 		close(d.first)
 	}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -98,6 +98,9 @@
 // Lookup reads one record. It tries another target only after an outcome that
 // proves that the request did not run.
 func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
+	if refused, ok := e.config.refusal(); ok {
+		return nil, refused
+	}
 	start := time.Now()
 	tree := e.config.tree()
 	policy := tree.Effective(e.self.Place, service)
--- /dev/null
+++ b/internal/daemon/heartbeat.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// beat sends a heartbeat to a contact unless one is in progress. The caller
+// holds c.mu.
+func (c *control) beat(to membership.Peer) {
+	if c.beating[to.Name] {
+		return
+	}
+	c.beating[to.Name] = true
+	c.start(func(ctx context.Context) {
+		c.exchange(ctx, to)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.beating, to.Name)
+	})
+}
+
+// exchange sends a heartbeat, takes its acknowledgement and pulls what the peer
+// has and this host lacks.
+func (c *control) exchange(ctx context.Context, to membership.Peer) {
+	c.mu.Lock()
+	message := wire.Heartbeat{Member: c.view.Heartbeat(), Positions: c.positions(), Extension: c.extension()}
+	c.mu.Unlock()
+	sent := time.Now()
+	var ack wire.HeartbeatAck
+	err := c.ask(ctx, to.Address, wire.ExchangeHeartbeat, func(s *peer.Stream) error {
+		if err := s.Send(&message); err != nil {
+			return err
+		}
+		return s.Receive(&ack)
+	})
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	before := c.view.Superseded()
+	c.view.Acked(time.Now(), sent, to, ack.Member)
+	if c.view.Superseded() && !before {
+		c.log.Error("a newer process has this host's ordinal; no new work is taken")
+	}
+	c.mu.Unlock()
+	c.take(to, ack.Extension)
+	c.learn(ctx, to, ack.Positions)
+}
+
+// ask opens a stream for one exchange, which ends after exchangeLimit.
+func (c *control) ask(ctx context.Context, address string, exchange wire.Exchange, f func(*peer.Stream) error) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	s, err := c.transport.Open(ctx, address, exchange)
+	if err != nil {
+		return err
+	}
+	defer s.Reset()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	err = f(s)
+	if err == nil {
+		err = s.CloseSend()
+	}
+	return err
+}
+
+// extension returns the entries of other parts for the next heartbeat.
+func (c *control) extension() []byte {
+	if c.extend == nil {
+		return nil
+	}
+	entries := c.extend(wire.MaxExtensionBytes)
+	if len(entries) > wire.MaxExtensionBytes {
+		return nil // half an entry would be read wrongly
+	}
+	return entries
+}
+
+func (c *control) take(from membership.Peer, entries []byte) {
+	if c.extended != nil && len(entries) > 0 {
+		c.extended(from, entries)
+	}
+}
+
+// serveHeartbeat answers a heartbeat.
+func (c *control) serveHeartbeat(s *peer.Stream) {
+	var message wire.Heartbeat
+	if err := s.Receive(&message); err != nil {
+		s.Reset()
+		return
+	}
+	c.mu.Lock()
+	// A peer must not go by a version that is not yet in force here.
+	version := uint64(0)
+	if tree := c.config.tree(); tree != nil {
+		version = tree.Doc.Version
+	}
+	reply := wire.HeartbeatAck{
+		Member:    c.view.Receive(time.Now(), message.Member, version),
+		Positions: c.positions(), Extension: c.extension(),
+	}
+	c.mu.Unlock()
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+	}
+	c.take(message.Member.From, message.Extension)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.start(func(ctx context.Context) { c.learn(ctx, message.Member.From, message.Positions) })
+}
+
+// learn pulls the documents that a peer has and this host lacks. One pull of a
+// value runs at a time; a later heartbeat repeats one that failed.
+func (c *control) learn(ctx context.Context, from membership.Peer, positions wire.Positions) {
+	for value, at := range positions {
+		p := c.published(wire.Published(value))
+		if at == p.at() || !c.pulling[value].CompareAndSwap(false, true) {
+			continue
+		}
+		behind := false
+		p.with(func(s *configsync.State) { behind = s.Behind(at) })
+		if behind {
+			if err := c.pull(ctx, from, wire.Published(value)); err != nil {
+				c.log.Debug("pull from peer failed", "peer", from.Name, "error", err)
+			}
+		} else if value == int(wire.PublishedConfig) && at.Compare(p.at()) > 0 {
+			c.configInForce(at.Version) // refused here; waiting for it would stop this host
+		}
+		c.pulling[value].Store(false)
+	}
+}
+
+// pull asks a peer for its manifest and the sections that this host lacks.
+func (c *control) pull(ctx context.Context, from membership.Peer, value wire.Published) error {
+	p := c.published(value)
+	var raw []byte
+	err := c.ask(ctx, from.Address, wire.ExchangePull, func(s *peer.Stream) error {
+		if err := s.Send(&wire.PullRequest{Value: value}); err != nil {
+			return err
+		}
+		var manifest wire.Manifest
+		if err := s.Receive(&manifest); err != nil {
+			return err
+		}
+		if err := manifest.Check(settings.MaxDocumentBytes); err != nil {
+			return err
+		}
+		var request wire.SectionRequest
+		p.with(func(state *configsync.State) { request.Digests = state.Missing(manifest) })
+		var reply wire.Sections
+		if len(request.Digests) > 0 {
+			if err := s.Send(&request); err != nil {
+				return err
+			}
+			if err := s.Receive(&reply); err != nil {
+				return err
+			}
+		}
+		var err error
+		p.with(func(state *configsync.State) { raw, err = state.Assemble(manifest, reply.Sections) })
+		return err
+	})
+	if err == nil {
+		c.offer(value, raw)
+	}
+	return err
+}
+
+// servePull answers a pull.
+func (c *control) servePull(s *peer.Stream) {
+	var request wire.PullRequest
+	if err := s.Receive(&request); err != nil || request.Value >= wire.PublishedCount {
+		s.Reset()
+		return
+	}
+	p := c.published(request.Value)
+	var manifest wire.Manifest
+	p.with(func(state *configsync.State) { manifest = state.Manifest() })
+	if err := s.Send(&manifest); err != nil {
+		s.Reset()
+		return
+	}
+	var wanted wire.SectionRequest
+	if err := s.Receive(&wanted); err != nil {
+		return // the peer has all sections
+	}
+	var reply wire.Sections
+	p.with(func(state *configsync.State) { reply.Sections = state.Sections(manifest.Position, wanted.Digests) })
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+	}
+}
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -15,6 +15,9 @@
 
 // Search asks every group of a service and merges the answers.
 func (e *entry) Search(ctx context.Context, service string, meta api.Meta, req *api.SearchRequest) (*api.SearchResponse, outcome.Outcome) {
+	if refused, ok := e.config.refusal(); ok {
+		return nil, refused
+	}
 	start := time.Now()
 	tree := e.config.tree()
 	policy := tree.Effective(e.self.Place, service)
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // Status is what a host says about itself on the operators' listener.
@@ -16,18 +20,72 @@
 	ConfigVersion uint64            `json:"config_version"`
 	HostsVersion  uint64            `json:"hosts_version"`
 	Places        map[string]string `json:"places"`
+	Control       ControlStatus     `json:"control"`
 }
 
-func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	tree := d.config.tree()
+// ControlStatus is the state of the control plane of a host.
+type ControlStatus struct {
+	Ready       bool                `json:"ready"`       // it may start work
+	Unconfirmed bool                `json:"unconfirmed"` // no peer or platform has fully confirmed its state
+	Superseded  bool                `json:"superseded"`  // a newer process has its ordinal
+	Pauses      uint64              `json:"pauses"`
+	OneWay      []string            `json:"one_way,omitempty"` // peers that are heard but do not acknowledge
+	Watching    bool                `json:"watching"`          // it watches the configuration service
+	Reads       uint64              `json:"reads"`             // calls to the platform
+	Config      configsync.Counters `json:"config"`
+	Hosts       configsync.Counters `json:"hosts"`
+	LastRefusal string              `json:"last_refusal,omitempty"` // why a configuration did not pass its check
+}
+
+func (c *control) status() ControlStatus {
+	now := time.Now()
+	c.mu.Lock()
+	status := ControlStatus{
+		Ready: c.view.Ready(now), Unconfirmed: !c.view.Confirmed(now), Superseded: c.view.Superseded(),
+		Pauses: c.view.Pauses(), OneWay: c.view.OneWay(now), Watching: c.watching[wire.PublishedConfig].Load(),
+	}
+	c.mu.Unlock()
+	for _, client := range c.clients {
+		status.Reads += client.Reads()
+	}
+	c.config.with(func(s *configsync.State) {
+		status.Config = s.Counters()
+		if refusal, ok := s.LastRefusal(); ok {
+			status.LastRefusal = refusal.Err.Error()
+		}
+	})
+	c.directory.with(func(s *configsync.State) { status.Hosts = s.Counters() })
+	return status
+}
+
+// Status returns what the host says about itself; the versions are 0 until a
+// configuration and a host list are in force.
+func (d *Daemon) Status() Status {
 	status := Status{
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
 		Phase: d.phase().String(), Open: d.open.count.Load(),
-		ConfigVersion: tree.Doc.Version, HostsVersion: d.directory.hosts().list.Version,
-		Places: map[string]string{},
+		Places: map[string]string{}, Control: d.control.status(),
 	}
-	for name, place := range tree.Doc.Places {
-		status.Places[name] = string(place.State)
+	if hosts := d.directory.hosts(); hosts != nil {
+		status.HostsVersion = hosts.list.Version
 	}
-	api.WriteJSON(w, http.StatusOK, status)
+	if tree := d.config.tree(); tree != nil {
+		status.ConfigVersion = tree.Doc.Version
+		for name, place := range tree.Doc.Places {
+			status.Places[name] = string(place.State)
+		}
+	}
+	return status
+}
+
+// MayUseCold reports whether this host may send to a target that it believes
+// cold, within the target's cold allowance.
+func (d *Daemon) MayUseCold(t *settings.TargetInfo) bool { return d.control.mayUseCold(t) }
+
+// MayUseShare reports whether this host may use its share of a target: neither
+// an earlier process of its ordinal nor an earlier owner can still be using it.
+func (d *Daemon) MayUseShare(target string) bool { return d.control.mayUseShare(target) }
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	api.WriteJSON(w, http.StatusOK, d.Status())
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -255,8 +255,9 @@
 		Listen: settings.Listen{
 			Callers: callers.Addr().String(), Operators: operators.Addr().String(), Peers: peers.LocalAddr().String(),
 		},
-		Platform: settings.Platform{ConfigURL: f.Platform.URL(ConfigKey), HostsURL: f.Platform.URL(HostsKey)},
 	}
+	process.Platform.ConfigURL = f.Platform.ReaderURL(process.Name, ConfigKey)
+	process.Platform.HostsURL = f.Platform.ReaderURL(process.Name, HostsKey)
 	conf, err := f.Authority.TLS(process.Name)
 	if err != nil {
 		return nil, err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,9 @@
 
 // Client reads one published value.
 type Client struct {
-	url  string
-	http *http.Client
+	url   string
+	http  *http.Client
+	reads atomic.Uint64
 }
 
 // NewClient returns a client for the value at a URL.
@@ -42,6 +44,9 @@
 	return &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}}
 }
 
+// Reads returns the number of calls so far; a waiting one counts as one.
+func (c *Client) Reads() uint64 { return c.reads.Load() }
+
 // Get reads the value. With after > 0 it waits up to wait for a version above
 // after and returns ErrUnchanged if there is none.
 func (c *Client) Get(ctx context.Context, after uint64, wait time.Duration) (data []byte, version uint64, err error) {
@@ -53,6 +58,7 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "platform request")
 	}
+	c.reads.Add(1)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "read from platform")
@@ -76,19 +82,27 @@
 	return data, version, nil
 }
 
-// Watch passes each newer value to offer until the context ends. A value that
-// offer refuses is not read again; the next version is awaited.
-func (c *Client) Watch(ctx context.Context, offer func(data []byte)) {
+// Watch waits for values above the version that known returns and passes each
+// to offer until the context ends. A value that offer refuses is not read
+// again; the next version is awaited. answered is told when each answered call
+// began, also if it brought nothing new.
+func (c *Client) Watch(ctx context.Context, known func() uint64, offer func(data []byte), answered func(began time.Time)) {
 	defer c.http.CloseIdleConnections()
 	var seen uint64
 	for ctx.Err() == nil {
-		data, version, err := c.Get(ctx, seen, WatchWait)
+		began := time.Now()
+		data, version, err := c.Get(ctx, max(seen, known()), WatchWait)
 		switch {
 		case errors.Is(err, ErrUnchanged):
+			answered(began)
 		case err != nil:
 			pause(ctx, retryPause)
 		default:
 			offer(data)
+			answered(began)
+			if version <= seen {
+				pause(ctx, retryPause) // a service that ignores the version must not be read in a loop
+			}
 			seen = max(seen, version)
 		}
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -20,7 +20,8 @@
 	down   atomic.Bool
 
 	mu     sync.Mutex
-	values map[string]*value
+	values map[string][]*value // every published version, oldest first
+	stale  map[string]uint64   // by reader: the highest version it gets
 }
 
 type value struct {
@@ -35,9 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{base: "http://" + listener.Addr().String(), values: map[string]*value{}}
+	p := &Platform{base: "http://" + listener.Addr().String(), values: map[string][]*value{}, stale: map[string]uint64{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{key}", p.serve)
+	mux.HandleFunc("GET /v1/readers/{reader}/values/{key}", p.serve)
 	p.server = &http.Server{Handler: mux}
 	go func() { _ = p.server.Serve(listener) }()
 	return p, nil
@@ -49,6 +51,20 @@
 // URL returns the address of a value.
 func (p *Platform) URL(key string) string { return p.base + "/v1/values/" + key }
 
+// ReaderURL returns the address of a value for one reader, whose answers can be
+// made stale.
+func (p *Platform) ReaderURL(reader, key string) string {
+	return p.base + "/v1/readers/" + reader + "/values/" + key
+}
+
+// SetStale lets a reader get no version of any value above one; 0 ends it. The
+// reader's calls that already wait notice at the next publication.
+func (p *Platform) SetStale(reader string, version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale[reader] = version
+}
+
 // Reads returns the number of calls so far; a waiting watch counts as one.
 func (p *Platform) Reads() int64 { return p.reads.Load() }
 
@@ -59,10 +75,10 @@
 func (p *Platform) Publish(key string, version uint64, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old, ok := p.values[key]; ok {
-		close(old.changed)
+	if old := p.values[key]; len(old) > 0 {
+		close(old[len(old)-1].changed)
 	}
-	p.values[key] = &value{data: data, version: version, changed: make(chan struct{})}
+	p.values[key] = append(p.values[key], &value{data: data, version: version, changed: make(chan struct{})})
 }
 
 // PublishJSON sets a value from a Go value.
@@ -75,10 +91,18 @@
 	return nil
 }
 
-func (p *Platform) get(key string) *value {
+// get returns the newest value that a reader gets, and a channel that is closed
+// at the next publication.
+func (p *Platform) get(key, reader string) (v *value, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.values[key]
+	for _, published := range p.values[key] {
+		if limit := p.stale[reader]; limit == 0 || published.version <= limit {
+			v = published
+		}
+		changed = published.changed
+	}
+	return v, changed
 }
 
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
@@ -88,7 +112,7 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		v := p.get(r.PathValue("key"))
+		v, changed := p.get(r.PathValue("key"), r.PathValue("reader"))
 		switch {
 		case p.down.Load():
 			http.Error(w, "down", http.StatusServiceUnavailable)
@@ -102,7 +126,7 @@
 			return
 		}
 		select {
-		case <-v.changed:
+		case <-changed:
 		case <-timer.C:
 			w.WriteHeader(http.StatusNotModified)
 			return
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -33,6 +33,20 @@
 	Sections []Section `cbor:"2,keyasint,omitempty"`
 }
 
+// Check refuses the manifest of a document that is larger than a limit in
+// bytes or has too many sections.
+func (m Manifest) Check(limit uint64) error {
+	var size uint64
+	for _, section := range m.Sections {
+		size += uint64(section.Size)
+	}
+	if size > limit || len(m.Sections) > MaxSections {
+		return fmt.Errorf("manifest of version %d has %d bytes in %d sections, the limits are %d and %d",
+			m.Position.Version, size, len(m.Sections), limit, MaxSections)
+	}
+	return nil
+}
+
 // Counters count what a host was offered.
 type Counters struct {
 	Accepted  uint64 `json:"accepted"`
