--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -60,6 +60,7 @@
 	rng     *rand.Rand
 	beating map[string]bool      // contacts with a heartbeat in progress
 	wanted  map[string]time.Time // contacts that rules asked for, and when last
+	newest  configsync.Position  // of the configurations that peers named
 	running bool
 }
 
@@ -204,6 +205,8 @@
 		wg.Go(func() { c.exchange(asking, p) })
 	}
 	wg.Wait()
+	// A heartbeat may still be pulling what a peer named.
+	_ = waitFor(asking, joinPoll, c.holdsNewest)
 	if waitFor(ctx, joinPoll, func() bool { return c.config.at().Version > 0 }) != nil {
 		return
 	}
@@ -213,6 +216,17 @@
 	}
 }
 
+// holdsNewest reports whether this host holds the newest configuration that a
+// peer has named, or has refused it.
+func (c *control) holdsNewest() bool {
+	c.mu.Lock()
+	newest := c.newest
+	c.mu.Unlock()
+	held := false
+	c.config.with(func(s *configsync.State) { held = !s.Behind(newest) })
+	return held
+}
+
 // waitFor polls a condition until it holds or the context ends.
 func waitFor(ctx context.Context, poll time.Duration, condition func() bool) error {
 	ticker := time.NewTicker(poll)
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -67,7 +67,7 @@
 	defer stop()
 	err = f(s)
 	if err == nil {
-		err = s.CloseSend()
+		_ = s.CloseSend() // fails if the peer has finished reading, which is no fault
 	}
 	return err
 }
@@ -120,6 +120,11 @@
 // learn pulls the documents that a peer has and this host lacks. One pull of a
 // value runs at a time; a later heartbeat repeats one that failed.
 func (c *control) learn(ctx context.Context, from membership.Peer, positions wire.Positions) {
+	c.mu.Lock()
+	if offered := positions[wire.PublishedConfig]; offered.Compare(c.newest) > 0 {
+		c.newest = offered
+	}
+	c.mu.Unlock()
 	for value, at := range positions {
 		p := c.published(wire.Published(value))
 		if at == p.at() || !c.pulling[value].CompareAndSwap(false, true) {
--- /dev/null
+++ b/internal/daemon/spread_test.go
@@ -0,0 +1,251 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// spread is a fleet of daemons without targets, for tests of the control plane.
+type spread struct {
+	t         testing.TB
+	platform  *standin.Platform
+	network   *standin.Network
+	authority *standin.Authority
+	seen      recorder
+	datagrams atomic.Int64 // sent
+	bytes     atomic.Int64 // sent, with IP and UDP headers
+
+	mu    sync.Mutex
+	doc   settings.Document
+	list  platform.HostList
+	hosts map[seat]*spreadHost
+	last  int
+}
+
+type spreadHost struct {
+	entry  platform.Host
+	daemon *Daemon
+	stop   func()
+}
+
+// newDocument returns a document with places, host ordinals and three targets
+// per group.
+func newDocument(places, hosts, groups int) settings.Document {
+	doc := settings.Document{Version: 1, DesignatedLevel: settings.LevelPlace, Places: map[string]settings.Place{}, Services: map[string]settings.Service{}}
+	for p := range places {
+		doc.Places[placeName(p)] = settings.Place{State: settings.PlaceIn, Hosts: hosts/places + min(1, max(0, hosts%places-p))}
+	}
+	service := settings.Service{Kind: settings.KindSearch, PartitionEpoch: 1}
+	for g := range groups {
+		group := settings.Group{ID: fmt.Sprintf("tags-g%04d", g), Range: keyspace.Range{
+			From: keyspace.Size * uint64(g) / uint64(groups), To: keyspace.Size * uint64(g+1) / uint64(groups)}}
+		for r := range 3 {
+			group.Targets = append(group.Targets, settings.Target{
+				ID: fmt.Sprintf("%s-r%d", group.ID, r), Place: placeName((g + r) % places),
+				Address: fmt.Sprintf("127.1.%d.%d:9%03d", g/256, g%256, r), Slots: 4, Connections: 36})
+		}
+		service.Groups = append(service.Groups, group)
+	}
+	doc.Services["tags"] = service
+	return doc
+}
+
+func placeName(p int) string { return fmt.Sprintf("place-%02d", p) }
+
+func newSpread(t testing.TB, doc settings.Document) *spread {
+	s := &spread{t: t, doc: doc, hosts: map[seat]*spreadHost{},
+		network: standin.NewNetwork(&standin.Model{Seed: 1, OneWayDelayMS: 4, JitterMS: 1, Loss: 0.001})}
+	s.seen.highest = map[seat]position{}
+	var err error
+	if s.platform, err = standin.NewPlatform(); err != nil {
+		t.Fatal(err)
+	}
+	if s.authority, err = standin.NewAuthority(); err != nil {
+		t.Fatal(err)
+	}
+	s.publish(func(*settings.Document) {})
+	t.Cleanup(func() {
+		var wg sync.WaitGroup
+		for _, h := range s.hosts {
+			wg.Go(h.stop)
+		}
+		wg.Wait()
+		s.platform.Close()
+	})
+	return s
+}
+
+// startAll starts every ordinal and waits until all serve.
+func (s *spread) startAll() {
+	for place, p := range s.doc.Places {
+		for ordinal := range p.Hosts {
+			s.start(seat{place, ordinal})
+		}
+	}
+	s.publishHosts()
+	for _, h := range s.hosts {
+		s.wait(30*time.Second, "host "+h.entry.Name+" serves", func() bool {
+			select {
+			case <-h.daemon.Ready():
+				return true
+			default:
+				return false
+			}
+		})
+	}
+}
+
+// start starts an empty host; publishHosts lists it.
+func (s *spread) start(at seat) *spreadHost {
+	s.mu.Lock()
+	s.last++
+	name := fmt.Sprintf("%s-%d-%d", at.place, at.ordinal, s.last)
+	s.mu.Unlock()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	address := socket.LocalAddr().String()
+	s.network.Register(address, at.place, 0)
+	conf, err := s.authority.TLS(name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	process := &settings.Process{Name: name, Place: at.place, Ordinal: at.ordinal,
+		Listen: settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: address},
+		Platform: settings.Platform{
+			ConfigURL: s.platform.ReaderURL(reader(at), "config"), HostsURL: s.platform.ReaderURL("list", "hosts")}}
+	d, err := New(Options{Process: process, TLS: conf, Logger: hclog.NewNullLogger(),
+		ListenPacket: func(string) (net.PacketConn, error) {
+			return &countedConn{PacketConn: s.network.PacketConn(socket, at.place), count: s}, nil
+		}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	told := d.config.inForce
+	d.config.inForce = func(version uint64) {
+		s.seen.record(at, position{version, d.config.tree().Digest})
+		told(version)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Run(ctx) }()
+	h := &spreadHost{daemon: d, stop: func() { cancel(); <-done },
+		entry: platform.Host{Name: name, Place: at.place, Ordinal: at.ordinal, State: platform.HostLive, Callers: "127.0.0.1:1", Peers: address}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts[at] = h
+	return h
+}
+
+func reader(at seat) string { return fmt.Sprintf("%s-%d", at.place, at.ordinal) }
+
+func (s *spread) publish(change func(*settings.Document)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.doc)
+	data, err := json.Marshal(&s.doc)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.platform.Publish("config", s.doc.Version, data)
+	s.doc.Version++
+}
+
+func (s *spread) publishHosts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = platform.HostList{Version: s.list.Version + 1}
+	for _, h := range s.hosts {
+		s.list.Hosts = append(s.list.Hosts, h.entry)
+	}
+	if err := s.platform.PublishJSON("hosts", s.list.Version, &s.list); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *spread) wait(limit time.Duration, what string, condition func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, h := range s.hosts {
+				s.t.Logf("%+v", h.daemon.Status())
+			}
+			s.t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
+
+// inForce reports whether every host applies a version.
+func (s *spread) inForce(version uint64) bool {
+	for _, h := range s.hosts {
+		if tree := h.daemon.config.tree(); tree == nil || tree.Doc.Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+// cut separates two sets of hosts, or joins them again.
+func (s *spread) cut(apart bool, inA func(seat) bool) {
+	for a, ha := range s.hosts {
+		for b, hb := range s.hosts {
+			if inA(a) != inA(b) {
+				s.network.Cut(ha.entry.Peers, hb.entry.Peers, apart)
+			}
+		}
+	}
+}
+
+type position struct{ version, digest uint64 }
+
+// recorder checks ConfigForward: every change of every host passes through it.
+type recorder struct {
+	mu      sync.Mutex
+	highest map[seat]position
+	reverts []string
+}
+
+func (r *recorder) record(at seat, p position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.highest[at]
+	if p.version < h.version || p.version == h.version && p.digest < h.digest {
+		r.reverts = append(r.reverts, fmt.Sprintf("%v went from version %d to %d", at, h.version, p.version))
+		return
+	}
+	r.highest[at] = p
+}
+
+// countedConn counts what a host sends.
+type countedConn struct {
+	net.PacketConn
+	count *spread
+}
+
+func (c *countedConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	const headers = 28 // IPv4 and UDP
+	c.count.datagrams.Add(1)
+	c.count.bytes.Add(int64(len(data) + headers))
+	return c.PacketConn.WriteTo(data, to)
+}
+
+func (c *countedConn) SetReadBuffer(bytes int) error {
+	return c.PacketConn.(interface{ SetReadBuffer(int) error }).SetReadBuffer(bytes)
+}
+
+func (c *countedConn) SetWriteBuffer(bytes int) error {
+	return c.PacketConn.(interface{ SetWriteBuffer(int) error }).SetWriteBuffer(bytes)
+}
