Test that a host paused across a change starts no work on the old configuration

The test binary runs one host in a process of its own, stops it with SIGSTOP before a place or its targets are taken out, fills its sockets with searches and wakes it.

--- a/internal/daemon/configforward_test.go
+++ b/internal/daemon/configforward_test.go
@@ -50,20 +50,21 @@
 	s.cut(false, func(at seat) bool { return at.place == placeName(0) })
 	fresh(3)
 
-	// The service is down: nothing stops, and a host that restarts learns from peers.
+	// The service is down: nothing stops, and a host that restarts empty at its
+	// address learns from the peers that send it heartbeats.
 	s.platform.SetDown(true)
+	listed := s.hosts[restarted].entry
 	s.hosts[restarted].stop()
-	old := s.hosts[restarted].entry
-	s.start(restarted)
-	s.hosts[restarted].entry.Name = old.Name
+	s.startAs(restarted, listed.Name, listed.Peers)
+	s.wait(2*membership.SpreadLimit, "the restarted host works without the service", func() bool {
+		return s.inForce(3) && s.hosts[restarted].daemon.control.ready()
+	})
 	for at, h := range s.hosts {
-		if at != restarted && !h.daemon.control.ready() {
+		if !h.daemon.control.ready() {
 			t.Errorf("host %v refuses work while the service is down", at)
 		}
 	}
 	s.platform.SetDown(false)
-	s.publishHosts()
-	fresh(3)
 
 	// Two documents of one version: every host ends on the same one.
 	s.publish(func(doc *settings.Document) { doc.DesignatedLevel = settings.LevelService })
--- /dev/null
+++ b/internal/daemon/pause_test.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Environment of the test binary when it runs one host that can be paused.
+const (
+	childSettings = "LACEWINGYARD_TEST_SETTINGS"
+	childNaive    = "LACEWINGYARD_TEST_NAIVE" // without the check that a host may start work
+)
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(childSettings); file != "" {
+		runChild(file)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runChild(file string) {
+	process, err := settings.LoadProcess(file)
+	if err != nil {
+		panic(err)
+	}
+	conf, err := peer.LoadTLS(process.TLS)
+	if err != nil {
+		panic(err)
+	}
+	d, err := New(Options{Process: process, TLS: conf, Logger: hclog.NewNullLogger()})
+	if err != nil {
+		panic(err)
+	}
+	if os.Getenv(childNaive) != "" {
+		d.config.ready = nil
+	}
+	_ = d.Run(context.Background())
+}
+
+// TestPausedHostStartsNoWork guards against a host that was paused before a
+// place or a target was taken out, and woken after it, working on the old
+// configuration. The host is the only owner of the targets in that place.
+func TestPausedHostStartsNoWork(t *testing.T) {
+	placeOut := func(doc *settings.Document) {
+		p := doc.Places[placeName(1)]
+		p.State = settings.PlaceOut
+		doc.Places[placeName(1)] = p
+	}
+	targetOut := func(doc *settings.Document) {
+		doc.TargetsOut = []string{"tags-g0000-r0", "tags-g0000-r1", "tags-g0000-r2"}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(*settings.Document)
+		naive  bool
+	}{{"place out", placeOut, false}, {"target out", targetOut, false}, {"place out, naive", placeOut, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			sent := pauseAcross(t, c.change, c.naive)
+			if !c.naive && sent > 0 {
+				t.Errorf("the targets got %d requests after the host woke", sent)
+			}
+			if c.naive && sent == 0 {
+				t.Error("the naive host sent nothing either; the check shows nothing")
+			}
+		})
+	}
+}
+
+// pauseAcross pauses a host during a change and returns the number of requests
+// that its own targets get after it wakes.
+func pauseAcross(t *testing.T, change func(*settings.Document), naive bool) int64 {
+	var requests atomic.Int64
+	owned := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		fmt.Fprintf(w, `{"state":"warm","version":1,"index_versions":[1],"covered":[{"from":0,"to":%d,"epoch":1}],"records":[]}`, keyspace.Size)
+	}))
+	defer owned.Close()
+	doc := newDocument(2, 3, 1)
+	for i := range doc.Services["tags"].Groups[0].Targets {
+		target := &doc.Services["tags"].Groups[0].Targets[i]
+		target.Place, target.Address = placeName(1), owned.Listener.Addr().String()
+	}
+	s := newSpread(t, doc)
+	process, child := s.startChild(naive)
+	for ordinal := range 2 {
+		s.start(seat{placeName(0), ordinal})
+	}
+	s.publishHosts()
+	s.wait(30*time.Second, "the child serves and answers for its targets", func() bool {
+		code, _ := search(process.Listen.Callers)
+		return code == http.StatusOK && requests.Load() > 0
+	})
+	s.wait(membership.SpreadLimit, "version 1", func() bool { return s.inForce(1) })
+
+	// The service gives the child no newer version, so that only peers can.
+	s.platform.SetStale(reader(seat{process.Place, process.Ordinal}), 1)
+	if err := child.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	s.publish(change)
+	out := time.Now()
+	s.wait(membership.SpreadLimit, "version 2", func() bool { return s.inForce(2) })
+	time.Sleep(time.Until(out.Add(3 * time.Second))) // from then on no host may send
+
+	// The requests wait in the sockets of the paused process, so it reads them
+	// before anything else can tell it of the change.
+	for range 20 {
+		conn, err := net.Dial("tcp", process.Listen.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		body := `{"terms":["x"]}`
+		fmt.Fprintf(conn, "POST /v1/services/tags/search HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	before := requests.Load()
+	if err := child.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	s.wait(2*membership.SpreadLimit, "the woken host works on version 2", func() bool {
+		resp, err := http.Get("http://" + process.Listen.Operators + "/status")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var status Status
+		return json.NewDecoder(resp.Body).Decode(&status) == nil && status.ConfigVersion == 2 && status.Control.Ready && status.Control.Pauses > 0
+	})
+	return requests.Load() - before
+}
+
+func search(callers string) (int, error) {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+callers+"/v1/services/tags/search", "application/json", strings.NewReader(`{"terms":["x"]}`))
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// startChild starts the host of place 1 in a process of its own.
+func (s *spread) startChild(naive bool) (*settings.Process, *os.Process) {
+	dir := s.t.TempDir()
+	keys, err := s.authority.WriteFiles(dir, "child")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	at := seat{placeName(1), 0}
+	process := &settings.Process{Name: "child", Place: at.place, Ordinal: at.ordinal, TLS: keys, LogLevel: "info",
+		Listen: settings.Listen{Callers: freeTCP(s.t), Operators: freeTCP(s.t), Peers: freeUDP(s.t)},
+		Platform: settings.Platform{
+			ConfigURL: s.platform.ReaderURL(reader(at), "config"), HostsURL: s.platform.ReaderURL("list", "hosts")}}
+	data, err := json.Marshal(process)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	file := filepath.Join(dir, "host.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childSettings+"="+file)
+	if naive {
+		cmd.Env = append(cmd.Env, childNaive+"=1")
+	}
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	s.outside = append(s.outside, platform.Host{Name: "child", Place: at.place, Ordinal: at.ordinal,
+		State: platform.HostLive, Callers: process.Listen.Callers, Peers: process.Listen.Peers})
+	return process, cmd.Process
+}
+
+func freeTCP(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func freeUDP(t testing.TB) string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
--- a/internal/daemon/spread_test.go
+++ b/internal/daemon/spread_test.go
@@ -32,6 +32,8 @@
 	list  platform.HostList
 	hosts map[seat]*spreadHost
 	last  int
+
+	outside []platform.Host // hosts in processes of their own
 }
 
 type spreadHost struct {
@@ -107,13 +109,18 @@
 	}
 }
 
-// start starts an empty host; publishHosts lists it.
+// start starts an empty host as a replacement; publishHosts lists it.
 func (s *spread) start(at seat) *spreadHost {
 	s.mu.Lock()
 	s.last++
 	name := fmt.Sprintf("%s-%d-%d", at.place, at.ordinal, s.last)
 	s.mu.Unlock()
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	return s.startAs(at, name, "127.0.0.1:0")
+}
+
+// startAs starts an empty host with a name and an address for peers.
+func (s *spread) startAs(at seat, name, peers string) *spreadHost {
+	socket, err := net.ListenPacket("udp", peers)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -167,7 +174,7 @@
 func (s *spread) publishHosts() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list = platform.HostList{Version: s.list.Version + 1}
+	s.list = platform.HostList{Version: s.list.Version + 1, Hosts: append([]platform.Host(nil), s.outside...)}
 	for _, h := range s.hosts {
 		s.list.Hosts = append(s.list.Hosts, h.entry)
 	}
