--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -16,4 +16,5 @@
 		return 0
 	})
 	m.Gauge("open_requests", "Requests of callers in progress.", func() float64 { return float64(d.open.count.Load()) })
+	d.control.registerGauges(m)
 }
--- a/internal/daemon/pause_test.go
+++ b/internal/daemon/pause_test.go
@@ -43,11 +43,11 @@
 	if err != nil {
 		panic(err)
 	}
-	conf, err := peer.LoadTLS(process.TLS)
+	keys, err := peer.LoadKeys(process.TLS)
 	if err != nil {
 		panic(err)
 	}
-	d, err := New(Options{Process: process, TLS: conf, Logger: hclog.NewNullLogger()})
+	d, err := New(Options{Process: process, TLS: keys.Config(), Logger: hclog.NewNullLogger()})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/daemon/spread_bench_test.go
+++ b/internal/daemon/spread_bench_test.go
@@ -45,7 +45,7 @@
 }
 
 const (
-	quietFor    = 10 * time.Second
+	quietFor    = 20 * time.Second // one watch call
 	changes     = 4
 	changeEvery = 4 * time.Second
 )
@@ -78,6 +78,7 @@
 			time.Sleep(time.Until(began.Add(changeEvery)))
 		}
 	})
+	b.ReportMetric(busy.reads/changes, "reads/change")
 	perChange := (busy.bytes - quiet.bytes*changes*changeEvery.Seconds()/quietFor.Seconds()) / changes / float64(hosts)
 	b.ReportMetric(perChange, "B/change")
 	cpu := (busy.cpu - quiet.cpu*changes*changeEvery.Seconds()/quietFor.Seconds()) / changes / float64(hosts)
--- a/internal/daemon/spread_test.go
+++ b/internal/daemon/spread_test.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = d.Run(ctx) }()
-	h := &spreadHost{daemon: d, stop: func() { cancel(); <-done },
+	h := &spreadHost{daemon: d, stop: func() { d.Abort(); cancel(); <-done },
 		entry: platform.Host{Name: name, Place: at.place, Ordinal: at.ordinal, State: platform.HostLive, Callers: "127.0.0.1:1", Peers: address}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -102,32 +102,3 @@
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, err
 }
-
-// WriteFiles issues a certificate for a host and writes the key files that its
-// process settings name.
-func (a *Authority) WriteFiles(dir, host string) (settings.KeyFiles, error) {
-	files := settings.KeyFiles{
-		CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), CAFile: filepath.Join(dir, "ca.pem"),
-	}
-	conf, err := a.TLS(host)
-	if err != nil {
-		return files, err
-	}
-	key, err := x509.MarshalPKCS8PrivateKey(conf.Certificates[0].PrivateKey)
-	if err != nil {
-		return files, err
-	}
-	for _, f := range []struct {
-		name, kind string
-		der        []byte
-	}{
-		{files.CertFile, "CERTIFICATE", conf.Certificates[0].Certificate[0]},
-		{files.KeyFile, "PRIVATE KEY", key},
-		{files.CAFile, "CERTIFICATE", a.cert.Raw},
-	} {
-		if err := os.WriteFile(f.name, pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der}), 0o600); err != nil {
-			return files, err
-		}
-	}
-	return files, nil
-}
