--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -150,6 +150,13 @@
 	return c.view.Ready(time.Now())
 }
 
+// confirmed reports whether this host's state was fully confirmed.
+func (c *control) confirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Confirmed(time.Now())
+}
+
 func (c *control) configInForce(version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -98,6 +98,10 @@
 	return status
 }
 
+// Confirmed reports whether a confirmed peer or the platform has confirmed this
+// host's state since it started or was paused. Commands need it.
+func (d *Daemon) Confirmed() bool { return d.control.confirmed() }
+
 // MayUseCold reports whether this host may send to a target that it believes
 // cold, within the target's cold allowance.
 func (d *Daemon) MayUseCold(t *settings.TargetInfo) bool { return d.control.mayUseCold(t) }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -138,18 +138,26 @@
 	}
 }
 
-// rotate exchanges the oldest random contact of a large fleet.
+// rotate exchanges a random contact of a large fleet: the first that does not
+// acknowledge, or the oldest when RotateInterval has passed.
 func (v *View) rotate(now time.Time) {
-	if len(v.peers) < SmallFleet || now.Sub(v.rotated) < RotateInterval {
+	if v.rotated.IsZero() {
+		v.rotated = now
+	}
+	since := now.Sub(v.rotated)
+	if len(v.peers) < SmallFleet || since < ReachLimit {
 		return
 	}
-	v.rotated = now
-	for i, c := range v.contacts {
-		if c.Seat != v.self.Seat && !slices.Contains(v.pinned, c.Name) {
-			v.contacts = slices.Delete(slices.Clone(v.contacts), i, i+1)
-			break
-		}
+	random := func(p Peer) bool { return p.Seat != v.self.Seat && !slices.Contains(v.pinned, p.Name) }
+	i := slices.IndexFunc(v.contacts, func(p Peer) bool { return random(p) && !v.Reachable(now, p.Name) })
+	if i < 0 && since >= RotateInterval {
+		i = slices.IndexFunc(v.contacts, random)
 	}
+	if i < 0 {
+		return
+	}
+	v.rotated = now
+	v.contacts = slices.Delete(slices.Clone(v.contacts), i, i+1)
 	v.chooseContacts()
 }
 
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -56,8 +57,24 @@
 	It("exchanges a random contact now and then in a large fleet", func() {
 		setup(1300)
 		met := map[string]bool{}
-		run(5*time.Minute, func(p membership.Peer) { met[p.Name] = true })
-		Expect(len(met)).To(BeNumerically(">=", 10))
+		run(5*time.Minute, func(p membership.Peer) { met[p.Name] = true; view.Acked(now, now, p, confirmed) })
+		Expect(len(met)).To(BeNumerically("~", 13, 2))
+	})
+
+	// Guards against a host that stays cut off because its few contacts were
+	// lost together, while the host list still names them.
+	It("replaces contacts that do not acknowledge", func() {
+		setup(1300)
+		run(10*time.Second, func(p membership.Peer) { view.Acked(now, now, p, confirmed) })
+		lost := view.Contacts()
+		run(15*time.Second, func(p membership.Peer) {
+			if !slices.Contains(lost, p) {
+				view.Acked(now, now, p, confirmed)
+			}
+		})
+		for _, p := range view.Contacts() {
+			Expect(lost).NotTo(ContainElement(p))
+		}
 	})
 
 	// Guards against a peer that is only heard being taken for reachable.
