--- a/internal/daemon/spread_bench_test.go
+++ b/internal/daemon/spread_bench_test.go
@@ -58,12 +58,12 @@
 			b.Fatal(err)
 		}
 	}
-	before := heap()
+	before := heapBytes()
 	s := newSpread(b, newDocument(min(23, max(3, hosts/8)), hosts, groups))
 	s.startAll()
 	s.wait(30*time.Second, "version 1 everywhere", func() bool { return s.inForce(1) })
 	time.Sleep(3 * time.Second) // the reads and handshakes of the start
-	b.ReportMetric((heap()-before)/float64(hosts)/1e6, "MB/host")
+	b.ReportMetric((heapBytes()-before)/float64(hosts)/1e6, "MB/host")
 	quiet := s.measure(quietFor, func() {})
 	quiet.report(b, "quiet", hosts)
 
@@ -113,7 +113,7 @@
 	return (time.Duration(usage.Utime.Nano()) + time.Duration(usage.Stime.Nano())).Seconds()
 }
 
-func heap() float64 {
+func heapBytes() float64 {
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
@@ -128,12 +128,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	before := heap()
+	before := heapBytes()
 	tree, err := settings.Parse(raw)
 	if err != nil {
 		b.Fatal(err)
 	}
-	held := heap() - before
+	held := heapBytes() - before
 	runtime.KeepAlive(tree)
 	for b.Loop() {
 		if _, err := settings.Parse(raw); err != nil {
--- /dev/null
+++ b/internal/daemon/spread_model_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
+)
+
+// Costs of one hop in the model: one way 5 ms, as between the places of the
+// deployments; the check as measured by BenchmarkDocument on a busy machine.
+const (
+	modelOneWay = 5 * time.Millisecond
+	modelCheck  = 176 * time.Millisecond
+	modelLoss   = 0.01 // of pushes, which the next heartbeat repairs
+)
+
+// BenchmarkSpreadModel computes when a change is in force on every host of a
+// large fleet, which one machine cannot run, from the contacts that the
+// membership package chooses. It has no network and no clock. readers is the
+// number of watchers that the service tells at once.
+func BenchmarkSpreadModel(b *testing.B) {
+	for _, hosts := range []int{8, 32, 128, 512, 1300} {
+		for _, readers := range []int{1, 46} {
+			b.Run(fmt.Sprintf("hosts=%d/readers=%d", hosts, readers), func(b *testing.B) {
+				var slowest time.Duration
+				for seed := uint64(0); b.Loop(); seed++ {
+					slowest = max(slowest, spreadTime(hosts, readers, rand.New(rand.NewPCG(seed, 1))))
+				}
+				b.ReportMetric(slowest.Seconds()*1000, "ms-in-force-max")
+			})
+		}
+	}
+}
+
+// TestSpreadModelMeetsBound guards against contacts or a fanout with which a
+// change reaches 1,300 hosts later than SpreadLimit, though one reader knows it.
+func TestSpreadModelMeetsBound(t *testing.T) {
+	if took := spreadTime(1300, 1, rand.New(rand.NewPCG(0, 1))); took > membership.SpreadLimit {
+		t.Errorf("in force everywhere after %s", took)
+	}
+}
+
+type arrival struct {
+	at   time.Duration
+	host int
+}
+
+type arrivals []arrival
+
+func (a arrivals) Len() int           { return len(a) }
+func (a arrivals) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
+func (a *arrivals) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func spreadTime(hosts, readers int, rng *rand.Rand) time.Duration {
+	places := min(23, max(3, hosts/8))
+	peers, index := make([]membership.Peer, hosts), map[string]int{}
+	for i := range peers {
+		peers[i] = membership.Peer{Name: fmt.Sprint(i), Seat: membership.Seat{Place: placeName(i % places), Ordinal: i / places}}
+		index[peers[i].Name] = i
+	}
+	contacts, askedBy, phase := make([][]membership.Peer, hosts), make([][]int, hosts), make([]time.Duration, hosts)
+	for i := range peers {
+		view := membership.NewView(peers[i], 1, time.Time{}, rng)
+		view.SetPeers(peers)
+		contacts[i], phase[i] = view.Contacts(), time.Duration(rng.Int64N(int64(membership.HeartbeatInterval)))
+		for _, c := range contacts[i] {
+			askedBy[index[c.Name]] = append(askedBy[index[c.Name]], i)
+		}
+	}
+	beat := func(host int, after time.Duration) time.Duration {
+		return after + (phase[host]-after%membership.HeartbeatInterval+membership.HeartbeatInterval)%membership.HeartbeatInterval
+	}
+	// A host that was told asks for the manifest and the sections: two round
+	// trips after the heartbeat or its acknowledgement.
+	told := func(at time.Duration) time.Duration { return at + 5*modelOneWay + modelCheck }
+	queue, done, last := &arrivals{}, make([]bool, hosts), time.Duration(0)
+	for i := range hosts {
+		order := configsync.Watchers(peers[i].Seat.Place, (hosts+places-1-i%places)/places)
+		for rank, ordinal := range order {
+			if rank < configsync.WatchersPerPlace && ordinal == peers[i].Seat.Ordinal && readers > 0 {
+				readers--
+				heap.Push(queue, arrival{0, i})
+			}
+		}
+	}
+	for queue.Len() > 0 {
+		next := heap.Pop(queue).(arrival)
+		if done[next.host] {
+			continue
+		}
+		done[next.host], last = true, next.at
+		for _, c := range membership.Sample(rng, contacts[next.host], peers[next.host].Seat.Place, pushFanout) {
+			at := next.at
+			if rng.Float64() < modelLoss {
+				at = beat(next.host, at)
+			}
+			heap.Push(queue, arrival{told(at), index[c.Name]})
+		}
+		for _, c := range contacts[next.host] {
+			heap.Push(queue, arrival{told(beat(next.host, next.at)), index[c.Name]})
+		}
+		for _, host := range askedBy[next.host] {
+			heap.Push(queue, arrival{told(beat(host, next.at) + modelOneWay), host})
+		}
+	}
+	for _, ok := range done {
+		if !ok {
+			return time.Hour // never
+		}
+	}
+	return last
+}
