--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -105,6 +105,9 @@
 		Expect(host.Raw()).To(Equal(peer.Raw()))
 		Expect(len(peer.Manifest().Sections)).To(BeNumerically(">", 20))
 		Expect(len(missing)).To(BeNumerically("<=", 3))
+		for _, section := range peer.Manifest().Sections {
+			Expect(section.Size).To(BeNumerically("<=", 33*len(`{"name":"h1234 \"}{","place":"north"},`)))
+		}
 	})
 })
 
--- a/pkg/configsync/sections.go
+++ b/pkg/configsync/sections.go
@@ -4,9 +4,12 @@
 
 // Bounds of the sections of a document.
 const (
-	// Array elements per section on average. The boundary depends on the
-	// content of the elements, so inserting or removing one changes one section.
-	elementsPerSection = 32
+	// A section ends after an array element whose hash is 0 modulo
+	// elementModulus, so inserting or removing one changes one section, and after
+	// maxElements. Without that limit a change was as likely to hit a large
+	// section as the section was large: 32 KB a change for 12 KB on average.
+	elementModulus = 16
+	maxElements    = 32
 	// MaxSections bounds a manifest; a document of 1 MB has some hundreds.
 	MaxSections = 8192
 
@@ -27,11 +30,11 @@
 func cut(raw []byte) [][]byte {
 	var sections [][]byte
 	var open []int // offsets of the open brackets
-	last := 0
+	last, elements := 0, 0
 	cutAt := func(at int) {
 		if at > last && at < len(raw) && len(sections) < MaxSections-1 {
 			sections = append(sections, raw[last:at:at])
-			last = at
+			last, elements = at, 0
 		}
 	}
 	for i := 0; i < len(raw); i++ {
@@ -51,8 +54,11 @@
 			open = open[:len(open)-1]
 			inArray := len(open) > 0 && raw[open[len(open)-1]] == '['
 			depth := len(open) + 1
-			if inArray && (depth == entryDepth || depth == elementDepth) &&
-				xxhash.Sum64(raw[start:i+1])%elementsPerSection == 0 {
+			if !inArray || depth != entryDepth && depth != elementDepth {
+				continue
+			}
+			elements++
+			if elements >= maxElements || xxhash.Sum64(raw[start:i+1])%elementModulus == 0 {
 				cutAt(i + 1)
 			}
 		}
