--- /dev/null
+++ b/pkg/warmup/ramp.go
@@ -0,0 +1,246 @@
+package warmup
+
+import (
+	"math/bits"
+	"time"
+)
+
+// State is what an owner believes about a target.
+type State uint8
+
+// States.
+const (
+	Unproven State = iota // nothing is known about the process that runs now
+	Cold
+	Warm
+)
+
+var stateNames = [...]string{Unproven: "unproven", Cold: "cold", Warm: "warm"}
+
+// String returns the name used in metrics and log lines.
+func (s State) String() string { return stateNames[s] }
+
+// Mark is a target's own statement about its state.
+type Mark uint8
+
+// Marks.
+const (
+	MarkNone Mark = iota
+	MarkWarm
+	MarkCold
+	MarkDraining
+)
+
+// Result tells how a request ended.
+type Result uint8
+
+// Results.
+const (
+	Answered  Result = iota
+	Abandoned        // the caller gave up after Took, a lower bound of the latency
+	Refused          // the target refused for lack of room
+	Lost             // the connection broke, or no answer came in time
+)
+
+// Sample is one observation of a target.
+type Sample struct {
+	Sent   time.Time
+	BootID string // empty if there was no answer
+	Mark   Mark
+	Result Result
+	Took   time.Duration // from sending to the end
+	Usual  time.Duration // usual latency of the target's group; 0 if unknown
+}
+
+const (
+	// slowFactor is how far above the group's usual an answer must be to count
+	// as slow: 0.3 % of log-normal service times with sigma 0.4 are.
+	slowFactor = 3
+	// A target has turned cold if slowNeeded of its last slowWindow answers are
+	// slow. With 1.3 % slow answers (stragglers included) a warm target shows
+	// this once in 110,000 answers.
+	slowNeeded = 3
+	slowWindow = 4
+	// firstHold is how long an owner without the cold allowance stays away from
+	// a target whose marks do not tell when it is warm. It doubles with each
+	// relapse up to maxHold.
+	firstHold = 2 * time.Second
+	maxHold   = 30 * time.Second
+)
+
+// Config holds the limits of a ramp.
+type Config struct {
+	Concurrency int // requests that a cold target bears at a time (cold_concurrency)
+	Step        int // good answers in a row per further request (cold_ramp_step)
+	Share       int // the owner's slots
+}
+
+// Ramp is the state of one target at one of its owners.
+type Ramp struct {
+	cfg       Config
+	state     State
+	boot      string // process last heard from
+	draining  bool
+	announced bool // the target marked itself cold, so its warm mark is to be believed
+	allowed   int  // while not warm
+	good      int  // good answers in a row since the last change of allowed
+	slow      uint8
+	changed   time.Time // when the owner last learned of a break, a cold or a draining mark
+	hold      time.Duration
+	holdUntil time.Time
+}
+
+// NewRamp returns the state of a target of which nothing is known.
+func NewRamp(cfg Config) *Ramp {
+	return &Ramp{cfg: cfg, allowed: min(cfg.Concurrency, cfg.Share), hold: firstHold}
+}
+
+// Configure replaces the limits.
+func (r *Ramp) Configure(cfg Config) {
+	r.cfg = cfg
+	r.allowed = min(r.allowed, cfg.Share)
+}
+
+// State returns the belief about the target.
+func (r *Ramp) State() State { return r.state }
+
+// Boot returns the boot_id of the process last heard from.
+func (r *Ramp) Boot() string { return r.boot }
+
+// Draining reports whether the target said that it takes no new work.
+func (r *Ramp) Draining() bool { return r.draining }
+
+// Allowed returns the number of requests that the owner may have on the target
+// at a time. An owner without the cold allowance may have none on a target that
+// it does not believe to be warm.
+func (r *Ramp) Allowed(now time.Time, mayUseCold bool) int {
+	switch {
+	case r.draining:
+		return 0
+	case r.state == Warm:
+		return r.cfg.Share
+	case mayUseCold:
+		return r.allowed
+	case r.state == Cold && !r.announced && !now.Before(r.holdUntil):
+		// The target never announced the cold, so no mark will end it: after
+		// the hold the owner tries as carefully as on a ramp.
+		return r.allowed
+	}
+	return 0
+}
+
+// Broke records that a connection was refused, or broken by the target. What
+// was believed of its process may not hold for the next.
+func (r *Ramp) Broke(now time.Time) {
+	if r.state == Warm {
+		r.state = Unproven
+	}
+	r.changed = now
+	r.restartRamp()
+}
+
+// Probed records the marks in an answer to a request that did not run.
+func (r *Ramp) Probed(now, sent time.Time, boot string, mark Mark) { r.marks(now, sent, boot, mark) }
+
+// Observe records the end of a request.
+func (r *Ramp) Observe(now time.Time, s Sample) {
+	if s.BootID != "" {
+		r.marks(now, s.Sent, s.BootID, s.Mark)
+	}
+	late := s.Usual > 0 && s.Took > slowFactor*s.Usual
+	switch {
+	case s.Result == Lost || s.Result == Refused:
+		r.bad(now)
+	case s.Result == Abandoned && !late:
+		// Too short to tell anything.
+	case r.state == Warm:
+		r.watch(now, late)
+	case s.Result == Answered && (!late || s.Mark == MarkCold):
+		r.goodAnswer()
+	case !r.announced:
+		r.good = 0
+	}
+}
+
+// marks takes in what the target says about itself. Answers may arrive out of
+// order: one to a request sent before the last bad news was learned cannot
+// revoke it.
+func (r *Ramp) marks(now, sent time.Time, boot string, mark Mark) {
+	fresh := sent.After(r.changed)
+	restarted := r.boot != "" && boot != "" && boot != r.boot
+	if boot != "" {
+		r.boot = boot
+	}
+	if mark == MarkDraining {
+		r.draining, r.changed = true, now
+	} else if mark != MarkNone && fresh {
+		r.draining = false
+	}
+	switch {
+	case mark == MarkCold:
+		if r.state != Cold || restarted {
+			r.turnCold(now)
+		}
+		r.announced, r.changed = true, now
+	case restarted:
+		// A new process is cold even if it does not say so.
+		r.turnCold(now)
+	case mark == MarkWarm && fresh && (r.state == Unproven || r.announced):
+		r.turnWarm()
+		r.hold = firstHold
+	}
+}
+
+// watch looks for a warm target that turned cold without notice.
+func (r *Ramp) watch(now time.Time, late bool) {
+	r.slow = r.slow << 1 & (1<<slowWindow - 1)
+	if late {
+		r.slow |= 1
+	}
+	if bits.OnesCount8(r.slow) >= slowNeeded {
+		r.turnCold(now)
+	}
+}
+
+func (r *Ramp) turnCold(now time.Time) {
+	r.state, r.announced, r.changed = Cold, false, now
+	r.restartRamp()
+	if now.Sub(r.holdUntil) > maxHold {
+		r.hold = firstHold // the last cold is long past
+	}
+	r.holdUntil = now.Add(r.hold)
+	r.hold = min(2*r.hold, maxHold)
+}
+
+func (r *Ramp) turnWarm() { r.state, r.announced, r.slow = Warm, false, 0 }
+
+func (r *Ramp) restartRamp() {
+	r.allowed, r.good, r.slow = min(r.cfg.Concurrency, r.cfg.Share), 0, 0
+}
+
+// goodAnswer lets the allowance grow. At the owner's whole share the target
+// counts as warm, unless it still says that it is cold.
+func (r *Ramp) goodAnswer() {
+	if r.good++; r.good < r.cfg.Step {
+		return
+	}
+	r.good = 0
+	if r.allowed < r.cfg.Share {
+		r.allowed++
+	}
+	if r.allowed >= r.cfg.Share && !r.announced {
+		r.turnWarm()
+	}
+}
+
+// bad halves the allowance of a cold target, but not below the first step.
+func (r *Ramp) bad(now time.Time) {
+	if r.state == Warm {
+		return // refusals of a warm target say nothing about cold
+	}
+	r.good = 0
+	r.allowed = max(min(r.cfg.Concurrency, r.cfg.Share), r.allowed/2)
+	if !r.announced {
+		r.holdUntil = now.Add(r.hold)
+	}
+}
