--- /dev/null
+++ b/pkg/limit/limiter_test.go
@@ -0,0 +1,125 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingyard/lacewingyard/pkg/limit"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	far   = start.Add(time.Hour)
+)
+
+var _ = Describe("Limiter", func() {
+	// Guards against a request of a high class that waits behind, or is refused
+	// in favour of, lower ones.
+	It("serves the highest class first and evicts the lowest when full", func() {
+		l := limit.NewLimiter[string](0, 2)
+		_, err := l.Offer(start, "batch1", limit.Batch, far)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Offer(start, "batch2", limit.Batch, far)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Offer(start, "batch3", limit.Batch, far)
+		Expect(err).To(MatchError(limit.ErrFull))
+		evicted, err := l.Offer(start, "critical", limit.Critical, far)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*evicted).To(Equal("batch2"))
+		l.Resize(1)
+		item, _, ok := l.Next(start)
+		Expect(ok).To(BeTrue())
+		Expect(item).To(Equal("critical"))
+		_, _, ok = l.Next(start)
+		Expect(ok).To(BeFalse(), "the only slot is in use")
+	})
+
+	// Guards against work that takes a slot although its answer comes too late.
+	It("refuses a deadline sooner than the expected wait plus service time", func() {
+		l := limit.NewLimiter[int](1, 10)
+		l.Served(10 * time.Millisecond)
+		offer := func(item int, within time.Duration) error {
+			_, err := l.Offer(start, item, limit.Interactive, start.Add(within))
+			return err
+		}
+		Expect(offer(1, 9*time.Millisecond)).To(MatchError(limit.ErrTooLate))
+		Expect(offer(1, 10*time.Millisecond)).To(Succeed())
+		l.Next(start)
+		Expect(offer(2, 19*time.Millisecond)).To(MatchError(limit.ErrTooLate))
+		Expect(offer(2, 20*time.Millisecond)).To(Succeed())
+		l.Release()
+		item, expired, ok := l.Next(start.Add(15 * time.Millisecond))
+		Expect([]any{item, expired, ok}).To(Equal([]any{2, true, true}))
+		Expect(l.InUse()).To(BeZero())
+	})
+
+	// Guards against lost or doubled requests and against more slots in use
+	// than there are, after any sequence of calls.
+	It("hands out each request once and never more slots than it has", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := limit.NewLimiter[int](2, 5)
+			waiting, next, slots := map[int]bool{}, 0, 2
+			for range rapid.IntRange(1, 60).Draw(t, "calls") {
+				switch rapid.IntRange(0, 4).Draw(t, "call") {
+				case 0, 1:
+					next++
+					evicted, err := l.Offer(start, next, limit.Class(rapid.IntRange(0, 2).Draw(t, "class")), far)
+					if err == nil {
+						waiting[next] = true
+					}
+					if evicted != nil {
+						delete(waiting, *evicted)
+					}
+				case 2:
+					used := l.InUse()
+					if item, _, ok := l.Next(start); ok {
+						if !waiting[item] || used >= slots {
+							t.Fatalf("request %d handed out, waiting %v, %d of %d slots in use", item, waiting[item], used, slots)
+						}
+						delete(waiting, item)
+					}
+				case 3:
+					if l.InUse() > 0 {
+						l.Release()
+					}
+				case 4:
+					gone := rapid.IntRange(0, next).Draw(t, "gone")
+					if removed := l.Remove(func(i int) bool { return i == gone }); removed != waiting[gone] {
+						t.Fatalf("removal of %d reported %v, waiting %v", gone, removed, waiting[gone])
+					}
+					delete(waiting, gone)
+				}
+				if l.Waiting() != len(waiting) {
+					t.Fatalf("%d requests wait, %d expected", l.Waiting(), len(waiting))
+				}
+			}
+			if left := l.Drain(); len(left) != len(waiting) {
+				t.Fatalf("%d requests left, %d expected", len(left), len(waiting))
+			}
+		})
+	})
+})
+
+func BenchmarkLimiter(b *testing.B) {
+	l := limit.NewLimiter[int](2, 64)
+	l.Served(time.Millisecond)
+	for i := 0; b.Loop(); i++ {
+		_, _ = l.Offer(start, i, limit.Class(i%3), far)
+		l.Next(start)
+		l.Served(time.Millisecond)
+		l.Release()
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	a := limit.NewAdmission()
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		a.Start(now, limit.Interactive)
+		a.Done(now, 10*time.Millisecond, false, true)
+	}
+}
--- a/pkg/limit/suite_test.go
+++ b/pkg/limit/suite_test.go
@@ -11,4 +11,3 @@
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "limit")
 }
-
