Judge the admission limit by waits and refusals instead of total latency

A stuck target raises the latency of every query that touches it, which a rule on total latency takes for overload and answers by shedding down to the minimum. The wait of the parts for slots is the cause itself.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -76,29 +76,33 @@
 // Dialer opens a connection to a target.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Client sends requests to one target over at most a fixed number of
-// connections. It is safe for concurrent use.
+// Client sends requests to one target. One that NewClient returned is safe for
+// concurrent use; one that Pool.Take returned carries a single request.
 type Client struct {
 	base      string
-	http      *http.Client
-	transport *http.Transport
+	transport http.RoundTripper
+	lease     *lease // nil if the client has connections of its own
 }
 
-// NewClient returns a client for the target at an IP and port. connections is
-// the share of the target's connections that this host holds.
+// NewClient returns a client for the target at an IP and port with connections
+// of its own, of which it opens at most the given number. It knows nothing of
+// cold or silent targets; Pool does.
 func NewClient(address string, connections int, dial Dialer) *Client {
-	transport := &http.Transport{
+	return &Client{base: "http://" + address, transport: &http.Transport{
 		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, transport: transport}
+	}}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	if t, ok := c.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
 
 // Request carries what every request to a target has.
 type Request struct {
@@ -149,7 +153,7 @@
 	if r.Traceparent != "" {
 		req.Header.Set(HeaderTrace, r.Traceparent)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return wire.TargetStatus{}, failed(ctx, err, assigned.Load())
 	}
--- a/pkg/limit/admission.go
+++ b/pkg/limit/admission.go
@@ -9,37 +9,45 @@
 	window = 100 * time.Millisecond
 	// minSamples is the number of answers below which a window is extended.
 	minSamples = 10
-	// slowFactor is how far the mean latency may rise above the calm one.
-	// Queues of one waiting request per slot double it.
-	slowFactor = 2.0
-	// refusedRatio is the fraction of refused or late queries that counts as overload.
+	// waitRatio is the part of a query's time that its parts may wait for slots
+	// on average. The wait is measured, not derived from a rise of the latency:
+	// stuck or slow targets raise the latency as well, and shedding load does
+	// not help against them.
+	waitRatio = 0.25
+	// refusedRatio is the fraction of queries that may meet a full queue.
 	refusedRatio = 0.02
 	decrease     = 0.9
-	// calmDrift lets the calm latency follow a lasting change of the targets:
-	// 0.2 % per window doubles it in about 35 s.
-	calmDrift  = 1.002
-	minLimit   = 4
-	maxLimit   = 1 << 16
-	startLimit = 64
+	increase     = 0.05
+	minLimit     = 4
+	maxLimit     = 1 << 16
+	startLimit   = 64
 )
 
 // classPart is the part of the limit that a class and those above it may fill.
 // The rest is the reserve of the higher classes.
 var classPart = [classes]float64{1, 0.9, 0.75}
 
+// Sample describes a query that ended.
+type Sample struct {
+	Took    time.Duration // the whole query
+	Waited  time.Duration // mean wait of its parts for a slot
+	Refused bool          // a part was refused for lack of room
+}
+
 // Admission bounds the queries that an entry host has in progress for one
-// service. The limit adapts: it falls when queries are refused or become slow,
-// and grows while it holds queries back without either.
+// service. The limit adapts: it falls when parts are refused or wait long, and
+// grows while it holds queries back without either.
 type Admission struct {
 	limit    float64
 	inFlight int
 
 	since   time.Time
 	count   int
-	total   time.Duration
+	took    time.Duration
+	waited  time.Duration
 	refused int
 	held    bool          // the limit turned a query away, or nearly did
-	calm    time.Duration // mean latency of the calmest window
+	mean    time.Duration // time of a query in the last window
 }
 
 // NewAdmission returns a controller that has seen no load.
@@ -60,24 +68,25 @@
 	allowed := a.limit * classPart[class.index()]
 	if float64(a.inFlight+1) > allowed {
 		a.held = true
-		return max(a.calm, time.Millisecond), false
+		return max(a.mean, time.Millisecond), false
 	}
 	a.inFlight++
 	a.held = a.held || float64(a.inFlight) >= 0.9*allowed
 	return 0, true
 }
 
-// Done ends a query after the time that it took. overloaded is true if a part
-// of it was refused for lack of room or missed the deadline. Queries that ended
-// for other reasons, such as a caller that gave up, pass useful == false.
-func (a *Admission) Done(now time.Time, took time.Duration, overloaded, useful bool) {
+// Done ends a query. A nil sample says that its end tells nothing about load,
+// for instance because the caller gave up.
+func (a *Admission) Done(now time.Time, s *Sample) {
 	a.inFlight--
-	if useful {
-		a.count++
-		a.total += took
-		if overloaded {
-			a.refused++
-		}
+	if s == nil {
+		return
+	}
+	a.count++
+	a.took += s.Took
+	a.waited += s.Waited
+	if s.Refused {
+		a.refused++
 	}
 	if now.Sub(a.since) >= window && a.count >= minSamples {
 		a.judge(now)
@@ -86,21 +95,13 @@
 
 // judge adapts the limit to the window that ends now.
 func (a *Admission) judge(now time.Time) {
-	mean := a.total / time.Duration(a.count)
-	overload := float64(a.refused) > refusedRatio*float64(a.count)
-	if !overload {
-		if a.calm == 0 || mean < a.calm {
-			a.calm = mean
-		} else {
-			a.calm = min(mean, time.Duration(calmDrift*float64(a.calm)))
-		}
-	}
-	slow := a.calm > 0 && float64(mean) > slowFactor*float64(a.calm)
 	switch {
-	case overload || slow:
+	case float64(a.refused) > refusedRatio*float64(a.count),
+		float64(a.waited) > waitRatio*float64(a.took):
 		a.limit = max(minLimit, a.limit*decrease)
 	case a.held:
-		a.limit = min(maxLimit, a.limit+max(1, a.limit/32))
+		a.limit = min(maxLimit, a.limit+max(1, a.limit*increase))
 	}
-	a.since, a.count, a.total, a.refused, a.held = now, 0, 0, 0, false
+	a.mean = a.took / time.Duration(a.count)
+	a.since, a.count, a.took, a.waited, a.refused, a.held = now, 0, 0, 0, 0, false
 }
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -120,6 +120,6 @@
 	for i := 0; b.Loop(); i++ {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		a.Start(now, limit.Interactive)
-		a.Done(now, 10*time.Millisecond, false, true)
+		a.Done(now, &limit.Sample{Took: 10 * time.Millisecond})
 	}
 }
--- a/pkg/limit/overload_test.go
+++ b/pkg/limit/overload_test.go
@@ -29,6 +29,7 @@
 	started time.Time
 	host    int
 	left    int
+	waited  time.Duration
 	refused bool
 }
 
@@ -128,6 +129,7 @@
 			s.end(q, true)
 			continue
 		}
+		q.waited += s.now.Sub(q.started) / groups
 		took := time.Duration(float64(median) * math.Exp(sigma*s.rng.NormFloat64()))
 		s.after(took, func() {
 			l.Release()
@@ -148,7 +150,7 @@
 	took := s.now.Sub(q.started)
 	late := q.refused || took > deadline
 	if !s.naive {
-		s.gates[q.host].Done(s.now, took, late, true)
+		s.gates[q.host].Done(s.now, &limit.Sample{Took: took, Waited: q.waited, Refused: q.refused})
 	}
 	if q.started.Before(start.Add(warmUp)) {
 		return
