Send to targets through the limiter, the warm-up ramp and probed connections

Each connection is probed before it carries work, so a request is only sent to the process of a target whose state is known. Slots are returned when the target closes the connection of a cancelled request, not when the caller gives up.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -159,7 +159,7 @@
 		return reply
 	}
 	work := &work{
-		target: req.Target, service: req.Service, class: settings.Priority(req.Class),
+		target: req.Target, service: req.Service, class: settings.Priority(req.Class), once: req.Once,
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -21,6 +21,7 @@
 
 	mu     sync.Mutex
 	owned  map[string]*ownedTarget
+	usual  map[string]*usual // by service
 	closed bool
 }
 
@@ -29,6 +30,7 @@
 	target  string
 	service string
 	class   settings.Priority
+	once    bool // the request may not be repeated
 	send    func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome)
 }
 
@@ -36,19 +38,12 @@
 type done struct {
 	outcome outcome.Outcome
 	status  wire.TargetStatus
-	queued  time.Duration // wait for a slot
+	queued  time.Duration // wait for a slot and a connection
 	served  time.Duration // from sending to the answer
 }
 
-// ownedTarget is a target with this host's share of its limits.
-type ownedTarget struct {
-	address string
-	client  *target.Client
-	slots   chan struct{} // holds a token per slot in use
-}
-
 func newDispatcher(self *settings.Process, config *config, dial target.Dialer) *dispatcher {
-	return &dispatcher{self: self, config: config, dial: dial, owned: map[string]*ownedTarget{}}
+	return &dispatcher{self: self, config: config, dial: dial, owned: map[string]*ownedTarget{}, usual: map[string]*usual{}}
 }
 
 func (d *dispatcher) close() {
@@ -56,35 +51,22 @@
 	defer d.mu.Unlock()
 	d.closed = true
 	for _, t := range d.owned {
-		t.client.Close()
+		t.pool.Close()
 	}
 }
 
 // do runs work on its target as soon as one of this host's slots is free.
 func (d *dispatcher) do(ctx context.Context, w *work) done {
-	t, refusal := d.target(w.target)
+	t, refusal := d.target(w)
 	if t == nil {
 		return done{outcome: refusal}
 	}
-	start := time.Now()
-	select {
-	case t.slots <- struct{}{}:
-	case <-ctx.Done():
-		return done{outcome: outcome.Refused(outcome.Deadline, "no slot of target %s became free", w.target), queued: time.Since(start)}
-	}
-	defer func() { <-t.slots }()
-	sent := time.Now()
-	deadline, _ := ctx.Deadline()
-	timeout := time.Until(deadline)
-	if ctx.Err() != nil || timeout <= 0 {
-		return done{outcome: outcome.Refused(outcome.Deadline, "deadline passed before sending"), queued: sent.Sub(start)}
-	}
-	status, o := w.send(ctx, t.client, timeout)
-	return done{outcome: o, status: status, queued: sent.Sub(start), served: time.Since(sent)}
+	return t.run(ctx, w)
 }
 
 // target returns the owned target, or the refusal if this host may not use it.
-func (d *dispatcher) target(id string) (*ownedTarget, outcome.Outcome) {
+func (d *dispatcher) target(w *work) (*ownedTarget, outcome.Outcome) {
+	id := w.target
 	tree := d.config.tree()
 	info, ok := tree.Target(id)
 	if !ok {
@@ -97,9 +79,14 @@
 	if info.Out || !tree.PlaceIsIn(info.Place) {
 		return nil, outcome.Refused(outcome.PlaceOut, "target %s was taken out of service", id)
 	}
-	slots := ownership.Share(info.Slots, rank, len(info.Owners))
-	connections := ownership.Share(info.Connections, rank, len(info.Owners))
-	if slots == 0 || connections == 0 {
+	policy := tree.Effective(info.Place, info.Service)
+	terms := shareTerms{
+		slots:       ownership.Share(usableSlots(info.Slots, policy), rank, len(info.Owners)),
+		connections: ownership.Share(info.Connections, rank, len(info.Owners)),
+		queue:       policy.QueueLimit, cold: policy.ColdConcurrency, step: policy.ColdRampStep,
+		mayUseCold: rank == 0,
+	}
+	if terms.slots == 0 || terms.connections == 0 {
 		return nil, outcome.Refused(outcome.Unavailable, "host %s has no share of target %s", d.self.Name, id)
 	}
 	d.mu.Lock()
@@ -108,13 +95,32 @@
 		return nil, outcome.Refused(outcome.Draining, "host %s is stopping", d.self.Name)
 	}
 	t, ok := d.owned[id]
-	if !ok || t.address != info.Address || cap(t.slots) != slots {
-		t = &ownedTarget{
-			address: info.Address,
-			client:  target.NewClient(info.Address, connections, d.dial),
-			slots:   make(chan struct{}, slots),
-		}
+	if ok && t.address != info.Address {
+		t.pool.Close()
+		ok = false
+	}
+	if !ok {
+		t = newOwnedTarget(id, info.Address, terms, d.dial, d.usualOf(info.Service))
 		d.owned[id] = t
 	}
+	t.configure(terms)
 	return t, outcome.Outcome{}
 }
+
+// usableSlots returns the slots of a target that the tier may use.
+func usableSlots(slots int, policy *settings.Policy) int {
+	if slots == 0 {
+		return 0
+	}
+	return max(1, int(float64(slots)*policy.SlotLimitRatio))
+}
+
+// usualOf returns the usual latency of a service. The caller holds d.mu.
+func (d *dispatcher) usualOf(service string) *usual {
+	u, ok := d.usual[service]
+	if !ok {
+		u = new(usual)
+		d.usual[service] = u
+	}
+	return u
+}
--- a/internal/target/lease.go
+++ b/internal/target/lease.go
@@ -70,7 +70,9 @@
 
 // Discard closes the connection without having used it.
 func (c *Client) Discard() {
+	c.lease.reusable = false
 	c.lease.conn.closeQuietly()
+	c.lease.pool.giveUp(c.lease.conn)
 }
 
 // released is the channel of requests that the target has answered.
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -86,13 +86,25 @@
 	p.cancel()
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.share = nil, 0
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.closeQuietly()
 	}
 }
 
+// Resize changes the share and the number of connections kept open. Connections
+// above the share close when they become free.
+func (p *Pool) Resize(share, ahead int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share, p.ahead = share, min(ahead, share)
+	for len(p.live) > share && len(p.idle) > 0 {
+		p.idle[0].closeQuietly()
+		p.idle = p.idle[1:]
+	}
+}
+
 // Counts returns the counters.
 func (p *Pool) Counts() PoolCounts {
 	p.mu.Lock()
@@ -177,7 +189,7 @@
 		return
 	}
 	want := max(p.ahead-p.usable, len(p.waiters)) - p.dialing
-	for range min(want, p.share-len(p.live)-p.dialing) {
+	for range max(0, min(want, p.share-len(p.live)-p.dialing)) {
 		p.dialing++
 		go p.open()
 	}
@@ -248,7 +260,7 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.live[c] || p.ctx.Err() != nil {
+	if !p.live[c] || p.ctx.Err() != nil || len(p.live) > p.share {
 		c.closeQuietly()
 		return
 	}
