Admit queries by class at the entry host and test the dispatcher's rules

Each rule is tested against a stand-in searcher over loopback, and a naive owner fails the same check: restart under load, cancelled requests and slots, silent connections, requests that may not be repeated.

--- /dev/null
+++ b/internal/daemon/admission.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/limit"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// admission bounds the queries that this entry host has in progress, service
+// by service: overload of one must not take the room of another.
+type admission struct {
+	mu       sync.Mutex
+	services map[string]*limit.Admission
+}
+
+// admitted is a query in progress. Its fields are used by one goroutine.
+type admitted struct {
+	service *limit.Admission
+	owner   *admission
+	start   time.Time
+	waited  time.Duration // of all parts together
+	parts   int
+	refused int // parts that were refused for lack of room
+}
+
+func newAdmission() *admission { return &admission{services: map[string]*limit.Admission{}} }
+
+// start admits a query, or returns the refusal. An admitted query must call end.
+func (a *admission) start(service string, class settings.Priority) (*admitted, outcome.Outcome) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, ok := a.services[service]
+	if !ok {
+		s = limit.NewAdmission()
+		a.services[service] = s
+	}
+	after, ok := s.Start(now, limit.Class(class))
+	if !ok {
+		o := outcome.Refused(outcome.Overload, "too many %s queries of service %s are in progress", class, service)
+		o.RetryAfter = after
+		return nil, o
+	}
+	return &admitted{service: s, owner: a, start: now}, outcome.Outcome{}
+}
+
+// part records the end of a part of the query and how long it waited for a slot.
+func (q *admitted) part(o outcome.Outcome, waited time.Duration) {
+	q.parts++
+	q.waited += waited
+	if o.RanNothing() && o.Reason == outcome.Overload {
+		q.refused++
+	}
+}
+
+// end ends the query. canceled is true if the caller gave up.
+func (q *admitted) end(canceled bool) {
+	now := time.Now()
+	var sample *limit.Sample
+	if !canceled && q.parts > 0 {
+		sample = &limit.Sample{
+			Took: now.Sub(q.start), Waited: q.waited / time.Duration(q.parts),
+			Refused: float64(q.refused) / float64(q.parts),
+		}
+	}
+	q.owner.mu.Lock()
+	defer q.owner.mu.Unlock()
+	q.service.Done(now, sample)
+}
--- /dev/null
+++ b/internal/daemon/dispatch_test.go
@@ -0,0 +1,337 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	connectTime = 6 * time.Millisecond
+	longEnough  = 20 * time.Second // for a condition on a busy machine
+)
+
+// rig is one searcher with its two owners.
+type rig struct {
+	searcher *standin.Searcher
+	owners   []*dispatcher // by rank; nil in the naive version
+	naive    []*naiveOwner
+	ids      atomic.Int64
+}
+
+// naiveOwner has the same share but no rule: a slot is free when the caller
+// gives up. Its connections are those of net/http, or of a pool if pooled.
+type naiveOwner struct {
+	slots  chan struct{}
+	client *target.Client
+	pool   *target.Pool
+	pooled bool
+}
+
+func dialSlowly(ctx context.Context, network, address string) (net.Conn, error) {
+	time.Sleep(connectTime)
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+func newRig(naive bool, service standin.ServiceModel) *rig {
+	r := startRig(naive, service)
+	DeferCleanup(r.close)
+	return r
+}
+
+// startRig starts a searcher with 4 slots and 36 connections and two owners.
+func startRig(naive bool, service standin.ServiceModel) *rig {
+	spec := settings.Target{ID: "t0", Place: "north", Address: "127.0.0.1:1", Slots: 4, Connections: 36}
+	searcher, err := standin.NewSearcher(spec, "tags", service, standin.NewDataset("tag", 10, 1), keyspace.Full(), 1, 1)
+	Expect(err).NotTo(HaveOccurred())
+	spec.Address = searcher.Address()
+	r := &rig{searcher: searcher}
+	for rank := range 2 {
+		if naive {
+			share := ownership.Share(spec.Slots, rank, 2)
+			r.naive = append(r.naive, &naiveOwner{
+				slots: make(chan struct{}, share), client: target.NewClient(spec.Address, 18, dialSlowly),
+				pool: target.NewPool(spec.Address, 18, 8, dialSlowly, target.Events{
+					Probed: func(time.Time, wire.TargetStatus) {}, Broke: func(time.Time) {}}),
+			})
+			continue
+		}
+		conf := newConfig(hclog.NewNullLogger())
+		doc, err := json.Marshal(settings.Document{
+			Version: 1, DesignatedLevel: settings.LevelPlace,
+			Places: map[string]settings.Place{"north": {State: settings.PlaceIn, Hosts: 2}},
+			Services: map[string]settings.Service{"tags": {Kind: settings.KindSearch, PartitionEpoch: 1, Groups: []settings.Group{
+				{ID: "g0", Range: keyspace.Full(), Targets: []settings.Target{spec}}}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		conf.offer(doc)
+		Expect(conf.tree()).NotTo(BeNil())
+		self := &settings.Process{Name: fmt.Sprint("host", rank), Place: "north", Ordinal: ownership.Owners("t0", 2, 2)[rank]}
+		r.owners = append(r.owners, newDispatcher(self, conf, dialSlowly))
+	}
+	return r
+}
+
+func (r *rig) close() {
+	for _, d := range r.owners {
+		d.close()
+	}
+	for _, n := range r.naive {
+		n.pool.Close()
+		n.client.Close()
+	}
+	r.searcher.Kill()
+}
+
+// ask sends one request through an owner.
+func (r *rig) ask(ctx context.Context, rank int, once bool) done {
+	id := fmt.Sprint(r.ids.Add(1))
+	send := func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
+		if once {
+			_, status, o := c.Lookup(ctx, target.Request{ID: id, Timeout: timeout}, target.LookupBody{Service: "tags", ID: "tag-000001"})
+			return status, o
+		}
+		_, status, o := c.Search(ctx, target.Request{ID: id, Timeout: timeout}, target.SearchBody{Service: "tags", Terms: []string{"red"}})
+		return status, o
+	}
+	if r.owners != nil {
+		return r.owners[rank].do(ctx, &work{target: "t0", service: "tags", class: settings.Interactive, once: once, send: send})
+	}
+	n := r.naive[rank]
+	n.slots <- struct{}{}
+	defer func() { <-n.slots }()
+	if n.pooled {
+		client, err := n.pool.Take(ctx, false)
+		if err != nil {
+			return done{outcome: outcome.Refused(outcome.Unavailable, "%v", err)}
+		}
+		defer client.Release()
+		status, o := send(ctx, client, time.Second)
+		return done{outcome: o, status: status}
+	}
+	status, o := send(ctx, n.client, time.Second)
+	return done{outcome: o, status: status}
+}
+
+func (r *rig) askFor(limit time.Duration, rank int, once bool) done {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return r.ask(ctx, rank, once)
+}
+
+// load sends through both owners from some loops until stop is called. A part
+// of the requests is cancelled early, as losers of hedges are.
+func (r *rig) load(loops int, cancelled float64) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range loops {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for ctx.Err() == nil {
+				limit := time.Second
+				if rng.Float64() < cancelled {
+					limit = time.Duration(rng.Int64N(int64(20 * time.Millisecond)))
+				}
+				if o := r.askFor(limit, i%2, false).outcome; o.Kind != outcome.Answered {
+					time.Sleep(time.Millisecond) // a refused caller does not spin
+				}
+			}
+		})
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+func (r *rig) answers(rank int) func() bool {
+	return func() bool { return r.askFor(time.Second, rank, false).outcome.Kind == outcome.Answered }
+}
+
+func (r *rig) searches() int64 { return r.searcher.Counts().Searches.Load() }
+
+var typical = standin.ServiceModel{MedianMS: 8, Sigma: 0.4}
+
+// overload runs restarts under load and returns the searcher's complaints.
+func overload(naive bool, restarts int) (overCold, fellOver int64, r *rig) {
+	r = newRig(naive, typical)
+	stop := r.load(8, 0.1)
+	defer stop()
+	for range restarts {
+		before := r.searches()
+		Eventually(r.searches, longEnough).Should(BeNumerically(">", before+20))
+		r.searcher.Crash()
+		Eventually(r.searcher.Cold, longEnough).Should(BeTrue())
+		Eventually(func() bool { return !r.searcher.Cold() || r.searcher.Counts().FellOver.Load() > 0 }, longEnough).Should(BeTrue())
+	}
+	return r.searcher.Counts().OverCold.Load(), r.searcher.Counts().FellOver.Load(), r
+}
+
+var _ = Describe("dispatcher", func() {
+	// Guards against a restarted target that gets more than it bears, from
+	// owners that learn of the restart at different times (ColdBearable).
+	It("keeps a restarted target within its cold allowance", func() {
+		overCold, fellOver, r := overload(false, 3)
+		Expect([]int64{overCold, fellOver}).To(Equal([]int64{0, 0}))
+		Expect(r.searcher.Counts().OverSlots.Load()).To(BeZero())
+		Expect(r.searcher.Counts().OverConns.Load()).To(BeZero())
+		for rank := range 2 {
+			Eventually(r.answers(rank), longEnough).Should(BeTrue())
+		}
+	})
+
+	It("shows that owners without the rule overload a restarted target", func() {
+		overCold, fellOver, _ := overload(true, 1)
+		Expect(overCold).To(BeNumerically(">", 0))
+		Expect(fellOver).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a target that turns cold without a restart and is noticed
+	// late. Some requests are on their way by then; 8 per owner are a few. With
+	// one request per owner the target bears the first ones.
+	DescribeTable("notices a target that turns cold while it runs", func(announced bool) {
+		r := newRig(false, typical)
+		stop := r.load(2, 0)
+		defer stop()
+		Eventually(r.searches, longEnough).Should(BeNumerically(">", 200))
+		r.searcher.TurnCold(announced)
+		Eventually(r.searcher.Cold, longEnough).Should(BeFalse())
+		GinkgoWriter.Printf("announced %v: over cold %d, fell over %d\n",
+			announced, r.searcher.Counts().OverCold.Load(), r.searcher.Counts().FellOver.Load())
+		Expect(r.searcher.Counts().OverCold.Load()).To(BeNumerically("<=", 16))
+		Expect(r.searcher.Counts().FellOver.Load()).To(BeZero())
+	}, Entry("announced", true), Entry("unannounced", false))
+
+	// Guards against a slot that is used again while the target still works on
+	// the cancelled request in it.
+	It("never uses a slot that the target has not released", func() {
+		over := func(naive bool) int64 {
+			r := newRig(naive, typical)
+			for _, n := range r.naive {
+				n.pooled = true
+			}
+			stop := r.load(8, 0.8)
+			Eventually(r.searches, longEnough).Should(BeNumerically(">", 1500))
+			stop()
+			Expect(r.searcher.Counts().Canceled.Load()).To(BeNumerically(">", 100))
+			return r.searcher.Counts().OverSlots.Load()
+		}
+		Expect(over(false)).To(BeZero())
+		Expect(over(true)).To(BeNumerically(">", 0), "the naive version")
+	})
+
+	// Guards against work sent to, or left waiting for, a draining target.
+	It("stops at a draining mark and starts again after it", func() {
+		r := newRig(false, standin.ServiceModel{MedianMS: 50})
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+		results := make(chan done, 6)
+		ask := func() { results <- r.askFor(10*time.Second, 0, false) }
+		r.searcher.SetDraining(true)
+		for range cap(results) {
+			go ask()
+		}
+		for range cap(results) {
+			var d done
+			Eventually(results, longEnough).Should(Receive(&d))
+			Expect(d.outcome.RanNothing()).To(BeTrue())
+			Expect(d.outcome.Reason).To(Equal(outcome.Draining))
+		}
+		before := r.searches()
+		Expect(r.askFor(time.Second, 0, false).served).To(BeZero(), "it must not reach the target")
+		Expect(r.searches()).To(Equal(before))
+		r.searcher.SetDraining(false)
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+	})
+
+	// Guards against a request that waits for its deadline on a connection that
+	// went silent, and against the next one that uses such a connection.
+	It("ends a request on a silent connection early and uses a new connection", func() {
+		run := func(naive bool) (took time.Duration, o outcome.Outcome, r *rig) {
+			r = newRig(naive, typical)
+			for range 40 {
+				Eventually(r.answers(0), longEnough).Should(BeTrue())
+			}
+			r.searcher.SilenceConnections()
+			start := time.Now()
+			return took, r.askFor(2*time.Second, 0, false).outcome, r.since(start, &took)
+		}
+		took, o, r := run(false)
+		Expect(o.Kind).To(Equal(outcome.Unknown))
+		Expect(o.Reason).To(Equal(outcome.ConnLost))
+		Expect(took).To(BeNumerically("<", time.Second))
+		GinkgoWriter.Printf("silent connection noticed after %s\n", took)
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+		_, o, _ = run(true)
+		Expect(o.Reason).To(Equal(outcome.Deadline), "the naive version")
+	})
+
+	// Guards against a request that may not be repeated on a connection that
+	// went silent while idle.
+	It("sends a request that may not be repeated on a connection proven live", func() {
+		tier, naive := newRig(false, standin.ServiceModel{MedianMS: 5}), newRig(true, standin.ServiceModel{MedianMS: 5})
+		for _, r := range []*rig{tier, naive} {
+			Expect(r.askFor(5*time.Second, 0, true).outcome.Kind).To(Equal(outcome.Answered))
+			r.searcher.SilenceConnections()
+		}
+		time.Sleep(1100 * time.Millisecond) // an answer proves a connection for 1 s
+		Expect(tier.askFor(5*time.Second, 0, true).outcome.Kind).To(Equal(outcome.Answered))
+		Expect(naive.askFor(time.Second, 0, true).outcome.Kind).To(Equal(outcome.Unknown))
+		_, runs := tier.searcher.MaxRuns()
+		Expect(runs).To(Equal(1))
+	})
+})
+
+// since stores the time since start.
+func (r *rig) since(start time.Time, took *time.Duration) *rig {
+	*took = time.Since(start)
+	return r
+}
+
+// BenchmarkCanceled measures what cancelled requests, as losers of hedges are,
+// cost the others: the time an answered request waits for a slot and for a
+// connection, which takes 6 ms to open. GOMAXPROCS loops share
+// the two slots of one owner; run it with -cpu 2.
+func BenchmarkCanceled(b *testing.B) {
+	for _, naive := range []bool{false, true} {
+		for _, percent := range []int{0, 5, 50} {
+			b.Run(fmt.Sprintf("naive=%v/canceled=%d%%", naive, percent), func(b *testing.B) {
+				RegisterTestingT(b)
+				r := startRig(naive, standin.ServiceModel{MedianMS: 4})
+				defer r.close()
+				var took, answered atomic.Int64
+				r.askFor(time.Second, 0, false)
+				b.ResetTimer()
+				var turn atomic.Int64
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						if turn.Add(1)*37%100 < int64(percent) { // spread evenly
+							r.askFor(2*time.Millisecond, 0, false)
+							continue
+						}
+						start := time.Now()
+						if r.askFor(time.Second, 0, false).outcome.Kind == outcome.Answered {
+							took.Add(time.Since(start).Microseconds())
+							answered.Add(1)
+						}
+					}
+				})
+				b.ReportMetric(float64(took.Load())/float64(max(1, answered.Load())), "us/answer")
+			})
+		}
+	}
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -25,6 +25,7 @@
 	config    *config
 	directory *directory
 	branches  *branchClient
+	admission *admission
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
@@ -36,7 +37,7 @@
 func newEntry(self *settings.Process, config *config, directory *directory, branches *branchClient) *entry {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &entry{
-		self: self, config: config, directory: directory, branches: branches,
+		self: self, config: config, directory: directory, branches: branches, admission: newAdmission(),
 		rng:      rng,
 		router:   routing.NewRouter(self.Place, rng),
 		versions: snapshot.NewVersions(),
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -23,7 +23,13 @@
 	policy := tree.Effective(e.self.Place, service)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
+	load, refusal := e.admission.start(service, class(meta, policy))
+	if load == nil {
+		return nil, refusal
+	}
+	defer func() { load.end(errors.Is(ctx.Err(), context.Canceled)) }()
 	g := newGather(ctx, e, tree, policy, service, meta, req)
+	g.load = load
 	g.start()
 	g.wait()
 	return g.response(start)
@@ -48,6 +54,7 @@
 	replan    bool // the version vanished, start again on another one
 	replanned bool
 	mayRun    bool // some target may have run the query
+	load      *admitted
 }
 
 // groupState is the progress of one group.
@@ -252,6 +259,7 @@
 	}
 	a.ended = true
 	state := g.groups[part.Group]
+	g.load.part(part.Outcome, time.Duration(part.QueueUS)*time.Microsecond)
 	g.entry.observe(a.path, part.Outcome, part.Status, time.Duration(part.QueueUS+part.TargetUS)*time.Microsecond)
 	if !part.Outcome.RanNothing() {
 		g.mayRun = true
--- a/pkg/limit/admission.go
+++ b/pkg/limit/admission.go
@@ -14,8 +14,9 @@
 	// stuck or slow targets raise the latency as well, and shedding load does
 	// not help against them.
 	waitRatio = 0.25
-	// refusedRatio is the fraction of queries that may meet a full queue.
-	refusedRatio = 0.02
+	// refusedRatio is the fraction of parts that may be refused for lack of
+	// room. A target that sheds a few of its requests on purpose stays below.
+	refusedRatio = 0.1
 	decrease     = 0.9
 	increase     = 0.05
 	minLimit     = 4
@@ -31,7 +32,7 @@
 type Sample struct {
 	Took    time.Duration // the whole query
 	Waited  time.Duration // mean wait of its parts for a slot
-	Refused bool          // a part was refused for lack of room
+	Refused float64       // fraction of its parts that was refused for lack of room
 }
 
 // Admission bounds the queries that an entry host has in progress for one
@@ -45,7 +46,7 @@
 	count   int
 	took    time.Duration
 	waited  time.Duration
-	refused int
+	refused float64
 	held    bool          // the limit turned a query away, or nearly did
 	mean    time.Duration // time of a query in the last window
 }
@@ -85,9 +86,7 @@
 	a.count++
 	a.took += s.Took
 	a.waited += s.Waited
-	if s.Refused {
-		a.refused++
-	}
+	a.refused += s.Refused
 	if now.Sub(a.since) >= window && a.count >= minSamples {
 		a.judge(now)
 	}
@@ -96,7 +95,7 @@
 // judge adapts the limit to the window that ends now.
 func (a *Admission) judge(now time.Time) {
 	switch {
-	case float64(a.refused) > refusedRatio*float64(a.count),
+	case a.refused > refusedRatio*float64(a.count),
 		float64(a.waited) > waitRatio*float64(a.took):
 		a.limit = max(minLimit, a.limit*decrease)
 	case a.held:
