--- /dev/null
+++ b/internal/fleet/cold_test.go
@@ -0,0 +1,110 @@
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+// tally counts the answers to a load of searches.
+type tally struct {
+	mu       sync.Mutex
+	sent     int
+	refused  int
+	coverage float64
+}
+
+func (t *tally) search(ctx context.Context, host string) {
+	body, _ := json.Marshal(api.SearchRequest{Terms: []string{"red"}, Limit: 5, MinCoverage: 1})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/services/tagdesk/search", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var answer api.SearchResponse
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.refused++
+		return
+	}
+	t.coverage += answer.Coverage
+}
+
+var _ = Describe("A place that restarts cold", func() {
+	// Guards against hosts that together overload restarted targets, and
+	// against targets that stay unused because an owner never learns that they
+	// are warm again (ColdBearable, coverage at least 0.99).
+	It("gets no more than its targets bear and keeps the coverage", func(ctx context.Context) {
+		deployment, err := fleet.Load("../../examples/new-england")
+		Expect(err).NotTo(HaveOccurred())
+		f, err := fleet.Start(ctx, deployment, hclog.NewNullLogger())
+		Expect(err).NotTo(HaveOccurred())
+		defer f.Close()
+		loadCtx, stop := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		counts := new(tally)
+		for i := range 24 {
+			wg.Go(func() {
+				for loadCtx.Err() == nil {
+					counts.search(loadCtx, f.Hosts[i%len(f.Hosts)].Entry.Callers)
+				}
+			})
+		}
+		defer wg.Wait()
+		defer stop()
+		time.Sleep(time.Second)
+		cold := func() (n int) {
+			for id, s := range f.Searchers {
+				if s.Place == "boston-hall" && id[:7] == "tagdesk" && s.Cold() {
+					n++
+				}
+			}
+			return n
+		}
+		for id, s := range f.Searchers {
+			if s.Place == "boston-hall" && id[:7] == "tagdesk" {
+				s.Crash()
+			}
+		}
+		Eventually(cold, "20s").Should(Equal(10))
+		Eventually(cold, "30s").Should(BeZero())
+		time.Sleep(time.Second)
+		stop()
+		wg.Wait()
+		var overCold, fellOver, overSlots, overConns int64
+		for _, s := range f.Searchers {
+			overCold += s.Counts().OverCold.Load()
+			fellOver += s.Counts().FellOver.Load()
+			overSlots += s.Counts().OverSlots.Load()
+			overConns += s.Counts().OverConns.Load()
+		}
+		fmt.Fprintf(GinkgoWriter, "%d searches, %d refused, coverage %.4f, over cold %d, fell over %d, over slots %d, over connections %d\n",
+			counts.sent, counts.refused, counts.coverage/float64(counts.sent), overCold, fellOver, overSlots, overConns)
+		Expect([]int64{overCold, fellOver, overSlots, overConns}).To(Equal([]int64{0, 0, 0, 0}))
+		Expect(counts.coverage / float64(counts.sent)).To(BeNumerically(">=", 0.99))
+	}, NodeTimeout(90*time.Second))
+})
