Reserve most of the admission limit for the higher classes

With parts of 1, 0.9 and 0.75 of the limit, batch queries held the room of an entry host because they wait longest: 5.7 % of the critical queries were turned away at 150 % of capacity (simulation, seed 0).

--- a/pkg/limit/admission.go
+++ b/pkg/limit/admission.go
@@ -24,9 +24,12 @@
 	startLimit   = 64
 )
 
-// classPart is the part of the limit that a class and those above it may fill.
-// The rest is the reserve of the higher classes.
-var classPart = [classes]float64{1, 0.9, 0.75}
+// classPart is the part of the limit up to which a class may start queries,
+// whatever the classes of those in progress. The limit grows until the classes
+// that fill it wait too long, so a large reserve for the higher classes leaves
+// no capacity idle; parts of 0.9 and 0.75 turned away 5.7 % of the critical
+// queries at 150 % of capacity.
+var classPart = [classes]float64{1, 0.5, 0.3}
 
 // Sample describes a query that ended.
 type Sample struct {
--- a/pkg/limit/overload_test.go
+++ b/pkg/limit/overload_test.go
@@ -59,16 +59,17 @@
 	naive    bool
 	good     int
 	critical []time.Duration
+	turned   int // critical queries that were not admitted
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
 	heap.Push(&s.pending, event{s.now.Add(d), run})
 }
 
-// simulate returns the goodput and the p99 of the critical class at a load
-// relative to the capacity. The naive version has neither classes, deadlines
+// simulate returns the goodput, the p99 of the critical class and the part of
+// it that was not admitted, at a load relative to the capacity. The naive version has neither classes, deadlines
 // nor admission.
-func simulate(load float64, naive bool, seed uint64) (good int, p99 time.Duration) {
+func simulate(load float64, naive bool, seed uint64) (good int, p99 time.Duration, turned float64) {
 	s := &simulation{now: start, rng: rand.New(rand.NewPCG(seed, 1)), naive: naive}
 	for g := range s.limits {
 		for i := range s.limits[g] {
@@ -89,7 +90,7 @@
 		e.run()
 	}
 	slices.Sort(s.critical)
-	return s.good, s.critical[len(s.critical)*99/100]
+	return s.good, s.critical[len(s.critical)*99/100], float64(s.turned) / float64(s.turned+len(s.critical))
 }
 
 func (s *simulation) arrive() {
@@ -97,6 +98,9 @@
 	q.class = []limit.Class{limit.Critical, limit.Critical, limit.Interactive, limit.Interactive, limit.Interactive, limit.Interactive,
 		limit.Interactive, limit.Batch, limit.Batch, limit.Batch}[s.rng.IntN(10)]
 	if _, ok := s.gates[q.host].Start(s.now, q.class); !ok && !s.naive {
+		if q.class == limit.Critical && s.now.After(start.Add(warmUp)) {
+			s.turned++
+		}
 		return
 	}
 	for g := range s.limits {
@@ -170,21 +174,22 @@
 	// against overload that the highest class feels. Bounds: design page, 3.
 	It("keeps goodput and the highest class at 150 % of capacity", func() {
 		for seed := range uint64(5) {
-			_, calm := simulate(0.6, false, seed)
-			full, _ := simulate(1, false, seed)
-			over, p99 := simulate(1.5, false, seed)
-			GinkgoWriter.Printf("seed %d: good at 100 %% %d, at 150 %% %d (%.3f); critical p99 at 60 %% %s, at 150 %% %s (%.2f)\n",
-				seed, full, over, float64(over)/float64(full), calm, p99, float64(p99)/float64(calm))
+			_, calm, _ := simulate(0.6, false, seed)
+			full, _, _ := simulate(1, false, seed)
+			over, p99, turned := simulate(1.5, false, seed)
+			GinkgoWriter.Printf("seed %d: good at 100 %% %d, at 150 %% %d (%.3f); critical p99 at 60 %% %s, at 150 %% %s (%.2f), turned away %.4f\n",
+				seed, full, over, float64(over)/float64(full), calm, p99, float64(p99)/float64(calm), turned)
 			Expect(float64(over)).To(BeNumerically(">=", 0.95*float64(full)))
 			Expect(float64(p99)).To(BeNumerically("<=", 1.5*float64(calm)))
+			Expect(turned).To(BeNumerically("<=", 0.01), "lower classes must be shed first")
 		}
 	})
 
 	// Shows that the check above finds a tier without these rules.
 	It("fails in a tier without classes, deadlines and admission", func() {
-		_, calm := simulate(0.6, true, 1)
-		full, _ := simulate(1, true, 1)
-		over, p99 := simulate(1.5, true, 1)
+		_, calm, _ := simulate(0.6, true, 1)
+		full, _, _ := simulate(1, true, 1)
+		over, p99, _ := simulate(1.5, true, 1)
 		GinkgoWriter.Printf("naive: good %d, %d; critical p99 %s, %s\n", full, over, calm, p99)
 		Expect(float64(over)).To(BeNumerically("<", 0.95*float64(full)))
 		Expect(float64(p99)).To(BeNumerically(">", 1.5*float64(calm)))
