--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -31,6 +31,9 @@
 	service string
 	class   settings.Priority
 	once    bool // the request may not be repeated
+	// allowed is checked again immediately before sending, because operators may
+	// take the target out while the work waits. The dispatcher sets it.
+	allowed func() outcome.Outcome
 	send    func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome)
 }
 
@@ -61,6 +64,10 @@
 	if t == nil {
 		return done{outcome: refusal}
 	}
+	w.allowed = func() outcome.Outcome {
+		_, refusal := d.target(w)
+		return refusal
+	}
 	return t.run(ctx, w)
 }
 
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -125,10 +125,14 @@
 	sent := time.Now()
 	deadline, ok := ctx.Deadline()
 	timeout := deadline.Sub(sent)
+	o = w.allowed()
 	if !ok || ctx.Err() != nil || timeout <= 0 {
+		o = gaveUp(ctx, "before sending to target %s", t.id)
+	}
+	if o.Reason != outcome.None {
 		client.Release()
 		t.leave(true)
-		return done{outcome: gaveUp(ctx, "before sending to target %s", t.id), queued: sent.Sub(start)}
+		return done{outcome: o, queued: sent.Sub(start)}
 	}
 	client.SetProgress(t.progress(w, timeout))
 	status, o := w.send(ctx, client, timeout)
