--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -23,6 +23,9 @@
 	// maxTakes bounds the connections tried for one request while the target
 	// restarts.
 	maxTakes = 3
+	// A request may wait for a cold target for this part of its time; after a
+	// refusal the entry host still has time to ask a warm replica.
+	coldPatience = 4
 	// A connection counts as silent after progressFactor times the usual
 	// service time. A cold target takes some 4 times as long as usual.
 	progressFactor = 8
@@ -178,6 +181,9 @@
 	if !ok {
 		return outcome.Refused(outcome.Invalid, "request to target %s has no deadline", t.id)
 	}
+	if t.ramp.State() == warmup.Cold {
+		deadline = now.Add(deadline.Sub(now) / coldPatience)
+	}
 	evicted, err := t.limiter.Offer(now, p, limit.Class(w.class), deadline)
 	if evicted != nil {
 		(*evicted).ready <- t.refused(outcome.Overload, "a request of a higher class took its place in the queue")
