Forget service times that no answer confirms

A cold target whose smoothed service time was above the time a request may wait refused every request for good: without requests no answer corrected the estimate, and it was still cold after 30 s (fleet test, three copies at once with the race detector). An estimate now counts for 1 s, and the shorter wait for a cold target applies only if no slot is free.

--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -181,7 +181,7 @@
 	if !ok {
 		return outcome.Refused(outcome.Invalid, "request to target %s has no deadline", t.id)
 	}
-	if t.ramp.State() == warmup.Cold {
+	if t.ramp.State() == warmup.Cold && t.limiter.InUse()+t.limiter.Waiting() >= t.limiter.Slots() {
 		deadline = now.Add(deadline.Sub(now) / coldPatience)
 	}
 	evicted, err := t.limiter.Offer(now, p, limit.Class(w.class), deadline)
@@ -191,7 +191,7 @@
 	switch {
 	case errors.Is(err, limit.ErrFull):
 		return t.refused(outcome.Overload, "the queue is full")
-	case errors.Is(err, limit.ErrTooLate) && now.Add(t.limiter.Service()).After(deadline):
+	case errors.Is(err, limit.ErrTooLate) && now.Add(t.limiter.Service(now)).After(deadline):
 		return t.refused(outcome.Deadline, "it takes longer than the deadline allows")
 	case err != nil:
 		return t.refused(outcome.Overload, "the queue is too long for the deadline")
@@ -204,7 +204,7 @@
 // holds t.mu.
 func (t *ownedTarget) refused(reason outcome.Reason, why string) outcome.Outcome {
 	o := outcome.Refused(reason, "target %s: %s", t.id, why)
-	o.RetryAfter = max(t.limiter.Service(), time.Millisecond)
+	o.RetryAfter = max(t.limiter.Service(time.Now()), time.Millisecond)
 	return o
 }
 
@@ -328,7 +328,7 @@
 		return timeout
 	}
 	t.mu.Lock()
-	service := t.limiter.Service()
+	service := t.limiter.Service(time.Now())
 	t.mu.Unlock()
 	expected := max(t.usual.get(), service)
 	if expected == 0 {
@@ -351,7 +351,7 @@
 		}
 		t.ramp.Observe(now, sample)
 		if d.outcome.Kind == outcome.Answered {
-			t.limiter.Served(d.served)
+			t.limiter.Served(now, d.served)
 			if t.ramp.State() == warmup.Warm {
 				t.usual.add(d.served)
 			}
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -17,6 +17,11 @@
 // load within some ten answers and does not follow a single straggler.
 const serviceWeight = 0.125
 
+// serviceMemory is how long a service time counts without a new answer. An
+// estimate above the deadlines would otherwise refuse every request for good,
+// because no answer could correct it.
+const serviceMemory = time.Second
+
 // Limiter hands out one owner's share of a target's slots. T identifies a
 // request.
 type Limiter[T any] struct {
@@ -25,6 +30,7 @@
 	limit   int // longest queue
 	queue   queue[T]
 	service time.Duration // smoothed service time; 0 before the first answer
+	served  time.Time     // time of the last answer
 }
 
 // NewLimiter returns a limiter for a number of slots whose queue holds at most
@@ -50,12 +56,17 @@
 func (l *Limiter[T]) Waiting() int { return l.queue.size }
 
 // Service returns the smoothed service time, 0 if none is known.
-func (l *Limiter[T]) Service() time.Duration { return l.service }
+func (l *Limiter[T]) Service(now time.Time) time.Duration {
+	if now.Sub(l.served) > serviceMemory {
+		return 0
+	}
+	return l.service
+}
 
 // Offer queues a request; Next hands it out. evicted is a request of a lower
 // class that lost its place and did not run. err is ErrFull or ErrTooLate.
 func (l *Limiter[T]) Offer(now time.Time, item T, class Class, deadline time.Time) (evicted *T, err error) {
-	if now.Add(l.Expected(class)).After(deadline) {
+	if now.Add(l.Expected(now, class)).After(deadline) {
 		return nil, ErrTooLate
 	}
 	free := l.inUse+l.queue.size < l.slots // the queue is only passed through
@@ -74,12 +85,13 @@
 // answered: its place in the queue over the slots, plus the service time.
 // The wait follows from the queue rather than from earlier waits, which lag
 // behind a burst by one queue length.
-func (l *Limiter[T]) Expected(class Class) time.Duration {
+func (l *Limiter[T]) Expected(now time.Time, class Class) time.Duration {
+	service := l.Service(now)
 	if l.inUse+l.queue.size < l.slots || l.slots <= 0 {
-		return l.service
+		return service
 	}
 	turns := float64(l.queue.ahead(class)+1) / float64(l.slots)
-	return l.service + time.Duration(turns*float64(l.service))
+	return service + time.Duration(turns*float64(service))
 }
 
 // Next hands out a slot. expired is true if the request's deadline leaves no
@@ -93,7 +105,7 @@
 	if !ok {
 		return item, false, false
 	}
-	if now.Add(l.service).After(e.deadline) {
+	if now.Add(l.Service(now)).After(e.deadline) {
 		return e.item, true, true
 	}
 	l.inUse++
@@ -126,8 +138,10 @@
 }
 
 // Served records the service time of an answer.
-func (l *Limiter[T]) Served(took time.Duration) {
-	if l.service == 0 {
+func (l *Limiter[T]) Served(now time.Time, took time.Duration) {
+	known := l.Service(now) > 0
+	l.served = now
+	if !known {
 		l.service = took
 		return
 	}
