--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -32,7 +32,8 @@
 	class   settings.Priority
 	once    bool // the request may not be repeated
 	// allowed is checked again immediately before sending, because operators may
-	// take the target out while the work waits. The dispatcher sets it.
+	// take the target out, or this host may be paused, while the work waits. The
+	// dispatcher sets it.
 	allowed func() outcome.Outcome
 	send    func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome)
 }
@@ -65,6 +66,9 @@
 		return done{outcome: refusal}
 	}
 	w.allowed = func() outcome.Outcome {
+		if refusal, refused := d.config.refusal(); refused {
+			return refusal
+		}
 		_, refusal := d.target(w)
 		return refusal
 	}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -20,6 +20,10 @@
 // connection, is cut off.
 const releaseLimit = 200 * time.Millisecond
 
+// noticeTime is the time given to the target to notice a close if only the whole
+// connection can be closed, so that the target cannot show that it has.
+const noticeTime = 50 * time.Millisecond
+
 var (
 	errEnded       = errors.New("the connection ended before the request was sent")
 	errNoProgress  = errors.New("no progress on the connection")
@@ -36,6 +40,7 @@
 	onEnd  func(*conn)
 	asked  atomic.Pointer[http.Request] // the request whose answer is awaited
 	ours   atomic.Bool                  // this side ended the connection
+	blind  atomic.Bool                  // closed without a sign from the target
 	once   sync.Once
 	boot   string    // process at the other end; set before the connection is used
 	proven time.Time // last answer; guarded by the pool
@@ -65,6 +70,9 @@
 	case c.reply <- reply{err: err}:
 	default:
 	}
+	if c.blind.Load() {
+		time.Sleep(noticeTime)
+	}
 	close(c.ended)
 	c.onEnd(c)
 }
@@ -153,6 +161,7 @@
 	c.ours.Store(true)
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
+		c.blind.Store(true)
 		c.close()
 		return
 	}
