--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/target"
 )
@@ -134,3 +135,13 @@
 	c.sockets.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// CloseWrite closes the sending side. Without it, the client to targets could
+// not see when a target has ended a cancelled request.
+func (c *trackedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("the connection cannot close its sending side alone")
+	}
+	return half.CloseWrite()
+}
