Add the hedge decisions: delay, extra-load budget, overload

Cause: a straggler sets the latency of a whole query, and an unbounded second attempt would amplify an overload. Change: pkg/hedge holds a decaying histogram per group, one token budget for hedges and retries that earns from completed sub-requests only, and a judgement of overload from refusals and queue times.

--- /dev/null
+++ b/pkg/hedge/budget.go
@@ -0,0 +1,57 @@
+package hedge
+
+const (
+	// advance lets a host that has just started retry before it has completed
+	// anything; it is paid back from the first tokens earned.
+	advance = 10
+	// maxTokens bounds the burst of extra load after a calm time.
+	maxTokens = 100
+	// overloadRatio bounds the earnings in overload, where extra load must
+	// stay under 1 %.
+	overloadRatio = 0.01
+)
+
+// Budget limits the extra load that hedges and retries cause together. It earns
+// only from completed sub-requests: in overload fewer complete, so retries
+// cannot feed on their own failures.
+//
+// Extra never exceeds the larger of the advance and the ratio times the
+// completed sub-requests.
+type Budget struct {
+	tokens float64
+	owed   float64
+	spent  int
+	earned int
+}
+
+// NewBudget returns a budget that holds the advance.
+func NewBudget() *Budget { return &Budget{tokens: advance, owed: advance} }
+
+// Completed records an answered sub-request. ratio is the extra load allowed
+// per sub-request.
+func (b *Budget) Completed(ratio float64, overloaded bool) {
+	b.earned++
+	if overloaded {
+		ratio = min(ratio, overloadRatio)
+	}
+	pay := min(ratio, b.owed)
+	b.owed -= pay
+	b.tokens = min(maxTokens, b.tokens+ratio-pay)
+}
+
+// TryExtra takes a token for a hedge or a retry; false if there is none.
+func (b *Budget) TryExtra() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	b.spent++
+	return true
+}
+
+// Balance returns the tokens held as a fraction, 0 to 1, of the advance; more
+// tokens than that count as 1.
+func (b *Budget) Balance() float64 { return min(1, b.tokens/advance) }
+
+// Extra returns the number of extra sub-requests granted and of completed ones.
+func (b *Budget) Extra() (extra, completed int) { return b.spent, b.earned }
--- /dev/null
+++ b/pkg/hedge/hedge_test.go
@@ -0,0 +1,147 @@
+package hedge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+var rule = hedge.Rule{Quantile: 0.95, MinDelay: 2 * time.Millisecond}
+
+var _ = Describe("Latencies", func() {
+	// Guards against a hedge delay that is not the quantile it claims to be.
+	It("equals the exact quantile within a bucket", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := hedge.NewLatencies()
+			var exact []time.Duration
+			for range rapid.IntRange(100, 900).Draw(t, "samples") {
+				took := time.Duration(rapid.IntRange(3000, 2000000).Draw(t, "us")) * time.Microsecond
+				exact = append(exact, took)
+				l.Observe("g", took)
+			}
+			slices.Sort(exact)
+			want := exact[len(exact)-1-int((1-rule.Quantile)*float64(len(exact)))]
+			got := l.Delay("g", rule, 1)
+			if got < want || float64(got) > 1.13*float64(want) {
+				t.Fatalf("delay %s, the quantile is %s", got, want)
+			}
+		})
+	})
+
+	// Guards against a delay that stays long after a slow time has ended.
+	It("forgets old samples and never falls below the least delay", func() {
+		l := hedge.NewLatencies()
+		for range 2000 {
+			l.Observe("g", 200*time.Millisecond)
+		}
+		for range 6000 {
+			l.Observe("g", time.Millisecond)
+		}
+		Expect(l.Delay("g", rule, 1)).To(Equal(rule.MinDelay))
+	})
+
+	// Guards against an empty budget that is spent on ordinary sub-requests
+	// while stragglers go without.
+	It("waits longer when the budget is low", func() {
+		l := hedge.NewLatencies()
+		for i := range 900 {
+			l.Observe("g", time.Duration(1+i%100)*time.Millisecond)
+		}
+		Expect(l.Delay("g", rule, 0)).To(BeNumerically(">", l.Delay("g", rule, 1)))
+	})
+
+	// Guards against memory that grows beyond the budget at the scale target.
+	It("holds 1,300 groups in under 1 MB", func() {
+		l := hedge.NewLatencies()
+		before := heapBytes()
+		for g := range 1300 {
+			l.Observe(fmt.Sprint("group-", g), time.Millisecond)
+		}
+		Expect(heapBytes() - before).To(BeNumerically("<", 1<<20))
+		Expect(l.Groups()).To(Equal(1300))
+	})
+})
+
+var _ = Describe("Budget", func() {
+	// Guards against extra load above its ratio under any order of events.
+	It("never grants more than the ratio of completed requests or the advance", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b := hedge.NewBudget()
+			for range rapid.IntRange(0, 3000).Draw(t, "events") {
+				if rapid.Bool().Draw(t, "extra") {
+					b.TryExtra()
+				} else {
+					b.Completed(0.05, false)
+				}
+			}
+			if extra, completed := b.Extra(); float64(extra) > max(10, 0.05*float64(completed))+1e-6 {
+				t.Fatalf("%d extra for %d completed", extra, completed)
+			}
+		})
+	})
+})
+
+var _ = Describe("Load", func() {
+	now := time.Unix(1000, 0)
+	feed := func(o outcome.Outcome, queued time.Duration) *hedge.Load {
+		l := &hedge.Load{}
+		for i := range 100 {
+			l.Observe(now.Add(time.Duration(i)*time.Millisecond), o, queued, 8*time.Millisecond)
+		}
+		return l
+	}
+	// Guards against hedges that feed an overload, and against a calm service
+	// taken for an overloaded one.
+	It("sees refusals and growing queues, and forgets them", func() {
+		end := now.Add(100 * time.Millisecond)
+		Expect(feed(outcome.OK(), 4*time.Millisecond).Overloaded(end)).To(BeFalse())
+		Expect(feed(outcome.OK(), 40*time.Millisecond).Overloaded(end)).To(BeTrue())
+		refused := feed(outcome.Refused(outcome.Overload, "full"), 0)
+		Expect(refused.Overloaded(end)).To(BeTrue())
+		Expect(refused.Overloaded(end.Add(10 * time.Second))).To(BeFalse())
+	})
+
+	// Guards against re-routes that multiply the load when all replicas refuse.
+	It("frees only the first re-route of a request that did not run", func() {
+		full := outcome.Refused(outcome.Overload, "full")
+		Expect(hedge.RerouteIsFree(full, 0, false)).To(BeTrue())
+		Expect(hedge.RerouteIsFree(full, 0, true)).To(BeFalse())
+		Expect(hedge.RerouteIsFree(full, 1, false)).To(BeFalse())
+		Expect(hedge.RerouteIsFree(outcome.Uncertain(outcome.ConnLost, "lost"), 0, false)).To(BeFalse())
+		Expect(hedge.RerouteIsFree(outcome.Refused(outcome.Draining, "leaving"), 0, true)).To(BeTrue())
+	})
+})
+
+func BenchmarkDelay1300(b *testing.B) {
+	l, rng := hedge.NewLatencies(), rand.New(rand.NewPCG(1, 2))
+	ids := make([]string, 1300)
+	for g := range ids {
+		ids[g] = fmt.Sprint("group-", g)
+		for range 100 {
+			l.Observe(ids[g], time.Duration(1000+rng.IntN(20000))*time.Microsecond)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, id := range ids {
+			l.Delay(id, rule, 1)
+		}
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
