Route to local replicas first and spread load without herding

Change: links have a delay estimate with a pessimistic prior, unmeasured paths take the usual latency of their group, costs vary at random so that hosts do not move together, and targets whose attempts are lost to hedges are set aside for a growing time. Groups are linked to their statistics once.

--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -2,22 +2,36 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
 const (
-	// ewmaWeight is the weight of a new latency sample.
+	// ewmaWeight is the weight of a new latency or delay sample.
 	ewmaWeight = 0.2
-	// priorLatency stands in for a path that was never measured.
+	// priorLatency stands in for the latency of a group without a measurement.
 	priorLatency = 5 * time.Millisecond
-	// failurePenalty is added per recent failure, so that a failing replica
-	// is used last but still used when the others are gone.
-	failurePenalty = 50 * time.Millisecond
-	// failureMemory is how long a failure counts. A path without traffic would
-	// otherwise never be tried again.
-	failureMemory = 2 * time.Second
-	maxFailures   = 20
+	// remoteDelay stands in for the round trip to a place that was never
+	// measured. It is above that of most links, so that a local replica comes
+	// first until a measurement shows otherwise.
+	remoteDelay = 10 * time.Millisecond
+	// messageCost is added for a branch host that the plan does not use yet,
+	// so that a query sends few messages.
+	messageCost = 300 * time.Microsecond
+	// spread is the largest relative change of a cost at random. Hosts see
+	// nearly the same latencies; without it all of them would move to the same
+	// replica at the same moment.
+	spread = 0.3
+	// slotsPerPath is the usual number of slots that an owner holds.
+	slotsPerPath = 2
+	// forgetAfter is the half-life with which an estimate without new samples
+	// returns to that of the group's other replicas. A path that is avoided
+	// gets no samples and would stay avoided.
+	forgetAfter = 2 * time.Second
+	// samePlaceCost and sameHostCost make an alternative in another place or
+	// through another host preferable, because place and host may be the cause
+	// of the delay.
+	samePlaceCost = 10 * time.Millisecond
+	sameHostCost  = 20 * time.Millisecond
 )
 
 // Path is the way to a target: one of its owners.
@@ -33,6 +47,8 @@
 	Target string
 	Place  string
 	Owners []int
+
+	paths []*pathStats // by index in Owners, filled by Link
 }
 
 // Group is a shard group with its usable targets.
@@ -45,41 +61,87 @@
 type Assignment struct {
 	Group string
 	Path  Path
+
+	stats *pathStats
+}
+
+// seat is a branch host.
+type seat struct {
+	place   string
+	ordinal int
 }
 
 // Router holds what is known about each path.
 type Router struct {
-	place  string
-	delays map[string]time.Duration
-	paths  map[Path]*pathStats
-	rng    *rand.Rand
+	self    seat
+	delays  map[string]time.Duration
+	paths   map[Path]*pathStats
+	targets map[string]*targetStats
+	seats   map[seat]*seatStats
+	plans   uint64
+	rng     *rand.Rand
+}
+
+// seatStats marks the branch hosts that the current plan uses.
+type seatStats struct{ plan uint64 }
+
+// NewRouter returns a router for the host with an ordinal in a place.
+func NewRouter(place string, ordinal int, rng *rand.Rand) *Router {
+	return &Router{
+		self: seat{place, ordinal}, delays: map[string]time.Duration{}, paths: map[Path]*pathStats{},
+		targets: map[string]*targetStats{}, seats: map[seat]*seatStats{}, rng: rng,
+	}
+}
+
+// ObserveDelay records the round trip to another host of a place: the time of
+// an exchange minus what the host reports as queue and target time.
+func (r *Router) ObserveDelay(place string, roundTrip time.Duration) {
+	known, ok := r.delays[place]
+	if !ok {
+		r.delays[place] = max(roundTrip, 0)
+		return
+	}
+	r.delays[place] = known + time.Duration(ewmaWeight*float64(max(roundTrip, 0)-known))
 }
 
-type pathStats struct {
-	latency  time.Duration
-	inFlight int
-	failures int
-	failedAt time.Time
+// Delay returns the estimated round trip to a place's hosts.
+func (r *Router) Delay(place string) time.Duration {
+	if d, ok := r.delays[place]; ok {
+		return d
+	}
+	if place == r.self.place {
+		return messageCost
+	}
+	return remoteDelay
 }
 
-// NewRouter returns a router for a host in the given place.
-func NewRouter(place string, rng *rand.Rand) *Router {
-	return &Router{place: place, delays: map[string]time.Duration{}, paths: map[Path]*pathStats{}, rng: rng}
+// Link resolves the statistics of a group's paths, so that plans with it need
+// no lookups. The options must not change afterwards.
+func (r *Router) Link(g *Group) {
+	for i := range g.Options {
+		r.link(&g.Options[i])
+	}
 }
 
-// SetDelay records the round-trip time to a place. Unknown places count as
-// local until their answers show otherwise.
-func (r *Router) SetDelay(place string, roundTrip time.Duration) { r.delays[place] = roundTrip }
+func (r *Router) link(o *Option) {
+	o.paths = make([]*pathStats, len(o.Owners))
+	for i, ordinal := range o.Owners {
+		o.paths[i] = r.stats(Path{o.Target, o.Place, ordinal})
+	}
+}
 
-// Plan chooses a path for every group that has an option. Owners of a place
-// are preferred in one random order per plan, so that a query sends few
-// messages to a place while the load spreads over its hosts.
-func (r *Router) Plan(now time.Time, groups []Group) []Assignment {
-	order := map[string][]int{}
-	plan := make([]Assignment, 0, len(groups))
-	for _, g := range groups {
-		if path, ok := r.best(now, g.Options, order); ok {
-			plan = append(plan, Assignment{g.ID, path})
+// Usable reports whether the option with an index may be used for the group
+// with an index.
+type Usable func(group, option int) bool
+
+// Plan chooses a path for every group that has a usable option and appends the
+// choices to plan. A nil usable accepts every option.
+func (r *Router) Plan(now time.Time, groups []*Group, usable Usable, plan []Assignment) []Assignment {
+	r.plans++
+	for i, g := range groups {
+		if best := r.best(now, i, g, usable, nil); best != nil {
+			best.seat.plan = r.plans
+			plan = append(plan, Assignment{g.ID, best.path, best})
 		}
 	}
 	return plan
@@ -87,88 +149,87 @@
 
 // Next chooses a path for one group among the options left.
 func (r *Router) Next(now time.Time, g Group) (Assignment, bool) {
-	path, ok := r.best(now, g.Options, map[string][]int{})
-	return Assignment{g.ID, path}, ok
+	return r.Alternative(now, &g, nil, nil)
 }
 
-func (r *Router) best(now time.Time, options []Option, order map[string][]int) (Path, bool) {
-	var best Path
-	bestCost := time.Duration(-1)
-	for _, o := range options {
-		if len(o.Owners) == 0 {
-			continue
-		}
-		path := Path{o.Target, o.Place, r.owner(o, order)}
-		if cost := r.Cost(now, path); bestCost < 0 || cost < bestCost {
-			best, bestCost = path, cost
-		}
+// Alternative chooses a path for another attempt for a group, preferably in
+// another place than the attempts in progress, or else through another host.
+func (r *Router) Alternative(now time.Time, g *Group, usable Usable, avoid []Path) (Assignment, bool) {
+	r.plans++
+	best := r.best(now, 0, g, usable, avoid)
+	if best == nil {
+		return Assignment{}, false
 	}
-	return best, bestCost >= 0
+	return Assignment{g.ID, best.path, best}, true
 }
 
-// owner picks the owner that comes first in the plan's random order of the
-// place's ordinals.
-func (r *Router) owner(o Option, order map[string][]int) int {
-	for _, ordinal := range order[o.Place] {
-		if slices.Contains(o.Owners, ordinal) {
-			return ordinal
+func (r *Router) best(now time.Time, index int, g *Group, usable Usable, avoid []Path) *pathStats {
+	var best *pathStats
+	var bestCost time.Duration
+	usual := usualLatency(g, usable, index)
+	for i := range g.Options {
+		o := &g.Options[i]
+		if usable != nil && !usable(index, i) {
+			continue
+		}
+		if o.paths == nil {
+			r.link(o)
+		}
+		for _, s := range o.paths {
+			cost := r.cost(now, s, usual) + avoidCost(s.path, avoid)
+			if best == nil || cost < bestCost {
+				best, bestCost = s, cost
+			}
 		}
 	}
-	ordinal := o.Owners[r.rng.IntN(len(o.Owners))]
-	order[o.Place] = append(order[o.Place], ordinal)
-	return ordinal
+	return best
 }
 
-// Cost estimates the time until an answer arrives over a path.
-func (r *Router) Cost(now time.Time, p Path) time.Duration {
-	cost := r.delays[p.Place]
-	stats, ok := r.paths[p]
-	if !ok {
-		return cost + priorLatency
+// usualLatency returns the least measured latency among a group's paths; it
+// stands in for paths without a recent measurement.
+func usualLatency(g *Group, usable Usable, index int) time.Duration {
+	usual := time.Duration(0)
+	for i := range g.Options {
+		if usable != nil && !usable(index, i) {
+			continue
+		}
+		for _, s := range g.Options[i].paths {
+			if s.latency > 0 && (usual == 0 || s.latency < usual) {
+				usual = s.latency
+			}
+		}
 	}
-	// Each request in flight is expected to hold the path up by about one
-	// latency, shared over the few slots that an owner holds.
-	cost += stats.latency + stats.latency*time.Duration(stats.inFlight)/2
-	if now.Sub(stats.failedAt) < failureMemory {
-		cost += failurePenalty * time.Duration(stats.failures)
+	if usual == 0 {
+		return priorLatency
 	}
-	return cost
+	return usual
 }
 
-// Sent records that a request went out on a path.
-func (r *Router) Sent(p Path) { r.stats(p).inFlight++ }
-
-// Answered records the latency of an answer, without the link's delay.
-func (r *Router) Answered(p Path, latency time.Duration) {
-	s := r.stats(p)
-	s.inFlight = max(0, s.inFlight-1)
-	s.failures = 0
-	s.latency += time.Duration(ewmaWeight * float64(latency-s.latency))
-}
-
-// Failed records a refusal, a lost connection or a missed deadline.
-func (r *Router) Failed(now time.Time, p Path) {
-	s := r.stats(p)
-	s.inFlight = max(0, s.inFlight-1)
-	s.failures = min(s.failures+1, maxFailures)
-	s.failedAt = now
-}
-
-// Canceled records that the answer was no longer wanted after waiting for it
-// that long. The wait is a lower bound of the latency.
-func (r *Router) Canceled(p Path, waited time.Duration) {
-	s := r.stats(p)
-	s.inFlight = max(0, s.inFlight-1)
-	if waited > s.latency {
-		s.latency += time.Duration(ewmaWeight * float64(waited-s.latency))
+func avoidCost(p Path, avoid []Path) time.Duration {
+	var cost time.Duration
+	for _, a := range avoid {
+		if a.Place == p.Place {
+			cost += samePlaceCost
+			if a.Ordinal == p.Ordinal {
+				cost += sameHostCost
+			}
+		}
 	}
+	return cost
 }
 
-func (r *Router) stats(p Path) *pathStats {
-	s, ok := r.paths[p]
-	if !ok {
-		s = &pathStats{latency: priorLatency}
-		r.paths[p] = s
+// cost estimates the time until an answer arrives over a path.
+func (r *Router) cost(now time.Time, s *pathStats, usual time.Duration) time.Duration {
+	cost := time.Duration(0)
+	if s.at != r.self {
+		cost = r.Delay(s.at.place)
+		if s.seat.plan != r.plans {
+			cost += messageCost
+		}
 	}
-	return s
+	// Each request in flight beyond the slots holds the next one up.
+	latency := s.estimate(now, usual)
+	latency += latency * time.Duration(s.inFlight) / slotsPerPath
+	latency += time.Duration(spread * (r.rng.Float64() - 0.5) * float64(latency))
+	return cost + latency + s.penalty(now) + s.target.penalty(now)
 }
--- /dev/null
+++ b/pkg/routing/router_test.go
@@ -0,0 +1,165 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+)
+
+func newGroups(n int) []*routing.Group {
+	groups := make([]*routing.Group, n)
+	for i := range groups {
+		groups[i] = &routing.Group{ID: fmt.Sprint("g", i)}
+		for r, place := range []string{"a", "b", "c"} {
+			groups[i].Options = append(groups[i].Options, routing.Option{
+				Target: fmt.Sprintf("g%d-r%d", i, r), Place: place, Owners: []int{i % 3, (i + 1) % 3},
+			})
+		}
+	}
+	return groups
+}
+
+func newRouter(ordinal int, groups []*routing.Group) *routing.Router {
+	r := routing.NewRouter("a", ordinal, rand.New(rand.NewPCG(uint64(ordinal), 2)))
+	for _, g := range groups {
+		r.Link(g)
+	}
+	return r
+}
+
+var _ = Describe("Router", func() {
+	now := time.Unix(1000, 0)
+	const ms = time.Millisecond
+	// ask plans one query of a single group; answer returns its latency.
+	ask := func(r *routing.Router, g *routing.Group, now time.Time, latency func(routing.Path) time.Duration) routing.Path {
+		plan := r.Plan(now, []*routing.Group{g}, nil, nil)
+		r.SendAll(plan)
+		r.Answered(now, plan[0].Path, latency(plan[0].Path))
+		return plan[0].Path
+	}
+
+	// Guards against an unmeasured path in another place that looks cheaper
+	// than a measured local one, whatever the service time.
+	It("keeps to the local place while its latency is usual", func() {
+		for _, service := range []time.Duration{ms, 8 * ms, 80 * ms} {
+			groups := newGroups(1)
+			r := newRouter(0, groups)
+			for i := range 200 {
+				p := ask(r, groups[0], now.Add(time.Duration(i)*ms), func(routing.Path) time.Duration { return service })
+				// At 80 ms the random part exceeds the link, so some requests
+				// may leave the place; a first request never may.
+				if service < 80*ms || i == 0 {
+					Expect(p.Place).To(Equal("a"), "service time %s, query %d", service, i)
+				}
+			}
+		}
+	})
+
+	// Guards against local queues that grow while other places are idle, and
+	// against all hosts moving to one replica at once: eight hosts of one
+	// place, whose local replica slows with its load, settle on a split.
+	It("shifts a part of the load to other places and herds on no replica", func() {
+		const hosts, rounds = 8, 400
+		var routers []*routing.Router
+		var groups []*routing.Group
+		for h := range hosts {
+			g := newGroups(1)
+			groups = append(groups, g[0])
+			routers = append(routers, newRouter(h, g))
+		}
+		last := map[string]int{} // requests to each target in the round before
+		worst, local := 0, 0
+		for round := range rounds {
+			counts := map[string]int{}
+			for h, r := range routers {
+				p := ask(r, groups[h], now.Add(time.Duration(round)*10*ms), func(p routing.Path) time.Duration {
+					return 8 * ms * time.Duration(max(1, last[p.Target]-1)) // two slots, then a queue
+				})
+				counts[p.Target]++
+			}
+			if round >= rounds/2 {
+				local += counts["g0-r0"]
+				for _, n := range counts {
+					if n == hosts {
+						worst++
+					}
+				}
+			}
+			last = counts
+		}
+		Expect(worst).To(BeNumerically("<", rounds/2/10), "rounds with every host on one replica")
+		Expect(local).To(BeNumerically(">", hosts*rounds/2/5))
+		Expect(local).To(BeNumerically("<", hosts*rounds/2*4/5))
+	})
+
+	// Guards against a stuck replica that stays first because it gives no
+	// answer from which its latency could be learned.
+	It("avoids a target whose attempts are lost, and tries it again later", func() {
+		groups := newGroups(1)
+		r := newRouter(0, groups)
+		stuck := 0
+		for i := range 1000 {
+			at := now.Add(time.Duration(i) * 10 * ms)
+			plan := r.Plan(at, groups, nil, nil)
+			r.SendAll(plan)
+			if plan[0].Path.Target == "g0-r0" {
+				stuck++
+				r.Canceled(at, plan[0].Path, 30*ms)
+			} else {
+				r.Answered(at, plan[0].Path, 8*ms)
+			}
+		}
+		Expect(stuck).To(And(BeNumerically(">", 1), BeNumerically("<", 20)))
+	})
+
+	// Guards against a hedge that meets the same cause of delay again.
+	It("takes an alternative in another place, or else through another host", func() {
+		groups := newGroups(1)
+		r := newRouter(0, groups)
+		first := r.Plan(now, groups, nil, nil)[0].Path
+		other, ok := r.Alternative(now, groups[0], nil, []routing.Path{first})
+		Expect(ok).To(BeTrue())
+		Expect(other.Path.Place).NotTo(Equal(first.Place))
+		onlyLocal := func(_, option int) bool { return option == 0 }
+		other, ok = r.Alternative(now, groups[0], onlyLocal, []routing.Path{first})
+		Expect(ok).To(BeTrue())
+		Expect(other.Path.Ordinal).NotTo(Equal(first.Ordinal))
+	})
+
+	// Guards against a measured link that is not used in the choice.
+	It("leaves a place that is far for one that is near", func() {
+		groups := newGroups(1)
+		r := newRouter(0, groups)
+		r.ObserveDelay("b", 40*ms)
+		r.ObserveDelay("c", 3*ms)
+		withoutLocal := func(_, option int) bool { return option > 0 }
+		for range 50 {
+			Expect(r.Plan(now, groups, withoutLocal, nil)[0].Path.Place).To(Equal("c"))
+		}
+	})
+})
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{10, 1300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			groups := newGroups(n)
+			r := newRouter(0, groups)
+			now := time.Unix(1000, 0)
+			var plan []routing.Assignment
+			b.ReportAllocs()
+			for b.Loop() {
+				plan = r.Plan(now, groups, nil, plan[:0])
+				r.SendAll(plan)
+				for _, a := range plan {
+					r.Answered(now, a.Path, 8*time.Millisecond)
+				}
+			}
+		})
+	}
+}
