Count version coverage incrementally

Cause: Pick looked at every group, target and version for each query. Change: each statement of a target updates the counts of its own groups; Pick reads one counter per version. A target whose process restarted, whose connection broke or that was silent for long is forgotten, because one that is known not to serve the version in use is never asked again.

--- /dev/null
+++ b/pkg/snapshot/service.go
@@ -0,0 +1,137 @@
+package snapshot
+
+// Service counts, for the groups of one service, how many of them each version
+// covers. Its cost is paid when a target states other versions than before, not
+// per query.
+type Service struct {
+	groups     []*group
+	anyCovered int // groups covered by every version, because of a target not heard from
+	anySpare   int
+	versions   map[uint64]*tally
+}
+
+// tally counts the groups that a version covers beyond those that every
+// version covers.
+type tally struct{ stating, covered, spare int }
+
+// group is a set of replicas.
+type group struct {
+	service *Service
+	targets []*Target
+}
+
+// Service returns the counts for groups of usable targets.
+func (v *Versions) Service(groups [][]string) *Service {
+	s := &Service{versions: map[uint64]*tally{}}
+	for _, ids := range groups {
+		g := &group{service: s}
+		for _, id := range ids {
+			t := v.Target(id)
+			g.targets = append(g.targets, t)
+			t.groups = append(t.groups, g)
+		}
+		s.groups = append(s.groups, g)
+		g.count(+1)
+	}
+	return s
+}
+
+// Close ends the updates of a service whose groups have been replaced.
+func (s *Service) Close() {
+	for _, g := range s.groups {
+		for _, t := range g.targets {
+			for i, other := range t.groups {
+				if other == g {
+					t.groups = append(t.groups[:i], t.groups[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+// Pick returns the version for a query, or 0 if no version is known. It
+// prefers a version that covers the most groups, then one that leaves every
+// group a second replica to hedge on, then the highest.
+func (s *Service) Pick() uint64 {
+	var best uint64
+	var at tally
+	for version, t := range s.versions {
+		better := t.covered > at.covered ||
+			t.covered == at.covered && t.spare > at.spare ||
+			t.covered == at.covered && t.spare == at.spare && version > best
+		if best == 0 || better {
+			best, at = version, *t
+		}
+	}
+	return best
+}
+
+// Covered returns the number of groups that are believed to serve a version.
+func (s *Service) Covered(version uint64) int {
+	if t, ok := s.versions[version]; ok {
+		return s.anyCovered + t.covered
+	}
+	return s.anyCovered
+}
+
+// count adds the group's share to the counts of its service, or takes it away.
+// The caller takes it away before a change of the group's targets and adds it
+// again after.
+func (g *group) count(sign int) {
+	unheard := 0
+	for _, t := range g.targets {
+		if t.versions == nil {
+			unheard++
+		}
+	}
+	need := min(2, len(g.targets))
+	if unheard > 0 {
+		g.service.anyCovered += sign
+	}
+	if unheard >= need {
+		g.service.anySpare += sign
+	}
+	for i, t := range g.targets {
+		for _, version := range t.versions {
+			if g.statedBefore(i, version) {
+				continue
+			}
+			g.countVersion(sign, version, unheard, need)
+		}
+	}
+}
+
+// statedBefore reports whether a target before index i states the version.
+func (g *group) statedBefore(i int, version uint64) bool {
+	for _, t := range g.targets[:i] {
+		if t.versions != nil && t.Serves(version) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *group) countVersion(sign int, version uint64, unheard, need int) {
+	c, ok := g.service.versions[version]
+	if !ok {
+		c = &tally{}
+		g.service.versions[version] = c
+	}
+	serving := unheard
+	for _, t := range g.targets {
+		if t.versions != nil && t.Serves(version) {
+			serving++
+		}
+	}
+	c.stating += sign
+	if unheard == 0 {
+		c.covered += sign
+	}
+	if unheard < need && serving >= need {
+		c.spare += sign
+	}
+	if c.stating == 0 {
+		delete(g.service.versions, version)
+	}
+}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -1,89 +1,97 @@
-// Package snapshot chooses the index version that a query runs on.
-//
-// Index versions roll through the searchers while queries run. A query needs
-// one version that every shard group still serves; the table of versions is
-// learned from the answers of targets, because their status endpoints lag.
-//
-// A Versions table is not safe for concurrent use.
 package snapshot
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Versions remembers which index versions each target last said it serves.
 type Versions struct {
-	targets map[string][]uint64
+	targets map[string]*Target
+}
+
+// Target is what is known about one target. It stays valid for the lifetime of
+// its Versions table.
+type Target struct {
+	versions []uint64 // nil: not heard from, may serve any version
+	boot     string
+	heard    time.Time
+	groups   []*group
 }
 
 // NewVersions returns an empty table.
-func NewVersions() *Versions { return &Versions{targets: map[string][]uint64{}} }
+func NewVersions() *Versions { return &Versions{targets: map[string]*Target{}} }
 
-// Observe records the versions that a target stated in an answer.
-func (v *Versions) Observe(target string, versions []uint64) {
-	if len(versions) == 0 || slices.Equal(v.targets[target], versions) {
-		return
+// Target returns the entry of a target.
+func (v *Versions) Target(id string) *Target {
+	t, ok := v.targets[id]
+	if !ok {
+		t = &Target{}
+		v.targets[id] = t
 	}
-	v.targets[target] = slices.Clone(versions)
+	return t
 }
 
-// Forget removes a target, for example when its process restarted.
-func (v *Versions) Forget(target string) { delete(v.targets, target) }
-
-// Serves reports whether a target is believed to serve a version. A target
-// that has not been heard from may serve any version.
-func (v *Versions) Serves(target string, version uint64) bool {
-	known, ok := v.targets[target]
-	return !ok || version == 0 || slices.Contains(known, version)
+// Observe records the versions that a target stated in an answer, and the
+// identifier of its process. It reports whether the process is another one
+// than before, so that what was known about the target no longer holds.
+func (v *Versions) Observe(now time.Time, target, boot string, versions []uint64) (restarted bool) {
+	t := v.Target(target)
+	if boot != "" {
+		restarted = t.boot != "" && t.boot != boot
+		t.boot = boot
+	}
+	if len(versions) == 0 {
+		if restarted {
+			t.set(nil)
+		}
+		return restarted
+	}
+	t.heard = now
+	if !slices.Equal(t.versions, versions) {
+		t.set(slices.Clone(versions))
+	}
+	return restarted
 }
 
-// Pick returns the version for a query over groups of usable targets, or 0 if
-// no version is known. It prefers a version that covers the most groups, then
-// one that leaves every group a second replica to hedge on, then the highest.
-func (v *Versions) Pick(groups [][]string) uint64 {
-	var best uint64
-	var bestCovered, bestSpare int
-	for _, version := range v.candidates(groups) {
-		covered, spare := v.count(groups, version)
-		better := covered > bestCovered ||
-			covered == bestCovered && spare > bestSpare ||
-			covered == bestCovered && spare == bestSpare && version > best
-		if better {
-			best, bestCovered, bestSpare = version, covered, spare
-		}
+// Forget drops the versions of a target, for example when its connection
+// broke: its process may have restarted with others.
+func (v *Versions) Forget(target string) {
+	if t, ok := v.targets[target]; ok && t.versions != nil {
+		t.set(nil)
 	}
-	return best
 }
 
-// candidates returns the distinct versions stated by any target of the groups.
-func (v *Versions) candidates(groups [][]string) []uint64 {
-	var all []uint64
-	for _, targets := range groups {
-		for _, t := range targets {
-			for _, version := range v.targets[t] {
-				if !slices.Contains(all, version) {
-					all = append(all, version)
-				}
-			}
+// Expire forgets the targets that stated nothing since a time. A target that
+// is known not to serve the version in use is not asked, so that only this
+// lets it be found again after it has rolled on.
+func (v *Versions) Expire(since time.Time) {
+	for _, t := range v.targets {
+		if t.versions != nil && t.heard.Before(since) {
+			t.set(nil)
 		}
 	}
-	return all
 }
 
-// count returns the groups with at least one target that serves version, and
-// those with a second one or with no second target at all.
-func (v *Versions) count(groups [][]string, version uint64) (covered, spare int) {
-	for _, targets := range groups {
-		serving := 0
-		for _, t := range targets {
-			if v.Serves(t, version) {
-				serving++
-			}
-		}
-		if serving > 0 {
-			covered++
-		}
-		if serving >= min(2, len(targets)) {
-			spare++
-		}
+// Serves reports whether a target is believed to serve a version.
+func (v *Versions) Serves(target string, version uint64) bool {
+	t, ok := v.targets[target]
+	return !ok || t.Serves(version)
+}
+
+// Serves reports whether the target is believed to serve a version. A target
+// that has not been heard from may serve any version.
+func (t *Target) Serves(version uint64) bool {
+	return t.versions == nil || version == 0 || slices.Contains(t.versions, version)
+}
+
+// set replaces the versions and updates the counts of the target's groups.
+func (t *Target) set(versions []uint64) {
+	for _, g := range t.groups {
+		g.count(-1)
+	}
+	t.versions = versions
+	for _, g := range t.groups {
+		g.count(+1)
 	}
-	return covered, spare
 }
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -1,42 +1,142 @@
 package snapshot_test
 
 import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
 )
 
+var now = time.Unix(1000, 0)
+
 var _ = Describe("Pick", func() {
 	groups := [][]string{{"a0", "a1"}, {"b0", "b1"}}
+	observe := func(v *snapshot.Versions, stated map[string][]uint64) {
+		for t, versions := range stated {
+			v.Observe(now, t, "", versions)
+		}
+	}
 
 	// Guards against a newer version lowering coverage while an older one is
 	// still served by every group.
 	It("prefers the version that every group serves", func() {
 		v := snapshot.NewVersions()
-		v.Observe("a0", []uint64{6, 7})
-		v.Observe("a1", []uint64{6, 7})
-		v.Observe("b0", []uint64{5, 6})
-		v.Observe("b1", []uint64{5, 6})
-		Expect(v.Pick(groups)).To(Equal(uint64(6)))
+		s := v.Service(groups)
+		observe(v, map[string][]uint64{"a0": {6, 7}, "a1": {6, 7}, "b0": {5, 6}, "b1": {5, 6}})
+		Expect(s.Pick()).To(Equal(uint64(6)))
 	})
 
 	// Guards against choosing a version that leaves no replica to hedge on.
 	It("prefers a version that two replicas of each group serve", func() {
 		v := snapshot.NewVersions()
-		v.Observe("a0", []uint64{6, 7})
-		v.Observe("a1", []uint64{5, 6})
-		v.Observe("b0", []uint64{6, 7})
-		v.Observe("b1", []uint64{6, 7})
-		Expect(v.Pick(groups)).To(Equal(uint64(6)))
+		s := v.Service(groups)
+		observe(v, map[string][]uint64{"a0": {6, 7}, "a1": {5, 6}, "b0": {6, 7}, "b1": {6, 7}})
+		Expect(s.Pick()).To(Equal(uint64(6)))
 	})
 
 	It("takes the highest of equal versions, and 0 if none is known", func() {
 		v := snapshot.NewVersions()
-		Expect(v.Pick(groups)).To(BeZero())
-		for _, t := range []string{"a0", "a1", "b0", "b1"} {
-			v.Observe(t, []uint64{6, 7})
-		}
-		Expect(v.Pick(groups)).To(Equal(uint64(7)))
+		s := v.Service(groups)
+		Expect(s.Pick()).To(BeZero())
+		observe(v, map[string][]uint64{"a0": {6, 7}, "a1": {6, 7}, "b0": {6, 7}, "b1": {6, 7}})
+		Expect(s.Pick()).To(Equal(uint64(7)))
+	})
+
+	// Guards against a restarted target, or one that was not asked for long,
+	// whose old versions exclude it for good.
+	It("forgets a target that restarted or has been silent", func() {
+		v := snapshot.NewVersions()
+		Expect(v.Observe(now, "a0", "boot-1", []uint64{6, 7})).To(BeFalse())
+		Expect(v.Serves("a0", 8)).To(BeFalse())
+		Expect(v.Observe(now, "a0", "boot-2", nil)).To(BeTrue())
+		Expect(v.Serves("a0", 8)).To(BeTrue())
+		v.Observe(now, "a1", "boot-1", []uint64{6, 7})
+		v.Expire(now.Add(time.Second))
+		Expect(v.Serves("a1", 8)).To(BeTrue())
+	})
+
+	// Guards against counts that drift from the table: after any statements
+	// the choice equals one computed anew from the definition.
+	It("equals the choice computed over all groups", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v := snapshot.NewVersions()
+			groups := [][]string{{"a0", "a1", "a2"}, {"b0", "b1"}, {"c0"}}
+			old := v.Service(groups[:2])
+			s := v.Service(groups)
+			old.Close()
+			table := map[string][]uint64{}
+			ids := slices.Concat(groups...)
+			for range rapid.IntRange(0, 40).Draw(t, "statements") {
+				id := rapid.SampledFrom(ids).Draw(t, "target")
+				if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
+					v.Forget(id)
+					delete(table, id)
+					continue
+				}
+				oldest := rapid.Uint64Range(1, 4).Draw(t, "oldest")
+				table[id] = []uint64{oldest, oldest + 1}
+				v.Observe(now, id, "", table[id])
+			}
+			if got, want := s.Pick(), naivePick(groups, table); got != want {
+				t.Fatalf("picked %d, want %d of %v", got, want, table)
+			}
+		})
 	})
 })
+
+// naivePick computes the choice from its definition.
+func naivePick(groups [][]string, table map[string][]uint64) (best uint64) {
+	bestCovered, bestSpare := -1, -1
+	for version := uint64(9); version > 0; version-- {
+		stated, covered, spare := false, 0, 0
+		for _, g := range groups {
+			serving := 0
+			for _, id := range g {
+				has := slices.Contains(table[id], version)
+				stated = stated || has
+				if has || table[id] == nil {
+					serving++
+				}
+			}
+			if serving > 0 {
+				covered++
+			}
+			if serving >= min(2, len(g)) {
+				spare++
+			}
+		}
+		if stated && (covered > bestCovered || covered == bestCovered && spare > bestSpare) {
+			best, bestCovered, bestSpare = version, covered, spare
+		}
+	}
+	return best
+}
+
+// BenchmarkPick measures a choice per query while one target in the fleet
+// rolls between queries.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 1300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := snapshot.NewVersions()
+			groups := make([][]string, n)
+			for g := range groups {
+				for r := range 3 {
+					groups[g] = append(groups[g], fmt.Sprintf("g%d-r%d", g, r))
+					v.Observe(now, groups[g][r], "", []uint64{6, 7})
+				}
+			}
+			s := v.Service(groups)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				v.Observe(now, groups[i%n][i%3], "", []uint64{6 + uint64(i%2), 7 + uint64(i%2)})
+				s.Pick()
+			}
+		})
+	}
+}
