Hedge late groups, search gaps and plan from prepared groups

Cause: one straggler held up a whole query until its deadline; a target that covered a part of its range led to blind retries; groups were prepared anew for each query. Change: the entry host keeps per service its groups linked to the routing and version state, a latency distribution per group, the extra-load budget and the judgement of overload. A late group is hedged, losers are withdrawn, the rest of a range is searched for among the targets of all groups, and the first query of a host learns a version from one group before it asks the others.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -50,7 +50,7 @@
 		}
 	}()
 	err := b.search(run, &req, func(parts []wire.PartResult, final bool) error {
-		return s.Send(&wire.SearchReply{Parts: parts, Final: final})
+		return s.Send(&wire.SearchReply{QueryID: req.QueryID, Parts: parts, Final: final})
 	})
 	if err != nil {
 		s.Reset()
--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -80,6 +80,9 @@
 		if err := s.Receive(&reply); err != nil {
 			return errors.Wrap(err, "branch host answered incompletely")
 		}
+		if reply.QueryID != req.QueryID {
+			continue
+		}
 		emit(reply.Parts)
 		if reply.Final {
 			return nil
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -31,6 +31,8 @@
 	versions *snapshot.Versions
 	rng      *rand.Rand
 	shutdown drain.Shutdown
+	services map[string]*serviceState
+	expired  time.Time // when old statements of versions were last dropped
 }
 
 func newEntry(self *settings.Process, config *config, directory *directory, branches *branchClient) *entry {
@@ -38,8 +40,9 @@
 	return &entry{
 		self: self, config: config, directory: directory, branches: branches,
 		rng:      rng,
-		router:   routing.NewRouter(self.Place, rng),
+		router:   routing.NewRouter(self.Place, self.Ordinal, rng),
 		versions: snapshot.NewVersions(),
+		services: map[string]*serviceState{},
 	}
 }
 
@@ -141,21 +144,6 @@
 	return nil, last
 }
 
-// observe feeds the result of a request to a target into the routing state.
-func (e *entry) observe(path routing.Path, o outcome.Outcome, status wire.TargetStatus, took time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.versions.Observe(path.Target, status.Versions)
-	switch {
-	case o.Kind == outcome.Answered:
-		e.router.Answered(path, took)
-	case o.Reason == outcome.Canceled:
-		e.router.Canceled(path, took)
-	default:
-		e.router.Failed(time.Now(), path)
-	}
-}
-
 // groupOf returns the group that holds a key; the configuration was checked to
 // cover the key space.
 func groupOf(groups []settings.Group, key uint64) *settings.Group {
--- /dev/null
+++ b/internal/daemon/observe.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+)
+
+// observe feeds the result of a request to a target into the routing state.
+func (e *entry) observe(path routing.Path, o outcome.Outcome, status wire.TargetStatus, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observeLocked(time.Now(), path, o, status, took)
+}
+
+func (e *entry) observeLocked(now time.Time, path routing.Path, o outcome.Outcome, status wire.TargetStatus, took time.Duration) {
+	if e.versions.Observe(now, path.Target, status.BootID, status.Versions) {
+		e.router.Forget(path.Target)
+	}
+	switch {
+	case o.Kind == outcome.Answered:
+		e.router.Answered(now, path, took)
+	case o.Reason == outcome.Canceled:
+		e.router.Canceled(now, path, took)
+	case o.Reason == outcome.VersionGone:
+		// The target works; it only rolled on to other versions.
+		e.router.Ended(path)
+	default:
+		if o.Reason == outcome.ConnLost || o.Reason == outcome.Unavailable {
+			e.versions.Forget(path.Target) // it may come back with other versions
+		}
+		e.router.Failed(now, path)
+	}
+}
+
+// observePart feeds one result of a search into the state of its service.
+func (e *entry) observePart(st *serviceState, a *attempt, part *wire.PartResult, arrived time.Time) {
+	queued := time.Duration(part.QueueUS) * time.Microsecond
+	served := time.Duration(part.TargetUS) * time.Microsecond
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observeLocked(arrived, a.path, part.Outcome, part.Status, queued+served)
+	st.load.Observe(arrived, part.Outcome, queued, served)
+	if part.Outcome.Kind == outcome.Answered {
+		st.latencies.Observe(part.Group, arrived.Sub(a.sent))
+	}
+}
+
+// observeLost records that an attempt was given up.
+func (e *entry) observeLost(st *serviceState, group string, a *attempt) {
+	now := time.Now()
+	waited := now.Sub(a.sent)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observeLocked(now, a.path, outcome.Uncertain(outcome.Canceled, ""), wire.TargetStatus{}, waited)
+	st.latencies.Observe(group, waited)
+}
+
+// observeLink estimates the delay of the link to a branch host from the first
+// results of an exchange: the total time minus what the host reports as queue
+// and target time.
+func (e *entry) observeLink(b *batch, parts []wire.PartResult, arrived time.Time) {
+	if b.local || b.measured || len(parts) == 0 {
+		return
+	}
+	b.measured = true
+	total := arrived.Sub(b.sent)
+	link := total
+	for i := range parts {
+		link = min(link, total-time.Duration(parts[i].QueueUS+parts[i].TargetUS)*time.Microsecond)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.ObserveDelay(b.at.place, link)
+}
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
@@ -34,43 +33,78 @@
 type gather struct {
 	ctx     context.Context
 	entry   *entry
-	tree    *settings.Tree
 	policy  *settings.Policy
 	service string
 	meta    api.Meta
 	req     *api.SearchRequest
 	id      string
 
-	groups    map[string]*groupState
+	state     *serviceState // shared with other searches, guarded by entry.mu
+	groups    []*groupState
+	byID      map[string]*groupState
 	open      int // groups without an answer and with a chance to get one
+	pending   int // attempts in progress
 	merger    *coverage.Merger
 	events    chan batchEvent
-	replan    bool // the version vanished, start again on another one
+	timer     *time.Timer // next time that a group is due
+	probing   bool        // one group is asked first, to learn a version
+	replan    bool        // the version vanished, start again on another one
 	replanned bool
 	mayRun    bool // some target may have run the query
 }
 
 // groupState is the progress of one group.
 type groupState struct {
-	group    *settings.Group
-	tried    map[string]bool
+	planned  *plannedGroup
 	attempts []*attempt
 	retries  int
+	hedges   int
+	due      time.Time // when the group is looked at again; zero for never
+	gap      bool      // an answer left a part of the range open
+	waiting  bool      // a retry waits for the extra-load budget
 	done     bool
 	last     outcome.Outcome // why the group has no answer
 }
 
+// inProgress returns the number of attempts without a result.
+func (s *groupState) inProgress() int {
+	n := 0
+	for _, a := range s.attempts {
+		if !a.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// tried reports whether a target was asked for the group.
+func (s *groupState) tried(target string) bool {
+	for _, a := range s.attempts {
+		if a.path.Target == target && !a.again {
+			return true
+		}
+	}
+	return false
+}
+
 // attempt is one request for a group.
 type attempt struct {
-	path    routing.Path
-	sent    time.Time
-	version uint64
-	batch   *batch
-	ended   bool
+	path  routing.Path
+	sent  time.Time
+	batch *batch
+	ended bool
+	// answered is set if the answer was merged.
+	answered bool
+	gap      bool // searches for the rest of a range, not for the group
+	again    bool // the target may be asked again
 }
 
 // batch is the set of attempts that share one message to a branch host.
 type batch struct {
+	at       seat
+	sent     time.Time
+	local    bool
+	measured bool                // the link's delay was taken from it
 	attempts map[string]*attempt // by group
 	withdraw chan string
 	cancel   context.CancelFunc
@@ -78,114 +112,58 @@
 
 // batchEvent reports results of a batch, or its end.
 type batchEvent struct {
-	batch *batch
-	parts []wire.PartResult
-	ended bool
-	err   error
+	batch   *batch
+	arrived time.Time
+	parts   []wire.PartResult
+	ended   bool
+	err     error
 }
 
 func newGather(ctx context.Context, e *entry, tree *settings.Tree, policy *settings.Policy, service string, meta api.Meta, req *api.SearchRequest) *gather {
 	g := &gather{
-		ctx: ctx, entry: e, tree: tree, policy: policy, service: service, meta: meta, req: req,
-		id: requestID(meta), groups: map[string]*groupState{},
-	}
-	groups := tree.Doc.Services[service].Groups
-	for i := range groups {
-		g.groups[groups[i].ID] = &groupState{
-			group: &groups[i], tried: map[string]bool{},
-			last: outcome.Refused(outcome.Unavailable, "no target is usable"),
-		}
+		ctx: ctx, entry: e, policy: policy, service: service, meta: meta, req: req,
+		id: requestID(meta), byID: map[string]*groupState{},
+		events: make(chan batchEvent, 64),
+	}
+	e.mu.Lock()
+	g.state = e.service(tree, service)
+	planned := g.state.groups
+	e.mu.Unlock()
+	g.groups = make([]*groupState, len(planned))
+	for i, p := range planned {
+		g.groups[i] = newGroupState(p)
+		g.byID[p.group.ID] = g.groups[i]
 	}
-	// Room for every result and the end of every batch, so that a batch never
-	// blocks after the query has ended.
-	g.events = make(chan batchEvent, 64)
 	return g
 }
 
-// start picks the snapshot and sends the first attempt of every group.
-func (g *gather) start() {
-	groups := g.tree.Doc.Services[g.service].Groups
-	targets := make([][]string, len(groups))
-	g.entry.mu.Lock()
-	for i := range groups {
-		for _, o := range g.entry.options(g.tree, &groups[i], 0, nil).Options {
-			if len(o.Owners) > 0 {
-				targets[i] = append(targets[i], o.Target)
-			}
-		}
-	}
-	g.merger = coverage.NewMerger(g.entry.versions.Pick(targets))
-	g.entry.mu.Unlock()
-	g.open = len(g.groups)
-	ids := make([]string, len(groups))
-	for i := range groups {
-		ids[i] = groups[i].ID
-	}
-	g.send(ids)
+func newGroupState(p *plannedGroup) *groupState {
+	return &groupState{planned: p, last: outcome.Refused(outcome.Unavailable, "no target is usable")}
 }
 
-// send plans one attempt for each of the groups and sends them, one message
-// per branch host. A group without a usable target left is closed.
-func (g *gather) send(ids []string) {
-	now := time.Now()
-	options := make([]routing.Group, 0, len(ids))
+// start picks the snapshot and sends the first attempt of every group. While
+// no version is known it asks one group first: asking all of them for their
+// newest version would give answers that cannot be merged.
+func (g *gather) start() {
 	g.entry.mu.Lock()
-	for _, id := range ids {
-		state := g.groups[id]
-		options = append(options, g.entry.options(g.tree, state.group, g.merger.Version(), state.tried))
-	}
-	plan := g.entry.router.Plan(now, options)
-	for _, a := range plan {
-		g.entry.router.Sent(a.Path)
-	}
+	version := g.state.counts.Pick()
 	g.entry.mu.Unlock()
-
-	planned := map[string]bool{}
-	batches := map[seat][]routing.Assignment{}
-	for _, a := range plan {
-		planned[a.Group] = true
-		at := seat{a.Path.Place, a.Path.Ordinal}
-		batches[at] = append(batches[at], a)
-	}
-	for at, assignments := range batches {
-		g.sendBatch(now, at, assignments)
-	}
-	for _, id := range ids {
-		if !planned[id] {
-			g.closeIfIdle(g.groups[id])
-		}
-	}
-}
-
-func (g *gather) sendBatch(now time.Time, at seat, assignments []routing.Assignment) {
-	ctx, cancel := context.WithCancel(g.ctx)
-	b := &batch{attempts: map[string]*attempt{}, withdraw: make(chan string, len(assignments)), cancel: cancel}
-	req := &wire.SearchRequest{
-		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
-		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
-	}
-	for _, a := range assignments {
-		state := g.groups[a.Group]
-		state.tried[a.Path.Target] = true
-		attempt := &attempt{path: a.Path, sent: now, version: req.Version, batch: b}
-		state.attempts = append(state.attempts, attempt)
-		b.attempts[a.Group] = attempt
-		req.Parts = append(req.Parts, wire.PartRequest{Group: a.Group, Target: a.Path.Target})
+	g.merger = coverage.NewMerger(version)
+	g.open = len(g.groups)
+	if g.probing = version == 0 && len(g.groups) > 1; g.probing {
+		g.send(g.groups[:1])
+		g.endProbe()
+		return
 	}
-	go func() {
-		defer cancel()
-		err := g.entry.branches.search(ctx, at, req, b.withdraw, func(parts []wire.PartResult) {
-			g.deliver(batchEvent{batch: b, parts: parts})
-		})
-		g.deliver(batchEvent{batch: b, ended: true, err: err})
-	}()
+	g.send(g.groups)
 }
 
-// deliver hands an event to the loop unless the query has ended.
-func (g *gather) deliver(event batchEvent) {
-	select {
-	case g.events <- event:
-	case <-g.ctx.Done():
+// endProbe sends the remaining groups once the first one has answered or has
+// no chance left.
+func (g *gather) endProbe() {
+	if g.probing && (g.merger.Version() != 0 || g.groups[0].done) {
+		g.probing = false
+		g.send(g.groups[1:])
 	}
 }
 
@@ -198,6 +176,8 @@
 		defer timer.Stop()
 		early = timer.C
 	}
+	g.timer = time.NewTimer(0)
+	defer g.timer.Stop()
 	mayEndEarly := false
 	enough := max(g.policy.EarlyFinishCoverage, g.req.MinCoverage)
 	for g.open > 0 && !g.merger.Full() {
@@ -207,6 +187,8 @@
 		select {
 		case event := <-g.events:
 			g.handle(event)
+		case <-g.timer.C:
+			g.lookAgain()
 		case <-early:
 			mayEndEarly = true
 		case <-g.ctx.Done():
@@ -218,18 +200,23 @@
 }
 
 func (g *gather) handle(event batchEvent) {
-	var again []string
-	for _, part := range event.parts {
-		again = append(again, g.handlePart(event.batch, part)...)
+	g.entry.observeLink(event.batch, event.parts, event.arrived)
+	var again []*groupState
+	for i := range event.parts {
+		again = append(again, g.handlePart(event.batch, &event.parts[i], event.arrived)...)
 	}
 	if event.ended {
 		again = append(again, g.handleEnd(event)...)
 	}
 	if g.replan {
 		g.restart()
-	} else if len(again) > 0 {
+		return
+	}
+	if len(again) > 0 {
 		g.send(again)
 	}
+	g.endProbe()
+	g.fillGaps()
 }
 
 // restart gives up what was merged and plans the query again, once, because no
@@ -237,119 +224,13 @@
 func (g *gather) restart() {
 	g.replan, g.replanned = false, true
 	g.abandon(outcome.Canceled)
-	for _, state := range g.groups {
-		state.tried = map[string]bool{}
-		state.attempts, state.retries, state.done = nil, 0, false
+	for i, state := range g.groups {
+		g.groups[i] = newGroupState(state.planned)
+		g.byID[state.planned.group.ID] = g.groups[i]
 	}
 	g.start()
 }
 
-// handlePart takes one result and returns the groups to be sent again.
-func (g *gather) handlePart(b *batch, part wire.PartResult) []string {
-	a, ok := b.attempts[part.Group]
-	if !ok || a.ended || a.path.Target != part.Target {
-		return nil // not something this query asked for
-	}
-	a.ended = true
-	state := g.groups[part.Group]
-	g.entry.observe(a.path, part.Outcome, part.Status, time.Duration(part.QueueUS+part.TargetUS)*time.Microsecond)
-	if !part.Outcome.RanNothing() {
-		g.mayRun = true
-	}
-	if state.done {
-		return nil
-	}
-	if part.Outcome.Kind == outcome.Answered {
-		return g.merge(state, part)
-	}
-	state.last = part.Outcome
-	return g.retry(state, part.Outcome)
-}
-
-// merge adds an answer. An answer of another index version is not merged; its
-// group is asked again for the query's version, once for the whole query.
-func (g *gather) merge(state *groupState, part wire.PartResult) []string {
-	err := g.merger.Add(coverage.Part{Version: part.Version, Covered: part.Covered, Records: part.Records})
-	var wrongVersion *coverage.VersionError
-	if errors.As(err, &wrongVersion) {
-		state.last = outcome.Uncertain(outcome.VersionGone, "%v", err)
-		delete(state.tried, part.Target) // it may serve the query's version as well
-		return g.retry(state, state.last)
-	}
-	if !g.merger.Covers(state.group.Range) {
-		// The target searched only a part of its range.
-		state.last = outcome.Uncertain(outcome.Internal, "target %s covered its range in part", part.Target)
-		return g.retry(state, state.last)
-	}
-	g.finish(state)
-	return nil
-}
-
-// retry decides whether a group is sent again after an attempt ended without
-// the group being covered.
-func (g *gather) retry(state *groupState, o outcome.Outcome) []string {
-	if o.Reason == outcome.VersionGone && !g.replanned && !g.versionServed(state) {
-		g.replan = true
-		return nil
-	}
-	if state.retries < g.policy.RetryLimit && g.ctx.Err() == nil {
-		state.retries++
-		return []string{state.group.ID}
-	}
-	g.closeIfIdle(state)
-	return nil
-}
-
-// versionServed reports whether some target of the group may still serve the
-// query's version.
-func (g *gather) versionServed(state *groupState) bool {
-	g.entry.mu.Lock()
-	defer g.entry.mu.Unlock()
-	return len(g.entry.options(g.tree, state.group, g.merger.Version(), nil).Options) > 0
-}
-
-// handleEnd takes the end of a batch: attempts without a result are lost.
-func (g *gather) handleEnd(event batchEvent) []string {
-	var again []string
-	for id, a := range event.batch.attempts {
-		if a.ended {
-			continue
-		}
-		o := outcome.Uncertain(outcome.ConnLost, "%v", event.err)
-		var notReached *notReachedError
-		if errors.As(event.err, &notReached) {
-			o = outcome.Refused(outcome.Unavailable, "%v", event.err)
-		}
-		again = append(again, g.handlePart(event.batch, wire.PartResult{Group: id, Target: a.path.Target, Outcome: o})...)
-	}
-	return again
-}
-
-// finish marks a group as covered and withdraws its other attempts.
-func (g *gather) finish(state *groupState) {
-	state.done = true
-	g.open--
-	for _, a := range state.attempts {
-		if !a.ended {
-			a.batch.withdraw <- state.group.ID
-		}
-	}
-}
-
-// closeIfIdle gives a group up if none of its attempts is in progress.
-func (g *gather) closeIfIdle(state *groupState) {
-	if state.done {
-		return
-	}
-	for _, a := range state.attempts {
-		if !a.ended {
-			return
-		}
-	}
-	state.done = true
-	g.open--
-}
-
 // abandon cancels what is still in progress.
 func (g *gather) abandon(reason outcome.Reason) {
 	for _, state := range g.groups {
@@ -357,34 +238,39 @@
 			if a.ended {
 				continue
 			}
-			a.ended = true
-			g.mayRun = true
 			if !state.done {
 				state.last = outcome.Uncertain(reason, "no answer within %s", time.Since(a.sent).Round(time.Millisecond))
 			}
+			g.giveUp(state, a)
 			a.batch.cancel()
-			g.entry.observe(a.path, outcome.Uncertain(outcome.Canceled, ""), wire.TargetStatus{}, time.Since(a.sent))
 		}
 	}
 }
 
-// response builds the answer. It returns no answer if nothing was covered.
+// giveUp ends an attempt whose answer is no longer wanted.
+func (g *gather) giveUp(state *groupState, a *attempt) {
+	a.ended = true
+	g.pending--
+	g.mayRun = true
+	g.entry.observeLost(g.state, state.planned.group.ID, a)
+}
+
+// response builds the answer. It returns no answer if nothing was covered and
+// nothing can have run.
 func (g *gather) response(start time.Time) (*api.SearchResponse, outcome.Outcome) {
-	answer := &api.SearchResponse{
-		RequestID: g.id, Service: g.service, Outcome: outcome.Answered,
-		Coverage: g.merger.Coverage(), Snapshot: g.merger.Version(), ElapsedMS: milliseconds(time.Since(start)),
+	answer := &api.SearchResponse{RequestID: g.id, Service: g.service, Outcome: outcome.Answered, Snapshot: g.merger.Version()}
+	if !g.merger.Full() {
+		answer.Outcome = outcome.Partial
+		g.expectRecords()
 	}
+	answer.Coverage = g.merger.Coverage()
 	var missing outcome.Outcome
-	for i := range g.tree.Doc.Services[g.service].Groups {
-		state := g.groups[g.tree.Doc.Services[g.service].Groups[i].ID]
-		if g.merger.Covers(state.group.Range) {
+	for _, state := range g.groups {
+		if g.merger.Full() || g.merger.Covers(state.planned.group.Range) {
 			continue
 		}
 		missing = state.last
-		answer.Warnings = append(answer.Warnings, api.Warning{Group: state.group.ID, Reason: state.last.Reason, Message: state.last.Message})
-	}
-	if !g.merger.Full() {
-		answer.Outcome = outcome.Partial
+		answer.Warnings = append(answer.Warnings, api.Warning{Group: state.planned.group.ID, Reason: state.last.Reason, Message: state.last.Message})
 	}
 	if answer.Coverage == 0 && !g.mayRun {
 		return nil, outcome.Outcome{Kind: outcome.NotRun, Reason: missing.Reason, Message: missing.Message}
@@ -393,5 +279,18 @@
 	if answer.Records == nil {
 		answer.Records = []coverage.Record{}
 	}
+	answer.ElapsedMS = milliseconds(time.Since(start))
 	return answer, outcome.Outcome{Kind: answer.Outcome}
 }
+
+// expectRecords tells the merger the record counts of missing groups, where
+// they are known for the query's version.
+func (g *gather) expectRecords() {
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	for _, state := range g.groups {
+		if p := state.planned; p.recordsVersion == g.merger.Version() {
+			g.merger.Expect(p.records)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/searchhedge.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+)
+
+const (
+	// maxHedges bounds the attempts beyond the first for one group: the hedge
+	// itself may meet a straggler or a stuck replica.
+	maxHedges = 2
+	// tokenWait is how often a group that waits for the extra-load budget looks
+	// again.
+	tokenWait = 5 * time.Millisecond
+)
+
+// arm sets the timer to the next time that a group is due.
+func (g *gather) arm(now time.Time) {
+	if g.timer == nil {
+		return // wait arms it when it starts
+	}
+	var next time.Time
+	for _, state := range g.groups {
+		if !state.done && !state.due.IsZero() && (next.IsZero() || state.due.Before(next)) {
+			next = state.due
+		}
+	}
+	if !next.IsZero() {
+		g.timer.Reset(max(0, next.Sub(now)))
+	}
+}
+
+// lookAgain hedges the groups whose delay has passed and retries those that
+// waited for the budget.
+func (g *gather) lookAgain() {
+	now := time.Now()
+	var again []*groupState
+	for _, state := range g.groups {
+		if state.done || state.due.IsZero() || state.due.After(now) {
+			continue
+		}
+		state.due = time.Time{}
+		switch {
+		case state.waiting:
+			state.waiting = false
+			if g.mayRetry(state, state.last) {
+				state.retries++
+				again = append(again, state)
+			}
+		case state.gap:
+			g.fillGap(state)
+		case state.inProgress() > 0:
+			g.hedge(now, state)
+		}
+	}
+	if len(again) > 0 {
+		g.send(again)
+	}
+	g.arm(now)
+}
+
+// hedge sends another attempt for a group that is late.
+func (g *gather) hedge(now time.Time, state *groupState) {
+	if state.hedges >= maxHedges {
+		return
+	}
+	a, ok, later := g.planHedge(now, state)
+	if !ok {
+		if later {
+			state.due = now.Add(tokenWait)
+		}
+		return
+	}
+	state.hedges++
+	g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, false)
+}
+
+// planHedge chooses the path of a hedge: another replica, or the same one
+// through its other owner if there is none. It reports whether it is worth
+// trying later.
+func (g *gather) planHedge(now time.Time, state *groupState) (a routing.Assignment, ok, later bool) {
+	version := g.merger.Version()
+	p := state.planned
+	avoid := make([]routing.Path, 0, len(state.attempts))
+	for _, earlier := range state.attempts {
+		avoid = append(avoid, earlier.path)
+	}
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	if g.state.load.Overloaded(now) || g.state.budget.Balance() == 0 {
+		return a, false, true
+	}
+	a, ok = g.entry.router.Alternative(now, &p.options, func(_, option int) bool {
+		return p.targets[option].Serves(version) && !state.tried(p.options.Options[option].Target)
+	}, avoid)
+	if !ok && state.hedges == 0 {
+		a, ok = g.entry.router.Alternative(now, &p.options, func(_, option int) bool { return p.targets[option].Serves(version) }, avoid)
+		ok = ok && a.Path != avoid[0]
+	}
+	if !ok {
+		return a, false, false
+	}
+	if !g.state.budget.TryExtra() {
+		return a, false, true
+	}
+	g.entry.router.SendAll([]routing.Assignment{a})
+	state.due = now.Add(max(g.state.latencies.Delay(p.group.ID, g.hedgeRule(), 1), g.entry.router.Delay(a.Path.Place)))
+	return a, true, false
+}
--- /dev/null
+++ b/internal/daemon/searchresult.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// handlePart takes one result and returns the groups to be sent again.
+func (g *gather) handlePart(b *batch, part *wire.PartResult, arrived time.Time) []*groupState {
+	a, ok := b.attempts[part.Group]
+	if !ok || a.ended || a.path.Target != part.Target {
+		return nil // not something this query asked for, or no longer wanted
+	}
+	a.ended = true
+	g.pending--
+	state := g.byID[part.Group]
+	g.entry.observePart(g.state, a, part, arrived)
+	if !part.Outcome.RanNothing() {
+		g.mayRun = true
+	}
+	if state.done {
+		return nil
+	}
+	if part.Outcome.Kind == outcome.Answered {
+		return g.merge(state, a, part)
+	}
+	state.last = part.Outcome
+	if a.gap {
+		return nil // fillGaps asks the next target
+	}
+	return g.retry(state, part.Outcome)
+}
+
+// merge adds an answer. An answer that cannot be merged, such as one of another
+// index version, counts as a failed attempt.
+func (g *gather) merge(state *groupState, a *attempt, part *wire.PartResult) []*groupState {
+	err := g.merger.Add(coverage.Part{Version: part.Version, Covered: part.Covered, Records: part.Records, Limit: g.req.Limit})
+	if err != nil {
+		state.last = outcome.Uncertain(outcome.Internal, "%v", err)
+		var other *coverage.VersionError
+		if errors.As(err, &other) {
+			state.last.Reason = outcome.VersionGone
+			a.again = true // it may serve the query's version as well
+		}
+		if a.gap {
+			return nil
+		}
+		return g.retry(state, state.last)
+	}
+	a.answered = true
+	g.entry.mu.Lock()
+	g.state.learnRanges(part.Target, part.Version, part.Covered)
+	g.entry.mu.Unlock()
+	r := state.planned.group.Range
+	if len(part.Covered) == 1 && part.Covered[0].Range == r {
+		g.finish(state)
+		return nil
+	}
+	g.finishCovered()
+	if !state.done {
+		state.gap = true
+		state.last = outcome.Uncertain(outcome.Internal, "target %s covered its range in part", part.Target)
+	}
+	return nil
+}
+
+// finishCovered finishes every group whose range is covered, after an answer
+// for other ranges than those configured.
+func (g *gather) finishCovered() {
+	for _, state := range g.groups {
+		if !state.done && g.merger.Covers(state.planned.group.Range) {
+			g.finish(state)
+		}
+	}
+}
+
+// retry decides whether a group is sent again after an attempt ended without
+// an answer.
+func (g *gather) retry(state *groupState, o outcome.Outcome) []*groupState {
+	exhausted := state.retries >= g.policy.RetryLimit
+	if o.Reason == outcome.VersionGone && !g.replanned && (exhausted || !g.versionServed(state)) {
+		g.replan = true
+		return nil
+	}
+	if state.inProgress() > 0 {
+		return nil // the hedge goes on
+	}
+	if exhausted || g.ctx.Err() != nil {
+		g.closeIfIdle(state)
+		return nil
+	}
+	if !g.mayRetry(state, o) {
+		return nil
+	}
+	state.retries++
+	return []*groupState{state}
+}
+
+// mayRetry takes a token for a retry unless it is free. Without a token the
+// group waits for one, or is closed if the service is overloaded.
+func (g *gather) mayRetry(state *groupState, o outcome.Outcome) bool {
+	now := time.Now()
+	g.entry.mu.Lock()
+	overloaded := g.state.load.Overloaded(now)
+	granted := hedge.RerouteIsFree(o, state.retries, overloaded) || g.state.budget.TryExtra()
+	g.entry.mu.Unlock()
+	if granted {
+		return true
+	}
+	if overloaded {
+		g.closeIfIdle(state)
+		return false
+	}
+	state.waiting = true
+	state.due = now.Add(tokenWait)
+	g.arm(now)
+	return false
+}
+
+// versionServed reports whether some target of the group may still serve the
+// query's version.
+func (g *gather) versionServed(state *groupState) bool {
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	for _, t := range state.planned.targets {
+		if t.Serves(g.merger.Version()) {
+			return true
+		}
+	}
+	return false
+}
+
+// handleEnd takes the end of a batch: attempts without a result are lost.
+func (g *gather) handleEnd(event batchEvent) []*groupState {
+	var again []*groupState
+	for id, a := range event.batch.attempts {
+		if a.ended {
+			continue
+		}
+		o := outcome.Uncertain(outcome.ConnLost, "%v", event.err)
+		var notReached *notReachedError
+		if errors.As(event.err, &notReached) {
+			o = outcome.Refused(outcome.Unavailable, "%v", event.err)
+		}
+		part := &wire.PartResult{Group: id, Target: a.path.Target, Outcome: o}
+		again = append(again, g.handlePart(event.batch, part, event.arrived)...)
+	}
+	return again
+}
+
+// finish marks a group as covered and withdraws its other attempts.
+func (g *gather) finish(state *groupState) {
+	state.done = true
+	g.open--
+	now := time.Now()
+	g.entry.mu.Lock()
+	g.state.budget.Completed(g.policy.ExtraLoadRatio, g.state.load.Overloaded(now))
+	g.entry.mu.Unlock()
+	for _, a := range state.attempts {
+		if !a.ended {
+			g.giveUp(state, a)
+			a.batch.withdraw <- state.planned.group.ID
+		}
+	}
+}
+
+// closeIfIdle gives a group up if nothing is in progress for it.
+func (g *gather) closeIfIdle(state *groupState) {
+	if state.done || state.gap || state.waiting || state.inProgress() > 0 {
+		return
+	}
+	state.done = true
+	g.open--
+}
--- /dev/null
+++ b/internal/daemon/searchsend.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+)
+
+// send plans one attempt for each of the groups and sends them, one message
+// per branch host. A group without a usable target left is closed.
+func (g *gather) send(states []*groupState) {
+	now := time.Now()
+	plan := g.plan(now, states)
+	batches := map[seat][]routing.Assignment{}
+	for _, a := range plan {
+		at := seat{a.Path.Place, a.Path.Ordinal}
+		batches[at] = append(batches[at], a)
+	}
+	for at, assignments := range batches {
+		g.sendBatch(now, at, assignments, false)
+	}
+	for _, state := range states {
+		state.waiting = false
+		g.closeIfIdle(state)
+	}
+	g.arm(now)
+}
+
+// plan chooses the paths. Targets known to cover only a part of their group are
+// left for a second round, for groups that have no others.
+func (g *gather) plan(now time.Time, states []*groupState) []routing.Assignment {
+	groups := make([]*routing.Group, len(states))
+	for i, state := range states {
+		groups[i] = &state.planned.options
+	}
+	version := g.merger.Version()
+	usable := func(i, option int) bool {
+		p := states[i].planned
+		return p.targets[option].Serves(version) && (len(states[i].attempts) == 0 || !states[i].tried(p.options.Options[option].Target))
+	}
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	narrow := len(g.state.stated) > 0
+	plan := g.entry.router.Plan(now, groups, func(i, option int) bool {
+		return usable(i, option) && !(narrow && g.state.tooNarrow(states[i].planned.options.Options[option].Target, states[i].planned))
+	}, make([]routing.Assignment, 0, len(states)))
+	if narrow && len(plan) < len(states) {
+		plan = g.planRest(now, states, usable, plan)
+	}
+	g.entry.router.SendAll(plan)
+	rule := g.hedgeRule()
+	balance := g.state.budget.Balance()
+	for _, a := range plan {
+		g.byID[a.Group].due = now.Add(g.state.latencies.Delay(a.Group, rule, balance))
+	}
+	return plan
+}
+
+func (g *gather) hedgeRule() hedge.Rule {
+	return hedge.Rule{Quantile: g.policy.HedgeQuantile, MinDelay: g.policy.HedgeMinDelay}
+}
+
+// planRest plans the groups that have no target with their whole range.
+func (g *gather) planRest(now time.Time, states []*groupState, usable routing.Usable, plan []routing.Assignment) []routing.Assignment {
+	planned := make(map[string]bool, len(plan))
+	for _, a := range plan {
+		planned[a.Group] = true
+	}
+	for i, state := range states {
+		if planned[state.planned.group.ID] {
+			continue
+		}
+		if a, ok := g.entry.router.Alternative(now, &state.planned.options, func(_, option int) bool { return usable(i, option) }, nil); ok {
+			plan = append(plan, a)
+		}
+	}
+	return plan
+}
+
+// sendBatch sends attempts to one branch host and feeds its results to the
+// event loop.
+func (g *gather) sendBatch(now time.Time, at seat, assignments []routing.Assignment, gap bool) {
+	ctx, cancel := context.WithCancel(g.ctx)
+	b := &batch{
+		at: at, sent: now, local: g.entry.branches.isSelf(at),
+		attempts: make(map[string]*attempt, len(assignments)), withdraw: make(chan string, len(assignments)), cancel: cancel,
+	}
+	req := &wire.SearchRequest{
+		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
+		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
+	}
+	for _, assigned := range assignments {
+		state := g.byID[assigned.Group]
+		a := &attempt{path: assigned.Path, sent: now, batch: b, gap: gap}
+		state.attempts = append(state.attempts, a)
+		g.pending++
+		b.attempts[assigned.Group] = a
+		req.Parts = append(req.Parts, wire.PartRequest{Group: assigned.Group, Target: assigned.Path.Target})
+	}
+	go func() {
+		defer cancel()
+		err := g.entry.branches.search(ctx, at, req, b.withdraw, func(parts []wire.PartResult) {
+			g.deliver(batchEvent{batch: b, parts: parts, arrived: time.Now()})
+		})
+		g.deliver(batchEvent{batch: b, ended: true, err: err, arrived: time.Now()})
+	}()
+}
+
+// deliver hands an event to the loop unless the query has ended.
+func (g *gather) deliver(event batchEvent) {
+	select {
+	case g.events <- event:
+	case <-g.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/service.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
+)
+
+const (
+	// versionsLast is how long a target's statement of its versions holds. A
+	// version is served for minutes; a target that rolled on without being
+	// asked is found again after this time.
+	versionsLast = 5 * time.Second
+	// expireEvery is how often old statements are looked for.
+	expireEvery = time.Second
+)
+
+// serviceState is what the entry host has learned about one search service,
+// with the service's groups prepared for planning. entry.mu guards it.
+type serviceState struct {
+	tree   *settings.Tree // the configuration and host list that the groups
+	hosts  *hosts         // were prepared from
+	groups []*plannedGroup
+	counts *snapshot.Service
+
+	latencies *hedge.Latencies
+	budget    *hedge.Budget
+	load      hedge.Load
+	// stated holds the ranges that targets last answered for where these
+	// differ from the range of their group.
+	stated map[string][]coverage.Covered
+	home   map[string]*plannedGroup // group of each usable target
+}
+
+// plannedGroup is a group with the targets that configuration and host list
+// allow.
+type plannedGroup struct {
+	group   *settings.Group
+	options routing.Group
+	targets []*snapshot.Target // by option
+	// records is the last statement of the group's record count, and the index
+	// version it holds for.
+	records        coverage.Covered
+	recordsVersion uint64
+}
+
+// service returns the state of a service for a configuration. The caller holds
+// e.mu.
+func (e *entry) service(tree *settings.Tree, name string) *serviceState {
+	now := time.Now()
+	if now.Sub(e.expired) > expireEvery {
+		e.expired = now
+		e.versions.Expire(now.Add(-versionsLast))
+	}
+	st, ok := e.services[name]
+	if !ok {
+		st = &serviceState{latencies: hedge.NewLatencies(), budget: hedge.NewBudget()}
+		e.services[name] = st
+	}
+	if hosts := e.directory.hosts(); st.tree != tree || st.hosts != hosts {
+		e.prepare(st, tree, hosts, name)
+	}
+	return st
+}
+
+// prepare builds the groups of a service anew.
+func (e *entry) prepare(st *serviceState, tree *settings.Tree, hosts *hosts, name string) {
+	if st.counts != nil {
+		st.counts.Close()
+	}
+	st.tree, st.hosts = tree, hosts
+	st.stated, st.home = map[string][]coverage.Covered{}, map[string]*plannedGroup{}
+	configured := tree.Doc.Services[name].Groups
+	st.groups = make([]*plannedGroup, len(configured))
+	ids := make([][]string, len(configured))
+	known := map[string]bool{}
+	for i := range configured {
+		p := &plannedGroup{group: &configured[i], options: e.options(tree, &configured[i], 0, nil)}
+		p.options.Options = slices.DeleteFunc(p.options.Options, func(o routing.Option) bool { return len(o.Owners) == 0 })
+		e.router.Link(&p.options)
+		for _, o := range p.options.Options {
+			p.targets = append(p.targets, e.versions.Target(o.Target))
+			ids[i] = append(ids[i], o.Target)
+			st.home[o.Target] = p
+		}
+		st.groups[i] = p
+		known[p.group.ID] = true
+	}
+	st.counts = e.versions.Service(ids)
+	st.latencies.Keep(func(group string) bool { return known[group] })
+}
+
+// learnRanges remembers what a target answered for, and the record count of its
+// group. The caller holds e.mu.
+func (st *serviceState) learnRanges(target string, version uint64, covered []coverage.Covered) {
+	p, ok := st.home[target]
+	if !ok {
+		return // the configuration has changed since
+	}
+	if len(covered) == 1 && covered[0].Range == p.group.Range {
+		p.records, p.recordsVersion = covered[0], version
+		delete(st.stated, target)
+		return
+	}
+	st.stated[target] = covered
+}
+
+// tooNarrow reports whether a target is known to cover only a part of a group's
+// range. The caller holds e.mu.
+func (st *serviceState) tooNarrow(target string, p *plannedGroup) bool {
+	covered, ok := st.stated[target]
+	if !ok {
+		return false
+	}
+	for _, c := range covered {
+		if c.From <= p.group.Range.From && c.To >= p.group.Range.To {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,6 +51,8 @@
 type SearchReply struct {
 	Parts []PartResult `cbor:"1,keyasint"`
 	Final bool         `cbor:"2,keyasint,omitempty"`
+	// QueryID repeats that of the request; a frame of another query is ignored.
+	QueryID string `cbor:"3,keyasint"`
 }
 
 // PartResult is the answer or the refusal of one target.
--- a/pkg/coverage/merger_test.go
+++ b/pkg/coverage/merger_test.go
@@ -1,6 +1,9 @@
 package coverage_test
 
 import (
+	"fmt"
+	"slices"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -66,4 +69,90 @@
 			}
 		})
 	})
+
+	// Guards against records lost between an answer that was cut at its limit
+	// and an overlapping one: whatever ranges answer in whatever order, the
+	// result is the naive search of their union with the same limit.
+	It("equals a naive union with a record limit", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const step = keyspace.Size / 16
+			limit := rapid.IntRange(1, 12).Draw(t, "limit")
+			records := make([]coverage.Record, 96)
+			for i := range records {
+				records[i] = coverage.Record{ID: fmt.Sprintf("r%03d", i), Key: rapid.Uint64Range(0, keyspace.Size-1).Draw(t, "key")}
+			}
+			m := coverage.NewMerger(1)
+			var union keyspace.Set
+			for range rapid.IntRange(1, 8).Draw(t, "parts") {
+				from := rapid.Uint64Range(0, 15).Draw(t, "from")
+				to := rapid.Uint64Range(from+1, 16).Draw(t, "to")
+				r := keyspace.Range{From: from * step, To: to * step}
+				union.Add(r)
+				part := coverage.Part{Version: 1, Limit: limit, Covered: []coverage.Covered{{Range: r}}}
+				part.Records = first(records, limit, r.Contains)
+				if err := m.Add(part); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got, want := m.Records(limit), first(records, limit, union.Contains); !slices.Equal(got, want) {
+				t.Fatalf("records %v, want %v", got, want)
+			}
+			if got := m.Coverage(); got != float64(union.Len())/float64(keyspace.Size) {
+				t.Fatalf("coverage %v, want %d keys", got, union.Len())
+			}
+		})
+	})
+
+	// Guards against coverage claimed for a range of which records are missing.
+	It("refuses a part whose limit was spent on records of other ranges", func() {
+		m := coverage.NewMerger(1)
+		err := m.Add(coverage.Part{
+			Version: 1, Limit: 2, Covered: []coverage.Covered{{Range: keyspace.Range{From: 0, To: 10}}},
+			Records: []coverage.Record{{ID: "a", Key: 5}, {ID: "b", Key: 50}},
+		})
+		Expect(err).To(MatchError(&coverage.CutError{Kept: 1, Limit: 2}))
+		Expect(m.Coverage()).To(BeZero())
+	})
+
+	// Guards against records left out in the middle when a later part was cut
+	// earlier than the query wants.
+	It("returns no more records than the smallest cut", func() {
+		m := coverage.NewMerger(1)
+		for from, limit := range map[uint64]int{0: 1, 10: 3} {
+			part := coverage.Part{Version: 1, Limit: limit, Covered: []coverage.Covered{{Range: keyspace.Range{From: from, To: from + 10}}}}
+			for i := range limit {
+				part.Records = append(part.Records, coverage.Record{ID: fmt.Sprint(i, from), Key: from})
+			}
+			Expect(m.Add(part)).To(Succeed())
+		}
+		Expect(m.Records(3)).To(HaveLen(1))
+	})
+
+	// Guards against over-reported coverage by either measure, and against
+	// record counts used where one of them is not known.
+	It("weighs by records only where all counts are known, and never above the keys", func() {
+		const half = keyspace.Size / 2
+		low, high := keyspace.Range{From: 0, To: half}, keyspace.Range{From: half, To: keyspace.Size}
+		coverageOf := func(have, missing uint64) float64 {
+			m := coverage.NewMerger(1)
+			Expect(m.Add(coverage.Part{Version: 1, Covered: []coverage.Covered{{Range: low, Records: have}}})).To(Succeed())
+			m.Expect(coverage.Covered{Range: high, Records: missing})
+			return m.Coverage()
+		}
+		Expect(coverageOf(25, 75)).To(Equal(0.25))
+		Expect(coverageOf(75, 25)).To(Equal(0.5))
+		Expect(coverageOf(0, 75)).To(Equal(0.5))
+		Expect(coverageOf(25, 0)).To(Equal(0.5))
+	})
 })
+
+// first returns the first records in order of identifier with a wanted key.
+func first(records []coverage.Record, limit int, wanted func(uint64) bool) []coverage.Record {
+	found := []coverage.Record{}
+	for _, r := range records {
+		if wanted(r.Key) && len(found) < limit {
+			found = append(found, r)
+		}
+	}
+	return found
+}
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// ewmaWeight is the weight of a new latency or delay sample.
+	// ewmaWeight is the weight of a new latency sample.
 	ewmaWeight = 0.2
+	// delayRise and delayFall are the weights of a new sample of a link's delay.
+	delayRise, delayFall = 0.1, 0.5
 	// priorLatency stands in for the latency of a group without a measurement.
 	priorLatency = 5 * time.Millisecond
 	// remoteDelay stands in for the round trip to a place that was never
@@ -96,12 +98,19 @@
 // ObserveDelay records the round trip to another host of a place: the time of
 // an exchange minus what the host reports as queue and target time.
 func (r *Router) ObserveDelay(place string, roundTrip time.Duration) {
+	roundTrip = max(roundTrip, 0)
 	known, ok := r.delays[place]
 	if !ok {
-		r.delays[place] = max(roundTrip, 0)
+		r.delays[place] = roundTrip
 		return
 	}
-	r.delays[place] = known + time.Duration(ewmaWeight*float64(max(roundTrip, 0)-known))
+	// The first exchange of a connection holds its handshake and a lost packet
+	// holds a retransmission, so a lower sample says more than a higher one.
+	weight := delayRise
+	if roundTrip < known {
+		weight = delayFall
+	}
+	r.delays[place] = known + time.Duration(weight*float64(roundTrip-known))
 }
 
 // Delay returns the estimated round trip to a place's hosts.
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -171,3 +171,6 @@
 	}
 	return lossPenalty * time.Duration(t.losses)
 }
+
+// Ended records the end of a request that says nothing about the path.
+func (r *Router) Ended(p Path) { r.stats(p).end() }
