--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,137 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	newEngland = "../../examples/new-england"
+	riga       = "../../examples/riga"
+)
+
+// startFleet runs a deployment with one of its services.
+func startFleet(ctx context.Context, dir, service string, overrides settings.Overrides) *fleet.Fleet {
+	d, err := fleet.Load(dir)
+	Expect(err).NotTo(HaveOccurred())
+	s := d.Document.Services[service]
+	if s.Settings == nil {
+		s.Settings = settings.Overrides{}
+	}
+	for name, value := range overrides {
+		s.Settings[name] = value
+	}
+	d.Document.Services = map[string]settings.Service{service: s}
+	f, err := fleet.Start(ctx, d, hclog.NewNullLogger())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
+	return f
+}
+
+// search sends one search to a host.
+func search(ctx context.Context, f *fleet.Fleet, host int, service string, req api.SearchRequest) (*api.SearchResponse, error) {
+	data, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	url := "http://" + f.Hosts[host%len(f.Hosts)].Entry.Callers + "/v1/services/" + service + "/search"
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(post)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %s", resp.Status)
+	}
+	answer := new(api.SearchResponse)
+	return answer, json.NewDecoder(resp.Body).Decode(answer)
+}
+
+// checkNaive compares an answer of full coverage with the naive search at its
+// snapshot.
+func checkNaive(f *fleet.Fleet, service string, req api.SearchRequest, answer *api.SearchResponse) error {
+	want := f.Datasets[service].Search(answer.Snapshot, req.Terms, req.Limit)
+	if answer.Coverage == 1 && !slices.Equal(answer.Records, want) {
+		return errors.Newf("%d records at snapshot %d, the naive search finds %d", len(answer.Records), answer.Snapshot, len(want))
+	}
+	return nil
+}
+
+// load is the result of queries sent at a constant rate.
+type load struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram // microseconds
+	sent     int
+	failed   int
+	coverage float64
+	wrong    error
+}
+
+func (l *load) p(quantile float64) time.Duration {
+	return time.Duration(l.latency.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// meanCoverage counts a refused query as coverage 0.
+func (l *load) meanCoverage() float64 { return l.coverage / float64(l.sent) }
+
+// drive sends queries at a constant rate, whether or not earlier ones are
+// answered, to all hosts in turn.
+func drive(ctx context.Context, f *fleet.Fleet, service string, queries int, every time.Duration) *load {
+	l := &load{latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+	var wg sync.WaitGroup
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	words := []string{"red", "oak", "hood", "slab"}
+	for i := range queries {
+		<-tick.C
+		wg.Go(func() {
+			req := api.SearchRequest{Terms: words[i%len(words) : i%len(words)+1], Limit: 20}
+			start := time.Now()
+			answer, err := search(ctx, f, i, service, req)
+			took := time.Since(start)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.sent++
+			_ = l.latency.RecordValue(took.Microseconds())
+			if err != nil {
+				l.failed++
+				return
+			}
+			l.coverage += answer.Coverage
+			if err := checkNaive(f, service, req, answer); err != nil {
+				l.wrong = err
+			}
+		})
+	}
+	wg.Wait()
+	return l
+}
+
+// searches returns the number of sub-requests that the targets ran.
+func searches(f *fleet.Fleet) (n int64) {
+	for _, s := range f.Searchers {
+		n += s.Counts().Searches.Load()
+	}
+	return n
+}
+
+func raw(text string) json.RawMessage { return json.RawMessage(text) }
--- a/internal/daemon/searchgap.go
+++ b/internal/daemon/searchgap.go
@@ -52,7 +52,7 @@
 		left = true
 		// A target known to hold the keys is necessary work; one that is only
 		// a guess draws on the budget.
-		if len(plan) == gapWidth || !c.known && !g.state.budget.TryExtra() {
+		if len(plan) == gapWidth || !c.known && !g.state.budget.TryExtra(g.policy.ExtraLoadRatio) {
 			break
 		}
 		// The group of the message is the one with the gap, so that the answer
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -101,7 +101,7 @@
 	if !ok {
 		return a, false, false
 	}
-	if !g.state.budget.TryExtra() {
+	if !g.state.budget.TryExtra(g.policy.ExtraLoadRatio) {
 		return a, false, true
 	}
 	g.entry.router.SendAll([]routing.Assignment{a})
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -107,7 +107,7 @@
 	now := time.Now()
 	g.entry.mu.Lock()
 	overloaded := g.state.load.Overloaded(now)
-	granted := hedge.RerouteIsFree(o, state.retries, overloaded) || g.state.budget.TryExtra()
+	granted := hedge.RerouteIsFree(o, state.retries, overloaded) || g.state.budget.TryExtra(g.policy.ExtraLoadRatio)
 	g.entry.mu.Unlock()
 	if granted {
 		return true
--- /dev/null
+++ b/internal/daemon/straggler_test.go
@@ -0,0 +1,48 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+var _ = Describe("Stragglers", func() {
+	const queries, warm = 500, 150
+	const every = 8 * time.Millisecond
+
+	// run returns the load under stragglers and the extra load of the targets.
+	run := func(ctx context.Context, ratio string) (*load, float64, *fleet.Fleet) {
+		f := startFleet(ctx, newEngland, "tagdesk", settings.Overrides{
+			"early_finish_after": raw(`"0s"`), "extra_load_ratio": raw(ratio),
+		})
+		drive(ctx, f, "tagdesk", warm, every)
+		for id, s := range f.Searchers {
+			s.SetFaults(standin.Faults{SlowRatio: 0.01, SlowFactor: 20, Stuck: id == "tagdesk-g03-r1"})
+		}
+		before := searches(f)
+		l := drive(ctx, f, "tagdesk", queries, every)
+		extra := float64(searches(f)-before)/float64(l.sent*10) - 1
+		AddReportEntry("load", fmt.Sprintf("ratio %s: p50 %s p99 %s coverage %.4f failed %d extra %.3f\n", ratio, l.p(50), l.p(99), l.meanCoverage(), l.failed, extra))
+		Expect(l.wrong).NotTo(HaveOccurred())
+		return l, extra, f
+	}
+
+	// Guards against a query as slow as its slowest target, against hedges that
+	// cost more than the extra-load budget, and against losers that go on
+	// running on their target.
+	It("keeps p99 under a third of that without hedges within the extra load", func(ctx context.Context) {
+		without, _, _ := run(ctx, "0")
+		with, extra, f := run(ctx, "0.05")
+		Expect(with.p(99)).To(BeNumerically("<=", without.p(99)/3), fmt.Sprint("without hedges ", without.p(99)))
+		Expect(extra).To(BeNumerically("<=", 0.05))
+		Expect(with.meanCoverage()).To(BeNumerically(">=", 0.999))
+		Eventually(f.Searchers["tagdesk-g03-r1"].Counts().Canceled.Load, time.Second).Should(BeNumerically(">", 0))
+	}, NodeTimeout(time.Minute))
+})
--- a/pkg/hedge/budget.go
+++ b/pkg/hedge/budget.go
@@ -39,9 +39,10 @@
 	b.tokens = min(maxTokens, b.tokens+ratio-pay)
 }
 
-// TryExtra takes a token for a hedge or a retry; false if there is none.
-func (b *Budget) TryExtra() bool {
-	if b.tokens < 1 {
+// TryExtra takes a token for a hedge or a retry; false if there is none or if
+// the ratio in force allows no extra load.
+func (b *Budget) TryExtra(ratio float64) bool {
+	if ratio <= 0 || b.tokens < 1 {
 		return false
 	}
 	b.tokens--
--- a/pkg/hedge/example_test.go
+++ b/pkg/hedge/example_test.go
@@ -14,6 +14,6 @@
 		budget.Completed(0.05, false)
 	}
 	rule := hedge.Rule{Quantile: 0.95, MinDelay: 2 * time.Millisecond}
-	fmt.Println(latencies.Delay("tagdesk-g00", rule, budget.Balance()), budget.TryExtra())
+	fmt.Println(latencies.Delay("tagdesk-g00", rule, budget.Balance()), budget.TryExtra(0.05))
 	// Output: 14.336ms true
 }
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -79,7 +79,7 @@
 			b := hedge.NewBudget()
 			for range rapid.IntRange(0, 3000).Draw(t, "events") {
 				if rapid.Bool().Draw(t, "extra") {
-					b.TryExtra()
+					b.TryExtra(0.05)
 				} else {
 					b.Completed(0.05, false)
 				}
