Search gaps and re-plan by what the query heard; test ranges, versions, early finish

Cause: tests with rolling versions found queries that re-planned on a version older still, or on one that had just begun to roll out, and queries that waited for tokens while their version was refused. Tests with moved ranges found gaps that were not searched for, because a target had held nothing under an earlier partition. Change: a re-plan forgets what targets stated before the query began and takes the lowest of equally good newer versions; refused versions are re-routed without tokens; targets that held none of the missing keys are remembered per partition epoch. The hedge delay is bounded by 2.5 medians at a full budget and judged again when it is due. Reply frames carry the query id, and frames of another query are ignored.

--- /dev/null
+++ b/internal/daemon/scripted_test.go
@@ -0,0 +1,177 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// scriptedDocument has two groups whose targets are in place b; %s is the
+// address of all targets.
+const scriptedDocument = `{"version": 1, "designated_level": "place", "fleet": {"settings": {"deadline_default": "2s"}},
+	"places": {"a": {"state": "in", "hosts": 1}, "b": {"state": "in", "hosts": 2}},
+	"services": {"s": {"kind": "search", "partition_epoch": 1, "groups": [
+		{"id": "g0", "range": {"from": 0, "to": 2147483648}, "targets": [{"id": "t0", "place": "b", "address": "%[1]s", "slots": 4, "connections": 8}]},
+		{"id": "g1", "range": {"from": 2147483648, "to": 4294967296}, "targets": [{"id": "t1", "place": "b", "address": "%[1]s", "slots": 4, "connections": 8}]}]}}}`
+
+// newTestHost returns the parts of a host at a seat, and its peer address. All
+// hosts of a test share the authority and the list.
+func newTestHost(t require, authority *standin.Authority, self settings.Process, targets string, serve peer.Handler) (*branchClient, string) {
+	conf, err := authority.TLS(self.Name)
+	t.check(err)
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	t.check(err)
+	log := hclog.NewNullLogger()
+	c := &branchClient{self: &self, directory: newDirectory(log)}
+	config := newConfig(log)
+	config.offer(fmt.Appendf(nil, scriptedDocument, targets))
+	c.local = newBranch(&self, config, (&net.Dialer{}).DialContext)
+	if serve == nil {
+		serve = func(ctx context.Context, _ wire.Exchange, s *peer.Stream) { c.local.serveSearch(ctx, s) }
+	}
+	c.transport, err = peer.Listen(conn, conf, serve)
+	t.check(err)
+	t.cleanup(func() { _ = c.transport.Close() })
+	return c, conn.LocalAddr().String()
+}
+
+// list makes the hosts known to a client.
+func (c *branchClient) list(addresses map[seat]string) {
+	list := &platform.HostList{Version: 1}
+	for at, address := range addresses {
+		list.Hosts = append(list.Hosts, platform.Host{
+			Name: fmt.Sprint(at), Place: at.place, Ordinal: at.ordinal, State: platform.HostLive, Callers: address, Peers: address,
+		})
+	}
+	c.directory.current.Store(indexHosts(list))
+}
+
+// require is what tests and benchmarks share.
+type require struct {
+	check   func(error)
+	cleanup func(func())
+}
+
+var _ = Describe("OwnAnswer", func() {
+	// Guards against a part of another target, group or query that is merged
+	// into this query's answer, and against a part that is merged twice.
+	It("ignores parts that the query did not ask for", func(ctx context.Context) {
+		t := require{check: func(err error) { GinkgoHelper(); Expect(err).NotTo(HaveOccurred()) }, cleanup: func(f func()) { DeferCleanup(f) }}
+		authority, err := standin.NewAuthority()
+		t.check(err)
+		scripted := func(_ context.Context, _ wire.Exchange, s *peer.Stream) {
+			var req wire.SearchRequest
+			if s.Receive(&req) != nil {
+				return
+			}
+			for i, asked := range req.Parts {
+				other := map[string]string{"g0": "g1", "g1": "g0"}[asked.Group]
+				wrong := part(asked.Group, asked.Target, "wrong")
+				otherGroup, otherTarget := wrong, wrong
+				otherGroup.Group, otherTarget.Target = "g9", "t9"
+				crossed := part(other, asked.Target, "wrong")
+				last := i == len(req.Parts)-1
+				for _, reply := range []wire.SearchReply{
+					{QueryID: req.QueryID + "x", Parts: []wire.PartResult{wrong}, Final: true},
+					{QueryID: req.QueryID, Parts: []wire.PartResult{otherGroup, otherTarget, crossed}},
+					{QueryID: req.QueryID, Parts: []wire.PartResult{part(asked.Group, asked.Target, "right"), wrong}, Final: last},
+				} {
+					_ = s.Send(&reply)
+				}
+			}
+		}
+		client, own := newTestHost(t, authority, settings.Process{Name: "a-0", Place: "a"}, "127.0.0.1:9", nil)
+		hosts := map[seat]string{{"a", 0}: own}
+		for ordinal := range 2 {
+			_, address := newTestHost(t, authority, settings.Process{Name: "b", Place: "b", Ordinal: ordinal}, "127.0.0.1:9", scripted)
+			hosts[seat{"b", ordinal}] = address
+		}
+		client.list(hosts)
+		e := newEntry(client.self, client.local.config, client.directory, client)
+		for i := range 20 {
+			answer, o := e.Search(ctx, "s", api.Meta{RequestID: fmt.Sprint("query-", i)}, &api.SearchRequest{})
+			Expect(o).To(Equal(outcome.OK()))
+			Expect(answer.Coverage).To(Equal(1.0))
+			ids := []string{}
+			for _, r := range answer.Records {
+				ids = append(ids, r.ID)
+			}
+			Expect(ids).To(Equal([]string{"right-g0", "right-g1"}))
+		}
+	}, NodeTimeout(30*time.Second))
+})
+
+// part is an answer for a group with one record.
+func part(group, target, id string) wire.PartResult {
+	r := keyspace.Split(2)[map[string]int{"g0": 0, "g1": 1}[group]]
+	return wire.PartResult{
+		Group: group, Target: target, Outcome: outcome.OK(), Version: 1, Covered: []coverage.Covered{{Range: r}},
+		Records: []coverage.Record{{ID: id + "-" + group, Key: r.From}}, Status: wire.TargetStatus{Versions: []uint64{1}},
+	}
+}
+
+// BenchmarkHop measures the extra hop: a search of one group through another
+// branch host of the same place against one through the host itself, with a
+// target that answers at once. It reports the medians.
+func BenchmarkHop(b *testing.B) {
+	t := require{check: func(err error) {
+		if err != nil {
+			b.Fatal(err)
+		}
+	}, cleanup: b.Cleanup}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"state":"warm","boot_id":"1","index_versions":[1],"version":1,"covered":[{"from":0,"to":2147483648,"epoch":1}],"records":[]}`))
+	}))
+	b.Cleanup(server.Close)
+	authority, err := standin.NewAuthority()
+	t.check(err)
+	address := server.Listener.Addr().String()
+	client, own := newTestHost(t, authority, settings.Process{Name: "b-0", Place: "b"}, address, nil)
+	_, other := newTestHost(t, authority, settings.Process{Name: "b-1", Place: "b", Ordinal: 1}, address, nil)
+	client.list(map[seat]string{{"b", 0}: own, {"b", 1}: other})
+	for ordinal, name := range []string{"local", "remote"} {
+		b.Run(name, func(b *testing.B) {
+			var took []time.Duration
+			for b.Loop() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				req := &wire.SearchRequest{
+					QueryID: fmt.Sprint(rand.Uint64()), Service: "s", TimeoutMS: 1000, Version: 1,
+					Parts: []wire.PartRequest{{Group: "g0", Target: "t0"}},
+				}
+				answered := false
+				start := time.Now()
+				err := client.search(ctx, seat{"b", ordinal}, req, make(chan string), func(parts []wire.PartResult) {
+					answered = parts[0].Outcome.Kind == outcome.Answered
+				})
+				took = append(took, time.Since(start))
+				cancel()
+				if err != nil || !answered {
+					b.Fatalf("answered %t, error %v", answered, err)
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -38,6 +38,7 @@
 	meta    api.Meta
 	req     *api.SearchRequest
 	id      string
+	started time.Time
 
 	state     *serviceState // shared with other searches, guarded by entry.mu
 	groups    []*groupState
@@ -55,15 +56,16 @@
 
 // groupState is the progress of one group.
 type groupState struct {
-	planned  *plannedGroup
-	attempts []*attempt
-	retries  int
-	hedges   int
-	due      time.Time // when the group is looked at again; zero for never
-	gap      bool      // an answer left a part of the range open
-	waiting  bool      // a retry waits for the extra-load budget
-	done     bool
-	last     outcome.Outcome // why the group has no answer
+	planned   *plannedGroup
+	attempts  []*attempt
+	retries   int
+	hedges    int
+	due       time.Time // when the group is looked at again; zero for never
+	gap       bool      // an answer left a part of the range open
+	gapRounds int       // searches for the rest so far
+	waiting   bool      // a retry waits for the extra-load budget
+	done      bool
+	last      outcome.Outcome // why the group has no answer
 }
 
 // inProgress returns the number of attempts without a result.
@@ -122,7 +124,7 @@
 func newGather(ctx context.Context, e *entry, tree *settings.Tree, policy *settings.Policy, service string, meta api.Meta, req *api.SearchRequest) *gather {
 	g := &gather{
 		ctx: ctx, entry: e, policy: policy, service: service, meta: meta, req: req,
-		id: requestID(meta), byID: map[string]*groupState{},
+		id: requestID(meta), started: time.Now(), byID: map[string]*groupState{},
 		events: make(chan batchEvent, 64),
 	}
 	e.mu.Lock()
@@ -147,6 +149,9 @@
 func (g *gather) start() {
 	g.entry.mu.Lock()
 	version := g.state.counts.Pick()
+	if g.replanned {
+		version = g.state.counts.PickAfter(g.merger.Version())
+	}
 	g.entry.mu.Unlock()
 	g.merger = coverage.NewMerger(version)
 	g.open = len(g.groups)
@@ -224,6 +229,9 @@
 func (g *gather) restart() {
 	g.replan, g.replanned = false, true
 	g.abandon(outcome.Canceled)
+	g.entry.mu.Lock()
+	g.state.counts.Doubt(g.started)
+	g.entry.mu.Unlock()
 	for i, state := range g.groups {
 		g.groups[i] = newGroupState(state.planned)
 		g.byID[state.planned.group.ID] = g.groups[i]
--- a/internal/daemon/searchgap.go
+++ b/internal/daemon/searchgap.go
@@ -1,15 +1,29 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 )
 
-// gapWidth is the number of targets asked at a time for the rest of a range.
-const gapWidth = 3
+const (
+	// gapWidth is the number of targets asked in the first round for the rest
+	// of a range; it doubles with each round, so that even the targets of 1,300
+	// groups are asked within a deadline.
+	gapWidth    = 3
+	maxGapRound = 12
+	// fruitlessFor is how long a target that held none of the missing keys is
+	// asked for such keys only with a token. Without it, keys that no target
+	// holds would add a whole search of all targets to every query; with it
+	// they add at most one sub-request a second, host and target.
+	fruitlessFor = time.Second
+	// gapReserve is the balance of the budget that is left to hedges.
+	gapReserve = 0.5
+)
 
 // fillGaps searches for keys that their group's target did not cover, because
 // shards were split, merged or moved since the configuration was written. It
@@ -30,11 +44,11 @@
 // group if none is left.
 func (g *gather) fillGap(state *groupState) {
 	now := time.Now()
-	plan, left := g.planGap(now, state)
+	plan := g.planGap(now, state)
 	for _, a := range plan {
 		g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, true)
 	}
-	if !left && state.inProgress() == 0 {
+	if g.pending == 0 {
 		state.gap = false
 		g.closeIfIdle(state)
 		return
@@ -42,17 +56,16 @@
 	g.arm(now)
 }
 
-// planGap chooses targets for the keys missing of a group. It reports whether
-// any was left to ask.
-func (g *gather) planGap(now time.Time, state *groupState) (plan []routing.Assignment, left bool) {
+// planGap chooses targets for the keys missing of a group.
+func (g *gather) planGap(now time.Time, state *groupState) (plan []routing.Assignment) {
 	missing := g.merger.Missing(state.planned.group.Range)
+	width := gapWidth << min(state.gapRounds, maxGapRound)
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
-	for _, c := range g.gapCandidates(state, missing) {
-		left = true
-		// A target known to hold the keys is necessary work; one that is only
-		// a guess draws on the budget.
-		if len(plan) == gapWidth || !c.known && !g.state.budget.TryExtra(g.policy.ExtraLoadRatio) {
+	overloaded := g.state.load.Overloaded(now)
+	candidates := g.gapCandidates(now, state, missing)
+	for _, c := range candidates {
+		if len(plan) == width || !g.mayFill(c, overloaded) || len(plan) > 0 && c.rank > candidates[0].rank {
 			break
 		}
 		// The group of the message is the one with the gap, so that the answer
@@ -61,28 +74,47 @@
 		if a, ok := g.entry.router.Alternative(now, &options, nil, nil); ok {
 			plan = append(plan, a)
 		}
-		if c.known {
-			break
+		if c.rank == rankKnown {
+			break // one may be enough
 		}
 	}
 	g.entry.router.SendAll(plan)
-	state.due = now.Add(tokenWait)
 	if len(plan) > 0 {
+		state.gapRounds++
 		state.due = now.Add(g.state.latencies.Delay(state.planned.group.ID, g.hedgeRule(), 1))
 	}
-	return plan, left
+	return plan
+}
+
+// mayFill reports whether a target may be asked for missing keys. The answer
+// cannot be complete without it, so it is no extra load as long as the service
+// bears it; only a target that held none of such keys a moment ago needs a
+// token. The caller holds entry.mu.
+func (g *gather) mayFill(c candidate, overloaded bool) bool {
+	if c.rank == rankKnown || c.rank < rankFruitless && !overloaded {
+		return true
+	}
+	return g.state.budget.Balance() > gapReserve && g.state.budget.TryExtra(g.policy.ExtraLoadRatio)
 }
 
+// Ranks of candidates, the most promising first.
+const (
+	rankKnown     = iota // its last answer covered some of the missing keys
+	rankReplica          // of the group itself
+	rankGuess            // of another group
+	rankFruitless        // held none of the missing keys a moment ago
+)
+
 // candidate is a target that may hold missing keys.
 type candidate struct {
 	option   routing.Option
-	known    bool // its last answer covered some of the missing keys
-	distance int  // between its group and the one with the gap
+	rank     int
+	distance int // between its group and the one with the gap
 }
 
 // gapCandidates returns the targets not yet asked for the group, the most
 // promising first. The caller holds entry.mu.
-func (g *gather) gapCandidates(state *groupState, missing []keyspace.Range) []candidate {
+func (g *gather) gapCandidates(now time.Time, state *groupState, missing []keyspace.Range) []candidate {
 	at := slices.Index(g.groups, state)
 	var found []candidate
 	for i, other := range g.groups {
@@ -90,30 +122,30 @@
 			if !other.planned.targets[j].Serves(g.merger.Version()) || state.tried(option.Target) || other.answering(option.Target) {
 				continue
 			}
-			c := candidate{option: option, distance: max(i-at, at-i)}
-			if covered, ok := g.state.stated[option.Target]; ok {
-				for _, r := range covered {
-					c.known = c.known || overlaps(r.Range, missing)
-				}
-				if !c.known {
-					continue
-				}
+			c := candidate{option: option, rank: rankGuess, distance: max(i-at, at-i)}
+			switch {
+			case g.state.holds(option.Target, missing):
+				c.rank = rankKnown
+			case now.Sub(g.state.fruitless[option.Target]) < fruitlessFor:
+				c.rank = rankFruitless
+			case other == state:
+				c.rank = rankReplica
 			}
 			found = append(found, c)
 		}
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		if a.known != b.known {
-			if a.known {
-				return -1
-			}
-			return 1
-		}
-		return a.distance - b.distance
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.distance, b.distance))
 	})
 	return found
 }
 
+// holds reports whether the last answer of a target, for other ranges than
+// those of its group, covered some keys of the ranges.
+func (st *serviceState) holds(target string, ranges []keyspace.Range) bool {
+	return slices.ContainsFunc(st.stated[target], func(c coverage.Covered) bool { return overlaps(c.Range, ranges) })
+}
+
 // answering reports whether a target has answered or may still answer.
 func (s *groupState) answering(target string) bool {
 	return slices.ContainsFunc(s.attempts, func(a *attempt) bool {
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -65,11 +65,8 @@
 	if state.hedges >= maxHedges {
 		return
 	}
-	a, ok, later := g.planHedge(now, state)
+	a, ok := g.planHedge(now, state)
 	if !ok {
-		if later {
-			state.due = now.Add(tokenWait)
-		}
 		return
 	}
 	state.hedges++
@@ -77,9 +74,9 @@
 }
 
 // planHedge chooses the path of a hedge: another replica, or the same one
-// through its other owner if there is none. It reports whether it is worth
-// trying later.
-func (g *gather) planHedge(now time.Time, state *groupState) (a routing.Assignment, ok, later bool) {
+// through its other owner if there is none. If it is too early or there is no
+// token, the group is due again later.
+func (g *gather) planHedge(now time.Time, state *groupState) (a routing.Assignment, ok bool) {
 	version := g.merger.Version()
 	p := state.planned
 	avoid := make([]routing.Path, 0, len(state.attempts))
@@ -88,8 +85,17 @@
 	}
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
-	if g.state.load.Overloaded(now) || g.state.budget.Balance() == 0 {
-		return a, false, true
+	budget := g.state.budget
+	// The delay is judged again with the balance of now, so that of two late
+	// groups the one that is later takes the last token.
+	delay := g.state.latencies.Delay(p.group.ID, g.hedgeRule(), budget.Balance())
+	if due := state.attempts[len(state.attempts)-1].sent.Add(delay); due.After(now) {
+		state.due = due
+		return a, false
+	}
+	state.due = now.Add(tokenWait)
+	if g.state.load.Overloaded(now) || !budget.Has(1) {
+		return a, false
 	}
 	a, ok = g.entry.router.Alternative(now, &p.options, func(_, option int) bool {
 		return p.targets[option].Serves(version) && !state.tried(p.options.Options[option].Target)
@@ -99,12 +105,13 @@
 		ok = ok && a.Path != avoid[0]
 	}
 	if !ok {
-		return a, false, false
+		state.due = time.Time{}
+		return a, false
 	}
-	if !g.state.budget.TryExtra(g.policy.ExtraLoadRatio) {
-		return a, false, true
+	if !budget.TryExtra(g.policy.ExtraLoadRatio) {
+		return a, false
 	}
 	g.entry.router.SendAll([]routing.Assignment{a})
-	state.due = now.Add(max(g.state.latencies.Delay(p.group.ID, g.hedgeRule(), 1), g.entry.router.Delay(a.Path.Place)))
-	return a, true, false
+	state.due = now.Add(delay + g.entry.router.Delay(a.Path.Place))
+	return a, true
 }
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 )
 
@@ -39,6 +41,11 @@
 // merge adds an answer. An answer that cannot be merged, such as one of another
 // index version, counts as a failed attempt.
 func (g *gather) merge(state *groupState, a *attempt, part *wire.PartResult) []*groupState {
+	r := state.planned.group.Range
+	var missing []keyspace.Range
+	if a.gap {
+		missing = g.merger.Missing(r)
+	}
 	err := g.merger.Add(coverage.Part{Version: part.Version, Covered: part.Covered, Records: part.Records, Limit: g.req.Limit})
 	if err != nil {
 		state.last = outcome.Uncertain(outcome.Internal, "%v", err)
@@ -55,8 +62,10 @@
 	a.answered = true
 	g.entry.mu.Lock()
 	g.state.learnRanges(part.Target, part.Version, part.Covered)
+	if a.gap && slices.Equal(missing, g.merger.Missing(r)) {
+		g.state.learnFruitless(part.Target, part.Covered)
+	}
 	g.entry.mu.Unlock()
-	r := state.planned.group.Range
 	if len(part.Covered) == 1 && part.Covered[0].Range == r {
 		g.finish(state)
 		return nil
@@ -102,7 +111,8 @@
 }
 
 // mayRetry takes a token for a retry unless it is free. Without a token the
-// group waits for one, or is closed if the service is overloaded.
+// group waits for one. In overload a query of which nothing was answered does
+// not wait, so that its caller is refused at once.
 func (g *gather) mayRetry(state *groupState, o outcome.Outcome) bool {
 	now := time.Now()
 	g.entry.mu.Lock()
@@ -112,7 +122,7 @@
 	if granted {
 		return true
 	}
-	if overloaded {
+	if overloaded && g.merger.Coverage() == 0 {
 		g.closeIfIdle(state)
 		return false
 	}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -35,6 +35,10 @@
 	// differ from the range of their group.
 	stated map[string][]coverage.Covered
 	home   map[string]*plannedGroup // group of each usable target
+	// fruitless holds when a target was last asked for the rest of a range and
+	// held none of it. It holds for the newest partition epoch seen.
+	fruitless map[string]time.Time
+	epoch     uint64
 }
 
 // plannedGroup is a group with the targets that configuration and host list
@@ -74,6 +78,7 @@
 		st.counts.Close()
 	}
 	st.tree, st.hosts = tree, hosts
+	st.fruitless = map[string]time.Time{}
 	st.stated, st.home = map[string][]coverage.Covered{}, map[string]*plannedGroup{}
 	configured := tree.Doc.Services[name].Groups
 	st.groups = make([]*plannedGroup, len(configured))
@@ -98,6 +103,10 @@
 // learnRanges remembers what a target answered for, and the record count of its
 // group. The caller holds e.mu.
 func (st *serviceState) learnRanges(target string, version uint64, covered []coverage.Covered) {
+	if epoch := epochOf(covered); epoch > st.epoch {
+		st.epoch = epoch
+		clear(st.fruitless)
+	}
 	p, ok := st.home[target]
 	if !ok {
 		return // the configuration has changed since
@@ -110,6 +119,23 @@
 	st.stated[target] = covered
 }
 
+// learnFruitless remembers that a target held none of the missing keys. A
+// target of an older partition epoch is not remembered: it may be about to take
+// them over. The caller holds e.mu.
+func (st *serviceState) learnFruitless(target string, covered []coverage.Covered) {
+	if epochOf(covered) >= st.epoch {
+		st.fruitless[target] = time.Now()
+	}
+}
+
+// epochOf returns the newest partition epoch of an answer.
+func epochOf(covered []coverage.Covered) (epoch uint64) {
+	for _, c := range covered {
+		epoch = max(epoch, c.Epoch)
+	}
+	return epoch
+}
+
 // tooNarrow reports whether a target is known to cover only a part of a group's
 // range. The caller holds e.mu.
 func (st *serviceState) tooNarrow(target string, p *plannedGroup) bool {
--- a/pkg/hedge/budget.go
+++ b/pkg/hedge/budget.go
@@ -50,6 +50,9 @@
 	return true
 }
 
+// Has reports whether the budget holds a number of tokens.
+func (b *Budget) Has(tokens float64) bool { return b.tokens >= tokens }
+
 // Balance returns the tokens held as a fraction, 0 to 1, of the advance; more
 // tokens than that count as 1.
 func (b *Budget) Balance() float64 { return min(1, b.tokens/advance) }
--- a/pkg/hedge/latency.go
+++ b/pkg/hedge/latency.go
@@ -15,16 +15,18 @@
 	bucketCount = octaves * perOctave
 
 	// decayAt is the number of samples after which all counts are halved, so
-	// that about the last thousand samples count.
-	decayAt = 1000
+	// that about the last few hundred count. With 1000, the slow first requests
+	// of a host that had just started set its delay for its first 100 queries.
+	decayAt = 400
 	// minSamples is the number of samples below which a group's own quantile
 	// says little and that of the whole service is used.
 	minSamples = 30
 	// refreshEvery is the number of samples after which a quantile is computed
 	// anew.
 	refreshEvery = 16
-	// unknownDelay is used before anything was measured.
-	unknownDelay = 30 * time.Millisecond
+	// unknownDelay is used before anything was measured. The first requests open
+	// their connections; a shorter delay spends the advance on them.
+	unknownDelay = 50 * time.Millisecond
 )
 
 // Rule is when to hedge, from the settings.
@@ -59,7 +61,7 @@
 // is Budget.Balance: as the budget runs low the quantile rises, so that the
 // tokens left go to the slowest sub-requests.
 func (l *Latencies) Delay(group string, rule Rule, balance float64) time.Duration {
-	quantile := 1 - (1-rule.Quantile)*min(1, max(minSpending, 2*balance))
+	quantile := 1 - (1-rule.Quantile)*max(minSpending, balance)
 	h, ok := l.groups[group]
 	if !ok || h.total < minSamples {
 		h = &l.all
@@ -67,12 +69,21 @@
 	if h.total < minSamples {
 		return max(unknownDelay, rule.MinDelay)
 	}
-	return max(h.quantile(quantile), rule.MinDelay)
+	delay := min(h.quantile(quantile), time.Duration(maxMedians/max(minSpending, balance)*float64(h.median)))
+	return max(delay, rule.MinDelay)
 }
 
+// maxMedians bounds the delay at a full budget, relative to the median; about one in a hundred
+// answers takes longer if their log-normal spread is 0.4. A
+// time of trouble fills the tail of the distribution, and the quantile alone
+// would then wait for the stragglers that it has seen.
+const maxMedians = 2.5
+
 // minSpending is the fraction of the hedges of a full budget that an empty one
-// still asks for; the quantile 0.95 becomes 0.99.
-const minSpending = 0.2
+// still asks for; the quantile 0.95 becomes 0.975. At 0.1 (0.995) the delay of
+// a service with 1 % stragglers was that of the stragglers themselves, and the
+// p99 under them stayed at the deadline.
+const minSpending = 0.5
 
 // Groups returns the number of groups held.
 func (l *Latencies) Groups() int { return len(l.groups) }
@@ -93,6 +104,7 @@
 	// The last quantile asked for is kept until refreshEvery more samples.
 	askedFor float64
 	answer   time.Duration
+	median   time.Duration
 	age      int
 }
 
@@ -109,22 +121,28 @@
 	}
 }
 
-// quantile returns the upper bound of the bucket that holds the quantile.
+// quantile returns a quantile and refreshes the median with it.
 func (h *histogram) quantile(q float64) time.Duration {
 	// Steps of a tenth of the tail keep the cached answer usable while the
 	// balance moves a little.
 	if h.age < refreshEvery && h.answer > 0 && q-h.askedFor < (1-q)/10 && h.askedFor-q < (1-q)/10 {
 		return h.answer
 	}
+	h.askedFor, h.answer, h.age = q, h.at(q), 0
+	h.median = h.at(0.5)
+	return h.answer
+}
+
+// at returns the upper bound of the bucket that holds a quantile.
+func (h *histogram) at(q float64) time.Duration {
 	above := int((1 - q) * float64(h.total))
-	at := bucketCount - 1
-	for seen := 0; at > 0; at-- {
-		if seen += int(h.counts[at]); seen > above {
+	bucket := bucketCount - 1
+	for seen := 0; bucket > 0; bucket-- {
+		if seen += int(h.counts[bucket]); seen > above {
 			break
 		}
 	}
-	h.askedFor, h.answer, h.age = q, upperBound(at), 0
-	return h.answer
+	return upperBound(bucket)
 }
 
 func bucketOf(took time.Duration) int {
--- a/pkg/hedge/load.go
+++ b/pkg/hedge/load.go
@@ -18,6 +18,9 @@
 	// maxRefusedRatio is the fraction of results refused for load above which
 	// a service is overloaded.
 	maxRefusedRatio = 0.02
+	// minRefused is the weight of refusals below which they may be chance: a
+	// target whose slot is still held by a withdrawn request refuses the next.
+	minRefused = 5
 	// minResults is the weight of results below which nothing is concluded.
 	minResults = 20
 )
@@ -53,7 +56,7 @@
 	if weight < minResults {
 		return false
 	}
-	return l.refused > maxRefusedRatio*l.results || l.queued > maxQueueRatio*l.served
+	return l.refused > max(minRefused, maxRefusedRatio*l.results) || l.queued > maxQueueRatio*l.served
 }
 
 // RefusedForLoad reports whether a sub-request did not run because a queue was
@@ -63,10 +66,15 @@
 }
 
 // RerouteIsFree reports whether another replica may be asked without a token
-// after a refusal: only for the first refusal of a sub-request, because the
-// target did not run it and so the targets bear no extra work, and not for a
-// refusal for load while the service is overloaded, where the other replicas
-// would refuse as well and the messages would multiply.
+// after a refusal. The first refusal of a sub-request is free, because the
+// target did not run it and so the targets bear no extra work. A refusal for
+// load while the service is overloaded is not: the other replicas would refuse
+// as well and the messages would multiply. A refused index version is free
+// every time: a roll meets all groups of a query at once, and with tokens the
+// query would wait for them instead of finding the version that is served.
 func RerouteIsFree(o outcome.Outcome, earlier int, overloaded bool) bool {
-	return o.RanNothing() && earlier == 0 && !(overloaded && RefusedForLoad(o))
+	if !o.RanNothing() || overloaded && RefusedForLoad(o) {
+		return false
+	}
+	return earlier == 0 || o.Reason == outcome.VersionGone
 }
--- a/pkg/snapshot/service.go
+++ b/pkg/snapshot/service.go
@@ -1,5 +1,10 @@
 package snapshot
 
+import (
+	"cmp"
+	"time"
+)
+
 // Service counts, for the groups of one service, how many of them each version
 // covers. Its cost is paid when a target states other versions than before, not
 // per query.
@@ -52,15 +57,28 @@
 
 // Pick returns the version for a query, or 0 if no version is known. It
 // prefers a version that covers the most groups, then one that leaves every
-// group a second replica to hedge on, then the highest.
-func (s *Service) Pick() uint64 {
+// group a second replica to hedge on, then one that the most groups stated
+// rather than may serve, then the highest.
+func (s *Service) Pick() uint64 { return s.pick(0, +1) }
+
+// PickAfter returns the version for a query whose version vanished, or 0 if no
+// newer one is known. Of equal versions it takes the lowest: the targets that
+// refused have rolled on and state the newest versions, while those that have
+// not yet answered may be behind them.
+func (s *Service) PickAfter(vanished uint64) uint64 { return s.pick(vanished, -1) }
+
+// pick chooses among the versions above a floor. sign is the preference among
+// equal ones, +1 for the highest.
+func (s *Service) pick(floor uint64, sign int) uint64 {
 	var best uint64
 	var at tally
 	for version, t := range s.versions {
-		better := t.covered > at.covered ||
-			t.covered == at.covered && t.spare > at.spare ||
-			t.covered == at.covered && t.spare == at.spare && version > best
-		if best == 0 || better {
+		if version <= floor {
+			continue
+		}
+		order := cmp.Or(cmp.Compare(t.covered, at.covered), cmp.Compare(t.spare, at.spare),
+			cmp.Compare(t.stating, at.stating), sign*cmp.Compare(version, best))
+		if best == 0 || order > 0 {
 			best, at = version, *t
 		}
 	}
@@ -135,3 +153,17 @@
 		delete(g.service.versions, version)
 	}
 }
+
+// Doubt forgets what targets stated before a time. A query that found its
+// version gone from a group calls it: the other targets have probably rolled on
+// as well, and their old statements would make Pick choose that version again
+// or an even older one.
+func (s *Service) Doubt(before time.Time) {
+	for _, g := range s.groups {
+		for _, t := range g.targets {
+			if t.versions != nil && t.heard.Before(before) {
+				t.set(nil)
+			}
+		}
+	}
+}
