Return the token of a hedge that did not run

Cause: a hedge withdrawn while its connection was being opened kept its token. Change: the branch host's report that the part did not run returns it, while the query is open.

--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -98,6 +98,7 @@
 	// answered is set if the answer was merged.
 	answered bool
 	gap      bool // searches for the rest of a range, not for the group
+	hedge    bool // paid for with a token
 	again    bool // the target may be asked again
 }
 
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -71,6 +71,7 @@
 	}
 	state.hedges++
 	g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, false)
+	state.attempts[len(state.attempts)-1].hedge = true
 }
 
 // planHedge chooses the path of a hedge: another replica, or the same one
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -15,6 +15,9 @@
 // handlePart takes one result and returns the groups to be sent again.
 func (g *gather) handlePart(b *batch, part *wire.PartResult, arrived time.Time) []*groupState {
 	a, ok := b.attempts[part.Group]
+	if ok && a.ended && a.hedge && a.path.Target == part.Target && part.Outcome.RanNothing() {
+		g.returnToken(a)
+	}
 	if !ok || a.ended || a.path.Target != part.Target {
 		return nil // not something this query asked for, or no longer wanted
 	}
@@ -38,6 +41,15 @@
 	return g.retry(state, part.Outcome)
 }
 
+// returnToken takes back the token of a hedge that was withdrawn before its
+// target ran it, for example while its connection was being opened.
+func (g *gather) returnToken(a *attempt) {
+	a.hedge = false
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	g.state.budget.Return()
+}
+
 // merge adds an answer. An answer that cannot be merged, such as one of another
 // index version, counts as a failed attempt.
 func (g *gather) merge(state *groupState, a *attempt, part *wire.PartResult) []*groupState {
--- a/pkg/hedge/budget.go
+++ b/pkg/hedge/budget.go
@@ -50,6 +50,12 @@
 	return true
 }
 
+// Return gives back the token of an attempt that was withdrawn before it ran.
+func (b *Budget) Return() {
+	b.tokens = min(maxTokens, b.tokens+1)
+	b.spent--
+}
+
 // Has reports whether the budget holds a number of tokens.
 func (b *Budget) Has(tokens float64) bool { return b.tokens >= tokens }
 
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -92,6 +92,16 @@
 })
 
 var _ = Describe("Budget", func() {
+	// Guards against tokens lost to hedges that never ran.
+	It("takes back the token of an attempt that did not run", func() {
+		b := hedge.NewBudget()
+		for b.TryExtra(0.05) {
+		}
+		b.Return()
+		Expect(b.TryExtra(0.05)).To(BeTrue())
+		Expect(b.TryExtra(0.05)).To(BeFalse())
+	})
+
 	// Guards against extra load above its ratio under any order of events.
 	It("never grants more than the ratio of completed requests or the advance", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
