--- a/internal/bench/flat.go
+++ b/internal/bench/flat.go
@@ -31,7 +31,7 @@
 func NewFlat(opts ScatterOptions) *Flat {
 	return &Flat{
 		scatter: newScatter(opts), versions: snapshot.NewVersions(),
-		router: routing.NewRouter(opts.Place, opts.Rand),
+		router: routing.NewRouter(opts.Place, 0, opts.Rand),
 	}
 }
 
@@ -64,14 +64,15 @@
 func (f *Flat) observe(path routing.Path, o outcome.Outcome, status wire.TargetStatus, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.versions.Observe(path.Target, status.Versions)
+	now := time.Now()
+	f.versions.Observe(now, path.Target, status.BootID, status.Versions)
 	switch {
 	case o.Kind == outcome.Answered:
-		f.router.Answered(path, took)
+		f.router.Answered(now, path, took)
 	case o.Reason == outcome.Canceled:
-		f.router.Canceled(path, took)
+		f.router.Canceled(now, path, took)
 	default:
-		f.router.Failed(time.Now(), path)
+		f.router.Failed(now, path)
 	}
 }
 
@@ -90,7 +91,9 @@
 			targets[i] = append(targets[i], o.Target)
 		}
 	}
-	return f.versions.Pick(targets)
+	counts := f.versions.Service(targets)
+	defer counts.Close()
+	return counts.Pick()
 }
 
 // Search asks every group and merges the answers of one index version.
--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -43,8 +43,10 @@
 	t.check(err)
 	log := hclog.NewNullLogger()
 	c := &branchClient{self: &self, directory: newDirectory(log)}
-	config := newConfig(log)
-	config.offer(fmt.Appendf(nil, scriptedDocument, targets))
+	config := newConfig(&self, log)
+	tree, err := settings.Parse(fmt.Appendf(nil, scriptedDocument, targets))
+	t.check(err)
+	config.current.Store(tree)
 	c.local = newBranch(&self, config, (&net.Dialer{}).DialContext)
 	if serve == nil {
 		serve = func(ctx context.Context, _ wire.Exchange, s *peer.Stream) { c.local.serveSearch(ctx, s) }
