Pick a version only when half of a large group serves it

Cause: two of 12 replicas with a new version were enough to move all queries to them; they were overloaded until the others had rolled. Change: a version counts as spare in a group when half of its replicas serve it, at least two.

--- a/pkg/snapshot/service.go
+++ b/pkg/snapshot/service.go
@@ -57,7 +57,7 @@
 
 // Pick returns the version for a query, or 0 if no version is known. It
 // prefers a version that covers the most groups, then one that leaves every
-// group a second replica to hedge on, then one that the most groups stated
+// group a second replica to hedge on and half of its replicas, then one that the most groups stated
 // rather than may serve, then the highest.
 func (s *Service) Pick() uint64 { return s.pick(0, +1) }
 
@@ -103,7 +103,9 @@
 			unheard++
 		}
 	}
-	need := min(2, len(g.targets))
+	// Half of a large group as well: the first few of 12 replicas with a new
+	// version would otherwise get the load of all.
+	need := max(min(2, len(g.targets)), (len(g.targets)+1)/2)
 	if unheard > 0 {
 		g.service.anyCovered += sign
 	}
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -57,6 +57,23 @@
 		Expect(s.Pick()).To(Equal(uint64(7)))
 	})
 
+	// Guards against a new version that sends the load of a large group to the
+	// first replicas that serve it.
+	It("waits until half of a group serves a version", func() {
+		v := snapshot.NewVersions()
+		ids := []string{"a0", "a1", "a2", "a3", "a4", "a5"}
+		s := v.Service([][]string{ids})
+		for i, id := range ids {
+			v.Observe(now, id, "", []uint64{6, 7})
+			if i < 2 {
+				v.Observe(now, id, "", []uint64{7, 8})
+			}
+		}
+		Expect(s.Pick()).To(Equal(uint64(7)))
+		v.Observe(now, ids[2], "", []uint64{7, 8})
+		Expect(s.Pick()).To(Equal(uint64(8)))
+	})
+
 	// Guards against a restarted target, or one that was not asked for long,
 	// whose old versions exclude it for good.
 	It("forgets a target that restarted or has been silent", func() {
@@ -129,7 +146,7 @@
 				}
 			}
 			covered += count(serving > 0)
-			spare += count(serving >= min(2, len(g)))
+			spare += count(serving >= max(min(2, len(g)), (len(g)+1)/2))
 			stating += count(stated)
 		}
 		rank := []int{covered, spare, stating}
