Add the tickets and run records of requests that may not be repeated

A ticket names host, incarnation and expiry; the registry of that incarnation lets a request run once and answers resends from its record. Time never goes back inside the registry, because a clock step would revive an expired ticket whose record is gone.

--- /dev/null
+++ b/pkg/atmostonce/registry.go
@@ -0,0 +1,164 @@
+package atmostonce
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// Action says what the caller of Begin does with a request.
+type Action uint8
+
+// Actions.
+const (
+	Refuse Action = iota // answer Decision.Outcome; nothing is to run
+	Run                  // run the request, then call Finish
+	Join                 // the request is running; wait for its result
+	Replay               // answer Decision.Outcome and Decision.Answer
+)
+
+// Decision is the answer of Begin.
+type Decision[A any] struct {
+	Action  Action
+	Outcome outcome.Outcome
+	Answer  A
+}
+
+// Limits of a registry.
+type Limits struct {
+	Records         int           // requests remembered at a time
+	LongestTTL      time.Duration // longest life of a ticket
+	LongestDeadline time.Duration // records outlive their tickets by this time
+}
+
+// Registry remembers the requests of one host incarnation. A is the type of an
+// answer.
+type Registry[A any] struct {
+	host        string
+	incarnation uint64
+	limits      Limits
+	latest      time.Time // time never goes back here, even if the clock does
+	records     map[string]*record[A]
+	ended       queue[A]
+}
+
+// record is what is known of one request.
+type record[A any] struct {
+	id       string
+	digest   uint64
+	forgetAt time.Time
+	running  bool
+	outcome  outcome.Outcome
+	answer   A
+}
+
+// NewRegistry returns the registry of a host incarnation.
+func NewRegistry[A any](host string, incarnation uint64, limits Limits) *Registry[A] {
+	return &Registry[A]{host: host, incarnation: incarnation, limits: limits, records: map[string]*record[A]{}}
+}
+
+// Issue returns a ticket for this incarnation.
+func (r *Registry[A]) Issue(now time.Time, ttl time.Duration) Ticket {
+	now = r.advance(now)
+	return Ticket{Host: r.host, Incarnation: r.incarnation, Expiry: now.Add(min(ttl, r.limits.LongestTTL)).Truncate(time.Millisecond)}
+}
+
+// Begin decides what to do with a request. digest identifies its body.
+func (r *Registry[A]) Begin(now time.Time, id ID, digest uint64) Decision[A] {
+	now = r.advance(now)
+	r.forget(now)
+	if id.Ticket.Host != r.host || id.Ticket.Incarnation != r.incarnation {
+		return refuse[A](outcome.Uncertain(outcome.Unavailable,
+			"the ticket names incarnation %d of host %s, this is incarnation %d of %s", id.Ticket.Incarnation, id.Ticket.Host, r.incarnation, r.host))
+	}
+	key := id.String()
+	if rec, ok := r.records[key]; ok {
+		return rec.decide(digest)
+	}
+	if refusal, refused := r.checkNew(now, id.Ticket.Expiry); refused {
+		return refuse[A](refusal)
+	}
+	r.records[key] = &record[A]{id: key, digest: digest, forgetAt: id.Ticket.Expiry.Add(r.limits.LongestDeadline), running: true}
+	return Decision[A]{Action: Run}
+}
+
+// checkNew refuses a request without a record that may not run.
+func (r *Registry[A]) checkNew(now, expiry time.Time) (outcome.Outcome, bool) {
+	switch {
+	case !now.Before(expiry.Add(r.limits.LongestDeadline)):
+		return outcome.Uncertain(outcome.Deadline, "the ticket expired %s ago and its record is gone", now.Sub(expiry).Round(time.Second)), true
+	case !now.Before(expiry):
+		// A run would have left a record, so the request certainly did not run.
+		return outcome.Refused(outcome.Invalid, "the ticket has expired"), true
+	case expiry.After(now.Add(r.limits.LongestTTL)):
+		return outcome.Refused(outcome.Invalid, "the ticket lives longer than any that this host issued"), true
+	case len(r.records) >= r.limits.Records:
+		return outcome.Refused(outcome.Overload, "the table of requests is full"), true
+	}
+	return outcome.Outcome{}, false
+}
+
+// Finish records the result of a request that Begin let run. After a
+// definitive "not run" the request may run again. It returns false if the
+// request is not running.
+func (r *Registry[A]) Finish(now time.Time, id ID, o outcome.Outcome, answer A) bool {
+	r.advance(now)
+	rec, ok := r.records[id.String()]
+	if !ok || !rec.running {
+		return false
+	}
+	if o.RanNothing() {
+		delete(r.records, rec.id)
+		return true
+	}
+	rec.running, rec.outcome, rec.answer = false, o, answer
+	heap.Push(&r.ended, rec)
+	return true
+}
+
+// Len returns the number of records.
+func (r *Registry[A]) Len() int { return len(r.records) }
+
+// advance returns the latest time seen. A clock that steps back would
+// otherwise revive a ticket whose record is gone, and it would run twice.
+func (r *Registry[A]) advance(now time.Time) time.Time {
+	if now = now.Round(0); now.After(r.latest) {
+		r.latest = now
+	}
+	return r.latest
+}
+
+// forget drops the records whose time has come. Running ones stay.
+func (r *Registry[A]) forget(now time.Time) {
+	for len(r.ended) > 0 && !now.Before(r.ended[0].forgetAt) {
+		delete(r.records, heap.Pop(&r.ended).(*record[A]).id)
+	}
+}
+
+func (rec *record[A]) decide(digest uint64) Decision[A] {
+	switch {
+	case rec.digest != digest:
+		return refuse[A](outcome.Refused(outcome.Invalid, "the ticket was used for a request with another body"))
+	case rec.running:
+		return Decision[A]{Action: Join}
+	default:
+		return Decision[A]{Action: Replay, Outcome: rec.outcome, Answer: rec.answer}
+	}
+}
+
+func refuse[A any](o outcome.Outcome) Decision[A] { return Decision[A]{Action: Refuse, Outcome: o} }
+
+// queue orders ended records by the time at which they are forgotten.
+type queue[A any] []*record[A]
+
+func (q queue[A]) Len() int           { return len(q) }
+func (q queue[A]) Less(i, j int) bool { return q[i].forgetAt.Before(q[j].forgetAt) }
+func (q queue[A]) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue[A]) Push(x any)        { *q = append(*q, x.(*record[A])) }
+func (q *queue[A]) Pop() any {
+	last := len(*q) - 1
+	rec := (*q)[last]
+	(*q)[last], *q = nil, (*q)[:last]
+	return rec
+}
--- /dev/null
+++ b/pkg/atmostonce/registry_test.go
@@ -0,0 +1,130 @@
+package atmostonce_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+var limits = atmostonce.Limits{Records: 4, LongestTTL: time.Hour, LongestDeadline: time.Minute}
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func newHome() *atmostonce.Registry[string] { return atmostonce.NewRegistry[string]("h", 7, limits) }
+
+func request(home *atmostonce.Registry[string], suffix string) atmostonce.ID {
+	return atmostonce.ID{Ticket: home.Issue(start, time.Minute), Suffix: suffix}
+}
+
+var _ = Describe("Registry", func() {
+	// Guards against a ticket that pays for two different requests.
+	It("refuses another body as not run", func() {
+		home := newHome()
+		id := request(home, "a")
+		Expect(home.Begin(start, id, 1).Action).To(Equal(atmostonce.Run))
+		d := home.Begin(start, id, 2)
+		Expect(d.Action).To(Equal(atmostonce.Refuse))
+		Expect(d.Outcome.Kind).To(Equal(outcome.NotRun))
+		Expect(d.Outcome.Reason).To(Equal(outcome.Invalid))
+		Expect(home.Begin(start, id, 1).Action).To(Equal(atmostonce.Join))
+	})
+
+	// Guards against a replacement of the home running or denying a request
+	// that its predecessor may have run.
+	It("answers unknown for another incarnation or host", func() {
+		home := newHome()
+		id := request(home, "a")
+		next := atmostonce.NewRegistry[string]("h", 8, limits)
+		Expect(next.Begin(start, id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+		other := atmostonce.NewRegistry[string]("g", 7, limits)
+		Expect(other.Begin(start, id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+	})
+
+	// Guards against memory without bound and against evicting a record that
+	// is still needed.
+	It("refuses new requests when full and keeps the old records", func() {
+		home := newHome()
+		for i := range limits.Records {
+			Expect(home.Begin(start, request(home, fmt.Sprint(i)), 1).Action).To(Equal(atmostonce.Run))
+		}
+		d := home.Begin(start, request(home, "more"), 1)
+		Expect(d.Outcome.Kind).To(Equal(outcome.NotRun))
+		Expect(d.Outcome.Reason).To(Equal(outcome.Overload))
+		Expect(home.Begin(start, request(home, "0"), 1).Action).To(Equal(atmostonce.Join))
+	})
+
+	// Guards against "not run" for a request that ran, once its record is gone.
+	It("distinguishes an expired ticket from a forgotten one", func() {
+		home := newHome()
+		id := request(home, "a")
+		Expect(home.Begin(start.Add(time.Minute), id, 1).Outcome.Kind).To(Equal(outcome.NotRun))
+		Expect(home.Begin(start.Add(2*time.Minute), id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+	})
+
+	// Guards against a forged ticket that would hold a record for ever.
+	It("refuses a ticket that it cannot have issued", func() {
+		home := newHome()
+		id := request(home, "a")
+		id.Ticket.Expiry = start.Add(2 * time.Hour)
+		Expect(home.Begin(start, id, 1).Outcome.Reason).To(Equal(outcome.Invalid))
+	})
+})
+
+// Guards against a second run over any order of resends, results and clock
+// steps, and against "not run" for a request that ran.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home, now := newHome(), start
+		running, ran := map[string]bool{}, map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(t, "seconds")) * time.Second)
+			id := request(home, rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "suffix"))
+			id.Ticket.Expiry = start.Add(time.Minute)
+			key := id.String()
+			if running[key] && rapid.Bool().Draw(t, "finish") {
+				kind := rapid.SampledFrom([]outcome.Kind{outcome.Answered, outcome.Unknown, outcome.NotRun}).Draw(t, "kind")
+				running[key], ran[key] = false, kind != outcome.NotRun
+				home.Finish(now, id, outcome.Outcome{Kind: kind}, "")
+				continue
+			}
+			d := home.Begin(now, id, 1)
+			switch {
+			case d.Action == atmostonce.Run && (running[key] || ran[key]):
+				t.Fatalf("%s runs twice", key)
+			case d.Action == atmostonce.Run:
+				running[key] = true
+			case d.Outcome.RanNothing() && (running[key] || ran[key]):
+				t.Fatalf("%s is refused as not run although it ran", key)
+			case (d.Action == atmostonce.Join) != running[key]:
+				t.Fatalf("%s: %v while running is %v", key, d, running[key])
+			}
+		}
+	})
+}
+
+// Guards against two texts for one request, which would count as two.
+func FuzzParseID(f *testing.F) {
+	f.Add(atmostonce.ID{Ticket: atmostonce.Ticket{Host: "riga-a-0", Incarnation: 7, Expiry: start}, Suffix: "x"}.String())
+	f.Add("1.AAAAAAAAAAcAAAGLz-VoAGE\n.x")
+	f.Add("1..x")
+	f.Add("2.AA.x")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := atmostonce.ParseID(text)
+		if err != nil {
+			return
+		}
+		if id.String() != text {
+			t.Fatalf("%q is parsed as %q", text, id.String())
+		}
+		if len(text) > 256 {
+			t.Fatalf("identifier of %d bytes exceeds the header", len(text))
+		}
+	})
+}
