Run commands at most once, at the home that their ticket names

A command service ran a request again for each resend. Entry hosts now forward a command over QUIC to the host incarnation that its ticket names; that host keeps the run record, runs the command detached from the caller's connection and tries another target only after a definitive "not run". Lookups of kind lookup are retried after any failure, each attempt within an equal part of the time left.

--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -59,7 +59,7 @@
 		&cobra.Group{ID: "queries", Title: "Queries (ask something):"},
 	)
 	root.AddCommand(
-		newServe(), newDemo(), newBench(),
+		newServe(), newDemo(), newBench(), newLookup(),
 		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newVersion(),
 	)
 	return root
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -98,6 +98,16 @@
 	Host    string `json:"host"`
 	Place   string `json:"place"`
 	Address string `json:"address"` // IP and port
+	// TicketPrefix starts the identifiers of requests that may not be
+	// repeated; only the answering host has one.
+	TicketPrefix string `json:"ticket_prefix,omitempty"`
+}
+
+// TicketResponse is the answer to POST /v1/tickets.
+type TicketResponse struct {
+	Host         string `json:"host"`          // the home of the requests
+	TicketPrefix string `json:"ticket_prefix"` // with a unique suffix it is a request identifier
+	TTLMS        int64  `json:"ttl_ms"`        // how long it may be used
 }
 
 // Error is the one form of every error answer.
--- a/internal/api/commands/commands.go
+++ b/internal/api/commands/commands.go
@@ -16,6 +16,8 @@
 type Backend interface {
 	// Lookup returns an answer, or the outcome if there is none.
 	Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome)
+	// Ticket issues a ticket for requests that may not be repeated.
+	Ticket() api.TicketResponse
 	// Service returns the kind and the settings of a service.
 	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
 }
@@ -23,11 +25,16 @@
 // Register adds the routes of this package.
 func Register(router *mux.Router, backend Backend) {
 	h := handler{backend}
+	router.HandleFunc("/v1/tickets", h.ticket).Methods(http.MethodPost)
 	router.HandleFunc("/v1/services/{service}/lookup", h.lookup).Methods(http.MethodPost)
 }
 
 type handler struct{ backend Backend }
 
+func (h handler) ticket(w http.ResponseWriter, _ *http.Request) {
+	api.WriteJSON(w, http.StatusOK, h.backend.Ticket())
+}
+
 func (h handler) lookup(w http.ResponseWriter, r *http.Request) {
 	service := mux.Vars(r)["service"]
 	kind, policy, ok := h.backend.Service(service)
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -111,6 +111,9 @@
 		if last = c.do(ctx, http.MethodGet, address, "/v1/entries", nil, nil, &answer); last != nil {
 			continue
 		}
+		if last = c.addTicket(ctx, address, answer.Entries); last != nil {
+			continue
+		}
 		c.mu.Lock()
 		c.entries = answer.Entries
 		c.until = time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)
@@ -140,8 +143,31 @@
 // of commands go in here: the prefix comes with the entry, and the suffix
 // makes the identifier unique.
 func requestID(kind settings.ServiceKind, entry api.Entry, suffix string) string {
-	_, _ = kind, entry
-	return suffix
+	if kind != settings.KindCommand {
+		return suffix
+	}
+	return entry.TicketPrefix + suffix
+}
+
+// addTicket gives every entry a ticket prefix, because a command may be sent
+// through any host. The answer has one for the answering host only, and none
+// if that host is not among the entries.
+func (c *caller) addTicket(ctx context.Context, address string, entries []api.Entry) error {
+	var ticket api.TicketResponse
+	for _, e := range entries {
+		if e.TicketPrefix != "" {
+			ticket.TicketPrefix = e.TicketPrefix
+		}
+	}
+	if ticket.TicketPrefix == "" {
+		if err := c.do(ctx, http.MethodPost, address, "/v1/tickets", nil, nil, &ticket); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		entries[i].TicketPrefix = ticket.TicketPrefix
+	}
+	return nil
 }
 
 // send sends a query and waits for the answer. Another address is tried only
--- a/internal/bench/scatter.go
+++ b/internal/bench/scatter.go
@@ -43,6 +43,9 @@
 // Entries returns the addresses to use.
 func (s *scatter) Entries() api.EntriesResponse { return s.opts.Entries() }
 
+// Ticket returns none: these policies take any request identifier.
+func (s *scatter) Ticket() api.TicketResponse { return api.TicketResponse{} }
+
 // Service returns the kind and the settings of a service.
 func (s *scatter) Service(name string) (settings.ServiceKind, *settings.Policy, bool) {
 	tree := s.opts.Tree()
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -2,57 +2,342 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-// Lookup reads one record. It tries another target only after an outcome that
-// proves that the request did not run.
-func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
-	if refused, ok := e.config.refusal(); ok {
-		return nil, refused
+// commandLimits bound the table of requests. The durations are the upper
+// bounds of ticket_ttl and deadline_max. At the default ticket_ttl a record
+// lives 120 s, so the table holds 1,092 commands/s for each host.
+var commandLimits = atmostonce.Limits{Records: 1 << 17, LongestTTL: time.Hour, LongestDeadline: time.Minute}
+
+const (
+	waitPoll = 5 * time.Millisecond
+	// commandIdle is how long an idle connection counts as live. A command
+	// sent on one that went silent before would be unknown.
+	commandIdle = time.Second
+)
+
+// home runs the commands whose tickets name this host incarnation.
+type home struct {
+	self     *settings.Process
+	entry    *entry
+	inFlight atomic.Int64 // runs, and replies to other hosts
+
+	mu       sync.Mutex // guards what follows
+	registry *atmostonce.Registry[wire.CommandReply]
+	running  map[string]*commandRun
+}
+
+// commandRun is a command that is running. The reply is valid when done is closed.
+type commandRun struct {
+	done  chan struct{}
+	reply wire.CommandReply
+}
+
+func newHome(self *settings.Process, incarnation uint64, entry *entry) *home {
+	return &home{
+		self: self, entry: entry, running: map[string]*commandRun{},
+		registry: atmostonce.NewRegistry[wire.CommandReply](self.Name, incarnation, commandLimits),
+	}
+}
+
+// ticket issues a ticket that names this host incarnation.
+func (h *home) ticket(ttl time.Duration) atmostonce.Ticket {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registry.Issue(time.Now(), ttl)
+}
+
+// wait blocks until no command is running or the context ends.
+func (h *home) wait(ctx context.Context) {
+	poll := time.NewTicker(waitPoll)
+	defer poll.Stop()
+	for h.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// do runs a command, or joins or replays an earlier run of it. The run goes on
+// when the caller gives up, so that a resend finds its answer.
+func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest) wire.CommandReply {
+	key := id.String()
+	h.mu.Lock()
+	decision := h.registry.Begin(time.Now(), id, digest(req))
+	run := h.running[key]
+	if decision.Action == atmostonce.Run {
+		run = &commandRun{done: make(chan struct{})}
+		h.running[key] = run
+		h.inFlight.Add(1)
+		go h.run(context.WithoutCancel(ctx), id, req, run)
+	}
+	h.mu.Unlock()
+	switch decision.Action {
+	case atmostonce.Refuse:
+		return wire.CommandReply{Outcome: decision.Outcome}
+	case atmostonce.Replay:
+		return decision.Answer
+	}
+	select {
+	case <-run.done:
+		return run.reply
+	case <-ctx.Done():
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Deadline, "the command is still running")}
+	}
+}
+
+// run executes a command and records its result.
+func (h *home) run(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, run *commandRun) {
+	defer h.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	reply := h.entry.runCommand(ctx, req)
+	h.mu.Lock()
+	h.registry.Finish(time.Now(), id, reply.Outcome, reply)
+	delete(h.running, id.String())
+	h.mu.Unlock()
+	run.reply = reply
+	close(run.done)
+}
+
+// digest identifies the body of a command.
+func digest(req *wire.CommandRequest) uint64 {
+	return xxhash.Sum64String(req.Service + "\x00" + req.ID)
+}
+
+// serve answers a command stream of another host.
+func (h *home) serve(ctx context.Context, s *peer.Stream) {
+	h.inFlight.Add(1) // a shutdown waits until the reply is on its way
+	defer h.inFlight.Add(-1)
+	var req wire.CommandRequest
+	if err := s.Receive(&req); err != nil {
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	reply := h.receive(ctx, &req)
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+	}
+}
+
+// receive checks a forwarded command before it is run.
+func (h *home) receive(ctx context.Context, req *wire.CommandRequest) wire.CommandReply {
+	id, err := atmostonce.ParseID(req.RequestID)
+	if err != nil {
+		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "%v", err)}
+	}
+	service, ok := h.entry.config.tree().Doc.Services[req.Service]
+	if !ok || service.Kind != settings.KindCommand {
+		// The sender's configuration differs from this host's, and the
+		// command may have run under the other one.
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "service %s is no command service here", req.Service)}
+	}
+	return h.do(ctx, id, req)
+}
+
+// runCommand sends a command to a target. Another target is tried only after
+// the earlier one certainly did not run it.
+func (e *entry) runCommand(ctx context.Context, req *wire.CommandRequest) wire.CommandReply {
+	tree := e.config.tree()
+	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
+	limit := tree.Effective(e.self.Place, req.Service).RetryLimit
+	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
+	tried := map[string]bool{}
+	for attempt := 0; attempt <= limit; attempt++ {
+		if remaining(ctx) <= 0 || ctx.Err() != nil {
+			return wire.CommandReply{Outcome: outcome.Refused(outcome.Deadline, "the deadline passed before sending")}
+		}
+		if refused, ok := e.config.refusal(); ok {
+			return wire.CommandReply{Outcome: refused}
+		}
+		reply, sent := e.sendLookup(ctx, tree, group, tried, &wire.LookupRequest{
+			RequestID: req.RequestID, Service: req.Service, ID: req.ID,
+			Class: req.Class, Once: true, Traceparent: req.Traceparent,
+		})
+		if !sent {
+			break
+		}
+		last = reply.Outcome
+		if !last.RanNothing() {
+			return wire.CommandReply{Outcome: last, Found: reply.Found, Record: reply.Record, Version: reply.Version}
+		}
+	}
+	return wire.CommandReply{Outcome: last}
+}
+
+// sendLookup sends a lookup to the best target that was not tried. It returns
+// false if there is none.
+func (e *entry) sendLookup(ctx context.Context, tree *settings.Tree, group *settings.Group, tried map[string]bool, req *wire.LookupRequest) (wire.LookupReply, bool) {
+	e.mu.Lock()
+	choice, ok := e.router.Next(time.Now(), e.options(tree, group, 0, tried))
+	if ok {
+		e.router.Sent(choice.Path)
+	}
+	e.mu.Unlock()
+	if !ok {
+		return wire.LookupReply{}, false
 	}
+	tried[choice.Path.Target] = true
+	sent := time.Now()
+	req.Target, req.TimeoutMS = choice.Path.Target, remaining(ctx).Milliseconds()
+	reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, req)
+	e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
+	return reply, true
+}
+
+// Lookup reads one record, through the home if the request may not be repeated.
+func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
 	start := time.Now()
 	tree := e.config.tree()
 	policy := tree.Effective(e.self.Place, service)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
-	group := groupOf(tree.Doc.Services[service].Groups, keyspace.KeyOf(req.ID))
+	var reply wire.CommandReply
+	if tree.Doc.Services[service].Kind == settings.KindCommand {
+		reply = e.command(ctx, &wire.CommandRequest{
+			RequestID: meta.RequestID, Service: service, ID: req.ID, TimeoutMS: remaining(ctx).Milliseconds(),
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+		})
+	} else if refused, ok := e.config.refusal(); ok {
+		reply.Outcome = refused
+	} else {
+		reply = e.read(ctx, tree, policy, &wire.LookupRequest{
+			RequestID: requestID(meta), Service: service, ID: req.ID,
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+		})
+	}
+	if reply.Outcome.Kind != outcome.Answered {
+		return nil, reply.Outcome
+	}
+	return &api.LookupResponse{
+		RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered, Found: reply.Found,
+		Record: reply.Record, Snapshot: reply.Version, ElapsedMS: milliseconds(time.Since(start)),
+	}, reply.Outcome
+}
+
+// read answers a lookup that may be repeated. It tries another target after
+// any failure. Each attempt may take an equal part of the time left, so that
+// one silent target does not use up the deadline.
+func (e *entry) read(ctx context.Context, tree *settings.Tree, policy *settings.Policy, req *wire.LookupRequest) wire.CommandReply {
+	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
+	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
 	tried := map[string]bool{}
-	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", service)
-	for attempt := 0; attempt <= policy.RetryLimit && ctx.Err() == nil; attempt++ {
-		e.mu.Lock()
-		choice, ok := e.router.Next(time.Now(), e.options(tree, group, 0, tried))
-		if ok {
-			e.router.Sent(choice.Path)
-		}
-		e.mu.Unlock()
-		if !ok {
+	for left := policy.RetryLimit + 1; left > 0 && ctx.Err() == nil; left-- {
+		attempt, cancel := context.WithTimeout(ctx, remaining(ctx)/time.Duration(left))
+		reply, sent := e.sendLookup(attempt, tree, group, tried, req)
+		cancel()
+		if !sent {
 			break
 		}
-		tried[choice.Path.Target] = true
-		sent := time.Now()
-		reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, &wire.LookupRequest{
-			RequestID: requestID(meta), Service: service, ID: req.ID, Target: choice.Path.Target,
-			TimeoutMS: remaining(ctx).Milliseconds(), Class: uint8(class(meta, policy)),
-			Once: tree.Doc.Services[service].Kind == settings.KindCommand, Traceparent: meta.Traceparent,
-		})
-		e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
 		if reply.Outcome.Kind == outcome.Answered {
-			return &api.LookupResponse{
-				RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered, Found: reply.Found,
-				Record: reply.Record, Snapshot: reply.Version, ElapsedMS: milliseconds(time.Since(start)),
-			}, reply.Outcome
+			return wire.CommandReply{Outcome: reply.Outcome, Found: reply.Found, Record: reply.Record, Version: reply.Version}
 		}
-		last = reply.Outcome
-		if !last.RanNothing() {
-			break
+		last = worse(last, reply.Outcome)
+	}
+	return wire.CommandReply{Outcome: last}
+}
+
+// worse keeps "unknown" over a later "not run": some attempt may have run.
+func worse(before, now outcome.Outcome) outcome.Outcome {
+	if now.RanNothing() && !before.RanNothing() {
+		return before
+	}
+	return now
+}
+
+// command brings a request to the home that its ticket names. Only the home
+// may say "not run": this host does not know whether the request is a resend.
+func (e *entry) command(ctx context.Context, req *wire.CommandRequest) wire.CommandReply {
+	id, err := atmostonce.ParseID(req.RequestID)
+	if err != nil {
+		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "a request to service %s needs a ticket in header %s: %v", req.Service, api.HeaderRequestID, err)}
+	}
+	if id.Ticket.Host == e.self.Name {
+		return e.home.do(ctx, id, req)
+	}
+	host, ok := e.directory.byName(id.Ticket.Host)
+	if !ok {
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "home %s is not listed", id.Ticket.Host)}
+	}
+	return e.branches.command(ctx, host, req)
+}
+
+// command forwards a command to its home.
+func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) wire.CommandReply {
+	var reply wire.CommandReply
+	s, err := c.transport.Open(ctx, host.Peers, wire.ExchangeCommand)
+	if err == nil {
+		defer s.Reset()
+		stop := context.AfterFunc(ctx, s.Reset)
+		defer stop()
+		if err = s.Send(req); err == nil {
+			err = s.Receive(&reply)
+		}
+	}
+	if err == nil {
+		return reply
+	}
+	reason := outcome.Unavailable
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = outcome.Deadline
+	}
+	return wire.CommandReply{Outcome: outcome.Uncertain(reason, "home %s did not answer: %v", host.Name, err)}
+}
+
+// byName returns a listed host. A leaving host still runs its commands.
+func (d *directory) byName(name string) (platform.Host, bool) {
+	for _, host := range d.hosts().list.Hosts {
+		if host.Name == name {
+			return host, true
 		}
 	}
-	return nil, last
+	return platform.Host{}, false
+}
+
+// Ticket issues a ticket for a request that may not be repeated.
+func (e *entry) Ticket() api.TicketResponse {
+	ttl := e.config.tree().Effective(e.self.Place, "").TicketTTL
+	return api.TicketResponse{Host: e.self.Name, TicketPrefix: e.home.ticket(ttl).Prefix(), TTLMS: ttl.Milliseconds()}
+}
+
+// serveCommand answers a command stream as soon as the daemon is complete and
+// has a configuration.
+func (d *Daemon) serveCommand(ctx context.Context, s *peer.Stream) {
+	for _, first := range []<-chan struct{}{d.wired, d.config.first, d.directory.first} {
+		select {
+		case <-first:
+		case <-ctx.Done():
+			s.Reset()
+			return
+		}
+	}
+	d.entry.home.serve(ctx, s)
+}
+
+// newClient returns the client for a target. One of a command service drops
+// idle connections early.
+func newClient(tree *settings.Tree, info *settings.TargetInfo, connections int, dial target.Dialer) *target.Client {
+	c := target.NewClient(info.Address, connections, dial)
+	if tree.Doc.Services[info.Service].Kind == settings.KindCommand {
+		c.SetIdleTimeout(commandIdle)
+	}
+	return c
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -64,6 +65,7 @@
 	ready     chan struct{}
 	aborted   chan struct{}
 	abortOnce sync.Once
+	wired     chan struct{} // closed when New has set every field
 }
 
 // New opens the sockets of a daemon. Run serves on them.
@@ -83,7 +85,13 @@
 	if opts.DialTarget == nil {
 		opts.DialTarget = (&net.Dialer{}).DialContext
 	}
-	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), aborted: make(chan struct{})}
+	if opts.Incarnation == 0 {
+		opts.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if err := atmostonce.CheckHost(opts.Process.Name); err != nil {
+		return nil, errors.Wrap(err, "process settings")
+	}
+	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), wired: make(chan struct{}), aborted: make(chan struct{})}
 	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
@@ -101,6 +109,8 @@
 	d.control.transport = d.transport
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
+	close(d.wired)
 	return d, nil
 }
 
@@ -177,6 +187,8 @@
 		d.control.serveHeartbeat(s)
 	case wire.ExchangePull:
 		d.control.servePull(s)
+	case wire.ExchangeCommand:
+		d.serveCommand(ctx, s)
 	default:
 		s.Reset() // a newer version of the peer may know more exchanges
 	}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -111,7 +111,7 @@
 	if !ok || t.address != info.Address || cap(t.slots) != slots {
 		t = &ownedTarget{
 			address: info.Address,
-			client:  target.NewClient(info.Address, connections, d.dial),
+			client:  newClient(tree, info, connections, d.dial),
 			slots:   make(chan struct{}, slots),
 		}
 		d.owned[id] = t
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -17,6 +17,7 @@
 		Entries: []api.Entry{},
 		TTLMS:   tree.Effective(e.self.Place, "").EntriesTTL.Milliseconds(),
 	}
+	prefix := e.Ticket().TicketPrefix
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	selfLeaving := e.shutdown.Phase(time.Now(), 0) != drain.Serving
@@ -31,7 +32,11 @@
 		})
 	}
 	for _, h := range entries.Choose(known, e.self.Place, e.rng) {
-		answer.Entries = append(answer.Entries, api.Entry{Host: h.Name, Place: h.Place, Address: h.Address})
+		listed := api.Entry{Host: h.Name, Place: h.Place, Address: h.Address}
+		if h.Name == e.self.Name { // the incarnations of other hosts are not known here
+			listed.TicketPrefix = prefix
+		}
+		answer.Entries = append(answer.Entries, listed)
 	}
 	return answer
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,6 +23,7 @@
 	config    *config
 	directory *directory
 	branches  *branchClient
+	home      *home
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -77,7 +77,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Until(time.Now(), drain.Closing))
 	defer cancel()
 	closed := make(chan error, 1)
-	go func() { closed <- d.callers.Shutdown(ctx) }()
+	go func() {
+		err := d.callers.Shutdown(ctx)
+		d.entry.home.wait(ctx)
+		closed <- err
+	}()
 	select {
 	case err := <-closed:
 		if err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -99,7 +100,7 @@
 	req := api.SearchRequest{Terms: []string{standin.Word(opts.Rand)}, Limit: opts.Rand.IntN(100), MinCoverage: 1}
 	var answer api.SearchResponse
 	s.Sent++
-	if err := post(ctx, opts.HTTP, host, service, "search", req, &answer); err != nil {
+	if err := post(ctx, opts.HTTP, host, service, "search", "", req, &answer); err != nil {
 		s.Refused++
 		s.Sample = err.Error()
 		return
@@ -125,7 +126,11 @@
 	req := api.LookupRequest{ID: data.ID(opts.Rand)}
 	var answer api.LookupResponse
 	s.Sent++
-	if err := post(ctx, opts.HTTP, host, service, "lookup", req, &answer); err != nil {
+	id, err := s.requestID(ctx, f, opts)
+	if err == nil {
+		err = post(ctx, opts.HTTP, host, service, "lookup", id, req, &answer)
+	}
+	if err != nil {
 		s.Refused++
 		s.Sample = err.Error()
 		return
@@ -142,6 +147,20 @@
 	s.Sample = fmt.Sprintf("%s is %q", want.ID, want.Text)
 }
 
+// requestID returns an identifier for a command, with a ticket of any host, so
+// that most commands are forwarded.
+func (s *ServiceReport) requestID(ctx context.Context, f *fleet.Fleet, opts Options) (string, error) {
+	if s.Kind != settings.KindCommand {
+		return "", nil
+	}
+	var ticket api.TicketResponse
+	home := f.Hosts[opts.Rand.IntN(len(f.Hosts))].Entry.Callers
+	if err := postPath(ctx, opts.HTTP, home, "/v1/tickets", "", nil, &ticket); err != nil {
+		return "", err
+	}
+	return ticket.TicketPrefix + strconv.Itoa(s.Sent), nil
+}
+
 func (s *ServiceReport) sawSnapshot(version uint64) {
 	if !slices.Contains(s.Snapshots, version) {
 		s.Snapshots = append(s.Snapshots, version)
@@ -156,15 +175,22 @@
 	s.P50MS, s.P90MS, s.P99MS = at(50), at(90), at(99)
 }
 
-func post(ctx context.Context, client *http.Client, host, service, verb string, body, answer any) error {
+func post(ctx context.Context, client *http.Client, host, service, verb, id string, body, answer any) error {
+	return postPath(ctx, client, host, "/v1/services/"+service+"/"+verb, id, body, answer)
+}
+
+func postPath(ctx context.Context, client *http.Client, host, path, id string, body, answer any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/services/"+service+"/"+verb, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
+	if id != "" {
+		req.Header.Set(api.HeaderRequestID, id)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -31,6 +31,7 @@
 	SlowFactor float64 // how much longer a straggler takes
 	Stuck      bool    // no request ever ends
 	ShedRatio  float64 // fraction of requests refused as overload
+	CrashRatio float64 // fraction of lookups that crash the process after they started to run
 	KillTerm   string  // a search for this word crashes the process
 	WrongRatio float64 // fraction of answers with a wrong record, to test the checks of the load tool
 }
@@ -140,6 +141,17 @@
 	return kills
 }
 
+// crashes draws whether a lookup crashes the searcher.
+func (s *Searcher) crashes() bool {
+	s.mu.Lock()
+	crash := s.faults.CrashRatio > 0 && s.rng.Float64() < s.faults.CrashRatio
+	s.mu.Unlock()
+	if crash {
+		s.Crash()
+	}
+	return crash
+}
+
 // bears returns the number of requests that the searcher bears at a time. The
 // caller holds s.mu.
 func (s *Searcher) bears() int {
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -119,6 +119,15 @@
 	return slices.Clone(s.versions)
 }
 
+// AddRuns adds the number of times that each lookup ran to a sum over searchers.
+func (s *Searcher) AddRuns(sum map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, n := range s.runs {
+		sum[k] += n
+	}
+}
+
 // SetVersions sets the index versions that the searcher serves, oldest first.
 func (s *Searcher) SetVersions(versions ...uint64) {
 	s.mu.Lock()
@@ -237,7 +246,7 @@
 	status, shard := s.status(), s.shard
 	version := s.versions[len(s.versions)-1]
 	s.mu.Unlock()
-	if !s.work(r.Context()) {
+	if s.crashes() || !s.work(r.Context()) {
 		return
 	}
 	answer := target.LookupAnswer{TargetStatus: status, Version: version}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -97,6 +97,10 @@
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, transport: transport}
 }
 
+// SetIdleTimeout sets how long an unused connection is kept. Call it before
+// the first request.
+func (c *Client) SetIdleTimeout(d time.Duration) { c.transport.IdleConnTimeout = d }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/internal/telemetry/instrument.go
+++ b/internal/telemetry/instrument.go
@@ -18,6 +18,7 @@
 	Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome)
 	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
 	Entries() api.EntriesResponse
+	Ticket() api.TicketResponse
 }
 
 // Instrumented counts and traces the requests of an entry role.
--- /dev/null
+++ b/internal/wire/command.go
@@ -0,0 +1,29 @@
+package wire
+
+import (
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// ExchangeCommand is CommandRequest, then CommandReply. The number leaves room
+// for the exchanges of queries.
+const ExchangeCommand Exchange = 32
+
+// CommandRequest forwards a request that may not be repeated to the host that
+// its ticket names.
+type CommandRequest struct {
+	RequestID   string `cbor:"1,keyasint"` // ticket and suffix
+	Service     string `cbor:"2,keyasint"`
+	ID          string `cbor:"3,keyasint"` // identifier of the record
+	TimeoutMS   int64  `cbor:"4,keyasint"` // time left until the deadline
+	Class       uint8  `cbor:"5,keyasint"`
+	Traceparent string `cbor:"6,keyasint,omitempty"`
+}
+
+// CommandReply is the result of a command, or the refusal of its home.
+type CommandReply struct {
+	Outcome outcome.Outcome  `cbor:"1,keyasint"`
+	Found   bool             `cbor:"2,keyasint,omitempty"`
+	Record  *coverage.Record `cbor:"3,keyasint,omitempty"`
+	Version uint64           `cbor:"4,keyasint,omitempty"`
+}
--- a/pkg/atmostonce/ticket.go
+++ b/pkg/atmostonce/ticket.go
@@ -34,13 +34,10 @@
 	Suffix string
 }
 
-// Check reports why a ticket cannot be written.
-func (t Ticket) Check() error {
-	if t.Host == "" || len(t.Host) > MaxHostBytes {
-		return fmt.Errorf("ticket: host name has %d bytes, 1 to %d are allowed", len(t.Host), MaxHostBytes)
-	}
-	if ms := t.Expiry.UnixMilli(); ms < 0 || ms > maxExpiryMS {
-		return fmt.Errorf("ticket: expiry %d ms is out of range", ms)
+// CheckHost reports why a ticket cannot hold the name of a host.
+func CheckHost(name string) error {
+	if name == "" || len(name) > MaxHostBytes {
+		return fmt.Errorf("ticket: host name has %d bytes, 1 to %d are allowed", len(name), MaxHostBytes)
 	}
 	return nil
 }
@@ -89,7 +86,7 @@
 		},
 		Suffix: suffix,
 	}
-	if err := id.Ticket.Check(); err != nil {
+	if err := CheckHost(id.Ticket.Host); err != nil {
 		return ID{}, err
 	}
 	if err := checkSuffix(suffix); err != nil {
