--- /dev/null
+++ b/internal/daemon/command_test.go
@@ -0,0 +1,249 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	commandService = "order-desk"
+	commandPath    = "/v1/services/" + commandService + "/lookup"
+	longDeadline   = 5 * time.Second
+)
+
+// storm sends commands again and again while faults happen.
+type storm struct {
+	*tier
+	tickets bool
+	seed    uint64
+
+	mu      sync.Mutex
+	final   map[string]outcome.Outcome // by request identifier, once the faults are over
+	falsely []string                   // requests refused as "not run" although they had run
+	sent    int
+	unknown int // of sent; without those where the caller gave up first
+}
+
+// newID returns a new request identifier, with a ticket of some host.
+func (s *storm) newID(ctx context.Context, rng *rand.Rand, n int) string {
+	if !s.tickets {
+		return fmt.Sprintf("naive-%d", n)
+	}
+	var ticket api.TicketResponse
+	for ctx.Err() == nil { // the host may be going away
+		if s.post(ctx, s.host(rng), "/v1/tickets", "", 0, nil, &ticket).Kind == outcome.Answered {
+			break
+		}
+	}
+	return fmt.Sprintf("%s%d", ticket.TicketPrefix, n)
+}
+
+// request sends one command in rounds of one to three concurrent sends, some
+// of which the caller gives up early.
+func (s *storm) request(ctx context.Context, rng *rand.Rand, id, record string) {
+	for round := range 1 + rng.IntN(4) {
+		sends := 1
+		if rng.IntN(2) == 0 {
+			sends += rng.IntN(3)
+		}
+		outcomes := make([]outcome.Outcome, sends)
+		var wg sync.WaitGroup
+		for i := range sends {
+			host, patience := s.host(rng), time.Duration(5+rng.IntN(400))*time.Millisecond
+			wg.Go(func() {
+				defer GinkgoRecover()
+				ctx, cancel := context.WithTimeout(ctx, patience)
+				defer cancel()
+				outcomes[i] = s.send(ctx, host, id, record, 300*time.Millisecond)
+			})
+		}
+		wg.Wait()
+		if sends == 1 && outcomes[0].RanNothing() && s.runs()[id] > 0 {
+			s.mu.Lock()
+			s.falsely = append(s.falsely, fmt.Sprintf("%s in round %d: %v", id, round, outcomes[0]))
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *storm) send(ctx context.Context, host *fleet.Host, id, record string, deadline time.Duration) outcome.Outcome {
+	var answer api.LookupResponse
+	o := s.post(ctx, host, commandPath, id, deadline, api.LookupRequest{ID: record}, &answer)
+	if o.Kind == outcome.Answered && (answer.Record == nil || answer.Record.ID != record) {
+		Fail(fmt.Sprintf("request %s for %s got %v", id, record, answer.Record))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() == nil {
+		s.sent++
+		if o.Kind == outcome.Unknown {
+			s.unknown++
+		}
+	}
+	return o
+}
+
+// faults makes faults at random until the context ends, then repairs the links.
+func (s *storm) faults(ctx, fleetCtx context.Context, rng *rand.Rand) {
+	ids := searchersOf(s.tier, commandService)
+	var cuts [][2]string
+	var order []int
+	cut := func(on bool) {
+		for _, c := range cuts {
+			s.Network.Cut(c[0], c[1], on)
+			s.Network.Cut(c[1], c[0], on)
+		}
+	}
+	defer func() { cut(false) }()
+	for step := 0; ctx.Err() == nil; step++ {
+		if step%12 == 0 {
+			order = rng.Perm(12) // every fault happens soon
+		}
+		searcher := s.Searchers[ids[rng.IntN(len(ids))]]
+		switch order[step%12] {
+		case 0:
+			searcher.Crash()
+		case 1, 2, 3:
+			searcher.SilenceConnections()
+		case 4, 5, 6:
+			cut(false)
+			cuts = [][2]string{{s.host(rng).Entry.Peers, s.host(rng).Entry.Peers}, {s.host(rng).Entry.Peers, s.host(rng).Entry.Place}}
+			cut(true)
+		case 7:
+			s.replace(fleetCtx, s.host(rng))
+		}
+		select {
+		case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func searchersOf(t *tier, service string) []string {
+	var ids []string
+	for id := range t.Searchers {
+		if id[:len(service)] == service {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// run drives the storm and then asks once more for each request.
+func (s *storm) run(ctx context.Context) {
+	const workers, each = 8, 15
+	for i, id := range searchersOf(s.tier, commandService) {
+		s.Searchers[id].SetFaults(standin.Faults{
+			SlowRatio: 0.1, SlowFactor: 20, ShedRatio: 0.05, CrashRatio: 0.02 * float64(i%2),
+		})
+	}
+	faulty, calm := context.WithCancel(ctx)
+	var faults, callers sync.WaitGroup
+	faults.Go(func() {
+		defer GinkgoRecover()
+		s.faults(faulty, ctx, rand.New(rand.NewPCG(s.seed, 0)))
+	})
+	records := map[string]string{}
+	for w := range workers {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(w+1)))
+		callers.Go(func() {
+			defer GinkgoRecover()
+			for n := range each {
+				id, record := s.newID(ctx, rng, w*each+n), s.Datasets[commandService].ID(rng)
+				s.mu.Lock()
+				records[id] = record
+				s.mu.Unlock()
+				s.request(ctx, rng, id, record)
+			}
+		})
+	}
+	callers.Wait()
+	calm()
+	faults.Wait()
+	for _, id := range searchersOf(s.tier, commandService) {
+		s.Searchers[id].SetFaults(standin.Faults{})
+	}
+	s.final = map[string]outcome.Outcome{}
+	rng := rand.New(rand.NewPCG(s.seed, 99))
+	for id, record := range records {
+		s.final[id] = s.send(ctx, s.host(rng), id, record, longDeadline)
+	}
+}
+
+var _ = Describe("AtMostOnce", func() {
+	// Guards against a second run of a command and against a false "not run",
+	// under client timeouts, replaced homes, cuts between hosts, silent
+	// connections and targets that crash after receipt. The naive version,
+	// which retries after any failure and knows no tickets, must fail here.
+	DescribeTable("NotRunIsTrue", func(ctx context.Context, seed uint64, naive bool) {
+		t := startTier(ctx, []string{commandService}, func(d *settings.Document) {
+			if naive {
+				service := d.Services[commandService]
+				service.Kind = settings.KindLookup
+				d.Services[commandService] = service
+			}
+		})
+		s := &storm{tier: t, tickets: !naive, seed: seed}
+		s.run(ctx)
+		repeated, homeGone, unknown := 0, 0, 0
+		runs := t.runs()
+		for id, o := range s.final {
+			if runs[id] > 1 {
+				repeated++
+			}
+			switch {
+			case o.Kind == outcome.Unknown && o.Reason == outcome.Unavailable:
+				homeGone++
+			case o.Kind == outcome.Unknown:
+				unknown++
+			}
+			if !naive {
+				Expect(runs[id]).To(BeNumerically("<=", 1), id)
+				Expect(o.Kind == outcome.Answered && runs[id] != 1).To(BeFalse(), "%s: %v after %d runs", id, o, runs[id])
+				Expect(o.Kind == outcome.NotRun && runs[id] != 0).To(BeFalse(), "%s: %v after %d runs", id, o, runs[id])
+			}
+		}
+		fmt.Fprintf(GinkgoWriter, "seed %d naive %t: %d requests, %d ran again; unknown at the end: %d whose home is gone, %d others; %d of %d sends unknown\n",
+			seed, naive, len(s.final), repeated, homeGone, unknown, s.unknown, s.sent)
+		if naive {
+			Expect(repeated).To(BeNumerically(">", 0))
+			return
+		}
+		Expect(s.falsely).To(BeEmpty())
+	},
+		Entry("seed 1", uint64(1), false, NodeTimeout(2*time.Minute)),
+		Entry("seed 2", uint64(2), false, NodeTimeout(2*time.Minute)),
+		Entry("naive", uint64(1), true, NodeTimeout(2*time.Minute)),
+	)
+
+	// Guards against requests that are lost or left unknown without any fault.
+	It("loses nothing in health", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService, "photo-archive"}, func(*settings.Document) {})
+		s, rng := &storm{tier: t, tickets: true}, rand.New(rand.NewPCG(1, 1))
+		for n := range 60 {
+			id, record := s.newID(ctx, rng, n), t.Datasets[commandService].ID(rng)
+			Expect(s.send(ctx, t.host(rng), id, record, longDeadline)).To(Equal(outcome.OK()))
+			Expect(s.send(ctx, t.host(rng), id, record, longDeadline)).To(Equal(outcome.OK()), "a resend gets the recorded answer")
+			Expect(t.runs()[id]).To(Equal(1))
+			var answer api.LookupResponse
+			body := api.LookupRequest{ID: t.Datasets["photo-archive"].ID(rng)}
+			Expect(t.post(ctx, t.host(rng), "/v1/services/photo-archive/lookup", "", longDeadline, body, &answer)).To(Equal(outcome.OK()))
+			Expect(answer.Found).To(BeTrue())
+		}
+		Expect(s.send(ctx, t.host(rng), "no-ticket", "slab-000001", longDeadline).RanNothing()).To(BeTrue())
+	}, NodeTimeout(time.Minute))
+})
--- /dev/null
+++ b/pkg/quarantine/table_test.go
@@ -0,0 +1,129 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const keep = time.Minute
+
+var (
+	now = time.UnixMilli(1_700_000_000_000)
+	fp  = quarantine.Of("s", []string{"a"})
+)
+
+func death(group, replica int, canary bool) quarantine.Death {
+	return quarantine.Death{Target: fmt.Sprintf("g%d-r%d", group, replica), Group: fmt.Sprintf("g%d", group), Canary: canary}
+}
+
+var _ = Describe("Table", func() {
+	var table *quarantine.Table
+	decide := func(at time.Time, fp quarantine.Fingerprint) quarantine.Verdict {
+		return table.Decide(at, fp, settings.CanaryAuto)
+	}
+	BeforeEach(func() { table = quarantine.NewTable(4) })
+
+	// Guards against one query that counts as several, and several as one.
+	It("fingerprints the set of terms", func() {
+		Expect(quarantine.Of("s", []string{"b", "a", "b"})).To(Equal(quarantine.Of("s", []string{"a", "b"})))
+		Expect(quarantine.Of("s", []string{"ab", "c"})).NotTo(Equal(quarantine.Of("s", []string{"a", "bc"})))
+		Expect(quarantine.Of("s", []string{"a"})).NotTo(Equal(quarantine.Of("t", []string{"a"})))
+	})
+
+	// Guards against convicting every query that ran while a place was lost.
+	It("proves nothing by deaths without a canary", func() {
+		for g := range 10 {
+			table.Died(now, fp, death(g, 0, false), false, keep)
+		}
+		Expect(decide(now, fp)).To(Equal(quarantine.Canary))
+	})
+
+	// Guards against convicting a query for one bad target, or for one bad
+	// shard where the service has several.
+	It("needs two targets, of different groups where there are several", func() {
+		table.Died(now, fp, death(0, 0, true), false, keep)
+		table.Died(now, fp, death(0, 0, true), false, keep)
+		table.Died(now, fp, death(0, 1, true), false, keep)
+		Expect(decide(now, fp)).To(Equal(quarantine.Canary))
+		table.Died(now, fp, death(1, 0, false), false, keep)
+		Expect(decide(now, fp)).To(Equal(quarantine.Refuse))
+		Expect(decide(now.Add(keep), fp)).To(Equal(quarantine.Canary), "it starts again as a suspect")
+		single := quarantine.Of("single", nil)
+		table.Died(now, single, death(0, 0, false), true, keep)
+		table.Died(now, single, death(0, 1, true), true, keep)
+		Expect(decide(now, single)).To(Equal(quarantine.Refuse))
+	})
+
+	// Guards against a second lost replica while the first one restarts.
+	It("sends the canary to a target that died before", func() {
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		Expect(table.Plan(now, fp)).To(Equal(quarantine.Plan{Prefer: []string{"g0-r0"}, Only: true}))
+		Expect(table.Plan(now.Add(3*time.Second), fp).Only).To(BeFalse())
+	})
+
+	// Guards against canaries for ever, and against a peer's old news undoing
+	// a canary that succeeded.
+	It("clears a suspect after a canary that succeeded", func() {
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		old, _ := table.Entry(now, fp)
+		table.Succeeded(now, fp, keep)
+		Expect(decide(now, fp)).To(Equal(quarantine.Run))
+		Expect(table.Cleared(now, fp)).To(BeTrue())
+		Expect(table.Import(now, []quarantine.Entry{old}, keep)).To(BeEmpty())
+		Expect(decide(now, fp)).To(Equal(quarantine.Run))
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		Expect(decide(now, fp)).To(Equal(quarantine.Canary))
+	})
+
+	// Guards against unknown killers during an attack, and against canaries in
+	// calm times.
+	It("is on alert for a while after a death", func() {
+		unknown := quarantine.Of("s", []string{"unknown"})
+		Expect(decide(now, unknown)).To(Equal(quarantine.Run))
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		Expect(decide(now, unknown)).To(Equal(quarantine.Canary))
+		Expect(table.Decide(now, unknown, settings.CanaryNever)).To(Equal(quarantine.Run))
+		Expect(decide(now.Add(10*time.Second), unknown)).To(Equal(quarantine.Run))
+	})
+
+	// Guards against a host that convicts alone while the others still run the query.
+	It("hands its knowledge to another table", func() {
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		other := quarantine.NewTable(4)
+		Expect(other.Import(now, table.Export(now), keep)).To(HaveLen(1))
+		Expect(other.Decide(now, fp, settings.CanaryAuto)).To(Equal(quarantine.Canary))
+		table.Died(now, fp, death(1, 0, true), false, keep)
+		Expect(other.Import(now, table.Export(now), keep)).To(HaveLen(1))
+		Expect(other.Decide(now, fp, settings.CanaryAuto)).To(Equal(quarantine.Refuse))
+		Expect(table.Export(now)).To(BeEmpty())
+	})
+})
+
+// Guards against memory without bound and against forgetting a proven killer
+// under a flood of other queries.
+func TestBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := quarantine.NewTable(4)
+		table.Died(now, fp, death(0, 0, false), false, keep)
+		table.Died(now, fp, death(1, 0, true), false, keep)
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			other := quarantine.Fingerprint(rapid.Uint64Range(1, 12).Draw(t, "fp"))
+			if rapid.Bool().Draw(t, "died") {
+				table.Died(now, other, death(0, 0, false), false, keep)
+			} else {
+				table.Succeeded(now, other, keep)
+			}
+		}
+		if table.Len() > 4 || table.Decide(now, fp, settings.CanaryAuto) != quarantine.Refuse {
+			t.Fatalf("%d fingerprints, verdict %d", table.Len(), table.Decide(now, fp, settings.CanaryAuto))
+		}
+	})
+}
