Quarantine queries that crash their targets

A killer query took down a replica of every group each time it was sent again. A connection that dies under a query now makes it a suspect; the entry host tells the peers before it answers, a suspect runs on one target that died under it before, and a second death there refuses the query everywhere.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -18,10 +18,11 @@
 	self    *settings.Process
 	config  *config
 	targets *dispatcher
+	guard   *guard
 }
 
-func newBranch(self *settings.Process, config *config, dial target.Dialer) *branch {
-	return &branch{self: self, config: config, targets: newDispatcher(self, config, dial)}
+func newBranch(self *settings.Process, config *config, guard *guard, dial target.Dialer) *branch {
+	return &branch{self: self, config: config, targets: newDispatcher(self, config, dial), guard: guard}
 }
 
 func (b *branch) close() { b.targets.close() }
@@ -119,6 +120,13 @@
 		result.Outcome = refused
 		return result
 	}
+	release, refusal, ok := b.guard.admit(ctx, req, part)
+	if !ok {
+		result.Outcome = refusal
+		b.guard.mark(req, &result)
+		return result
+	}
+	defer release()
 	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
 	work := &work{
 		target: part.Target, service: req.Service, class: settings.Priority(req.Class),
@@ -133,6 +141,7 @@
 	}
 	done := b.targets.do(ctx, work)
 	result.Outcome, result.Status = done.outcome, done.status
+	b.guard.mark(req, &result)
 	result.QueueUS, result.TargetUS = done.queued.Microseconds(), done.served.Microseconds()
 	return result
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,7 +95,8 @@
 	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
-	d.branch = newBranch(opts.Process, d.config, opts.DialTarget)
+	guard := newGuard(opts.Process, d.config, d.directory)
+	d.branch = newBranch(opts.Process, d.config, guard, opts.DialTarget)
 
 	conn, err := opts.ListenPacket(opts.Process.Listen.Peers)
 	if err != nil {
@@ -109,6 +110,7 @@
 	d.control.transport = d.transport
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	guard.transport, d.entry.guard = d.transport, guard
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
 	close(d.wired)
 	return d, nil
@@ -187,6 +189,8 @@
 		d.control.serveHeartbeat(s)
 	case wire.ExchangePull:
 		d.control.servePull(s)
+	case wire.ExchangeQuarantine:
+		d.branch.guard.serve(s)
 	case wire.ExchangeCommand:
 		d.serveCommand(ctx, s)
 	default:
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -24,6 +24,7 @@
 	directory *directory
 	branches  *branchClient
 	home      *home
+	guard     *guard
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,369 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+const (
+	maxFingerprints = 4096
+	// shareLimit bounds how long an answer waits until the peers know that a
+	// connection died under its query. A caller that sends the query again at
+	// once through another host would otherwise take down another replica.
+	shareLimit = 100 * time.Millisecond
+	// maxNotices is the number of peers that are told at once; heartbeats
+	// reach the others.
+	maxNotices = 16
+	// maxCanaries is how many targets a query tries to run its canary on.
+	maxCanaries = 3
+	// canaryShare is the part of the deadline after which a precautionary
+	// canary no longer holds up the other groups.
+	canaryShare = 4
+)
+
+// guard is the quarantine of one host, for both of its roles.
+type guard struct {
+	self      *settings.Process
+	config    *config
+	directory *directory
+	transport *peer.Transport
+
+	mu       sync.Mutex // guards what follows
+	table    *quarantine.Table
+	canaries map[string]chan struct{} // a token per target: one suspect runs on it at a time
+}
+
+func newGuard(self *settings.Process, config *config, directory *directory) *guard {
+	return &guard{
+		self: self, config: config, directory: directory,
+		table: quarantine.NewTable(maxFingerprints), canaries: map[string]chan struct{}{},
+	}
+}
+
+func (g *guard) keep() time.Duration {
+	return g.config.tree().Effective(g.self.Place, "").QuarantineFor
+}
+
+// decide returns the verdict on a query, and where its canary may run.
+func (g *guard) decide(fp quarantine.Fingerprint, mode settings.CanaryMode) (quarantine.Verdict, quarantine.Plan) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.table.Decide(now, fp, mode), g.table.Plan(now, fp)
+}
+
+// cleared reports whether a query may go to a sister replica after a death.
+func (g *guard) cleared(fp quarantine.Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Cleared(time.Now(), fp)
+}
+
+func (g *guard) died(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool) {
+	keep := g.keep()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Died(time.Now(), fp, d, oneGroup, keep)
+}
+
+func (g *guard) succeeded(fp quarantine.Fingerprint) {
+	keep := g.keep()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Succeeded(time.Now(), fp, keep)
+}
+
+func (g *guard) learn(entries []quarantine.Entry) {
+	keep := g.keep()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Import(time.Now(), entries, keep)
+}
+
+func (g *guard) entry(fp quarantine.Fingerprint) (quarantine.Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Entry(time.Now(), fp)
+}
+
+// share tells the peers what is known of a fingerprint and returns when they
+// have acknowledged it or the limit has passed.
+func (g *guard) share(fp quarantine.Fingerprint) {
+	entry, ok := g.entry(fp)
+	if !ok {
+		return
+	}
+	notice := &wire.QuarantineNotice{Entries: []quarantine.Entry{entry}}
+	ctx, cancel := context.WithTimeout(context.Background(), shareLimit)
+	defer cancel()
+	hosts := g.directory.hosts().list.Hosts
+	var wg sync.WaitGroup
+	for _, i := range rand.Perm(len(hosts))[:min(len(hosts), maxNotices)] {
+		if hosts[i].Name == g.self.Name {
+			continue
+		}
+		wg.Go(func() {
+			s, err := g.transport.Open(ctx, hosts[i].Peers, wire.ExchangeQuarantine)
+			if err != nil {
+				return // heartbeats and marked replies bring it later
+			}
+			defer s.Reset()
+			defer context.AfterFunc(ctx, s.Reset)()
+			var ack wire.QuarantineAck
+			if s.Send(notice) == nil {
+				_ = s.Receive(&ack)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// serve takes a notice of a peer.
+func (g *guard) serve(s *peer.Stream) {
+	var notice wire.QuarantineNotice
+	if err := s.Receive(&notice); err != nil || g.config.tree() == nil {
+		s.Reset()
+		return
+	}
+	g.learn(notice.Entries)
+	if err := s.Send(&wire.QuarantineAck{}); err != nil {
+		s.Reset()
+	}
+}
+
+// admit lets a sub-request run on a target of this branch host. A suspect's
+// canary waits until no other one is on the target, because the two could not
+// be told apart if the target died. release must be called if it may run.
+func (g *guard) admit(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) (release func(), refusal outcome.Outcome, ok bool) {
+	release = func() {}
+	if req.Canary {
+		token := g.token(part.Target)
+		select {
+		case token <- struct{}{}:
+			release = func() { <-token }
+		case <-ctx.Done():
+			return nil, outcome.Refused(outcome.Deadline, "another suspect runs on target %s", part.Target), false
+		}
+	}
+	if entry, known := g.entry(quarantine.Of(req.Service, req.Terms)); known && entry.Proven > 0 {
+		release()
+		return nil, quarantined(entry.Proven), false
+	}
+	return release, outcome.Outcome{}, true
+}
+
+func (g *guard) token(target string) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	token, ok := g.canaries[target]
+	if !ok {
+		token = make(chan struct{}, 1)
+		g.canaries[target] = token
+	}
+	return token
+}
+
+// mark adds to a part what the entry host should know: that the target's
+// connection died under it, and what this host knows of the query.
+func (g *guard) mark(req *wire.SearchRequest, result *wire.PartResult) {
+	fp := quarantine.Of(req.Service, req.Terms)
+	result.Died = result.Outcome.Kind == outcome.Unknown && result.Outcome.Reason == outcome.ConnLost
+	if result.Died {
+		g.died(fp, quarantine.Death{Target: result.Target, Group: result.Group, Canary: req.Canary},
+			len(g.config.tree().Doc.Services[req.Service].Groups) < 2)
+	}
+	if entry, known := g.entry(fp); known {
+		result.Known = []quarantine.Entry{entry}
+	}
+}
+
+func quarantined(left time.Duration) outcome.Outcome {
+	o := outcome.Refused(outcome.Quarantined, "the query crashed its targets")
+	o.RetryAfter = left
+	return o
+}
+
+// canary is the quarantine's part of a search in progress.
+type canary struct {
+	fp         quarantine.Fingerprint
+	holding    bool // the other groups wait for one target's answer
+	suspect    bool // a connection died under the query before
+	candidates []place
+	slow       <-chan time.Time // a precaution holds up the others no longer
+	dirty      bool             // a death is to be shared
+	shared     sync.WaitGroup
+}
+
+// place is where a canary may run; no target means any of the group.
+type place struct{ group, target string }
+
+// begin sends a query as the quarantine allows: to all groups, to one target
+// first, or not at all.
+func (g *gather) begin(ids []string) {
+	g.canary.fp = quarantine.Of(g.service, g.req.Terms)
+	g.canary.holding, g.canary.suspect = false, false // a second plan decides anew
+	verdict, plan := g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	switch {
+	case verdict == quarantine.Refuse:
+		g.refuse(quarantined(0))
+	case verdict == quarantine.Canary && len(ids) > 0:
+		g.canary.holding, g.canary.suspect = true, len(plan.Prefer) > 0
+		g.canary.candidates = g.candidates(ids, plan)
+		if !g.canary.suspect {
+			g.canary.slow = time.After(remaining(g.ctx) / canaryShare)
+		}
+		g.nextCanary()
+	default:
+		g.send(ids)
+	}
+}
+
+// candidates lists where the canary may run, in the order of trial.
+func (g *gather) candidates(ids []string, plan quarantine.Plan) []place {
+	var all []place
+	for _, i := range rand.Perm(len(plan.Prefer)) {
+		if info, ok := g.tree.Target(plan.Prefer[i]); ok {
+			all = append(all, place{info.Group, info.ID})
+		}
+	}
+	if !plan.Only {
+		for _, i := range rand.Perm(len(ids)) {
+			all = append(all, place{group: ids[i]})
+		}
+	}
+	return all[:min(len(all), maxCanaries)]
+}
+
+// nextCanary sends the canary to the next candidate. Without one left it gives
+// the query up.
+func (g *gather) nextCanary() {
+	for len(g.canary.candidates) > 0 {
+		at := g.canary.candidates[0]
+		g.canary.candidates = g.canary.candidates[1:]
+		state, ok := g.groups[at.group]
+		if !ok {
+			continue
+		}
+		g.reopen(state)
+		if at.target != "" {
+			for _, t := range state.group.Targets {
+				state.tried[t.ID] = t.ID != at.target
+			}
+		}
+		g.send([]string{at.group})
+		if g.inProgress() {
+			return
+		}
+	}
+	g.canary.holding = false
+	g.refuse(outcome.Refused(outcome.Quarantined, "no target for a canary of the query is usable"))
+}
+
+// canaryOwners leaves a suspect's canary to the first listed owner of each
+// target, so that the canaries on a target wait for each other on one host.
+func (g *gather) canaryOwners(group routing.Group) routing.Group {
+	if !g.canary.holding || !g.canary.suspect {
+		return group
+	}
+	for i := range group.Options {
+		owners := &group.Options[i].Owners
+		*owners = (*owners)[:min(1, len(*owners))]
+	}
+	return group
+}
+
+func (g *gather) reopen(state *groupState) {
+	if state.done {
+		state.done = false
+		g.open++
+	}
+	state.tried, state.retries = map[string]bool{}, 0
+}
+
+// refuse closes the groups that were not sent, with the reason.
+func (g *gather) refuse(o outcome.Outcome) {
+	for _, state := range g.groups {
+		if len(state.attempts) == 0 || state.last.RanNothing() && !g.merger.Covers(state.group.Range) {
+			state.last = o
+		}
+		g.closeIfIdle(state)
+	}
+}
+
+func (g *gather) inProgress() bool {
+	for _, state := range g.groups {
+		for _, a := range state.attempts {
+			if !a.ended {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// release sends the groups that waited for the canary.
+func (g *gather) release() {
+	g.canary.holding, g.canary.slow = false, nil
+	var ids []string
+	for id, state := range g.groups {
+		if g.merger.Covers(state.group.Range) || g.pending(state) {
+			continue
+		}
+		g.reopen(state)
+		ids = append(ids, id)
+	}
+	g.send(ids)
+}
+
+func (g *gather) pending(state *groupState) bool {
+	for _, a := range state.attempts {
+		if !a.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// inspect takes what a part says about the quarantine. It returns false if the
+// group must not be sent to a sister replica.
+func (g *gather) inspect(part wire.PartResult) (mayRetry bool) {
+	guard := g.entry.guard
+	if !part.Died {
+		guard.learn(part.Known)
+		return part.Outcome.Reason != outcome.Quarantined
+	}
+	mayRetry = guard.cleared(g.canary.fp)
+	guard.died(g.canary.fp, quarantine.Death{Target: part.Target, Group: part.Group, Canary: g.canary.suspect && g.canary.holding}, len(g.groups) < 2)
+	g.canary.dirty = true
+	if g.canary.holding && !mayRetry {
+		g.canary.candidates = nil
+	}
+	return mayRetry
+}
+
+// settle goes on after events: it shares deaths, and releases the held groups
+// or moves the canary on.
+func (g *gather) settle() {
+	if g.canary.dirty {
+		g.canary.dirty = false
+		g.canary.shared.Go(func() { g.entry.guard.share(g.canary.fp) })
+	}
+	if !g.canary.holding {
+		return
+	}
+	if g.merger.Coverage() > 0 {
+		g.entry.guard.succeeded(g.canary.fp)
+		g.release()
+	} else if !g.inProgress() {
+		g.nextCanary()
+	}
+}
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -26,6 +26,7 @@
 	g := newGather(ctx, e, tree, policy, service, meta, req)
 	g.start()
 	g.wait()
+	g.canary.shared.Wait()
 	return g.response(start)
 }
 
@@ -48,6 +49,7 @@
 	replan    bool // the version vanished, start again on another one
 	replanned bool
 	mayRun    bool // some target may have run the query
+	canary    canary
 }
 
 // groupState is the progress of one group.
@@ -121,7 +123,7 @@
 	for i := range groups {
 		ids[i] = groups[i].ID
 	}
-	g.send(ids)
+	g.begin(ids)
 }
 
 // send plans one attempt for each of the groups and sends them, one message
@@ -132,7 +134,7 @@
 	g.entry.mu.Lock()
 	for _, id := range ids {
 		state := g.groups[id]
-		options = append(options, g.entry.options(g.tree, state.group, g.merger.Version(), state.tried))
+		options = append(options, g.canaryOwners(g.entry.options(g.tree, state.group, g.merger.Version(), state.tried)))
 	}
 	plan := g.entry.router.Plan(now, options)
 	for _, a := range plan {
@@ -163,6 +165,7 @@
 	req := &wire.SearchRequest{
 		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
 		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
+		Canary: g.canary.holding && g.canary.suspect,
 	}
 	for _, a := range assignments {
 		state := g.groups[a.Group]
@@ -207,6 +210,8 @@
 		select {
 		case event := <-g.events:
 			g.handle(event)
+		case <-g.canary.slow:
+			g.release()
 		case <-early:
 			mayEndEarly = true
 		case <-g.ctx.Done():
@@ -230,6 +235,7 @@
 	} else if len(again) > 0 {
 		g.send(again)
 	}
+	g.settle()
 }
 
 // restart gives up what was merged and plans the query again, once, because no
@@ -252,6 +258,7 @@
 	}
 	a.ended = true
 	state := g.groups[part.Group]
+	mayRetry := g.inspect(part)
 	g.entry.observe(a.path, part.Outcome, part.Status, time.Duration(part.QueueUS+part.TargetUS)*time.Microsecond)
 	if !part.Outcome.RanNothing() {
 		g.mayRun = true
@@ -263,6 +270,10 @@
 		return g.merge(state, part)
 	}
 	state.last = part.Outcome
+	if !mayRetry {
+		g.closeIfIdle(state)
+		return nil
+	}
 	return g.retry(state, part.Outcome)
 }
 
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 )
 
 // ExchangeCommand is CommandRequest, then CommandReply. The number leaves room
@@ -27,3 +28,15 @@
 	Record  *coverage.Record `cbor:"3,keyasint,omitempty"`
 	Version uint64           `cbor:"4,keyasint,omitempty"`
 }
+
+// ExchangeQuarantine is QuarantineNotice, then QuarantineAck.
+const ExchangeQuarantine Exchange = 33
+
+// QuarantineNotice tells a peer at once about a connection that died under a
+// query.
+type QuarantineNotice struct {
+	Entries []quarantine.Entry `cbor:"1,keyasint"`
+}
+
+// QuarantineAck says that the notice is in force on the peer.
+type QuarantineAck struct{}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 )
 
 // MaxMessageBytes bounds one message. The largest is a reply with the records
@@ -39,6 +40,7 @@
 	Class       uint8         `cbor:"7,keyasint"` // settings.Priority
 	Parts       []PartRequest `cbor:"8,keyasint"`
 	Traceparent string        `cbor:"9,keyasint,omitempty"`
+	Canary      bool          `cbor:"16,keyasint,omitempty"` // a suspect query that runs on one target alone
 }
 
 // PartRequest names one group and the target that shall answer for it.
@@ -64,6 +66,9 @@
 	Status   TargetStatus       `cbor:"7,keyasint"`
 	QueueUS  int64              `cbor:"8,keyasint,omitempty"` // microseconds waited for a slot on the branch host
 	TargetUS int64              `cbor:"9,keyasint,omitempty"` // microseconds from sending to the target's answer
+
+	Died  bool               `cbor:"16,keyasint,omitempty"` // the target's connection died under the request
+	Known []quarantine.Entry `cbor:"17,keyasint,omitempty"` // what the branch host knows of the query
 }
 
 // TargetStatus is what a target said about itself in an answer.
