--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
-	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -26,9 +25,10 @@
 // beside other queries.
 type attack struct {
 	*tier
+	mu       sync.Mutex
 	coverage float64 // sum over the other queries
 	others   int
-	refused  int
+	short    int // others with less than full coverage
 }
 
 // crashes returns the crashes so far, and the most replicas lost in a group.
@@ -47,20 +47,57 @@
 	return total, replicas
 }
 
+func newAttack(ctx context.Context, change func(*settings.Document)) *attack {
+	return &attack{tier: startTier(ctx, []string{searchService}, change)}
+}
+
+// start sends other queries until enough were sent, then closes the channel.
+func (a *attack) start(ctx context.Context, seed uint64, workers, enough int) <-chan struct{} {
+	var callers sync.WaitGroup
+	for w := range workers {
+		callers.Go(func() {
+			defer GinkgoRecover()
+			a.search(ctx, rand.New(rand.NewPCG(seed, uint64(w))), enough)
+		})
+	}
+	finished := make(chan struct{})
+	go func() { callers.Wait(); close(finished) }()
+	return finished
+}
+
+func (a *attack) sent() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.others
+}
+
+// expectNoneConvicted expects full answers once the targets are back.
+func (a *attack) expectNoneConvicted(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	for range 60 {
+		body := api.SearchRequest{Terms: []string{standin.Word(rng)}, Limit: 20}
+		Eventually(func() float64 {
+			var answer api.SearchResponse
+			a.post(ctx, a.host(rng), searchPath, "", 0, body, &answer)
+			return answer.Coverage
+		}).WithContext(ctx).WithTimeout(10*time.Second).Should(Equal(1.0), "%v", body.Terms)
+	}
+}
+
 // search sends queries for random words until enough were sent.
-func (a *attack) search(ctx context.Context, mu *sync.Mutex, rng *rand.Rand, enough int) {
+func (a *attack) search(ctx context.Context, rng *rand.Rand, enough int) {
 	for ctx.Err() == nil {
 		var answer api.SearchResponse
 		body := api.SearchRequest{Terms: []string{standin.Word(rng)}, Limit: 20}
-		o := a.post(ctx, a.host(rng), searchPath, "", 0, body, &answer)
-		mu.Lock()
+		a.post(ctx, a.host(rng), searchPath, "", 0, body, &answer)
+		a.mu.Lock()
 		a.others++
 		a.coverage += answer.Coverage
-		if o.Kind != outcome.Answered {
-			a.refused++
+		if answer.Coverage < 1 {
+			a.short++
 		}
 		done := a.others >= enough
-		mu.Unlock()
+		a.mu.Unlock()
 		if done {
 			return
 		}
@@ -71,29 +108,23 @@
 	// Guards against a query that takes down one replica after the other when
 	// it is sent again through other hosts, and against losing the queries
 	// beside it. Without the quarantine (canary: never) it must fail.
-	DescribeTable("loses at most one replica of a group", func(ctx context.Context, naive bool) {
-		const others, workers, maxLater = 800, 4, 3
+	DescribeTable("loses at most one replica of a group", func(ctx context.Context, seed uint64, naive bool) {
+		const workers, maxLater = 4, 3
+		others := 800
 		var service settings.Service
-		a := &attack{tier: startTier(ctx, []string{searchService}, func(d *settings.Document) {
+		a := newAttack(ctx, func(d *settings.Document) {
 			service = d.Services[searchService]
 			if naive {
+				others = 200
 				service.Settings = settings.Overrides{"canary": []byte(`"never"`)}
 				d.Services[searchService] = service
 			}
-		})}
+		})
 		for _, s := range a.Searchers {
 			s.SetFaults(standin.Faults{KillTerm: killTerm})
 		}
-		var mu sync.Mutex
-		var callers sync.WaitGroup
-		for w := range workers {
-			callers.Go(func() {
-				defer GinkgoRecover()
-				a.search(ctx, &mu, rand.New(rand.NewPCG(1, uint64(w))), others)
-			})
-		}
-		finished := make(chan struct{})
-		go func() { callers.Wait(); close(finished) }()
+		finished := a.start(ctx, seed, workers, others)
+		Eventually(a.sent).WithContext(ctx).Should(BeNumerically(">", 50))
 		kill := func(i int) {
 			var answer api.SearchResponse
 			a.post(ctx, a.hosts[i%len(a.hosts)], searchPath, "", 0, api.SearchRequest{Terms: []string{killTerm}}, &answer)
@@ -111,8 +142,8 @@
 		}
 		total, replicas := a.crashes(service)
 		coverage := a.coverage / float64(a.others)
-		fmt.Fprintf(GinkgoWriter, "naive %t: killer sent %d times, %d crashes by the first, %d later, at most %d replicas of a group; coverage of %d others %.4f, %d without a full answer\n",
-			naive, sent, first, total-first, replicas, a.others, coverage, a.refused)
+		fmt.Fprintf(GinkgoWriter, "seed %d naive %t: killer sent %d times, %d crashes by the first, %d later, at most %d replicas of a group; coverage of %d others %.4f, %d of them less than 1\n",
+			seed, naive, sent, first, total-first, replicas, a.others, coverage, a.short)
 		if naive {
 			Expect(replicas).To(BeNumerically(">", 1))
 			return
@@ -120,8 +151,29 @@
 		Expect(replicas).To(Equal(1))
 		Expect(total - first).To(BeNumerically("<=", maxLater))
 		Expect(coverage).To(BeNumerically(">=", 0.99))
+		a.expectNoneConvicted(ctx)
 	},
-		Entry("quarantine", false, NodeTimeout(2*time.Minute)),
-		Entry("naive", true, NodeTimeout(2*time.Minute)),
+		Entry("seed 1", uint64(1), false, NodeTimeout(2*time.Minute)),
+		Entry("seed 2", uint64(2), false, NodeTimeout(2*time.Minute)),
+		Entry("naive", uint64(1), true, NodeTimeout(2*time.Minute)),
 	)
+
+	// Guards against refusing queries that only ran on targets that failed.
+	It("convicts no query for targets that die of something else", func(ctx context.Context) {
+		a := newAttack(ctx, func(*settings.Document) {})
+		finished := a.start(ctx, 3, 8, 600)
+		rng, ids := rand.New(rand.NewPCG(3, 99)), searchersOf(a.tier, searchService)
+		crashes := 0
+		for running := true; running; crashes++ {
+			a.Searchers[ids[rng.IntN(len(ids))]].Crash()
+			select {
+			case <-finished:
+				running = false
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		fmt.Fprintf(GinkgoWriter, "%d crashes: coverage of %d queries %.4f, %d of them less than 1\n",
+			crashes, a.others, a.coverage/float64(a.others), a.short)
+		a.expectNoneConvicted(ctx)
+	}, NodeTimeout(2*time.Minute))
 })
