Convict a query only after canaries died on two targets

A conviction now needs two canaries that died on distinct targets, of different groups where there are several. The package tests state the stricter rule.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -232,7 +232,7 @@
 	case verdict == quarantine.Refuse:
 		g.refuse(quarantined(0))
 	case verdict == quarantine.Canary && len(ids) > 0:
-		g.canary.holding, g.canary.suspect = true, len(plan.Prefer) > 0
+		g.canary.holding, g.canary.suspect = true, plan.Suspect
 		g.canary.candidates, g.canary.wait = g.candidates(ids, plan), plan.Only
 		if !g.canary.suspect {
 			g.canary.slow = time.After(remaining(g.ctx) / canaryShare)
@@ -257,6 +257,9 @@
 	if !plan.Only {
 		var others []canaryPlace
 		for _, id := range ids {
+			if slices.Contains(plan.Avoid, id) {
+				continue
+			}
 			if at, ok := g.usablePlace(g.groups[id].group); ok {
 				others = append(others, at)
 			}
--- a/pkg/quarantine/example_test.go
+++ b/pkg/quarantine/example_test.go
@@ -15,6 +15,7 @@
 
 	table.Died(now, killer, quarantine.Death{Target: "g0-r0", Group: "g0"}, false, time.Minute)
 	fmt.Println(table.Decide(now, killer, settings.CanaryAuto) == quarantine.Canary)
+	table.Died(now, killer, quarantine.Death{Target: "g0-r0", Group: "g0", Canary: true}, false, time.Minute)
 	table.Died(now, killer, quarantine.Death{Target: "g1-r0", Group: "g1", Canary: true}, false, time.Minute)
 	fmt.Println(table.Decide(now, killer, settings.CanaryAuto) == quarantine.Refuse)
 	// Output:
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -47,8 +47,10 @@
 
 // Plan says where a canary may run.
 type Plan struct {
-	Prefer []string // targets on which the query died before
-	Only   bool     // no other target may be used yet
+	Prefer  []string // targets on which the query died, but not as a canary
+	Only    bool     // no other target may be used yet
+	Avoid   []string // groups in which a canary died already
+	Suspect bool     // the query died before
 }
 
 // Table holds the fingerprints that a host knows.
@@ -107,11 +109,18 @@
 	if rec == nil || rec.cleared || len(rec.deaths) == 0 {
 		return Plan{}
 	}
-	var plan Plan
+	plan := Plan{Suspect: true}
 	for _, d := range rec.deaths {
-		plan.Prefer = append(plan.Prefer, d.Target)
+		if d.Canary && !rec.oneGroup {
+			plan.Avoid = append(plan.Avoid, d.Group)
+		}
+	}
+	for _, d := range rec.deaths {
+		if !d.Canary && !slices.Contains(plan.Avoid, d.Group) {
+			plan.Prefer = append(plan.Prefer, d.Target)
+		}
 	}
-	plan.Only = now.Before(rec.diedAt.Add(restartGrace))
+	plan.Only = len(plan.Prefer) > 0 && now.Before(rec.diedAt.Add(restartGrace))
 	return plan
 }
 
@@ -233,12 +242,13 @@
 	return true
 }
 
-// isProven reports whether a canary died, and the query died on another target
-// too, of another group where the service has several.
+// isProven reports whether canaries died on two targets, of different groups
+// where the service has several. One canary that died is not enough: over many
+// canaries some run on a target that fails of something else.
 func (r *record) isProven() bool {
 	for _, c := range r.deaths {
 		for _, d := range r.deaths {
-			if c.Canary && c.Target != d.Target && (r.oneGroup || c.Group != d.Group) {
+			if c.Canary && d.Canary && c.Target != d.Target && (r.oneGroup || c.Group != d.Group) {
 				return true
 			}
 		}
