Record the killer query that reaches all hosts at once

With canary: auto the first send through all 8 hosts at once crashed 30 searchers, 3 replicas of a group. The test keeps the bound and is listed in KNOWN-RED.txt; with canary: always it holds. A forwarded command gets the time that is left after dialling, and a home starts no run for a sender that gave up.

--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -120,6 +120,7 @@
 	stop := context.AfterFunc(ctx, s.Reset)
 	defer stop()
 	var reply wire.LookupReply
+	req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
 	if err = s.Send(req); err == nil {
 		err = s.Receive(&reply)
 	}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -77,6 +77,9 @@
 // do runs a command, or joins or replays an earlier run of it. The run goes on
 // when the caller gives up, so that a resend finds its answer.
 func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest) wire.CommandReply {
+	if ctx.Err() != nil { // nobody waits for a run that would start now
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
+	}
 	key := id.String()
 	h.mu.Lock()
 	decision := h.registry.Begin(time.Now(), id, digest(req))
@@ -288,6 +291,7 @@
 		defer s.Reset()
 		stop := context.AfterFunc(ctx, s.Reset)
 		defer stop()
+		req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
 		if err = s.Send(req); err == nil {
 			err = s.Receive(&reply)
 		}
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -108,7 +109,10 @@
 	// Guards against a query that takes down one replica after the other when
 	// it is sent again through other hosts, and against losing the queries
 	// beside it. Without the quarantine (canary: never) it must fail.
-	DescribeTable("loses at most one replica of a group", func(ctx context.Context, seed uint64, mode settings.CanaryMode) {
+	DescribeTable("loses at most one replica of a group", func(ctx context.Context, seed uint64, mode settings.CanaryMode, atOnce bool) {
+		if atOnce && mode == settings.CanaryAuto && os.Getenv("KNOWN_RED") == "" {
+			Skip("listed in KNOWN-RED.txt; KNOWN_RED=1 runs it")
+		}
 		naive := mode == settings.CanaryNever
 		const workers, maxLater = 4, 3
 		others := 800
@@ -129,8 +133,8 @@
 		kill := func(i int) {
 			var sends sync.WaitGroup
 			for h := range a.hosts {
-				if h != i%len(a.hosts) && mode != settings.CanaryAlways {
-					continue // with canary: always, all hosts get it at the same time
+				if h != i%len(a.hosts) && !atOnce {
+					continue
 				}
 				sends.Go(func() {
 					var answer api.SearchResponse
@@ -163,9 +167,10 @@
 		Expect(coverage).To(BeNumerically(">=", 0.99))
 		a.expectNoneConvicted(ctx)
 	},
-		Entry("through one host after the other", uint64(1), settings.CanaryAuto, NodeTimeout(2*time.Minute)),
-		Entry("through all hosts at once", uint64(3), settings.CanaryAlways, NodeTimeout(2*time.Minute)),
-		Entry("naive", uint64(1), settings.CanaryNever, NodeTimeout(2*time.Minute)),
+		Entry("through one host after the other", uint64(1), settings.CanaryAuto, false, NodeTimeout(2*time.Minute)),
+		Entry("through all hosts at once, canary always", uint64(3), settings.CanaryAlways, true, NodeTimeout(2*time.Minute)),
+		Entry("through all hosts at once, canary auto", uint64(1), settings.CanaryAuto, true, NodeTimeout(2*time.Minute)),
+		Entry("naive", uint64(1), settings.CanaryNever, false, NodeTimeout(2*time.Minute)),
 	)
 
 	// Guards against refusing queries that only ran on targets that failed.
