Plan a canary anew when a refusal tells that the query is a suspect

Hosts that got a killer query at once went on to the next target when the first one was down. Commands that the home records as unknown are asked for twice and stay unknown.

--- a/internal/daemon/command_test.go
+++ b/internal/daemon/command_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -181,7 +182,12 @@
 	s.final = map[string]outcome.Outcome{}
 	rng := rand.New(rand.NewPCG(s.seed, 99))
 	for id, record := range records {
-		s.final[id] = s.send(ctx, s.host(rng), id, record, longDeadline)
+		o := s.send(ctx, s.host(rng), id, record, longDeadline)
+		s.final[id] = o
+		if recorded := strings.HasPrefix(o.Message, "no answer"); recorded {
+			again := s.send(ctx, s.host(rng), id, record, longDeadline)
+			Expect(again.Kind).To(Equal(outcome.Unknown), "%s was %v, then %v", id, o, again)
+		}
 	}
 }
 
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -209,6 +209,7 @@
 	again      <-chan time.Time // the targets that died before are tried again
 	wait       bool             // they may be waited for
 	giveUp     time.Time        // until then
+	died       bool             // under this query; it is given up
 	dirty      bool             // a death is to be shared
 	shared     sync.WaitGroup
 }
@@ -415,7 +416,7 @@
 	guard.died(g.canary.fp, quarantine.Death{Target: part.Target, Group: part.Group, Canary: g.canary.suspect && g.canary.holding}, len(g.groups) < 2)
 	g.canary.dirty = true
 	if g.canary.holding && !mayRetry {
-		g.canary.candidates, g.canary.wait = nil, false
+		g.canary.candidates, g.canary.wait, g.canary.died = nil, false, true
 	}
 	return mayRetry
 }
@@ -434,6 +435,18 @@
 		g.entry.guard.succeeded(g.canary.fp)
 		g.release()
 	} else if !g.inProgress() {
-		g.nextCanary()
+		g.moveCanary()
+	}
+}
+
+// moveCanary goes on after a canary that was refused. If the refusal told that
+// the query is a suspect, its canary is planned anew, so that it does not take
+// down another target.
+func (g *gather) moveCanary() {
+	verdict, plan := g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	if !g.canary.died && (verdict == quarantine.Refuse || plan.Suspect && !g.canary.suspect) {
+		g.begin(g.reopenAll())
+		return
 	}
+	g.nextCanary()
 }
