--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -47,7 +47,7 @@
 	tree, err := settings.Parse(fmt.Appendf(nil, scriptedDocument, targets))
 	t.check(err)
 	config.current.Store(tree)
-	c.local = newBranch(&self, config, (&net.Dialer{}).DialContext)
+	c.local = newBranch(&self, config, newGuard(&self, config, c.directory), (&net.Dialer{}).DialContext)
 	if serve == nil {
 		serve = func(ctx context.Context, _ wire.Exchange, s *peer.Stream) { c.local.serveSearch(ctx, s) }
 	}
@@ -110,6 +110,7 @@
 		}
 		client.list(hosts)
 		e := newEntry(client.self, client.local.config, client.directory, client)
+		e.guard = client.local.guard
 		for i := range 20 {
 			answer, o := e.Search(ctx, "s", api.Meta{RequestID: fmt.Sprint("query-", i)}, &api.SearchRequest{})
 			Expect(o).To(Equal(outcome.OK()))
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -32,6 +32,7 @@
 	g.load = load
 	g.start()
 	g.wait()
+	g.canary.shared.Wait()
 	return g.response(start)
 }
 
@@ -54,12 +55,14 @@
 	pending   int // attempts in progress
 	merger    *coverage.Merger
 	events    chan batchEvent
-	timer     *time.Timer // next time that a group is due
-	probing   bool        // one group is asked first, to learn a version
-	replan    bool        // the version vanished, start again on another one
+	timer     *time.Timer   // next time that a group is due
+	probe     *groupState   // is asked first, to learn a version
+	held      []*groupState // wait for the probe
+	replan    bool          // the version vanished, start again on another one
 	replanned bool
 	mayRun    bool // some target may have run the query
 	load      *admitted
+	canary    canary
 }
 
 // groupState is the progress of one group.
@@ -72,6 +75,7 @@
 	gap       bool      // an answer left a part of the range open
 	gapRounds int       // searches for the rest so far
 	waiting   bool      // a retry waits for the extra-load budget
+	only      string    // a canary may be sent to this target alone
 	done      bool
 	last      outcome.Outcome // why the group has no answer
 }
@@ -97,6 +101,14 @@
 	return false
 }
 
+// mayAsk reports whether a target may be sent an attempt for the group.
+func (s *groupState) mayAsk(target string) bool {
+	if s.only != "" && s.only != target {
+		return false
+	}
+	return len(s.attempts) == 0 || !s.tried(target)
+}
+
 // attempt is one request for a group.
 type attempt struct {
 	path  routing.Path
@@ -152,9 +164,7 @@
 	return &groupState{planned: p, last: outcome.Refused(outcome.Unavailable, "no target is usable")}
 }
 
-// start picks the snapshot and sends the first attempt of every group. While
-// no version is known it asks one group first: asking all of them for their
-// newest version would give answers that cannot be merged.
+// start picks the snapshot and begins the query on every group.
 func (g *gather) start() {
 	g.entry.mu.Lock()
 	version := g.state.counts.Pick()
@@ -164,20 +174,28 @@
 	g.entry.mu.Unlock()
 	g.merger = coverage.NewMerger(version)
 	g.open = len(g.groups)
-	if g.probing = version == 0 && len(g.groups) > 1; g.probing {
-		g.send(g.groups[:1])
-		g.endProbe()
-		return
+	g.begin(g.groups)
+}
+
+// sendAll sends the groups. While no version is known it asks one of them
+// first: asking all of them for their newest version would give answers that
+// cannot be merged.
+func (g *gather) sendAll(states []*groupState) {
+	if g.merger.Version() == 0 && len(states) > 1 {
+		g.probe, g.held = states[0], states[1:]
+		states = states[:1]
 	}
-	g.send(g.groups)
+	g.send(states)
+	g.endProbe()
 }
 
 // endProbe sends the remaining groups once the first one has answered or has
 // no chance left.
 func (g *gather) endProbe() {
-	if g.probing && (g.merger.Version() != 0 || g.groups[0].done) {
-		g.probing = false
-		g.send(g.groups[1:])
+	if g.probe != nil && (g.merger.Version() != 0 || g.probe.done) {
+		held := g.held
+		g.probe, g.held = nil, nil
+		g.send(held)
 	}
 }
 
@@ -203,6 +221,10 @@
 			g.handle(event)
 		case <-g.timer.C:
 			g.lookAgain()
+		case <-g.canary.again:
+			g.begin(g.reopenAll())
+		case <-g.canary.slow:
+			g.canarySlow()
 		case <-early:
 			mayEndEarly = true
 		case <-g.ctx.Done():
@@ -231,6 +253,7 @@
 	}
 	g.endProbe()
 	g.fillGaps()
+	g.settle()
 }
 
 // restart gives up what was merged and plans the query again, once, because no
@@ -241,6 +264,7 @@
 	g.entry.mu.Lock()
 	g.state.counts.Doubt(g.started)
 	g.entry.mu.Unlock()
+	g.probe, g.held = nil, nil
 	for i, state := range g.groups {
 		g.groups[i] = newGroupState(state.planned)
 		g.byID[state.planned.group.ID] = g.groups[i]
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -62,7 +62,11 @@
 
 // hedge sends another attempt for a group that is late.
 func (g *gather) hedge(now time.Time, state *groupState) {
-	if state.hedges >= maxHedges {
+	if state.hedges >= maxHedges || g.canary.died {
+		return // a query that may have crashed a target goes to no sister replica
+	}
+	if g.canary.holding {
+		state.due = now.Add(tokenWait)
 		return
 	}
 	a, ok := g.planHedge(now, state)
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -24,6 +24,7 @@
 	a.ended = true
 	g.pending--
 	state := g.byID[part.Group]
+	mayRetry := g.inspect(part)
 	g.entry.observePart(g.state, a, part, arrived)
 	g.load.part(part.Outcome, time.Duration(part.QueueUS)*time.Microsecond)
 	if !part.Outcome.RanNothing() {
@@ -36,9 +37,14 @@
 		return g.merge(state, a, part)
 	}
 	state.last = part.Outcome
+	a.again = part.Outcome.Reason == outcome.Silent // the next request uses a new connection
 	if a.gap {
 		return nil // fillGaps asks the next target
 	}
+	if !mayRetry {
+		g.closeIfIdle(state)
+		return nil
+	}
 	return g.retry(state, part.Outcome)
 }
 
@@ -104,7 +110,9 @@
 // retry decides whether a group is sent again after an attempt ended without
 // an answer.
 func (g *gather) retry(state *groupState, o outcome.Outcome) []*groupState {
-	exhausted := state.retries >= g.policy.RetryLimit
+	// A silent connection says little about the target, and the progress
+	// deadline bounds how often it can happen within the query's own.
+	exhausted := state.retries >= g.policy.RetryLimit && o.Reason != outcome.Silent
 	if o.Reason == outcome.VersionGone && !g.replanned && (exhausted || !g.versionServed(state)) {
 		g.replan = true
 		return nil
@@ -112,14 +120,16 @@
 	if state.inProgress() > 0 {
 		return nil // the hedge goes on
 	}
-	if exhausted || g.ctx.Err() != nil {
+	if exhausted || g.canary.holding || g.ctx.Err() != nil {
 		g.closeIfIdle(state)
 		return nil
 	}
 	if !g.mayRetry(state, o) {
 		return nil
 	}
-	state.retries++
+	if o.Reason != outcome.Silent {
+		state.retries++
+	}
 	return []*groupState{state}
 }
 
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -34,12 +34,12 @@
 func (g *gather) plan(now time.Time, states []*groupState) []routing.Assignment {
 	groups := make([]*routing.Group, len(states))
 	for i, state := range states {
-		groups[i] = &state.planned.options
+		groups[i] = g.canaryOwners(&state.planned.options)
 	}
 	version := g.merger.Version()
 	usable := func(i, option int) bool {
 		p := states[i].planned
-		return p.targets[option].Serves(version) && (len(states[i].attempts) == 0 || !states[i].tried(p.options.Options[option].Target))
+		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target)
 	}
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
@@ -48,7 +48,7 @@
 		return usable(i, option) && !(narrow && g.state.tooNarrow(states[i].planned.options.Options[option].Target, states[i].planned))
 	}, make([]routing.Assignment, 0, len(states)))
 	if narrow && len(plan) < len(states) {
-		plan = g.planRest(now, states, usable, plan)
+		plan = g.planRest(now, states, groups, usable, plan)
 	}
 	g.entry.router.SendAll(plan)
 	rule := g.hedgeRule()
@@ -64,7 +64,7 @@
 }
 
 // planRest plans the groups that have no target with their whole range.
-func (g *gather) planRest(now time.Time, states []*groupState, usable routing.Usable, plan []routing.Assignment) []routing.Assignment {
+func (g *gather) planRest(now time.Time, states []*groupState, groups []*routing.Group, usable routing.Usable, plan []routing.Assignment) []routing.Assignment {
 	planned := make(map[string]bool, len(plan))
 	for _, a := range plan {
 		planned[a.Group] = true
@@ -73,7 +73,7 @@
 		if planned[state.planned.group.ID] {
 			continue
 		}
-		if a, ok := g.entry.router.Alternative(now, &state.planned.options, func(_, option int) bool { return usable(i, option) }, nil); ok {
+		if a, ok := g.entry.router.Alternative(now, groups[i], func(_, option int) bool { return usable(i, option) }, nil); ok {
 			plan = append(plan, a)
 		}
 	}
@@ -91,6 +91,7 @@
 	req := &wire.SearchRequest{
 		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
 		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
+		Canary: g.canary.holding && g.canary.suspect,
 	}
 	for _, assigned := range assignments {
 		state := g.byID[assigned.Group]
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -169,6 +169,8 @@
 		reason = outcome.Deadline
 	case ctx.Err() != nil:
 		reason = outcome.Canceled
+	case errors.Is(err, errNoProgress):
+		reason = outcome.Silent
 	case !maySent:
 		reason = outcome.Unavailable
 	}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -58,6 +58,7 @@
 	VersionGone Reason = "version_gone" // the index version is no longer served
 	Unavailable Reason = "unavailable"  // no usable target or host is known
 	ConnLost    Reason = "conn_lost"    // the connection broke while the request was on it
+	Silent      Reason = "silent"       // nothing came over the connection for too long
 	Canceled    Reason = "canceled"     // the caller or the entry host gave up
 	Invalid     Reason = "invalid"      // the request is malformed
 	Internal    Reason = "internal"     // a fault of the tier or the target
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -53,6 +53,12 @@
 	paths []*pathStats // by index in Owners, filled by Link
 }
 
+// FirstOwner returns the option with its first owner only.
+func (o Option) FirstOwner() Option {
+	o.Owners, o.paths = o.Owners[:min(1, len(o.Owners))], o.paths[:min(1, len(o.paths))]
+	return o
+}
+
 // Group is a shard group with its usable targets.
 type Group struct {
 	ID      string
