--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,9 +66,9 @@
 	return t, nil
 }
 
-// Effective returns the settings of a service in a place, or those of a place
-// if service is empty. For a place or service that does not exist it returns
-// what the levels that do exist set.
+// Effective returns the settings of a service in a place. An empty place or
+// service leaves that level out. For a place or service that does not exist it
+// returns what the levels that do exist set.
 func (t *Tree) Effective(place, service string) *Policy {
 	if p, ok := t.policy[policyKey{place, service}]; ok {
 		return p
@@ -158,10 +159,12 @@
 
 func (t *Tree) resolve() {
 	t.policy = map[policyKey]*Policy{}
-	for place := range t.Doc.Places {
-		host := t.effective(place, "") // settings of a host, whatever the service
-		t.policy[policyKey{place, ""}] = &host
-		for service := range t.Doc.Services {
+	// The empty place and service stand for settings that hold whatever the
+	// place or the service.
+	places := append(slices.Collect(maps.Keys(t.Doc.Places)), "")
+	services := append(slices.Collect(maps.Keys(t.Doc.Services)), "")
+	for _, place := range places {
+		for _, service := range services {
 			p := t.effective(place, service)
 			t.policy[policyKey{place, service}] = &p
 		}
