--- a/internal/api/commands/commands.go
+++ b/internal/api/commands/commands.go
@@ -18,10 +18,11 @@
 	Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome)
 	// Ticket issues a ticket for requests that may not be repeated.
 	Ticket() api.TicketResponse
-	// Service returns the kind and the settings of a service.
-	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
+	api.Services
 }
 
+var method = api.Method{Does: "look up records", Kinds: []settings.ServiceKind{settings.KindLookup, settings.KindCommand}}
+
 // Register adds the routes of this package.
 func Register(router *mux.Router, backend Backend) {
 	h := handler{backend}
@@ -36,28 +37,9 @@
 }
 
 func (h handler) lookup(w http.ResponseWriter, r *http.Request) {
-	service := mux.Vars(r)["service"]
-	kind, policy, ok := h.backend.Service(service)
-	if !ok {
-		api.WriteJSON(w, http.StatusNotFound, api.Error{Outcome: outcome.NotRun, Reason: outcome.Invalid, Message: "service " + service + " does not exist"})
-		return
-	}
-	if kind == settings.KindSearch {
-		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "service %s is a search service, it has no lookup", service))
-		return
-	}
-	meta, err := api.ReadMeta(r.Header)
-	if err != nil {
-		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
-		return
-	}
 	var req api.LookupRequest
-	if err := api.DecodeBody(r.Body, policy.MaxBodyBytes, &req); err != nil {
-		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
-		return
-	}
-	if err := req.Check(); err != nil {
-		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+	service, meta, ok := api.Accept(w, r, h.backend, method, &req)
+	if !ok {
 		return
 	}
 	answer, o := h.backend.Lookup(r.Context(), service, meta, &req)
--- /dev/null
+++ b/internal/api/handle.go
@@ -0,0 +1,77 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/gorilla/mux"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Services tells what may be asked of a service.
+type Services interface {
+	// Service returns the kind and the settings of a service.
+	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
+}
+
+// Body is the body of a request to a service.
+type Body interface {
+	// Check reports what is wrong with the decoded body.
+	Check() error
+}
+
+// Method is one kind of request to a service.
+type Method struct {
+	Does  string                 // what it does, for the refusal of other kinds
+	Kinds []settings.ServiceKind // the services that allow it
+}
+
+// Accept reads a request to the service that the path names. It answers a
+// faulty request itself, as "not run", and returns false.
+func Accept(w http.ResponseWriter, r *http.Request, services Services, method Method, body Body) (service string, meta Meta, ok bool) {
+	service = mux.Vars(r)["service"]
+	kind, policy, known := services.Service(service)
+	if !known {
+		WriteJSON(w, http.StatusNotFound, Error{Outcome: outcome.NotRun, Reason: outcome.Invalid, Message: "service " + service + " does not exist"})
+		return service, meta, false
+	}
+	meta, err := readRequest(r, policy, body)
+	if !slices.Contains(method.Kinds, kind) {
+		err = fmt.Errorf("service %s is a %s service, it does not %s", service, kind, method.Does)
+	}
+	if err != nil {
+		WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+		return service, meta, false
+	}
+	return service, meta, true
+}
+
+func readRequest(r *http.Request, policy *settings.Policy, body Body) (Meta, error) {
+	meta, err := ReadMeta(r.Header)
+	if err == nil {
+		err = DecodeBody(r.Body, policy.MaxBodyBytes, body)
+	}
+	if err == nil {
+		err = body.Check()
+	}
+	return meta, err
+}
+
+// ReadAnswer decodes the answer to a request. An error answer becomes an error
+// with its outcome and message.
+func ReadAnswer(resp *http.Response, answer any) error {
+	if resp.StatusCode != http.StatusOK {
+		var e Error
+		if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+			return fmt.Errorf("answer with status %s", resp.Status)
+		}
+		return fmt.Errorf("%s (%s): %s", e.Outcome, e.Reason, e.Message)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -22,6 +22,10 @@
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
+// deadline is long, because the demo checks whole answers: with the deadlines of
+// the services a busy machine would give some that are partial, as it should.
+const deadline = 3 * time.Second
+
 // Options of a run.
 type Options struct {
 	Queries int           // to each service
@@ -191,17 +195,11 @@
 	if id != "" {
 		req.Header.Set(api.HeaderRequestID, id)
 	}
+	req.Header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		var e api.Error
-		if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
-			return errors.Newf("status %s", resp.Status)
-		}
-		return errors.Newf("%s (%s): %s", e.Outcome, e.Reason, e.Message)
-	}
-	return json.NewDecoder(resp.Body).Decode(answer)
+	return api.ReadAnswer(resp, answer)
 }
