Measure the memory of each element of state

Benchmarks named BenchmarkCapacity build each state at two sizes and report the growth per element of heap and of goroutine stacks after garbage collection. Command: go test -run '^$' -bench Capacity ./...

--- /dev/null
+++ b/internal/daemon/capacity_bench_test.go
@@ -0,0 +1,327 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/target"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/coverage"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// slope builds a state of two sizes and reports the growth per element of heap
+// and of goroutine stacks. build returns the state, which stays reachable
+// until both have been measured, and a function that ends it.
+func slope(b *testing.B, small, large int, build func(n int) (state any, end func())) {
+	var heap, stack [2]float64
+	for b.Loop() {
+		for i, n := range []int{small, large} {
+			before := memory()
+			state, end := build(n)
+			after := memory()
+			runtime.KeepAlive(state)
+			end()
+			heap[i] = float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			stack[i] = float64(after.StackInuse) - float64(before.StackInuse)
+		}
+	}
+	b.ReportMetric((heap[1]-heap[0])/float64(large-small), "heap-B/element")
+	b.ReportMetric((stack[1]-stack[0])/float64(large-small), "stack-B/element")
+	b.ReportMetric(heap[0], fmt.Sprintf("heap-B-at-%d", small))
+	b.ReportMetric(heap[1], fmt.Sprintf("heap-B-at-%d", large))
+}
+
+func memory() (m runtime.MemStats) {
+	runtime.GC()
+	runtime.GC() // what finalizers and pools held in the first
+	runtime.ReadMemStats(&m)
+	return m
+}
+
+func benchRequire(b *testing.B) require {
+	return require{check: func(err error) {
+		b.Helper()
+		if err != nil {
+			b.Fatal(err)
+		}
+	}, cleanup: b.Cleanup}
+}
+
+func nothing() {}
+
+var noEvents = target.Events{Probed: func(time.Time, wire.TargetStatus) {}, Broke: func(time.Time) {}}
+
+// BenchmarkCapacityOwnedTarget is a target on a branch host: dispatcher entry,
+// limiter, ramp and pool without connections.
+func BenchmarkCapacityOwnedTarget(b *testing.B) {
+	terms := shareTerms{slots: 2, connections: 18, queue: 64, cold: 1, step: 1, mayUseCold: true}
+	slope(b, 500, 4000, func(n int) (any, func()) {
+		d := &dispatcher{owned: map[string]*ownedTarget{}}
+		for i := range n {
+			id := fmt.Sprintf("tags-g%04d-r0", i)
+			t := newOwnedTarget(id, fmt.Sprintf("127.1.%d.%d:9000", i/256, i%256), terms, nil, &usual{})
+			t.settle(time.Now())
+			d.owned[id] = t
+		}
+		return d, d.close
+	})
+}
+
+// BenchmarkCapacityConnection is an open connection to a target, with the stand-in's
+// end of it. "plain" has the sockets alone at the tier's end.
+func BenchmarkCapacityConnection(b *testing.B) {
+	t := benchRequire(b)
+	address := costDocument(t, 1).Services["s"].Groups[0].Targets[0].Address
+	b.Run("pool", func(b *testing.B) {
+		slope(b, 100, 400, func(n int) (any, func()) {
+			pool := target.NewPool(address, n, n, (&net.Dialer{}).DialContext, noEvents)
+			taken := make([]*target.Client, n)
+			for i := range taken {
+				var err error
+				taken[i], err = pool.Take(context.Background(), false)
+				t.check(err)
+			}
+			for _, c := range taken {
+				c.Release()
+			}
+			return pool, pool.Close
+		})
+	})
+	b.Run("plain", func(b *testing.B) {
+		slope(b, 100, 400, func(n int) (any, func()) {
+			conns := make([]net.Conn, n)
+			for i := range conns {
+				var err error
+				conns[i], err = net.Dial("tcp", address)
+				t.check(err)
+				_, err = conns[i].Write([]byte("GET /status HTTP/1.1\r\n\r\n"))
+				t.check(err)
+				_, err = conns[i].Read(make([]byte, 1024))
+				t.check(err)
+			}
+			return conns, func() {
+				for _, c := range conns {
+					_ = c.Close()
+				}
+			}
+		})
+	})
+}
+
+// BenchmarkCapacityKnownTarget is a target known to an entry host, in groups of
+// three: routing over two owners, versions, hedge delays and the plan. "tree" is
+// the configuration for the same targets, of which a host keeps one.
+func BenchmarkCapacityKnownTarget(b *testing.B) {
+	t := benchRequire(b)
+	parse := func(groups int) *settings.Tree {
+		doc := newDocument(8, 64, groups)
+		data, err := json.Marshal(&doc)
+		t.check(err)
+		tree, err := settings.Parse(data)
+		t.check(err)
+		return tree
+	}
+	b.Run("tree", func(b *testing.B) {
+		slope(b, 300, 2100, func(n int) (any, func()) { return parse(n / 3), nothing })
+	})
+	b.Run("entry", func(b *testing.B) {
+		trees := map[int]*settings.Tree{300: parse(100), 2100: parse(700)}
+		slope(b, 300, 2100, func(n int) (any, func()) { return knowTargets(trees[n]), nothing })
+	})
+}
+
+// knowTargets returns an entry role that has had an answer from every target
+// through both owners.
+func knowTargets(tree *settings.Tree) *entry {
+	self := &settings.Process{Name: "a-0", Place: placeName(0)}
+	log := hclog.NewNullLogger()
+	c := newConfig(self, log)
+	c.current.Store(tree)
+	client := &branchClient{self: self, directory: newDirectory(log)}
+	hosts := map[seat]string{}
+	for place, p := range tree.Doc.Places {
+		for ordinal := range p.Hosts {
+			hosts[seat{place, ordinal}] = "127.0.0.1:1"
+		}
+	}
+	client.list(hosts)
+	e := newEntry(self, c, client.directory, client)
+	now := time.Now()
+	st := e.service(tree, "tags")
+	tree.Targets(func(info *settings.TargetInfo) {
+		e.versions.Observe(now, info.ID, "boot-1", []uint64{1, 2})
+		for _, ordinal := range info.Owners {
+			path := routing.Path{Target: info.ID, Place: info.Place, Ordinal: ordinal}
+			e.router.Sent(path)
+			e.router.Answered(now, path, 5*time.Millisecond)
+		}
+	})
+	for _, g := range st.groups {
+		st.latencies.Observe(g.group.ID, 5*time.Millisecond)
+	}
+	return e
+}
+
+// BenchmarkCapacityPeer is another host. "connected" has a QUIC connection to
+// it with one exchange done, and counts both ends and the other's listener;
+// "listening" counts the listener alone. Half of the difference is one end.
+func BenchmarkCapacityPeer(b *testing.B) {
+	t := benchRequire(b)
+	authority, err := standin.NewAuthority()
+	t.check(err)
+	echo := func(_ context.Context, _ wire.Exchange, s *peer.Stream) {
+		var req wire.SearchRequest
+		if s.Receive(&req) == nil {
+			_ = s.Send(&wire.SearchReply{Final: true})
+		}
+	}
+	conf, err := authority.TLS("a-0")
+	t.check(err)
+	listen := func() (*peer.Transport, string) {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		t.check(err)
+		transport, err := peer.Listen(conn, conf, echo)
+		t.check(err)
+		return transport, conn.LocalAddr().String()
+	}
+	connect := func(from *peer.Transport, to string) {
+		ctx, cancel := context.WithTimeout(context.Background(), longEnough)
+		defer cancel()
+		s, err := from.Open(ctx, to, wire.ExchangeSearch)
+		t.check(err)
+		defer s.Reset()
+		t.check(s.Send(&wire.SearchRequest{QueryID: "q"}))
+		t.check(s.Receive(&wire.SearchReply{}))
+	}
+	for _, connected := range []bool{false, true} {
+		b.Run(map[bool]string{false: "listening", true: "connected"}[connected], func(b *testing.B) {
+			slope(b, 10, 60, func(n int) (any, func()) {
+				hub, _ := listen()
+				peers := make([]*peer.Transport, n)
+				for i := range peers {
+					var address string
+					peers[i], address = listen()
+					if connected {
+						connect(hub, address)
+					}
+				}
+				return peers, func() {
+					_ = hub.Close()
+					for _, p := range peers {
+						_ = p.Close()
+					}
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkCapacityQuery is an open query of 40 groups whose branch host does
+// not answer: the entry host's part, with both ends of its stream.
+func BenchmarkCapacityQuery(b *testing.B) {
+	t := benchRequire(b)
+	authority, err := standin.NewAuthority()
+	t.check(err)
+	data, err := json.Marshal(costDocument(t, 40))
+	t.check(err)
+	tree, err := settings.Parse(data)
+	t.check(err)
+	asked := make(chan struct{}, 1000)
+	client, own := newTestHost(t, authority, settings.Process{Name: "a-0", Place: "a"}, "127.0.0.1:9", nil)
+	_, other := newTestHost(t, authority, settings.Process{Name: "b-0", Place: "b"}, "127.0.0.1:9", func(ctx context.Context, _ wire.Exchange, s *peer.Stream) {
+		var req wire.SearchRequest
+		_ = s.Receive(&req)
+		asked <- struct{}{}
+		_ = s.Receive(&wire.Cancel{})
+	})
+	client.local.config.current.Store(tree)
+	client.list(map[seat]string{{"a", 0}: own, {"b", 0}: other})
+	e := newEntry(client.self, client.local.config, client.directory, client)
+	e.guard = client.local.guard
+	tree.Targets(func(info *settings.TargetInfo) { e.versions.Observe(time.Now(), info.ID, "1", []uint64{1}) })
+	policy := tree.Effective("a", "s")
+	open := func(ctx context.Context, id int) {
+		ctx, cancel := context.WithTimeout(ctx, longEnough)
+		defer cancel()
+		g := newGather(ctx, e, tree, policy, "s", api.Meta{RequestID: fmt.Sprint("query-", id)}, &api.SearchRequest{Terms: costTerms})
+		g.load, _ = newAdmission().start("s", policy.Priority) // one would refuse more than its limit
+		g.start()
+		g.wait()
+	}
+	slope(b, 20, 100, func(n int) (any, func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{}, n)
+		for i := range n {
+			go func() {
+				open(ctx, i)
+				ended <- struct{}{}
+			}()
+		}
+		for range n {
+			select {
+			case <-asked:
+			case <-ended:
+				b.Fatal("a query ended before it was cancelled")
+			}
+		}
+		return e, func() {
+			cancel()
+			for range n {
+				<-ended
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityCommand is a record of a command that has ended, with an
+// answer of one record.
+func BenchmarkCapacityCommand(b *testing.B) {
+	slope(b, 1000, 10000, func(n int) (any, func()) {
+		limits := commandLimits
+		limits.Records = n
+		home := atmostonce.NewRegistry[wire.CommandReply]("boston-hall-0", 7, limits)
+		now := time.Now()
+		ticket := home.Issue(now, time.Minute).Prefix()
+		for i := range n {
+			id, err := atmostonce.ParseID(fmt.Sprintf("%srenewal-%06d", ticket, i))
+			if err != nil || home.Begin(now, id, uint64(i)).Action != atmostonce.Run {
+				b.Fatalf("record %d was not begun: %v", i, err)
+			}
+			text := fmt.Sprintf("renewal %06d of the tag register v1", i)
+			home.Finish(now, id, outcome.OK(), wire.CommandReply{Found: true, Version: 1, Record: &coverage.Record{ID: text[:14], Text: text}})
+		}
+		return home, nothing
+	})
+}
+
+// BenchmarkCapacityQuarantine is a proven fingerprint with two deaths.
+func BenchmarkCapacityQuarantine(b *testing.B) {
+	slope(b, 200, 2000, func(n int) (any, func()) {
+		table, now := quarantine.NewTable(n), time.Now()
+		for i := range n {
+			fp := quarantine.Of("tagdesk", []string{fmt.Sprint("term-", i)})
+			for g := range 2 {
+				table.Died(now, fp, quarantine.Death{Target: fmt.Sprintf("g%d-r0-%d", g, i), Group: fmt.Sprintf("g%d-%d", g, i), Canary: true}, false, time.Minute)
+			}
+		}
+		if table.Len() != n {
+			b.Fatalf("%d entries of %d", table.Len(), n)
+		}
+		return table, nothing
+	})
+}
