Write a report page with plots, and run several policies and seeds

Plots are by gonum.org/v1/plot; the page holds no script.

The rows also count the refusals for full slots that a late notice excuses.

--- a/cmd/lacewingyard/bench.go
+++ b/cmd/lacewingyard/bench.go
@@ -1,9 +1,10 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"io"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"runtime/pprof"
 	"slices"
@@ -18,10 +19,18 @@
 // share one process, whose heap is small. It is the same for every policy.
 const benchGCPercent = 400
 
+// benchFlags are the flags of the bench command.
+type benchFlags struct {
+	dir, casesDir, caseName, caseFile, reportDir, logLevel, cpuProfile string
+
+	policies []string
+	seeds    int
+	asJSON   bool
+	opts     bench.Options // of every run, without policy
+}
+
 func newBench() *cobra.Command {
-	var dir, casesDir, caseName, caseFile, policy, logLevel, cpuProfile string
-	opts := bench.Options{Progress: os.Stderr}
-	var asJSON bool
+	f := &benchFlags{opts: bench.Options{Progress: os.Stderr}}
 	cmd := &cobra.Command{
 		Use:     "bench",
 		GroupID: "commands",
@@ -29,93 +38,117 @@
 		Long: "Run a whole deployment in one process on loopback, send it an open-loop load\n" +
 			"while a case applies faults, and print a row per service: latency beside that of\n" +
 			"an oracle, coverage, goodput, extra load and violations. Progress goes to stderr.\n" +
-			"The exit status is 1 if there are violations under policy tier.",
-		Example: "  lacewingyard bench --settings examples/new-england --case stragglers --policy tier --seed 1 --seconds 10",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			opts.Policy = bench.Policy(policy)
-			if !slices.Contains(bench.Policies, opts.Policy) {
-				return usageError{fmt.Errorf("--policy: %q is not one of %v", policy, bench.Policies)}
-			}
-			if opts.Seconds < 0 || opts.Rate < 0 {
-				return usageError{fmt.Errorf("--seconds and --rate must not be negative")}
-			}
-			var err error
-			if caseFile != "" {
-				opts.Case, err = bench.LoadCase(caseFile)
-			} else {
-				opts.Case, err = bench.LoadNamed(casesDir, caseName)
-			}
-			if err != nil {
-				return usageError{err}
-			}
-			deployment, err := fleet.Load(dir)
-			if err != nil {
-				return usageError{err}
-			}
-			opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(logLevel), Output: os.Stderr})
-			debug.SetGCPercent(benchGCPercent)
-			if cpuProfile != "" {
-				file, err := os.Create(cpuProfile)
-				if err != nil {
-					return usageError{err}
-				}
-				defer file.Close()
-				if err := pprof.StartCPUProfile(file); err != nil {
-					return err
-				}
-				defer pprof.StopCPUProfile()
-			}
-			report, err := bench.Run(cmd.Context(), deployment, opts)
-			if err != nil {
-				return err
-			}
-			format := output("table")
-			if asJSON {
-				format = "json"
-			}
-			if err := format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printBench(w, report) }); err != nil {
-				return err
-			}
-			if n := report.Violations(); n > 0 && opts.Policy == bench.PolicyTier {
-				return fmt.Errorf("%d violations", n)
-			}
-			return nil
-		},
+			"Several policies run one after the other with the same seed, several seeds one\n" +
+			"after the other. The exit status is 1 if there are violations under policy tier.",
+		Example: "  lacewingyard bench --settings examples/new-england --case stragglers --policy tier --seed 1 --seconds 10\n" +
+			"  lacewingyard bench --settings examples/riga --case place-move --policy tier --policy naive --report out\n" +
+			"  lacewingyard bench --settings examples/riga --case killer --seeds 20",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
 	}
 	flags := cmd.Flags()
-	flags.StringVar(&dir, "settings", "", "directory with config.json and model.json")
-	flags.StringVar(&casesDir, "cases", "cases", "directory of the named cases")
-	flags.StringVar(&caseName, "case", "calm", "name of a case")
-	flags.StringVar(&caseFile, "case-file", "", "case file, instead of a name")
-	flags.StringVar(&policy, "policy", string(bench.PolicyTier), "tier, flat or naive")
-	flags.Uint64Var(&opts.Seed, "seed", 1, "seed of the load and of the random choices of targets")
-	flags.Float64Var(&opts.Seconds, "seconds", 0, "measured time; 0 takes the case's")
-	flags.Float64Var(&opts.Rate, "rate", 0, "queries/s over all services; 0 takes the case's load")
-	flags.BoolVar(&asJSON, "json", false, "print JSON, with a series by second")
-	flags.StringVar(&logLevel, "log-level", "error", "log level of the hosts")
-	flags.StringVar(&cpuProfile, "cpuprofile", "", "file for a processor profile of the whole run")
+	flags.StringVar(&f.dir, "settings", "", "directory with config.json and model.json")
+	flags.StringVar(&f.casesDir, "cases", "cases", "directory of the named cases")
+	flags.StringVar(&f.caseName, "case", "calm", "name of a case")
+	flags.StringVar(&f.caseFile, "case-file", "", "case file, instead of a name")
+	flags.StringArrayVar(&f.policies, "policy", []string{string(bench.PolicyTier)}, "tier, flat or naive; may be given several times")
+	flags.Uint64Var(&f.opts.Seed, "seed", 1, "first seed of the load and of the random choices of targets")
+	flags.IntVar(&f.seeds, "seeds", 1, "number of seeds, counted up from --seed")
+	flags.Float64Var(&f.opts.Seconds, "seconds", 0, "measured time of a run; 0 takes the case's")
+	flags.Float64Var(&f.opts.Rate, "rate", 0, "queries/s over all services; 0 takes the case's load")
+	flags.StringVar(&f.reportDir, "report", "", "directory for an HTML page with plots; with several seeds, one directory inside it for each")
+	flags.BoolVar(&f.asJSON, "json", false, "print JSON, with a series by second; a list if there are several runs")
+	flags.StringVar(&f.logLevel, "log-level", "error", "log level of the hosts")
+	flags.StringVar(&f.cpuProfile, "cpuprofile", "", "file for a processor profile of all runs")
 	_ = cmd.MarkFlagRequired("settings")
 	cmd.MarkFlagsMutuallyExclusive("case", "case-file")
 	return cmd
 }
 
-func printBench(w io.Writer, report *bench.Summary) {
-	u := report.Usage
-	fmt.Fprintf(w, "case %s, policy %s, seed %d, %.0f s, %d hosts; %.1f of %d cores used, timer lag p99 %.1f ms; links %.0f ms\n",
-		report.Case, report.Policy, report.Seed, report.Seconds, report.Hosts, u.CPUPerSecond, u.Cores, u.TimerLagP99, report.LinkMS)
-	if u.Saturated {
-		fmt.Fprintln(w, "INVALID: the machine was saturated")
+func (f *benchFlags) run(cmd *cobra.Command) error {
+	deployment, err := f.load()
+	if err != nil {
+		return usageError{err}
+	}
+	debug.SetGCPercent(benchGCPercent)
+	if f.cpuProfile != "" {
+		file, err := os.Create(f.cpuProfile)
+		if err != nil {
+			return usageError{err}
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
 	}
-	fmt.Fprintln(w, "SERVICE\tSENT\tP50\tP90\tP99\tP99.9\tORACLE P50\tP99\tCOVERAGE\tMIN\tGOODPUT\tEXTRA\tNOT RUN\tUNKNOWN\tERRORS\tVIOLATIONS")
-	for _, r := range report.Rows {
-		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.5f\t%.3f\t%.1f\t%.4f\t%d\t%d\t%d\t%d\n",
-			r.Service, r.Sent, r.P50, r.P90, r.P99, r.P999, r.Oracle.P50, r.Oracle.P99,
-			r.CoverageMean, r.CoverageMin, r.Goodput, r.ExtraLoad, r.NotRun, r.Unknown, r.Errors, r.Violations.Total())
+	runs, err := f.runAll(cmd.Context(), deployment)
+	// What has run is printed even if a later run failed.
+	if printErr := f.print(cmd.OutOrStdout(), runs); err == nil {
+		err = printErr
 	}
-	for _, r := range report.Rows {
-		if r.Violations.Total() > 0 {
-			fmt.Fprintf(w, "%s: %+v\n", r.Service, r.Violations)
+	if err != nil {
+		return err
+	}
+	if n := bench.Sum(runs, bench.PolicyTier).Violations.Total(); n > 0 {
+		return fmt.Errorf("%d violations", n)
+	}
+	return nil
+}
+
+// load checks the flags and reads the files they name.
+func (f *benchFlags) load() (*fleet.Deployment, error) {
+	for i, policy := range f.policies {
+		if !slices.Contains(bench.Policies, bench.Policy(policy)) {
+			return nil, fmt.Errorf("--policy: %q is not one of %v", policy, bench.Policies)
+		}
+		if slices.Contains(f.policies[:i], policy) {
+			return nil, fmt.Errorf("--policy: %q is given twice", policy)
+		}
+	}
+	if f.opts.Seconds < 0 || f.opts.Rate < 0 {
+		return nil, fmt.Errorf("--seconds and --rate must not be negative")
+	}
+	if f.seeds < 1 {
+		return nil, fmt.Errorf("--seeds: %d is below 1", f.seeds)
+	}
+	var err error
+	if f.caseFile != "" {
+		f.opts.Case, err = bench.LoadCase(f.caseFile)
+	} else {
+		f.opts.Case, err = bench.LoadNamed(f.casesDir, f.caseName)
+	}
+	if err != nil {
+		return nil, err
+	}
+	f.opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(f.logLevel), Output: os.Stderr})
+	return fleet.Load(f.dir)
+}
+
+// runAll runs every policy with every seed and returns the runs that ended.
+func (f *benchFlags) runAll(ctx context.Context, deployment *fleet.Deployment) ([]*bench.Summary, error) {
+	var runs []*bench.Summary
+	for i := range f.seeds {
+		opts := f.opts
+		opts.Seed += uint64(i)
+		for _, policy := range f.policies {
+			opts.Policy = bench.Policy(policy)
+			run, err := bench.Run(ctx, deployment, opts)
+			if err != nil {
+				return runs, fmt.Errorf("policy %s, seed %d: %w", policy, opts.Seed, err)
+			}
+			runs = append(runs, run)
+		}
+		if f.reportDir == "" {
+			continue
+		}
+		dir := f.reportDir
+		if f.seeds > 1 {
+			dir = filepath.Join(dir, fmt.Sprintf("seed-%d", opts.Seed))
+		}
+		if err := bench.WriteReport(dir, runs[len(runs)-len(f.policies):]); err != nil {
+			return runs, err
 		}
 	}
+	return runs, nil
 }
--- /dev/null
+++ b/internal/bench/page_test.go
@@ -0,0 +1,103 @@
+package bench
+
+import (
+	"image"
+	"image/color"
+	"image/png"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// scriptedRun has 100 answers of the given latency in each of 4 seconds, and
+// refusals in the third.
+func scriptedRun(policy Policy, latency time.Duration) *Summary {
+	b := newBoard(&settings.Document{Services: map[string]settings.Service{"tagdesk": {}}}, 4)
+	for i := range 400 {
+		r := &result{query: &query{service: "tagdesk", at: time.Duration(i) * 10 * time.Millisecond}, latency: latency, coverage: 0.9125}
+		r.reply.outcome = outcome.OK()
+		r.reply.search = &api.SearchResponse{}
+		if i/100 == 2 && i%2 == 0 {
+			r.reply.outcome = outcome.Refused(outcome.Overload, "full")
+		}
+		b.add(r)
+		b.oracle("tagdesk", latency/4)
+	}
+	return &Summary{
+		Case: "place-move", Policy: policy, Seed: 7, Seconds: 4, Rows: b.rows(4, true),
+		Events: []Mark{{At: Duration(time.Second), Do: DoPlaceOut}, {At: Duration(3 * time.Second), Do: DoPlaceOut, Undo: true}},
+	}
+}
+
+// columns returns the columns of a plot that have pixels of a colour.
+func columns(file string, want color.Color) (n int) {
+	f, err := os.Open(file)
+	Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	var img image.Image
+	img, err = png.Decode(f)
+	Expect(err).NotTo(HaveOccurred())
+	for x := range img.Bounds().Dx() {
+		for y := range img.Bounds().Dy() {
+			if color.RGBAModel.Convert(img.At(x, y)) == want {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+var _ = Describe("WriteReport", func() {
+	// Guards against a page without the figures or with scripts or links to
+	// other sites, and against plots without the lines or events of the runs.
+	It("writes a page and plots that hold the data of all policies", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "new", "report")
+		Expect(WriteReport(dir, []*Summary{scriptedRun(PolicyTier, 40*time.Millisecond), scriptedRun(PolicyNaive, 60*time.Millisecond)})).To(Succeed())
+		data, err := os.ReadFile(filepath.Join(dir, PageName))
+		Expect(err).NotTo(HaveOccurred())
+		page := string(data)
+		Expect(page).To(And(ContainSubstring("Policy tier"), ContainSubstring("Policy naive"), ContainSubstring("place_out ends"),
+			ContainSubstring("<td>tagdesk</td><td>400</td><td>40.0</td>"), ContainSubstring("<td>60.0</td>"), ContainSubstring("0.91250")))
+		Expect(page).NotTo(Or(ContainSubstring("<script"), ContainSubstring("http://"), ContainSubstring("https://")))
+		for _, name := range []string{"coverage.png", "p99.png", "refusals.png", "latency-total.png", "latency-tagdesk.png"} {
+			Expect(page).To(ContainSubstring(`src="` + name + `"`))
+		}
+		p99, coverage, cdf := filepath.Join(dir, "p99.png"), filepath.Join(dir, "coverage.png"), filepath.Join(dir, "latency-tagdesk.png")
+		// Both lines span most of the 768 columns; equal coverages hide the first.
+		Expect(columns(p99, lineColors[0])).To(BeNumerically(">", 400))
+		Expect(columns(p99, lineColors[1])).To(BeNumerically(">", 400))
+		Expect(columns(coverage, lineColors[1])).To(BeNumerically(">", 400))
+		Expect(columns(p99, markColor)).To(BeNumerically(">", 0))
+		Expect(columns(cdf, lineColors[0])).To(BeNumerically(">", 0))
+		Expect(columns(cdf, lineColors[1])).To(BeNumerically(">", 0))
+	})
+
+	// Guards against runs of different loads side by side on one page.
+	It("refuses runs with different seeds", func() {
+		other := scriptedRun(PolicyNaive, time.Millisecond)
+		other.Seed = 8
+		Expect(WriteReport(GinkgoT().TempDir(), []*Summary{scriptedRun(PolicyTier, time.Millisecond), other})).NotTo(Succeed())
+	})
+})
+
+var _ = Describe("Sum", func() {
+	// Guards against violations that the sum over the seeds leaves out.
+	It("adds up one policy over its seeds", func() {
+		clean, broken, naive := scriptedRun(PolicyTier, 1), scriptedRun(PolicyTier, 1), scriptedRun(PolicyNaive, 1)
+		broken.Seed, broken.Usage.Saturated = 8, true
+		for _, s := range []*Summary{broken, naive} {
+			s.Rows[len(s.Rows)-1].Violations = Violations{OverSlots: 2, RunTwice: 1}
+		}
+		Expect(Sum([]*Summary{clean, broken, naive}, PolicyTier)).To(Equal(Total{
+			Policy: PolicyTier, Runs: 2, Saturated: 1, Failed: []uint64{8}, Violations: Violations{OverSlots: 2, RunTwice: 1},
+		}))
+	})
+})
--- /dev/null
+++ b/internal/bench/plots.go
@@ -0,0 +1,162 @@
+package bench
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 4 * vg.Inch
+	// cdfTicks is the points of a CDF for each halving of the distance to 1.
+	cdfTicks = 10
+)
+
+var (
+	lineColors  = []color.Color{color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}, color.RGBA{R: 0xd6, G: 0x27, B: 0x28, A: 0xff}, color.RGBA{R: 0x2c, G: 0xa0, B: 0x2c, A: 0xff}}
+	oracleColor = color.RGBA{A: 0xff}
+	markColor   = color.RGBA{R: 0x99, G: 0x99, B: 0x99, A: 0xff}
+)
+
+// figure is a plot on the page.
+type figure struct{ File, Title string }
+
+// writePlots writes a latency CDF per service and for all, and the series of
+// the whole run, as PNG files.
+func writePlots(dir string, runs []*Summary) ([]figure, error) {
+	var images []figure
+	save := func(p *plot.Plot, err error, file string) error {
+		if err != nil {
+			return errors.Wrapf(err, "plot %s", file)
+		}
+		images = append(images, figure{file, p.Title.Text})
+		return errors.Wrapf(p.Save(plotWidth, plotHeight, filepath.Join(dir, file)), "plot %s", file)
+	}
+	for _, s := range series {
+		p, err := overTime(runs, s.title, s.value)
+		if err := save(p, err, s.file); err != nil {
+			return nil, err
+		}
+	}
+	for i := len(runs[0].Rows) - 1; i >= 0; i-- { // the total first
+		p, err := latencyCDF(runs, i)
+		if err := save(p, err, fmt.Sprintf("latency-%s.png", runs[0].Rows[i].Service)); err != nil {
+			return nil, err
+		}
+	}
+	return images, nil
+}
+
+// series are the values plotted for each second.
+var series = []struct {
+	file, title string
+	value       func(Second) float64
+}{
+	{"coverage.png", "Mean coverage", func(s Second) float64 { return s.Coverage }},
+	{"p99.png", "p99 latency (ms)", func(s Second) float64 { return s.P99 }},
+	{"refusals.png", "Refusals per second", func(s Second) float64 { return float64(s.Refused) }},
+}
+
+// overTime plots a value of the total row for each second.
+func overTime(runs []*Summary, title string, value func(Second) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text = title+" by second of the intended start", "s"
+	top := 0.0
+	for i, r := range runs {
+		var points plotter.XYs
+		for second, s := range r.Rows[len(r.Rows)-1].Series {
+			points = append(points, plotter.XY{X: float64(second) + 0.5, Y: value(s)})
+			top = max(top, value(s))
+		}
+		if err := addLine(p, string(r.Policy), points, lineColors[i%len(lineColors)]); err != nil {
+			return nil, err
+		}
+	}
+	if top == 0 {
+		top = 1 // a series of zeros still needs a height for the marks
+	}
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, runs[0].Seconds, 0, top*1.15
+	return p, addMarks(p, runs[0].Events, runs[0].Seconds)
+}
+
+// addMarks draws a labelled vertical line at each event. Several events at one
+// time share a line, and their labels are stacked.
+func addMarks(p *plot.Plot, events []Mark, seconds float64) error {
+	stacked := map[float64]int{}
+	for _, e := range events {
+		at := time.Duration(e.At).Seconds()
+		if at > seconds {
+			continue
+		}
+		line, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: p.Y.Max}})
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = markColor, []vg.Length{vg.Points(3), vg.Points(3)}
+		label, err := plotter.NewLabels(plotter.XYLabels{
+			XYs:    plotter.XYs{{X: at, Y: p.Y.Max * (0.96 - 0.05*float64(stacked[at]))}},
+			Labels: []string{" " + e.String()},
+		})
+		if err != nil {
+			return err
+		}
+		stacked[at]++
+		p.Add(line, label)
+	}
+	return nil
+}
+
+// latencyCDF plots the latencies of one row for each policy and the oracle.
+func latencyCDF(runs []*Summary, row int) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text = "Latency of "+runs[0].Rows[row].Service+", fraction of queries", "ms"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	for i, r := range runs {
+		if err := addLine(p, string(r.Policy), cdf(r.Rows[row].latencies), lineColors[i%len(lineColors)]); err != nil {
+			return nil, err
+		}
+	}
+	if err := addLine(p, "oracle", cdf(runs[0].Rows[row].oracles), oracleColor); err != nil {
+		return nil, err
+	}
+	if p.X.Min <= 0 || p.X.Max <= p.X.Min { // no line, or a single latency
+		p.X.Min, p.X.Max = 1, 1000
+	}
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = false
+	return p, nil
+}
+
+// cdf returns points in milliseconds; a logarithmic axis has no place for 0.
+func cdf(h *hdrhistogram.Histogram) plotter.XYs {
+	var points plotter.XYs
+	for _, b := range h.CumulativeDistributionWithTicks(cdfTicks) {
+		if b.ValueAt > 0 {
+			points = append(points, plotter.XY{X: float64(b.ValueAt) / 1000, Y: b.Quantile / 100})
+		}
+	}
+	return points
+}
+
+// addLine adds a line with its name in the legend, unless it has no points.
+func addLine(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color, line.Width = c, vg.Points(1.5)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -24,6 +24,7 @@
 	Hosts   int     `json:"hosts"`
 	Usage   Usage   `json:"usage"`
 	LinkMS  float64 `json:"link_ms"` // callers' and one link's delay, both ways: what the oracle leaves out
+	Events  []Mark  `json:"events,omitempty"`
 	Rows    []*Row  `json:"rows"`
 }
 
@@ -63,6 +64,9 @@
 	Extra      int                  `json:"extra"`             // sub-requests that ran besides
 	KillerSent int                  `json:"killer_sent"`       // killer queries, not counted elsewhere
 	RateWanted float64              `json:"rate_per_sec"`      // intended arrivals
+	SlotRaces  int                  `json:"slot_races"`        // refusals for full slots that a late notice explains; no violation
+
+	latencies, oracles *hdrhistogram.Histogram // microseconds
 }
 
 // Second is one second of a run.
@@ -168,6 +172,7 @@
 // finish computes the row.
 func (t *tally) finish(seconds float64, valid bool) *Row {
 	t.row.Quantiles, t.row.Oracle, t.row.Valid = quantiles(t.latency), quantiles(t.oracle), valid
+	t.row.latencies, t.row.oracles = t.latency, t.oracle
 	t.row.CoverageMean = mean(t.coverage, t.answers)
 	t.row.Goodput = float64(t.good) / seconds
 	t.row.RateWanted = float64(t.row.Sent) / seconds
@@ -260,6 +265,7 @@
 				v.OverConns += int(counts.OverConns.Load())
 				v.OverCold += int(counts.OverCold.Load())
 				v.FellOver += int(counts.FellOver.Load())
+				row.SlotRaces += int(counts.SlotRaces.Load())
 				row.Crashed += int(counts.Crashed.Load())
 				if counts.Crashed.Load() > 0 {
 					crashed++
@@ -287,6 +293,7 @@
 		total.Violations.add(v)
 		total.Necessary += row.Necessary
 		total.Extra += row.Extra
+		total.SlotRaces += row.SlotRaces
 		total.Crashed += row.Crashed
 		total.CrashedMax = max(total.CrashedMax, row.CrashedMax)
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -102,6 +102,7 @@
 	return &Summary{
 		Case: c.Name, Policy: opts.Policy, Seed: opts.Seed, Seconds: opts.Seconds, Hosts: hosts, Usage: usage,
 		LinkMS: 2 * (f.Model.CallerDelayMS + f.Model.OneWayDelayMS),
+		Events: marks(steps),
 		Rows:   r.board.rows(opts.Seconds, !usage.Saturated),
 	}, nil
 }
