Let results that are ready together share a message

Cause: a branch host sends a message for each result that arrives while the entry host waits; each message costs a datagram, a decoding and an event. Change: after the first result it yields once to goroutines that have one.

By reading, the guard of a test host had no transport when it shared a death with its peers. Test hosts now have one and take notices.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -102,6 +103,9 @@
 	}
 	for left := len(req.Parts); left > 0; {
 		ready := []wire.PartResult{<-results}
+		// Lets parts whose answer has just arrived join this message: each
+		// message costs a datagram, a decoding and an event at the entry host.
+		runtime.Gosched()
 		for more := true; more; {
 			select {
 			case r := <-results:
--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -49,10 +49,17 @@
 	config.current.Store(tree)
 	c.local = newBranch(&self, config, newGuard(&self, config, c.directory), (&net.Dialer{}).DialContext)
 	if serve == nil {
-		serve = func(ctx context.Context, _ wire.Exchange, s *peer.Stream) { c.local.serveSearch(ctx, s) }
+		serve = func(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
+			if exchange == wire.ExchangeQuarantine {
+				c.local.guard.serve(s)
+				return
+			}
+			c.local.serveSearch(ctx, s)
+		}
 	}
 	c.transport, err = peer.Listen(conn, conf, serve)
 	t.check(err)
+	c.local.guard.transport = c.transport
 	t.cleanup(func() { _ = c.transport.Close() })
 	return c, conn.LocalAddr().String()
 }
