--- a/internal/daemon/cost_bench_test.go
+++ b/internal/daemon/cost_bench_test.go
@@ -232,7 +232,7 @@
 }
 
 // costTier counts the groups that answers lack: a target that answers within
-// 0.1 ms is now and then taken for cold because its answer was 1 ms late.
+// 0.1 ms is now and then taken for cold after one late answer.
 func costTier(t require, doc *settings.Document, missing *atomic.Int64) func(context.Context, int64) error {
 	authority, err := standin.NewAuthority()
 	t.check(err)
--- a/internal/daemon/workers.go
+++ b/internal/daemon/workers.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// maxIdleWorkers bounds the goroutines that wait for work; each keeps a stack
-// of about 16 KB.
+// maxIdleWorkers bounds the goroutines that wait for work, because each keeps its
+// stack. Beyond it new goroutines are started as before.
 const maxIdleWorkers = 128
 
 // workers runs functions on goroutines that are used again. A sub-request needs
