Start no dial to a peer after the transport was closed

Cause: a request that was still open when a host ended called Open, which added to the transport's wait group while Close waited for it. The race detector reported it in the tests of commands and of invariants when the machine was busy.

Change: Close marks the transport closed under its mutex; Open then returns net.ErrClosed. The new test makes the race detector report without the change and passes with it.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,9 +53,10 @@
 	dialing  context.Context
 	stop     context.CancelFunc
 
-	mu    sync.Mutex
-	conns map[connKey]*outgoing
-	wg    sync.WaitGroup
+	mu     sync.Mutex
+	conns  map[connKey]*outgoing
+	closed bool // no dial starts any more
+	wg     sync.WaitGroup
 }
 
 // connKey names a connection to a peer; control messages have their own.
@@ -102,6 +103,7 @@
 	t.stop()
 	err := t.listener.Close()
 	t.mu.Lock()
+	t.closed = true
 	for _, out := range t.conns {
 		select {
 		case <-out.done:
@@ -199,6 +201,10 @@
 // connect returns the live connection to a peer; one caller dials, the others wait.
 func (t *Transport) connect(ctx context.Context, key connKey) (*quic.Conn, error) {
 	t.mu.Lock()
+	if t.closed { // Close no longer waits for another dial
+		t.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	out, ok := t.conns[key]
 	if !ok || out.dead() {
 		out = &outgoing{done: make(chan struct{})}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -134,6 +135,34 @@
 		DeferCleanup(second.Close)
 		Eventually(func() error { return exchange(client, address) }, "3s", "50ms").Should(Succeed())
 	})
+
+	// Guards against a dial that starts while Close waits for the earlier ones;
+	// the race detector reports it.
+	It("starts no dial after it was closed", func(ctx context.Context) {
+		conf, err := authority.TLS("a")
+		Expect(err).NotTo(HaveOccurred())
+		for range 10 {
+			conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			client, err := peer.Listen(conn, conf, echo)
+			Expect(err).NotTo(HaveOccurred())
+			var opening sync.WaitGroup
+			started := make(chan struct{}, 8)
+			for range cap(started) {
+				opening.Go(func() {
+					defer GinkgoRecover()
+					started <- struct{}{}
+					Eventually(func() error {
+						_, err := client.Open(ctx, "127.0.0.1:0", wire.ExchangeSearch)
+						return err
+					}).WithPolling(time.Microsecond).Should(MatchError(net.ErrClosed))
+				})
+			}
+			<-started
+			Expect(client.Close()).To(Succeed())
+			opening.Wait()
+		}
+	}, NodeTimeout(10*time.Second))
 })
 
 // touch moves a file's modification time, which a rewrite within the clock's
