--- a/internal/bench/invariant_test.go
+++ b/internal/bench/invariant_test.go
@@ -150,6 +150,35 @@
 }
 
 var _ = Describe("Invariants", func() {
+	// Guards against answers merged from two index versions, while replicas get
+	// a new version and lose the old one at different times, and some crash.
+	DescribeTable("OneSnapshot", func(ctx context.Context, policy Policy, seed uint64) {
+		w := startWatched(ctx, policy, seed, nil)
+		w.Network.SetLinks(w.Model.OneWayDelayMS, 0.02)
+		stop := w.load(ctx, 16, w.everyHost())
+		newest := uint64(1)
+		during(ctx, 4*time.Second, 40*time.Millisecond, func() {
+			s := w.target(w.rng.IntN(10), w.rng.IntN(3))
+			if w.rng.IntN(20) == 0 {
+				newest++
+				s.Crash()
+			}
+			s.SetVersions(max(1, newest-1), newest)
+		})
+		stop()
+		w.report()
+		Expect(w.answers).To(BeNumerically(">", 20))
+		if policy == PolicyNaive {
+			Expect(w.violations.TwoSnapshots).To(BeNumerically(">", 0))
+			return
+		}
+		Expect(w.violations).To(Equal(Violations{}), w.sample)
+	},
+		Entry("seed 1", PolicyTier, uint64(1), NodeTimeout(time.Minute)),
+		Entry("seed 2", PolicyTier, uint64(2), NodeTimeout(time.Minute)),
+		Entry("naive", PolicyNaive, uint64(1), NodeTimeout(time.Minute)),
+	)
+
 	// Guards against work that a host with an old configuration sends to a
 	// place 3 s after the first host knew that it is out, and against a place
 	// that stays unused after it came back.
