Retry once without a token after a silent connection

Cause: groups whose first attempt ended on a silent connection waited for a token of the extra-load budget, which a burst of silences spends, until the deadline. Change: the first such retry is free unless the service is overloaded.

--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -71,6 +71,7 @@
 	attempts  []*attempt
 	retries   int
 	hedges    int
+	silences  int       // retries after a silent connection
 	due       time.Time // when the group is looked at again; zero for never
 	gap       bool      // an answer left a part of the range open
 	gapRounds int       // searches for the rest so far
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -45,7 +45,7 @@
 		case state.waiting:
 			state.waiting = false
 			if g.mayRetry(state, state.last) {
-				state.retries++
+				state.countRetry(state.last)
 				again = append(again, state)
 			}
 		case state.gap:
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -127,12 +127,19 @@
 	if !g.mayRetry(state, o) {
 		return nil
 	}
-	if o.Reason != outcome.Silent {
-		state.retries++
-	}
+	state.countRetry(o)
 	return []*groupState{state}
 }
 
+// countRetry counts a retry by its cause.
+func (s *groupState) countRetry(o outcome.Outcome) {
+	if o.Reason == outcome.Silent {
+		s.silences++
+	} else {
+		s.retries++
+	}
+}
+
 // mayRetry takes a token for a retry unless it is free. Without a token the
 // group waits for one. In overload a query of which nothing was answered does
 // not wait, so that its caller is refused at once.
@@ -140,7 +147,7 @@
 	now := time.Now()
 	g.entry.mu.Lock()
 	overloaded := g.state.load.Overloaded(now)
-	granted := hedge.RerouteIsFree(o, state.retries, overloaded) || g.state.budget.TryExtra(g.policy.ExtraLoadRatio)
+	granted := hedge.RerouteIsFree(o, state.retries+state.silences+state.hedges, overloaded) || g.state.budget.TryExtra(g.policy.ExtraLoadRatio)
 	g.entry.mu.Unlock()
 	if granted {
 		return true
--- a/pkg/hedge/load.go
+++ b/pkg/hedge/load.go
@@ -71,8 +71,14 @@
 // load while the service is overloaded is not: the other replicas would refuse
 // as well and the messages would multiply. A refused index version is free
 // every time: a roll meets all groups of a query at once, and with tokens the
-// query would wait for them instead of finding the version that is served.
+// query would wait for them instead of finding the version that is served. The
+// first attempt that ended on a silent connection is free as well: the target
+// mostly never got it, and with tokens a burst of silent connections spends the
+// budget and leaves groups without an answer until the deadline.
 func RerouteIsFree(o outcome.Outcome, earlier int, overloaded bool) bool {
+	if o.Reason == outcome.Silent {
+		return earlier == 0 && !overloaded
+	}
 	if !o.RanNothing() || overloaded && RefusedForLoad(o) {
 		return false
 	}
