Wait up to 1 s for a target to free a cancelled slot

A busy stand-in noticed the end of a cancelled request 43 to 146 ms after the 200 ms limit, and the slot was used twice. A silent connection now holds one slot of the owner's share for up to 1 s.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -18,7 +18,7 @@
 // releaseLimit is how long a connection that was given up waits for the target
 // to close it. A target that has not noticed the end by then, or a silent
 // connection, is cut off.
-const releaseLimit = 200 * time.Millisecond
+const releaseLimit = time.Second // a busy target noticed the end of a request up to 346 ms late
 
 // noticeTime is the time given to the target to notice a close if only the whole
 // connection can be closed, so that the target cannot show that it has.
