--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -218,6 +218,9 @@
 		return
 	}
 	c.config.release()
+	// Callers of a fleet that starts for the first time should not meet hosts
+	// that may not use their shares yet. A replacement serves as entry at once.
+	_ = waitFor(asking, joinPoll, c.shareSettled)
 	if waitFor(ctx, joinPoll, c.ready) == nil {
 		close(c.joined)
 	}
@@ -366,6 +369,14 @@
 	return c.view.MayUseCold(time.Now(), rank, &other)
 }
 
+// shareSettled reports whether it is known that this host is the first or a
+// later process of its ordinal.
+func (c *control) shareSettled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.First() || c.view.Replaces()
+}
+
 // mayUseShare reports whether this host may use its share of a target.
 func (c *control) mayUseShare(target string) bool {
 	owned := c.config.owned.Load()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,10 @@
 	guard := newGuard(opts.Process, d.config, d.directory)
 	d.branch = newBranch(opts.Process, d.config, guard, opts.DialTarget)
 
+	d.branch.targets.rules = rules{
+		mayUseCold: d.control.mayUseCold, mayUseShare: d.control.mayUseShare, leaving: d.directory.targetLeaving,
+	}
+
 	conn, err := opts.ListenPacket(opts.Process.Listen.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -19,12 +19,23 @@
 	config *config
 	dial   target.Dialer
 
+	// rules are set before the first request.
+	rules rules
+
 	mu     sync.Mutex
 	owned  map[string]*ownedTarget
 	usual  map[string]*usual // by service
 	closed bool
 }
 
+// rules decide on the use of targets by what is known of other hosts and of the
+// host list. A nil function does not restrict.
+type rules struct {
+	mayUseCold  func(t *settings.TargetInfo) bool
+	mayUseShare func(target string) bool
+	leaving     func(target string) bool // the host list names the target as leaving
+}
+
 // work is one request to a target.
 type work struct {
 	target  string
@@ -90,12 +101,18 @@
 	if info.Out || !tree.PlaceIsIn(info.Place) {
 		return nil, outcome.Refused(outcome.PlaceOut, "target %s was taken out of service", id)
 	}
+	if d.rules.leaving != nil && d.rules.leaving(id) {
+		return nil, outcome.Refused(outcome.Draining, "target %s is leaving", id)
+	}
+	if d.rules.mayUseShare != nil && !d.rules.mayUseShare(id) {
+		return nil, outcome.Refused(outcome.Unavailable, "host %s may not use its share of target %s yet", d.self.Name, id)
+	}
 	policy := tree.Effective(info.Place, info.Service)
 	terms := shareTerms{
 		slots:       ownership.Share(usableSlots(info.Slots, policy), rank, len(info.Owners)),
 		connections: ownership.Share(info.Connections, rank, len(info.Owners)),
 		queue:       policy.QueueLimit, cold: policy.ColdConcurrency, step: policy.ColdRampStep,
-		mayUseCold: rank == 0,
+		mayUseCold: d.rules.mayUseCold == nil || d.rules.mayUseCold(info),
 	}
 	if terms.slots == 0 || terms.connections == 0 {
 		return nil, outcome.Refused(outcome.Unavailable, "host %s has no share of target %s", d.self.Name, id)
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -129,6 +129,9 @@
 	deadline, ok := ctx.Deadline()
 	timeout := deadline.Sub(sent)
 	o = w.allowed()
+	if o.Reason == outcome.None {
+		o = t.closed() // the allowance may have passed to the other owner since the gate
+	}
 	if !ok || ctx.Err() != nil || timeout <= 0 {
 		o = gaveUp(ctx, "before sending to target %s", t.id)
 	}
@@ -221,6 +224,13 @@
 	return outcome.Outcome{}
 }
 
+// closed is closedFor at the present time.
+func (t *ownedTarget) closed() outcome.Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closedFor(time.Now())
+}
+
 // settle applies the state of the target to the queue. The caller holds t.mu.
 func (t *ownedTarget) settle(now time.Time) {
 	slots := t.ramp.Allowed(now, t.terms.mayUseCold)
--- a/pkg/membership/cold.go
+++ b/pkg/membership/cold.go
@@ -8,6 +8,8 @@
 	promisedTo  uint64    // incarnation that the last promise was given to
 	promised    time.Time // when this host last promised that seat not to take over
 	granted     time.Time // when the heartbeat was sent that the seat last answered with a promise
+	listedAs    string    // name by which a host list last named the seat's host
+	reused      bool      // the seat is known to have had several processes
 }
 
 // promise decides what to answer to a heartbeat. A promise goes to one
@@ -23,8 +25,9 @@
 	if hb.Incarnation < s.incarnation {
 		return s.incarnation, false
 	}
-	s.incarnation = hb.Incarnation
+	s.meet(hb.Incarnation)
 	if hb.From.Seat == v.self.Seat {
+		v.replaces = true
 		if hb.Incarnation > v.incarnation {
 			v.superseded = true
 		}
@@ -42,7 +45,7 @@
 
 func (v *View) keepPromise(sent time.Time, from Seat, ack Ack) {
 	s := v.seats[from]
-	s.incarnation = max(s.incarnation, ack.Incarnation)
+	s.meet(ack.Incarnation)
 	if ack.Promise && sent.After(s.granted) {
 		s.granted = sent
 	}
--- a/pkg/membership/ready.go
+++ b/pkg/membership/ready.go
@@ -108,10 +108,11 @@
 
 // MayUseShare reports whether this process may use its share of a target that
 // its seat has owned since a time; ownedSince is zero if it was an owner in the
-// first configuration that this process applied. An earlier incarnation or an
+// first configuration that this process applied. Unless this is the seat's
+// first process, an earlier incarnation or an
 // earlier owner may still be using the share before that.
 func (v *View) MayUseShare(now, ownedSince time.Time) bool {
-	if v.superseded || now.Sub(v.started) < TakeoverWait {
+	if v.superseded || now.Sub(v.started) < TakeoverWait && !v.First() {
 		return false
 	}
 	return ownedSince.IsZero() || now.Sub(ownedSince) >= TakeoverWait+SpreadLimit
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -32,6 +32,7 @@
 	Confirmed   bool   `cbor:"3,keyasint,omitempty"` // the answering host is itself confirmed
 	Promise     bool   `cbor:"4,keyasint,omitempty"` // it does not take over from the sender for TakeoverWait
 	Config      uint64 `cbor:"5,keyasint,omitempty"` // configuration version in force there
+	First       bool   `cbor:"6,keyasint,omitempty"` // it knows of no other process of the sender's seat
 }
 
 // View is what a host knows of its peers.
@@ -43,7 +44,11 @@
 
 	peers    []Peer // the host list without this host
 	listed   map[Seat]bool
-	wasNamed bool // a list named this host
+	named    bool            // the list names this host
+	wasNamed bool            // a list named this host
+	first    bool            // no earlier process of this seat was found
+	replaces bool            // an earlier process of this seat is known
+	sayFirst map[string]bool // small fleets: peers that know of no other process of this seat
 
 	contacts []Peer
 	pinned   []string
@@ -63,7 +68,7 @@
 	return &View{
 		self: self, incarnation: incarnation, started: started, rng: rng,
 		nextBeat: map[string]time.Time{}, heard: map[string]time.Time{}, acked: map[string]time.Time{},
-		seats: map[Seat]seatState{}, readiness: readiness{since: started},
+		seats: map[Seat]seatState{}, sayFirst: map[string]bool{}, readiness: readiness{since: started},
 	}
 }
 
@@ -74,6 +79,9 @@
 	named := false
 	for _, h := range hosts {
 		v.listed[h.Seat] = true
+		s := v.seats[h.Seat]
+		s.listed(h.Name)
+		v.seats[h.Seat] = s
 		if h.Name == v.self.Name {
 			named = true
 			continue
@@ -83,7 +91,11 @@
 	if v.wasNamed && !named && v.listed[v.self.Seat] {
 		v.superseded = true
 	}
-	v.wasNamed = v.wasNamed || named
+	v.named, v.wasNamed = named, v.wasNamed || named
+	// A list that names this host may still name the one that it replaces.
+	own := v.seats[v.self.Seat]
+	v.replaces = v.replaces || own.reused || own.listedAs != "" && own.listedAs != v.self.Name
+	v.judgeFirst()
 	v.chooseContacts()
 }
 
@@ -211,6 +223,7 @@
 	v.heard[hb.From.Name] = now
 	ack := Ack{Incarnation: v.incarnation, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
+	ack.First = v.knowsNoOther(hb)
 	return ack
 }
 
@@ -224,6 +237,7 @@
 		return
 	}
 	v.keepPromise(sent, from.Seat, ack)
+	v.firstAnswer(from, ack)
 	v.answered(now, sent, ack)
 }
 
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -154,3 +154,61 @@
 		Expect(view.MayUseShare(now.Add(11*time.Second), now)).To(BeTrue())
 	})
 })
+
+var _ = Describe("The first process of a seat", func() {
+	now := time.Unix(1000, 0)
+	seat := membership.Seat{Place: "p", Ordinal: 0}
+	a := membership.Peer{Name: "a", Seat: seat}
+	b := membership.Peer{Name: "b", Seat: membership.Seat{Place: "p", Ordinal: 1}}
+	start := func(self membership.Peer, incarnation uint64, list ...membership.Peer) *membership.View {
+		v := membership.NewView(self, incarnation, now, rand.New(rand.NewPCG(1, 2)))
+		v.SetPeers(list)
+		return v
+	}
+	tell := func(from, to *membership.View, peer membership.Peer) {
+		from.Acked(now, now, peer, to.Receive(now, from.Heartbeat(), 1))
+	}
+
+	// Guards against a fleet whose first start waits for processes that never
+	// were, and against a share that two processes use at the same time.
+	DescribeTable("uses its share at once only if no other process is known",
+		func(build func() *membership.View, want bool) {
+			Expect(build().MayUseShare(now, time.Time{})).To(Equal(want))
+		},
+		Entry("alone in the list", func() *membership.View { return start(a, 2, a) }, true),
+		Entry("not in the list yet", func() *membership.View { return start(a, 2, b) }, false),
+		Entry("a peer has not answered", func() *membership.View { return start(a, 2, a, b) }, false),
+		Entry("every peer knows of no other", func() *membership.View {
+			v := start(a, 2, a, b)
+			tell(v, start(b, 1, a, b), b)
+			return v
+		}, true),
+		Entry("the list still names an earlier host", func() *membership.View {
+			old := membership.Peer{Name: "old", Seat: seat}
+			return start(a, 2, a, old)
+		}, false),
+		Entry("a peer's list named an earlier host", func() *membership.View {
+			v, peer := start(a, 2, a, b), start(b, 1, membership.Peer{Name: "old", Seat: seat}, b)
+			peer.SetPeers([]membership.Peer{a, b})
+			tell(v, peer, b)
+			return v
+		}, false),
+		Entry("a peer has heard an earlier process of the same name", func() *membership.View {
+			v, peer := start(a, 2, a, b), start(b, 1, a, b)
+			tell(start(a, 1, a, b), peer, b)
+			tell(v, peer, b)
+			return v
+		}, false),
+		Entry("a large fleet", func() *membership.View {
+			list := []membership.Peer{a}
+			for i := range membership.SmallFleet {
+				list = append(list, membership.Peer{Name: fmt.Sprint("x", i), Seat: membership.Seat{Place: "q", Ordinal: i}})
+			}
+			v := start(a, 2, list...)
+			for _, p := range list[1:] {
+				tell(v, start(p, 1, list...), p)
+			}
+			return v
+		}, false),
+	)
+})
