Test that leaving targets get no new work

Without the rule, and without any rule at the owner, the targets still get the requests.

Conclusion: TargetLeaving holds by either signal alone.

--- a/internal/daemon/dispatch_test.go
+++ b/internal/daemon/dispatch_test.go
@@ -282,6 +282,12 @@
 		before := r.searches()
 		Expect(r.askFor(time.Second, 0, false).served).To(BeZero(), "it must not reach the target")
 		Expect(r.searches()).To(Equal(before))
+		naive := newRig(true, typical)
+		naive.searcher.SetDraining(true)
+		for range 3 {
+			naive.askFor(time.Second, 0, false)
+		}
+		Expect(naive.searcher.Counts().Drained.Load()).To(BeEquivalentTo(3), "the naive version goes on after the mark")
 		r.searcher.SetDraining(false)
 		Eventually(r.answers(0), longEnough).Should(BeTrue())
 	})
@@ -308,6 +314,22 @@
 		Expect(r.searches()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against work from an entry host with an older host list: without
+	// the dispatcher's own look at the list the target gets it (TargetLeaving).
+	It("sends nothing to a target that the host list names as leaving", func() {
+		r := newRig(false, typical)
+		Eventually(r.answers(0), longEnough).Should(BeTrue(), "the naive version, without the rule")
+		list := newDirectory(hclog.NewNullLogger())
+		r.owners[0].rules.leaving = list.targetLeaving
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+		Expect(list.offerDocument([]byte(`{"version":1,"hosts":[],"targets":[{"id":"t0","state":"leaving"}]}`))).To(BeTrue())
+		before := r.searches()
+		d := r.askFor(time.Second, 0, false)
+		Expect(d.outcome.RanNothing()).To(BeTrue())
+		Expect(d.outcome.Reason).To(Equal(outcome.Draining))
+		Expect(r.searches()).To(Equal(before))
+	})
+
 	// Guards against a request that waits for its deadline on a connection that
 	// went silent, and against the next one that uses such a connection.
 	It("ends a request on a silent connection early and uses a new connection", func() {
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -64,6 +64,7 @@
 	FellOver  atomic.Int64 // crashes from load while cold
 	Crashed   atomic.Int64 // crashes from a killer query
 	Shed      atomic.Int64 // requests shed on purpose
+	Drained   atomic.Int64 // requests refused while draining
 	Canceled  atomic.Int64 // requests cancelled while they ran
 }
 
@@ -273,6 +274,7 @@
 		return false
 	}
 	if status.State == wire.TargetDraining {
+		s.counts.Drained.Add(1)
 		refuse(w, status, outcome.Draining, "draining")
 		return false
 	}
