Carry load, shutdown and quarantine entries in heartbeats

Cause: /v1/entries took every listed host for heard of and without load, a host that shut down was named by the others until the list said so, and only up to 16 hosts learned of a query that crashes targets.

Change: heartbeats and acknowledgements carry the load in one byte and a mark of a host that shuts down, which tells its contacts at once. Entries answers go by both and by silence. New quarantine entries travel in the extension, 16 times from each host that learns them.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -47,6 +47,17 @@
 	return &admitted{service: s, owner: a, start: now}, outcome.Outcome{}
 }
 
+// load returns how full the fullest service is, of 255.
+func (a *admission) load() uint8 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	load := 0.0
+	for _, s := range a.services {
+		load = max(load, float64(s.InFlight())/float64(max(1, s.Limit())))
+	}
+	return uint8(min(1, load) * 255)
+}
+
 // part records the end of a part of the query and how long it waited for a slot.
 func (q *admitted) part(o outcome.Outcome, waited time.Duration) {
 	q.parts++
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -62,6 +62,7 @@
 	wanted  map[string]time.Time // contacts that rules asked for, and when last
 	newest  configsync.Position  // of the configurations that peers named
 	running bool
+	load    func() uint8 // of this host as entry, of 255; nil if not known
 }
 
 func newControl(self *settings.Process, incarnation uint64, config *config, directory *directory, log hclog.Logger) *control {
@@ -157,6 +158,37 @@
 	return c.view.Confirmed(time.Now())
 }
 
+// leave tells the contacts at once that this host shuts down.
+func (c *control) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Leave()
+	for _, p := range c.view.Contacts() {
+		c.start(func(ctx context.Context) { c.exchange(ctx, p) })
+	}
+}
+
+// peerState returns what a host said last, and whether it is silent.
+func (c *control) peerState(name string) (state membership.State, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.PeerState(time.Now(), name)
+}
+
+// setLoad sets the source of the load. Peers may be answered already.
+func (c *control) setLoad(load func() uint8) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.load = load
+}
+
+// updateLoad puts the present load into the next message. The caller holds c.mu.
+func (c *control) updateLoad() {
+	if c.load != nil {
+		c.view.SetLoad(c.load())
+	}
+}
+
 func (c *control) configInForce(version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,7 @@
 	guard := newGuard(opts.Process, d.config, d.directory)
 	d.branch = newBranch(opts.Process, d.config, guard, opts.DialTarget)
 
+	d.control.extend, d.control.extended = guard.extend, guard.extended
 	d.branch.targets.rules = rules{
 		mayUseCold: d.control.mayUseCold, mayUseShare: d.control.mayUseShare, leaving: d.directory.targetLeaving,
 	}
@@ -114,8 +115,10 @@
 	d.control.transport = d.transport
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard = d.transport, guard
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
+	d.entry.peerState = d.control.peerState
 	close(d.wired)
 	return d, nil
 }
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -41,6 +41,12 @@
 // hosts returns the current index; nil before the first list was read.
 func (d *directory) hosts() *hosts { return d.current.Load() }
 
+// targetLeaving reports whether the host list names a target as leaving.
+func (d *directory) targetLeaving(id string) bool {
+	h := d.hosts()
+	return h != nil && h.leaving[id]
+}
+
 func (d *directory) check(raw []byte) (uint64, error) {
 	list, err := platform.ParseHostList(raw)
 	if err != nil {
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -8,6 +8,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/entries"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 )
 
 // Entries returns the addresses that a caller may use.
@@ -20,15 +21,25 @@
 	prefix := e.Ticket().TicketPrefix
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	selfLeaving := e.shutdown.Phase(time.Now(), 0) != drain.Serving
+	now := time.Now()
+	selfLeaving := e.shutdown.Phase(now, 0) != drain.Serving
 	list := e.directory.hosts().list.Hosts
 	known := make([]entries.Host, 0, len(list))
 	for _, h := range list {
+		var state membership.State
+		silent := false
+		if h.Name == e.self.Name {
+			state.Load = e.admission.load()
+		} else if e.peerState != nil {
+			state, silent = e.peerState(h.Name)
+		}
 		known = append(known, entries.Host{
 			Name: h.Name, Place: h.Place, Address: h.Callers,
-			Leaving: h.State != platform.HostLive || slices.Contains(tree.Doc.HostsOut, h.Name) || h.Name == e.self.Name && selfLeaving,
+			Leaving: h.State != platform.HostLive || slices.Contains(tree.Doc.HostsOut, h.Name) || state.Leaving ||
+				h.Name == e.self.Name && selfLeaving,
 			PlaceIn: tree.PlaceIsIn(h.Place),
-			Heard:   true,
+			Heard:   !silent,
+			Load:    float64(state.Load) / 255,
 		})
 	}
 	for _, h := range entries.Choose(known, e.self.Place, e.rng) {
--- /dev/null
+++ b/internal/daemon/entries_test.go
@@ -0,0 +1,73 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+var _ = Describe("Entries answers", func() {
+	// named returns the hosts that a host names, in order.
+	named := func(t *tier, h *fleet.Host) (names []string) {
+		resp, err := t.http.Get("http://" + h.Entry.Callers + "/v1/entries")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		var answer api.EntriesResponse
+		Expect(json.NewDecoder(resp.Body).Decode(&answer)).To(Succeed())
+		for _, e := range answer.Entries {
+			names = append(names, e.Host)
+		}
+		return names
+	}
+	// everywhere reports whether a condition holds for the answers of all hosts.
+	everywhere := func(t *tier, holds func(names []string) bool) bool {
+		for _, h := range t.hosts {
+			if !holds(named(t, h)) {
+				return false
+			}
+		}
+		return true
+	}
+
+	// Guards against callers that are sent to a host which shuts down, because
+	// the host list lags: only heartbeats tell the other hosts.
+	It("omit a host that shuts down within 1 s, from all hosts", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService}, func(*settings.Document) {})
+		h := t.Hosts[0]
+		t.Hosts = t.Hosts[1:] // stopped below
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		began := time.Now()
+		wg.Go(func() { _ = h.Stop() })
+		defer h.Daemon.Abort()
+		Eventually(func() bool {
+			return everywhere(t, func(names []string) bool { return !slices.Contains(names, h.Entry.Name) })
+		}).WithTimeout(time.Second).WithPolling(5 * time.Millisecond).Should(BeTrue())
+		fmt.Fprintf(GinkgoWriter, "gone from all answers after %s\n", time.Since(began))
+	}, NodeTimeout(time.Minute))
+
+	// Guards against callers that are sent first to a host which crashed and is
+	// still listed.
+	It("name a silent host last", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService}, func(*settings.Document) {})
+		h := t.hosts[0]
+		t.hosts = t.hosts[1:]
+		Expect(t.StopHost(h, false)).To(Succeed())
+		Eventually(func() bool {
+			return everywhere(t, func(names []string) bool { return names[len(names)-1] == h.Entry.Name })
+		}).WithTimeout(20 * time.Second).Should(BeTrue())
+		Consistently(func() bool {
+			return everywhere(t, func(names []string) bool { return names[len(names)-1] == h.Entry.Name })
+		}).WithTimeout(time.Second).Should(BeTrue())
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
@@ -24,6 +25,9 @@
 	admission *admission
 	home      *home
 	guard     *guard
+	// peerState returns what a host said last, and whether it is silent; nil if
+	// nothing is known of hosts.
+	peerState func(name string) (state membership.State, silent bool)
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -30,6 +30,7 @@
 // has and this host lacks.
 func (c *control) exchange(ctx context.Context, to membership.Peer) {
 	c.mu.Lock()
+	c.updateLoad()
 	message := wire.Heartbeat{Member: c.view.Heartbeat(), Positions: c.positions(), Extension: c.extension()}
 	c.mu.Unlock()
 	sent := time.Now()
@@ -105,6 +106,7 @@
 	if tree := c.config.tree(); tree != nil {
 		version = tree.Doc.Version
 	}
+	c.updateLoad()
 	reply := wire.HeartbeatAck{
 		Member:    c.view.Receive(time.Now(), message.Member, version),
 		Positions: c.positions(), Extension: c.extension(),
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -46,13 +46,15 @@
 
 	mu       sync.Mutex // guards what follows
 	table    *quarantine.Table
-	canaries map[string]chan struct{} // a token per target: one suspect runs on it at a time
+	outbox   map[quarantine.Fingerprint]int // heartbeats that still carry an entry
+	canaries map[string]chan struct{}       // a token per target: one suspect runs on it at a time
 }
 
 func newGuard(self *settings.Process, config *config, directory *directory) *guard {
 	return &guard{
 		self: self, config: config, directory: directory,
 		table: quarantine.NewTable(maxFingerprints), canaries: map[string]chan struct{}{},
+		outbox: map[quarantine.Fingerprint]int{},
 	}
 }
 
@@ -93,7 +95,9 @@
 	keep := g.keep()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Import(time.Now(), entries, keep)
+	for _, e := range g.table.Import(time.Now(), entries, keep) {
+		g.outbox[e.Fingerprint] = entrySends
+	}
 }
 
 func (g *guard) entry(fp quarantine.Fingerprint) (quarantine.Entry, bool) {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -69,6 +69,7 @@
 func (d *Daemon) shutdown() error {
 	policy := d.config.tree().Effective(d.opts.Process.Place, "")
 	s := d.entry.beginShutdown(policy)
+	d.control.leave()
 	d.log.Info("leaving", "accepting_for", policy.EntriesTTL, "open", d.open.count.Load())
 	if !d.wait(s.Until(time.Now(), drain.Leaving)) {
 		return d.cut()
--- a/internal/wire/control_test.go
+++ b/internal/wire/control_test.go
@@ -18,7 +18,7 @@
 	name := strings.Repeat("n", 63) // longest name of a place
 	last := configsync.Position{Version: 1<<53 - 1, Digest: 1<<64 - 1}
 	heartbeat := wire.Heartbeat{
-		Member: membership.Heartbeat{Incarnation: 1<<64 - 1, From: membership.Peer{
+		Member: membership.Heartbeat{Incarnation: 1<<64 - 1, State: membership.State{Load: 255, Leaving: true}, From: membership.Peer{
 			Name: name, Address: "255.255.255.255:65535", Seat: membership.Seat{Place: name, Ordinal: 1 << 16}}},
 		Positions: wire.Positions{last, last}, Extension: make([]byte, wire.MaxExtensionBytes),
 	}
--- /dev/null
+++ b/pkg/membership/state.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what a host tells of its work as an entry host.
+type State struct {
+	Load    uint8 `cbor:"1,keyasint,omitempty"` // fraction of its capacity in use, of 255
+	Leaving bool  `cbor:"2,keyasint,omitempty"` // it shuts down
+}
+
+// peerState is the last state of a host's newest process.
+type peerState struct {
+	State
+	incarnation uint64
+}
+
+// SetLoad sets the load that heartbeats carry.
+func (v *View) SetLoad(load uint8) { v.state.Load = load }
+
+// Leave makes heartbeats say that this host shuts down.
+func (v *View) Leave() { v.state.Leaving = true }
+
+// learnState takes the state of a host. A process that leaves does not come
+// back, so that a message which arrives late does not undo it.
+func (v *View) learnState(name string, incarnation uint64, state State) {
+	before, known := v.states[name]
+	if incarnation < before.incarnation || !known && len(v.states) >= maxSeats {
+		return
+	}
+	state.Leaving = state.Leaving || before.Leaving && incarnation == before.incarnation
+	v.states[name] = peerState{state, incarnation}
+}
+
+// keepStates drops the states of hosts that are not listed. That of a host
+// which left stays while a list that lags still names it.
+func (v *View) keepStates(hosts []Peer) {
+	for name := range v.states {
+		if !slices.ContainsFunc(hosts, func(p Peer) bool { return p.Name == name }) {
+			delete(v.states, name)
+		}
+	}
+}
+
+// PeerState returns the last state of a host, and whether it is silent: a
+// contact of which nothing was heard lately. Of hosts that are not contacts
+// nothing is expected.
+func (v *View) PeerState(now time.Time, name string) (state State, silent bool) {
+	contact := slices.ContainsFunc(v.contacts, func(p Peer) bool { return p.Name == name })
+	return v.states[name].State, contact && !v.Heard(now, name)
+}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -23,6 +23,7 @@
 type Heartbeat struct {
 	From        Peer   `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"` // start of the process in nanoseconds
+	State       State  `cbor:"3,keyasint,omitempty"`
 }
 
 // Ack answers a heartbeat.
@@ -32,6 +33,7 @@
 	Confirmed   bool   `cbor:"3,keyasint,omitempty"` // the answering host is itself confirmed
 	Promise     bool   `cbor:"4,keyasint,omitempty"` // it does not take over from the sender for TakeoverWait
 	Config      uint64 `cbor:"5,keyasint,omitempty"` // configuration version in force there
+	State       State  `cbor:"7,keyasint,omitempty"`
 	First       bool   `cbor:"6,keyasint,omitempty"` // it knows of no other process of the sender's seat
 }
 
@@ -59,6 +61,9 @@
 	acked map[string]time.Time // when the last acknowledged heartbeat was sent, by name
 	seats map[Seat]seatState
 
+	state  State                // of this host
+	states map[string]peerState // of hosts, by name
+
 	readiness
 	superseded bool
 }
@@ -68,7 +73,7 @@
 	return &View{
 		self: self, incarnation: incarnation, started: started, rng: rng,
 		nextBeat: map[string]time.Time{}, heard: map[string]time.Time{}, acked: map[string]time.Time{},
-		seats: map[Seat]seatState{}, sayFirst: map[string]bool{}, readiness: readiness{since: started},
+		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, readiness: readiness{since: started},
 	}
 }
 
@@ -91,6 +96,7 @@
 	if v.wasNamed && !named && v.listed[v.self.Seat] {
 		v.superseded = true
 	}
+	v.keepStates(hosts)
 	v.named, v.wasNamed = named, v.wasNamed || named
 	// A list that names this host may still name the one that it replaces.
 	own := v.seats[v.self.Seat]
@@ -197,7 +203,9 @@
 }
 
 // Heartbeat returns what to send to contacts.
-func (v *View) Heartbeat() Heartbeat { return Heartbeat{From: v.self, Incarnation: v.incarnation} }
+func (v *View) Heartbeat() Heartbeat {
+	return Heartbeat{From: v.self, Incarnation: v.incarnation, State: v.state}
+}
 
 // Tick returns the contacts that are due a heartbeat, and whether the process
 // was paused before this tick.
@@ -221,7 +229,8 @@
 // Receive takes a heartbeat and returns its acknowledgement.
 func (v *View) Receive(now time.Time, hb Heartbeat, config uint64) Ack {
 	v.heard[hb.From.Name] = now
-	ack := Ack{Incarnation: v.incarnation, Confirmed: v.Confirmed(now), Config: config}
+	v.learnState(hb.From.Name, hb.Incarnation, hb.State)
+	ack := Ack{Incarnation: v.incarnation, State: v.state, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
 	ack.First = v.knowsNoOther(hb)
 	return ack
@@ -232,6 +241,7 @@
 func (v *View) Acked(now, sent time.Time, from Peer, ack Ack) {
 	v.heard[from.Name] = now
 	v.acked[from.Name] = sent
+	v.learnState(from.Name, ack.Incarnation, ack.State)
 	if ack.Higher > v.incarnation {
 		v.superseded = true
 		return
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -212,3 +212,34 @@
 		}, false),
 	)
 })
+
+var _ = Describe("The state of a peer", func() {
+	// Guards against a host that shuts down and is named to callers again,
+	// because an older message of it arrives late or it falls silent while the
+	// host list still names it.
+	It("stays leaving for the same process until the list drops it", func() {
+		now := time.Unix(1000, 0)
+		me := membership.Peer{Name: "me", Seat: membership.Seat{Place: "p"}}
+		other := membership.Peer{Name: "other", Seat: membership.Seat{Place: "p", Ordinal: 1}}
+		view := membership.NewView(me, 1, now, rand.New(rand.NewPCG(1, 2)))
+		view.SetPeers([]membership.Peer{me, other})
+		hear := func(incarnation uint64, state membership.State) membership.State {
+			view.Receive(now, membership.Heartbeat{From: other, Incarnation: incarnation, State: state}, 1)
+			got, _ := view.PeerState(now, "other")
+			return got
+		}
+		Expect(hear(1, membership.State{Load: 128})).To(Equal(membership.State{Load: 128}))
+		Expect(hear(1, membership.State{Leaving: true}).Leaving).To(BeTrue())
+		Expect(hear(1, membership.State{}).Leaving).To(BeTrue())
+		now = now.Add(time.Minute)
+		view.Tick(now)
+		view.SetPeers([]membership.Peer{me, other})
+		state, silent := view.PeerState(now, "other")
+		Expect(state.Leaving && silent).To(BeTrue())
+		Expect(hear(2, membership.State{}).Leaving).To(BeFalse(), "a new process")
+		hear(2, membership.State{Leaving: true})
+		view.SetPeers([]membership.Peer{me})
+		state, silent = view.PeerState(now, "other")
+		Expect(state.Leaving || silent).To(BeFalse(), "not listed")
+	})
+})
