Hold back commands until confirmed and deliver their last replies

Cause: a host that was confirmed only in part ran commands, and a home that had written its last reply closed the transport before the sender read it.

Change: home and branch refuse commands as not run until control.confirmed. The home waits up to 500 ms until the sender has ended the stream.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -171,14 +171,14 @@
 
 func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) wire.LookupReply {
 	var reply wire.LookupReply
-	if refused, ok := b.config.refusal(); ok {
+	if refused, ok := b.config.workRefusal(req.Once); ok {
 		reply.Outcome = refused
 		return reply
 	}
 	work := &work{
 		target: req.Target, service: req.Service, class: settings.Priority(req.Class), once: req.Once,
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
-			if refused, ok := b.config.refusal(); ok {
+			if refused, ok := b.config.workRefusal(req.Once); ok {
 				return wire.TargetStatus{}, refused
 			}
 			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: req.Traceparent},
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -133,7 +133,23 @@
 	reply := h.receive(ctx, &req)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
+		return
 	}
+	awaitReceipt(s)
+}
+
+// receiptLimit bounds the wait for a sender that is gone. It is several round
+// trips with a lost packet between the most distant places.
+const receiptLimit = 500 * time.Millisecond
+
+// awaitReceipt blocks until the sender has read the reply, which it shows by
+// ending the stream. A reply that was only written is lost if the transport
+// closes.
+func awaitReceipt(s *peer.Stream) {
+	stop := time.AfterFunc(receiptLimit, s.Reset)
+	defer stop.Stop()
+	var none wire.CommandRequest
+	_ = s.Receive(&none) // fails when the stream ends
 }
 
 // receive checks a forwarded command before it is run.
@@ -163,7 +179,7 @@
 		if remaining(ctx) <= 0 || ctx.Err() != nil {
 			return wire.CommandReply{Outcome: outcome.Refused(outcome.Deadline, "the deadline passed before sending")}
 		}
-		if refused, ok := e.config.refusal(); ok {
+		if refused, ok := e.config.commandRefusal(); ok {
 			return wire.CommandReply{Outcome: refused}
 		}
 		reply, sent := e.sendLookup(ctx, tree, group, tried, &wire.LookupRequest{
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -24,6 +24,8 @@
 
 	// ready reports whether this host may start work; nil means always.
 	ready func() bool
+	// confirmed reports whether the state is fully confirmed; nil means always.
+	confirmed func() bool
 	// inForce is told the version in force or refused; nil tells nobody.
 	inForce func(version uint64)
 }
@@ -46,6 +48,26 @@
 	return outcome.Refused(outcome.Unavailable, "host %s has not confirmed its state", c.self.Name), true
 }
 
+// commandRefusal is refusal for a request that may not be repeated: it also
+// waits for a full confirmation after a start or a pause.
+func (c *config) commandRefusal() (outcome.Outcome, bool) {
+	if refused, ok := c.refusal(); ok {
+		return refused, true
+	}
+	if c.confirmed == nil || c.confirmed() {
+		return outcome.Outcome{}, false
+	}
+	return outcome.Refused(outcome.Unavailable, "host %s runs no commands before its state is fully confirmed", c.self.Name), true
+}
+
+// workRefusal is the refusal that applies to a request to a target.
+func (c *config) workRefusal(once bool) (outcome.Outcome, bool) {
+	if once {
+		return c.commandRefusal()
+	}
+	return c.refusal()
+}
+
 func (c *config) check(raw []byte) (uint64, error) {
 	tree, err := settings.Parse(raw)
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/confirmed_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+var _ = Describe("A host that is only partly confirmed", func() {
+	// Guards against a command that runs on a host which may have been replaced
+	// or reconfigured while it was paused.
+	It("refuses commands as not run and answers what may be repeated", func() {
+		r := newRig(false, standin.ServiceModel{MedianMS: 1})
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+		full := false
+		b := &branch{self: r.owners[0].self, config: r.owners[0].config, targets: r.owners[0]}
+		b.config.ready, b.config.confirmed = func() bool { return true }, func() bool { return full }
+		before := r.searcher.Counts().Lookups.Load()
+		e := &entry{self: b.self, config: b.config}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(e.runCommand(ctx, &wire.CommandRequest{Service: "tags", ID: "tag-000001"}).Outcome.RanNothing()).To(BeTrue())
+		Expect(lookUp(b, true).RanNothing()).To(BeTrue())
+		Expect(r.searcher.Counts().Lookups.Load()).To(Equal(before))
+		Expect(lookUp(b, false).Kind).To(Equal(outcome.Answered))
+		full = true
+		Expect(lookUp(b, true).Kind).To(Equal(outcome.Answered))
+	})
+})
+
+func lookUp(b *branch, once bool) outcome.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return b.lookup(ctx, &wire.LookupRequest{RequestID: "r", Service: "tags", Target: "t0", ID: "tag-000001", TimeoutMS: 5000, Once: once}).Outcome
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -81,7 +81,7 @@
 		view:    membership.NewView(me, incarnation, started, rng), rng: rng,
 		beating: map[string]bool{}, wanted: map[string]time.Time{},
 	}
-	config.ready = c.ready
+	config.ready, config.confirmed = c.ready, c.confirmed
 	config.inForce = c.configInForce
 	directory.changed = c.hostsChanged
 	return c
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -77,7 +77,7 @@
 		return done{outcome: refusal}
 	}
 	w.allowed = func() outcome.Outcome {
-		if refusal, refused := d.config.refusal(); refused {
+		if refusal, refused := d.config.workRefusal(w.once); refused {
 			return refusal
 		}
 		_, refusal := d.target(w)
