Fill heartbeats with several trimmed entries and join large fleets at once

Cause: a trimmed entry was encoded in full beside the next one, so a heartbeat carried one of them; a host of a large fleet waited up to 2 s for answers that prove nothing there.

Change: the trimmed entry is kept; the wait ends when no answer can change the decision.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -401,12 +401,12 @@
 	return c.view.MayUseCold(time.Now(), rank, &other)
 }
 
-// shareSettled reports whether it is known that this host is the first or a
-// later process of its ordinal.
+// shareSettled reports whether no answer of a peer can change when this host
+// may use its share.
 func (c *control) shareSettled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view.First() || c.view.Replaces()
+	return c.view.FirstSettled()
 }
 
 // mayUseShare reports whether this host may use its share of a target.
--- a/internal/daemon/quarantinebeat.go
+++ b/internal/daemon/quarantinebeat.go
@@ -35,12 +35,12 @@
 			delete(g.outbox, fp)
 			continue
 		}
-		more, ok := appendEntry(entries, entry, room)
+		longer, more, ok := appendEntry(entries, entry, room)
 		if !ok && len(entries) > 0 {
 			break // the next heartbeat starts with it
 		}
 		if ok { // else its names are too long for any heartbeat
-			entries, data = append(entries, entry), more
+			entries, data = longer, more
 		}
 		if g.outbox[fp]--; g.outbox[fp] <= 0 {
 			delete(g.outbox, fp)
@@ -51,7 +51,7 @@
 
 // appendEntry encodes entries with one more, with as many of its deaths as fit.
 // Those of canaries go first, because they prove a query.
-func appendEntry(entries []quarantine.Entry, e quarantine.Entry, room int) (data []byte, ok bool) {
+func appendEntry(entries []quarantine.Entry, e quarantine.Entry, room int) (longer []quarantine.Entry, data []byte, ok bool) {
 	slices.SortStableFunc(e.Deaths, func(a, b quarantine.Death) int {
 		switch {
 		case a.Canary == b.Canary:
@@ -62,15 +62,16 @@
 		return 1
 	})
 	for ; len(e.Deaths) > 0 || e.Proven > 0; e.Deaths = e.Deaths[:len(e.Deaths)-1] {
-		data, err := wire.Marshal(append(slices.Clone(entries), e))
+		longer := append(slices.Clone(entries), e)
+		data, err := wire.Marshal(longer)
 		if err == nil && len(data) <= room {
-			return data, true
+			return longer, data, true
 		}
 		if len(e.Deaths) == 0 {
 			break
 		}
 	}
-	return nil, false
+	return nil, nil, false
 }
 
 // extended takes the entries of a peer's heartbeat.
--- a/internal/daemon/quarantinebeat_test.go
+++ b/internal/daemon/quarantinebeat_test.go
@@ -1,10 +1,16 @@
 package daemon
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // TestQuarantineSpreadsByHeartbeats guards against hosts beyond those that are
@@ -29,3 +35,43 @@
 	})
 	t.Logf("24 hosts refuse the query after %s", time.Since(began))
 }
+
+// TestQuarantineExtensionFits guards against entries that are lost because they
+// do not fit into a heartbeat, with many deaths each or more of them than one
+// heartbeat holds.
+func TestQuarantineExtensionFits(t *testing.T) {
+	conf := newConfig(&settings.Process{Name: "a", Place: placeName(0)}, hclog.NewNullLogger())
+	document, err := json.Marshal(newDocument(2, 2, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conf.offerDocument(document); err != nil {
+		t.Fatal(err)
+	}
+	conf.release()
+	from, to := newGuard(conf.self, conf, nil), newGuard(conf.self, conf, nil)
+	const queries, deaths = 20, 12
+	for q := range queries {
+		for d := range deaths {
+			group := fmt.Sprintf("a-group-with-a-long-name-%d", d)
+			from.died(quarantine.Fingerprint(q), quarantine.Death{Target: group + "-r0", Group: group, Canary: d > deaths-3}, false)
+		}
+	}
+	for range queries * entrySends {
+		data := from.extend(wire.MaxExtensionBytes)
+		if len(data) > wire.MaxExtensionBytes {
+			t.Fatalf("extension of %d bytes", len(data))
+		}
+		if len(data) > 0 {
+			to.extended(membership.Peer{}, data)
+		}
+	}
+	for q := range queries {
+		if e, known := to.entry(quarantine.Fingerprint(q)); !known || e.Proven == 0 {
+			t.Errorf("query %d: known %t, proven for %s", q, known, e.Proven)
+		}
+	}
+	if len(from.outbox) > 0 {
+		t.Errorf("%d entries are still sent", len(from.outbox))
+	}
+}
--- a/pkg/membership/first.go
+++ b/pkg/membership/first.go
@@ -52,5 +52,7 @@
 // that its share can be used without a wait.
 func (v *View) First() bool { return v.first && !v.replaces }
 
-// Replaces reports whether an earlier process of this host's seat is known.
-func (v *View) Replaces() bool { return v.replaces }
+// FirstSettled reports whether no further answer changes First.
+func (v *View) FirstSettled() bool {
+	return v.first || v.replaces || len(v.peers) >= SmallFleet
+}
