--- a/internal/daemon/confirmed_test.go
+++ b/internal/daemon/confirmed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -22,10 +23,14 @@
 		b := &branch{self: r.owners[0].self, config: r.owners[0].config, targets: r.owners[0]}
 		b.config.ready, b.config.confirmed = func() bool { return true }, func() bool { return full }
 		before := r.searcher.Counts().Lookups.Load()
-		e := &entry{self: b.self, config: b.config}
+		list := newDirectory(hclog.NewNullLogger())
+		Expect(list.offerDocument([]byte(`{"version":1,"hosts":[]}`))).To(BeTrue())
+		e := newEntry(b.self, b.config, list, nil)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		Expect(e.runCommand(ctx, &wire.CommandRequest{Service: "tags", ID: "tag-000001"}).Outcome.RanNothing()).To(BeTrue())
+		refused := e.runCommand(ctx, &wire.CommandRequest{Service: "tags", ID: "tag-000001"}).Outcome
+		Expect(refused.RanNothing()).To(BeTrue())
+		Expect(refused.Message).To(ContainSubstring("fully confirmed"), "the home refuses before it looks for a target")
 		Expect(lookUp(b, true).RanNothing()).To(BeTrue())
 		Expect(r.searcher.Counts().Lookups.Load()).To(Equal(before))
 		Expect(lookUp(b, false).Kind).To(Equal(outcome.Answered))
