Let the first process of an ordinal promise at once

Cause: in the first 5 s of a fleet no owner of rank 1 promised, so no owner could use a target that turned cold or looked cold on a busy machine. A dispatcher without rules gave the allowance to both owners.

Change: the first process of its ordinal promises at once; without rules the allowance belongs to rank 0 again, as before.

The test of the cold allowance of the dispatcher passes again, was 11 requests over it.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -29,7 +29,8 @@
 }
 
 // rules decide on the use of targets by what is known of other hosts and of the
-// host list. A nil function does not restrict.
+// host list. Without functions rank 0 holds the cold allowance and nothing else
+// restricts.
 type rules struct {
 	mayUseCold  func(t *settings.TargetInfo) bool
 	mayUseShare func(target string) bool
@@ -112,7 +113,10 @@
 		slots:       ownership.Share(usableSlots(info.Slots, policy), rank, len(info.Owners)),
 		connections: ownership.Share(info.Connections, rank, len(info.Owners)),
 		queue:       policy.QueueLimit, cold: policy.ColdConcurrency, step: policy.ColdRampStep,
-		mayUseCold: d.rules.mayUseCold == nil || d.rules.mayUseCold(info),
+		mayUseCold: rank == 0,
+	}
+	if d.rules.mayUseCold != nil {
+		terms.mayUseCold = d.rules.mayUseCold(info)
 	}
 	if terms.slots == 0 || terms.connections == 0 {
 		return nil, outcome.Refused(outcome.Unavailable, "host %s has no share of target %s", d.self.Name, id)
--- a/pkg/membership/cold.go
+++ b/pkg/membership/cold.go
@@ -15,7 +15,8 @@
 // promise decides what to answer to a heartbeat. A promise goes to one
 // incarnation of a seat at a time: after one to an earlier incarnation the next
 // waits until that one has run out. A process gives none in the first
-// TakeoverWait, because an earlier one of its own seat may have taken over.
+// TakeoverWait, because an earlier one of its own seat may have taken over,
+// unless it is the first of its seat.
 func (v *View) promise(now time.Time, hb Heartbeat) (higher uint64, promised bool) {
 	s, known := v.seats[hb.From.Seat]
 	if !known && len(v.seats) >= 2*maxSeats {
@@ -33,7 +34,7 @@
 		}
 		return max(v.incarnation, hb.Incarnation), false
 	}
-	if now.Sub(v.started) < TakeoverWait {
+	if now.Sub(v.started) < TakeoverWait && !v.First() {
 		return 0, false
 	}
 	if s.promisedTo != hb.Incarnation && !s.promised.IsZero() && now.Sub(s.promised) < TakeoverWait {
@@ -65,7 +66,7 @@
 		return false
 	}
 	if other == nil {
-		return rank == 0 && now.Sub(v.started) >= TakeoverWait
+		return rank == 0 && (now.Sub(v.started) >= TakeoverWait || v.First())
 	}
 	s := v.seats[*other]
 	switch rank {
