--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -62,6 +62,7 @@
 	wanted  map[string]time.Time // contacts that rules asked for, and when last
 	newest  configsync.Position  // of the configurations that peers named
 	running bool
+	load    func() uint8 // of this host as entry, of 255; nil if not known
 }
 
 func newControl(self *settings.Process, incarnation uint64, config *config, directory *directory, log hclog.Logger) *control {
@@ -80,7 +81,7 @@
 		view:    membership.NewView(me, incarnation, started, rng), rng: rng,
 		beating: map[string]bool{}, wanted: map[string]time.Time{},
 	}
-	config.ready = c.ready
+	config.ready, config.confirmed = c.ready, c.confirmed
 	config.inForce = c.configInForce
 	directory.changed = c.hostsChanged
 	return c
@@ -157,6 +158,37 @@
 	return c.view.Confirmed(time.Now())
 }
 
+// leave tells the contacts at once that this host shuts down.
+func (c *control) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Leave()
+	for _, p := range c.view.Contacts() {
+		c.start(func(ctx context.Context) { c.exchange(ctx, p) })
+	}
+}
+
+// peerState returns what a host said last, and whether it is silent.
+func (c *control) peerState(name string) (state membership.State, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.PeerState(time.Now(), name)
+}
+
+// setLoad sets the source of the load. Peers may be answered already.
+func (c *control) setLoad(load func() uint8) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.load = load
+}
+
+// updateLoad puts the present load into the next message. The caller holds c.mu.
+func (c *control) updateLoad() {
+	if c.load != nil {
+		c.view.SetLoad(c.load())
+	}
+}
+
 func (c *control) configInForce(version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,6 +250,9 @@
 		return
 	}
 	c.config.release()
+	// Callers of a fleet that starts for the first time should not meet hosts
+	// that may not use their shares yet. A replacement serves as entry at once.
+	_ = waitFor(asking, joinPoll, c.shareSettled)
 	if waitFor(ctx, joinPoll, c.ready) == nil {
 		close(c.joined)
 	}
@@ -366,6 +401,14 @@
 	return c.view.MayUseCold(time.Now(), rank, &other)
 }
 
+// shareSettled reports whether no answer of a peer can change when this host
+// may use its share.
+func (c *control) shareSettled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.FirstSettled()
+}
+
 // mayUseShare reports whether this host may use its share of a target.
 func (c *control) mayUseShare(target string) bool {
 	owned := c.config.owned.Load()
--- a/pkg/membership/cold.go
+++ b/pkg/membership/cold.go
@@ -8,12 +8,15 @@
 	promisedTo  uint64    // incarnation that the last promise was given to
 	promised    time.Time // when this host last promised that seat not to take over
 	granted     time.Time // when the heartbeat was sent that the seat last answered with a promise
+	listedAs    string    // name by which a host list last named the seat's host
+	reused      bool      // the seat is known to have had several processes
 }
 
 // promise decides what to answer to a heartbeat. A promise goes to one
 // incarnation of a seat at a time: after one to an earlier incarnation the next
 // waits until that one has run out. A process gives none in the first
-// TakeoverWait, because an earlier one of its own seat may have taken over.
+// TakeoverWait, because an earlier one of its own seat may have taken over,
+// unless it is the first of its seat.
 func (v *View) promise(now time.Time, hb Heartbeat) (higher uint64, promised bool) {
 	s, known := v.seats[hb.From.Seat]
 	if !known && len(v.seats) >= 2*maxSeats {
@@ -23,14 +26,15 @@
 	if hb.Incarnation < s.incarnation {
 		return s.incarnation, false
 	}
-	s.incarnation = hb.Incarnation
+	s.meet(hb.Incarnation)
 	if hb.From.Seat == v.self.Seat {
+		v.replaces = true
 		if hb.Incarnation > v.incarnation {
 			v.superseded = true
 		}
 		return max(v.incarnation, hb.Incarnation), false
 	}
-	if now.Sub(v.started) < TakeoverWait {
+	if now.Sub(v.started) < TakeoverWait && !v.First() {
 		return 0, false
 	}
 	if s.promisedTo != hb.Incarnation && !s.promised.IsZero() && now.Sub(s.promised) < TakeoverWait {
@@ -42,7 +46,7 @@
 
 func (v *View) keepPromise(sent time.Time, from Seat, ack Ack) {
 	s := v.seats[from]
-	s.incarnation = max(s.incarnation, ack.Incarnation)
+	s.meet(ack.Incarnation)
 	if ack.Promise && sent.After(s.granted) {
 		s.granted = sent
 	}
@@ -62,7 +66,7 @@
 		return false
 	}
 	if other == nil {
-		return rank == 0 && now.Sub(v.started) >= TakeoverWait
+		return rank == 0 && (now.Sub(v.started) >= TakeoverWait || v.First())
 	}
 	s := v.seats[*other]
 	switch rank {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -23,6 +23,7 @@
 type Heartbeat struct {
 	From        Peer   `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"` // start of the process in nanoseconds
+	State       State  `cbor:"3,keyasint,omitempty"`
 }
 
 // Ack answers a heartbeat.
@@ -32,6 +33,8 @@
 	Confirmed   bool   `cbor:"3,keyasint,omitempty"` // the answering host is itself confirmed
 	Promise     bool   `cbor:"4,keyasint,omitempty"` // it does not take over from the sender for TakeoverWait
 	Config      uint64 `cbor:"5,keyasint,omitempty"` // configuration version in force there
+	State       State  `cbor:"7,keyasint,omitempty"`
+	First       bool   `cbor:"6,keyasint,omitempty"` // it knows of no other process of the sender's seat
 }
 
 // View is what a host knows of its peers.
@@ -43,7 +46,11 @@
 
 	peers    []Peer // the host list without this host
 	listed   map[Seat]bool
-	wasNamed bool // a list named this host
+	named    bool            // the list names this host
+	wasNamed bool            // a list named this host
+	first    bool            // no earlier process of this seat was found
+	replaces bool            // an earlier process of this seat is known
+	sayFirst map[string]bool // small fleets: peers that know of no other process of this seat
 
 	contacts []Peer
 	pinned   []string
@@ -54,6 +61,9 @@
 	acked map[string]time.Time // when the last acknowledged heartbeat was sent, by name
 	seats map[Seat]seatState
 
+	state  State                // of this host
+	states map[string]peerState // of hosts, by name
+
 	readiness
 	superseded bool
 }
@@ -63,7 +73,7 @@
 	return &View{
 		self: self, incarnation: incarnation, started: started, rng: rng,
 		nextBeat: map[string]time.Time{}, heard: map[string]time.Time{}, acked: map[string]time.Time{},
-		seats: map[Seat]seatState{}, readiness: readiness{since: started},
+		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, readiness: readiness{since: started},
 	}
 }
 
@@ -74,6 +84,9 @@
 	named := false
 	for _, h := range hosts {
 		v.listed[h.Seat] = true
+		s := v.seats[h.Seat]
+		s.listed(h.Name)
+		v.seats[h.Seat] = s
 		if h.Name == v.self.Name {
 			named = true
 			continue
@@ -83,7 +96,12 @@
 	if v.wasNamed && !named && v.listed[v.self.Seat] {
 		v.superseded = true
 	}
-	v.wasNamed = v.wasNamed || named
+	v.keepStates(hosts)
+	v.named, v.wasNamed = named, v.wasNamed || named
+	// A list that names this host may still name the one that it replaces.
+	own := v.seats[v.self.Seat]
+	v.replaces = v.replaces || own.reused || own.listedAs != "" && own.listedAs != v.self.Name
+	v.judgeFirst()
 	v.chooseContacts()
 }
 
@@ -185,7 +203,9 @@
 }
 
 // Heartbeat returns what to send to contacts.
-func (v *View) Heartbeat() Heartbeat { return Heartbeat{From: v.self, Incarnation: v.incarnation} }
+func (v *View) Heartbeat() Heartbeat {
+	return Heartbeat{From: v.self, Incarnation: v.incarnation, State: v.state}
+}
 
 // Tick returns the contacts that are due a heartbeat, and whether the process
 // was paused before this tick.
@@ -209,8 +229,10 @@
 // Receive takes a heartbeat and returns its acknowledgement.
 func (v *View) Receive(now time.Time, hb Heartbeat, config uint64) Ack {
 	v.heard[hb.From.Name] = now
-	ack := Ack{Incarnation: v.incarnation, Confirmed: v.Confirmed(now), Config: config}
+	v.learnState(hb.From.Name, hb.Incarnation, hb.State)
+	ack := Ack{Incarnation: v.incarnation, State: v.state, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
+	ack.First = v.knowsNoOther(hb)
 	return ack
 }
 
@@ -219,11 +241,13 @@
 func (v *View) Acked(now, sent time.Time, from Peer, ack Ack) {
 	v.heard[from.Name] = now
 	v.acked[from.Name] = sent
+	v.learnState(from.Name, ack.Incarnation, ack.State)
 	if ack.Higher > v.incarnation {
 		v.superseded = true
 		return
 	}
 	v.keepPromise(sent, from.Seat, ack)
+	v.firstAnswer(from, ack)
 	v.answered(now, sent, ack)
 }
 
