Trace every hop of a request and count sub-requests, hedges and target states

Cause: only the entry host made a span, and several declared metrics were never counted. Change: spans for messages, branch hosts, homes and sub-requests with the decision as attributes; metrics read from the state of both roles.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -16,11 +16,12 @@
 
 // branch is the role that owns connections to the targets of its own place.
 type branch struct {
-	self    *settings.Process
-	config  *config
-	targets *dispatcher
-	guard   *guard
-	workers *workers
+	self     *settings.Process
+	config   *config
+	targets  *dispatcher
+	guard    *guard
+	workers  *workers
+	observer observer
 }
 
 func newBranch(self *settings.Process, config *config, guard *guard, dial target.Dialer) *branch {
@@ -42,6 +43,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
 	defer cancel()
+	ctx, span, parent := b.observer.branch(ctx, req.Traceparent, "branch search", req.Service, b.self)
+	defer span.End()
+	req.Traceparent = parent
 	run := newBranchRun(ctx, req.Parts)
 	go func() {
 		for {
@@ -123,6 +127,14 @@
 }
 
 func (b *branch) searchPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
+	ctx, span, parent := b.observer.tracer.Start(ctx, req.Traceparent, "target search")
+	result := b.runPart(ctx, req, part, parent)
+	b.observer.endPart(span, req, part, &result, b.self.Place)
+	return result
+}
+
+// runPart sends a part to its target, with the trace context of its span.
+func (b *branch) runPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) wire.PartResult {
 	result := wire.PartResult{Group: part.Group, Target: part.Target}
 	if refused, ok := b.config.refusal(); ok {
 		result.Outcome = refused
@@ -142,7 +154,7 @@
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
 			}
-			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: req.Traceparent}, body)
+			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: parent}, body)
 			result.Version, result.Covered, result.Records = answer.Version, answer.Covered, answer.Records
 			return status, o
 		},
@@ -169,8 +181,12 @@
 	}
 }
 
-func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) wire.LookupReply {
-	var reply wire.LookupReply
+func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) (reply wire.LookupReply) {
+	ctx, span, parent := b.observer.branch(ctx, req.Traceparent, "branch lookup", req.Service, b.self)
+	defer span.End()
+	ctx, sub, parent := b.observer.tracer.Start(ctx, parent, "target lookup")
+	var done done
+	defer func() { b.observer.endLookup(sub, req, &reply, done, b.self.Place) }()
 	if refused, ok := b.config.refusal(); ok {
 		reply.Outcome = refused
 		return reply
@@ -181,13 +197,13 @@
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
 			}
-			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: req.Traceparent},
+			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: parent},
 				target.LookupBody{Service: req.Service, ID: req.ID})
 			reply.Found, reply.Record, reply.Version = answer.Found, answer.Record, answer.Version
 			return status, o
 		},
 	}
-	done := b.targets.do(ctx, work)
+	done = b.targets.do(ctx, work)
 	reply.Outcome, reply.Status = done.outcome, done.status
 	return reply
 }
--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -18,6 +18,7 @@
 	local     *branch
 	directory *directory
 	transport *peer.Transport
+	observer  observer
 }
 
 // notReachedError says that a branch host did not receive the request.
@@ -93,6 +94,9 @@
 func (c *branchClient) searchLocal(ctx context.Context, req *wire.SearchRequest, withdraw <-chan string, emit func([]wire.PartResult)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ctx, span, parent := c.local.observer.branch(ctx, req.Traceparent, "branch search", req.Service, c.self)
+	defer span.End()
+	req.Traceparent = parent
 	run := newBranchRun(ctx, req.Parts)
 	go func() {
 		for {
@@ -112,6 +116,15 @@
 
 // lookup sends a lookup to a branch host.
 func (c *branchClient) lookup(ctx context.Context, at seat, req *wire.LookupRequest) wire.LookupReply {
+	c.observer.plannedLookup(req)
+	ctx, span, parent := c.observer.message(ctx, req.Traceparent, "lookup message", at)
+	req.Traceparent = parent
+	reply := c.lookupAt(ctx, at, req)
+	endWith(span, reply.Outcome)
+	return reply
+}
+
+func (c *branchClient) lookupAt(ctx context.Context, at seat, req *wire.LookupRequest) wire.LookupReply {
 	if c.isSelf(at) {
 		return c.local.lookup(ctx, req)
 	}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -130,7 +130,10 @@
 	defer h.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
 	defer cancel()
+	ctx, span, parent := h.entry.observer.branch(ctx, req.Traceparent, "home command", req.Service, h.entry.self)
+	req.Traceparent = parent
 	reply := h.receive(ctx, &req)
+	endWith(span, reply.Outcome)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
 	}
@@ -193,6 +196,9 @@
 	if !ok {
 		return wire.LookupReply{}, false
 	}
+	if len(tried) > 0 {
+		req.Cause = wire.CauseRetry
+	}
 	tried[choice.Path.Target] = true
 	sent := time.Now()
 	req.Target, req.TimeoutMS = choice.Path.Target, remaining(ctx).Milliseconds()
@@ -279,8 +285,10 @@
 }
 
 // command forwards a command to its home.
-func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) wire.CommandReply {
-	var reply wire.CommandReply
+func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) (reply wire.CommandReply) {
+	ctx, span, parent := c.observer.message(ctx, req.Traceparent, "command message", seat{host.Place, host.Ordinal})
+	req.Traceparent = parent
+	defer func() { endWith(span, reply.Outcome) }()
 	s, err := c.transport.Open(ctx, host.Peers, wire.ExchangeCommand)
 	if err == nil {
 		defer s.Reset()
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -20,6 +20,7 @@
 	checked *settings.Tree // passed the check last; guarded by published.mu
 	current atomic.Pointer[settings.Tree]
 	owned   atomic.Pointer[map[string]time.Time] // since when this host owns a target; zero for the first configuration
+	since   atomic.Int64                         // when it came into force, Unix nanoseconds
 	first   chan struct{}                        // closed when a configuration is in force
 
 	// ready reports whether this host may start work; nil means always.
@@ -69,6 +70,7 @@
 	owned := ownedSince(c.self, old, tree, c.owned.Load())
 	c.owned.Store(&owned)
 	c.current.Store(tree)
+	c.since.Store(time.Now().UnixNano())
 	c.checked = nil
 	c.log.Info("configuration in force", "version", tree.Doc.Version)
 	if c.inForce != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,8 @@
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	guard := newGuard(opts.Process, d.config, d.directory)
 	d.branch = newBranch(opts.Process, d.config, guard, opts.DialTarget)
+	watch := observer{tracer: opts.Tracer, metrics: opts.Metrics}
+	d.branch.observer = watch
 
 	conn, err := opts.ListenPacket(opts.Process.Listen.Peers)
 	if err != nil {
@@ -108,9 +110,9 @@
 	}
 	d.registerGauges()
 	d.control.transport = d.transport
-	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport}
+	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
-	guard.transport, d.entry.guard = d.transport, guard
+	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
 	close(d.wired)
 	return d, nil
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -24,6 +24,7 @@
 	admission *admission
 	home      *home
 	guard     *guard
+	observer  observer
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -47,6 +47,11 @@
 
 // search sends one search to a host.
 func search(ctx context.Context, f *fleet.Fleet, host int, service string, req api.SearchRequest) (*api.SearchResponse, error) {
+	return searchWith(ctx, f, host, service, req, nil)
+}
+
+// searchWith sends one search with headers to a host.
+func searchWith(ctx context.Context, f *fleet.Fleet, host int, service string, req api.SearchRequest, headers map[string]string) (*api.SearchResponse, error) {
 	data, err := json.Marshal(req)
 	if err != nil {
 		return nil, err
@@ -56,6 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for name, value := range headers {
+		post.Header.Set(name, value)
+	}
 	resp, err := http.DefaultClient.Do(post)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -1,5 +1,13 @@
 package daemon
 
+import (
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+)
+
 // registerGauges registers the metrics that are read from state kept elsewhere.
 func (d *Daemon) registerGauges() {
 	m := d.opts.Metrics
@@ -9,6 +17,9 @@
 		}
 		return 0
 	})
+	m.Gauge("config_age_seconds", "Time since the configuration in force came into force on this host; 0 before the first.", func() float64 {
+		return d.config.age().Seconds()
+	})
 	m.Gauge("hosts_version", "Version of the host list in use; 0 before the first.", func() float64 {
 		if hosts := d.directory.hosts(); hosts != nil {
 			return float64(hosts.list.Version)
@@ -17,4 +28,136 @@
 	})
 	m.Gauge("open_requests", "Requests of callers in progress.", func() float64 { return float64(d.open.count.Load()) })
 	d.control.registerGauges(m)
+	d.registerEntryGauges(m)
+	d.branch.registerGauges(m)
+}
+
+// age returns the time since the configuration in force came into force.
+func (c *config) age() time.Duration {
+	since := c.since.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, since))
+}
+
+// registerGauges registers the metrics of the control plane.
+func (c *control) registerGauges(m *telemetry.Metrics) {
+	flag := func(name, help string, value func(ControlStatus) bool) {
+		m.Gauge(name, help, func() float64 {
+			if value(c.status()) {
+				return 1
+			}
+			return 0
+		})
+	}
+	flag("host_ready", "1 while the host may start work.", func(s ControlStatus) bool { return s.Ready })
+	flag("host_unconfirmed", "1 while no peer or platform has fully confirmed the host's state.", func(s ControlStatus) bool { return s.Unconfirmed })
+	m.Gauge("peers_heard", "Peers in contact that this host has heard from recently.", func() float64 { return float64(c.heard()) })
+	m.Counter("pauses_total", "Pauses of the process that were noticed.", func() float64 { return float64(c.status().Pauses) })
+	value := []string{"value"}
+	m.Counters("platform_reads_total", "Calls to the platform, by published value.", value, func(emit telemetry.Emit) {
+		for v, client := range c.clients {
+			emit(float64(client.Reads()), publishedNames[v])
+		}
+	})
+	published := func(name, help string, count func(configsync.Counters) uint64) {
+		m.Counters(name, help, value, func(emit telemetry.Emit) {
+			for v := range wire.Published(wire.PublishedCount) {
+				c.published(v).with(func(s *configsync.State) { emit(float64(count(s.Counters())), publishedNames[v]) })
+			}
+		})
+	}
+	published("published_refused_total", "Published documents that did not pass their check.", func(n configsync.Counters) uint64 { return n.Refused })
+	published("published_conflicts_total", "Other documents seen for the version in force.", func(n configsync.Counters) uint64 { return n.Conflicts })
+}
+
+// publishedNames are the label values of what the platform publishes.
+var publishedNames = [wire.PublishedCount]string{wire.PublishedConfig: "config", wire.PublishedHosts: "hosts"}
+
+// heard returns the number of contacts that were heard from recently.
+func (c *control) heard() (n int) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.view.Contacts() {
+		if c.view.Heard(now, p.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+// registerEntryGauges registers the metrics of the entry role. The role is set
+// after the listener for peers, so nothing is read before the daemon is wired.
+func (d *Daemon) registerEntryGauges(m *telemetry.Metrics) {
+	wired := func(read func(e *entry, emit telemetry.Emit)) func(telemetry.Emit) {
+		return func(emit telemetry.Emit) {
+			select {
+			case <-d.wired:
+				read(d.entry, emit)
+			default:
+			}
+		}
+	}
+	service := []string{"service"}
+	m.Gauges("extra_load_budget_ratio", "Balance of the budget for hedges and retries; 1 is the advance or more.", service,
+		wired(func(e *entry, emit telemetry.Emit) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			for name, st := range e.services {
+				emit(st.budget.Balance(), name)
+			}
+		}))
+	m.Counters("extra_load_total", "Sub-requests beyond the necessary ones that the budget granted.", service,
+		wired(func(e *entry, emit telemetry.Emit) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			for name, st := range e.services {
+				extra, _ := st.budget.Extra()
+				emit(float64(extra), name)
+			}
+		}))
+	m.Gauges("admission_limit_queries", "Queries that this entry host admits at the same time.", service,
+		wired(func(e *entry, emit telemetry.Emit) {
+			e.admission.each(func(name string, limit, _ int) { emit(float64(limit), name) })
+		}))
+	m.Gauges("admission_open_queries", "Queries admitted and in progress.", service,
+		wired(func(e *entry, emit telemetry.Emit) {
+			e.admission.each(func(name string, _, open int) { emit(float64(open), name) })
+		}))
+}
+
+// each calls f with the limit and the queries in progress of every service.
+func (a *admission) each(f func(service string, limit, open int)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, s := range a.services {
+		f(name, s.Limit(), s.InFlight())
+	}
+}
+
+// registerGauges registers the metrics of the branch role.
+func (b *branch) registerGauges(m *telemetry.Metrics) {
+	m.Gauges("owned_targets", "Targets that this host owns and has used, by state.", []string{"state"}, func(emit telemetry.Emit) {
+		counts := map[string]int{"warm": 0, "cold": 0, "draining": 0, "unproven": 0}
+		for _, t := range b.targets.status() {
+			counts[t.State]++
+		}
+		for state, n := range counts {
+			emit(float64(n), state)
+		}
+	})
+	m.Gauges("quarantine_fingerprints", "Queries known to crash targets, by state.", []string{"state"}, func(emit telemetry.Emit) {
+		suspect, proven := 0, 0
+		for _, q := range b.guard.status() {
+			if q.State == "refused" {
+				proven++
+			} else {
+				suspect++
+			}
+		}
+		emit(float64(suspect), "suspect")
+		emit(float64(proven), "refused")
+	})
 }
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// observer makes the spans and counts of the hops below the entry span. The
+// zero value makes none. Attributes are built only for spans that record.
+type observer struct {
+	tracer  *telemetry.Tracer
+	metrics *telemetry.Metrics
+}
+
+// message starts the span of a message to a branch host, and returns the trace
+// context that the message carries.
+func (o observer) message(ctx context.Context, parent, name string, at seat) (context.Context, trace.Span, string) {
+	ctx, span, parent := o.tracer.Start(ctx, parent, name)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("branch.place", at.place), attribute.Int("branch.ordinal", at.ordinal))
+	}
+	return ctx, span, parent
+}
+
+// endMessage ends the span of a message that carried several parts.
+func endMessage(span trace.Span, req *wire.SearchRequest, err error) {
+	if span.IsRecording() {
+		span.SetAttributes(attribute.Int("parts", len(req.Parts)), attribute.Int64("index.version", int64(req.Version)))
+		if err != nil {
+			span.SetStatus(codes.Error, err.Error())
+		}
+	}
+	span.End()
+}
+
+// branch starts the span of the work of a branch host or a home.
+func (o observer) branch(ctx context.Context, parent, name, service string, self *settings.Process) (context.Context, trace.Span, string) {
+	ctx, span, parent := o.tracer.Start(ctx, parent, name)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("service", service), attribute.String("host", self.Name), attribute.String("place", self.Place))
+	}
+	return ctx, span, parent
+}
+
+// endPart ends the span of a sub-request of a search and counts its result.
+func (o observer) endPart(span trace.Span, req *wire.SearchRequest, part wire.PartRequest, result *wire.PartResult, place string) {
+	if o.metrics != nil {
+		o.metrics.SubRequestDone(req.Service, result.Outcome)
+	}
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("target", part.Target), attribute.String("group", part.Group), attribute.String("place", place),
+			attribute.String("cause", part.Cause.String()), attribute.Int64("index.version", int64(max(req.Version, result.Version))),
+			attribute.Int64("queue_us", result.QueueUS), attribute.Int64("service_us", result.TargetUS),
+			attribute.String("query.fingerprint", fingerprintText(quarantine.Of(req.Service, req.Terms))),
+			attribute.Bool("target.died", result.Died),
+		)
+		telemetry.SetOutcome(span, result.Outcome)
+	}
+	span.End()
+}
+
+// endLookup ends the span of a sub-request of a lookup and counts its result.
+func (o observer) endLookup(span trace.Span, req *wire.LookupRequest, reply *wire.LookupReply, done done, place string) {
+	if o.metrics != nil {
+		o.metrics.SubRequestDone(req.Service, reply.Outcome)
+	}
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("target", req.Target), attribute.String("place", place), attribute.String("cause", req.Cause.String()),
+			attribute.Int64("index.version", int64(reply.Version)),
+			attribute.Int64("queue_us", done.queued.Microseconds()), attribute.Int64("service_us", done.served.Microseconds()),
+		)
+		telemetry.SetOutcome(span, reply.Outcome)
+	}
+	span.End()
+}
+
+// endWith ends a span with an outcome.
+func endWith(span trace.Span, o outcome.Outcome) {
+	if span.IsRecording() {
+		telemetry.SetOutcome(span, o)
+	}
+	span.End()
+}
+
+// planned counts the sub-requests of a message by their cause.
+func (o observer) planned(req *wire.SearchRequest) {
+	if o.metrics == nil {
+		return
+	}
+	var counts [wire.CauseCount]int
+	for i := range req.Parts {
+		counts[req.Parts[i].Cause]++
+	}
+	for cause, n := range counts {
+		if n > 0 {
+			o.metrics.SubRequests.WithLabelValues(req.Service, wire.Cause(cause).String()).Add(float64(n))
+		}
+	}
+}
+
+// plannedLookup counts the sub-request of a lookup by its cause.
+func (o observer) plannedLookup(req *wire.LookupRequest) {
+	if o.metrics != nil {
+		o.metrics.SubRequests.WithLabelValues(req.Service, req.Cause.String()).Inc()
+	}
+}
+
+// hedges counts the hedges of a query that has ended or starts again. One that
+// was withdrawn before it ran counts as lost.
+func (o observer) hedges(service string, groups []*groupState) {
+	if o.metrics == nil {
+		return
+	}
+	won, lost := 0, 0
+	for _, state := range groups {
+		for _, a := range state.attempts {
+			switch {
+			case a.cause != wire.CauseHedge:
+			case a.answered:
+				won++
+			default:
+				lost++
+			}
+		}
+	}
+	if won > 0 {
+		o.metrics.Hedges.WithLabelValues(service, "won").Add(float64(won))
+	}
+	if lost > 0 {
+		o.metrics.Hedges.WithLabelValues(service, "lost").Add(float64(lost))
+	}
+}
--- /dev/null
+++ b/internal/daemon/observer_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// Guards against a cost of tracing where no exporter is configured.
+func TestNoExporterAllocatesNothing(t *testing.T) {
+	o := observer{tracer: &telemetry.Tracer{}}
+	ctx, self, req, result := context.Background(), &settings.Process{}, &wire.SearchRequest{}, &wire.PartResult{}
+	allocs := testing.AllocsPerRun(1000, func() {
+		_, message, parent := o.message(ctx, "", "search message", seat{})
+		_, branch, parent := o.branch(ctx, parent, "branch search", "s", self)
+		_, part, _ := o.tracer.Start(ctx, parent, "target search")
+		o.endPart(part, req, wire.PartRequest{}, result, "")
+		branch.End()
+		endMessage(message, req, nil)
+	})
+	if allocs != 0 {
+		t.Fatalf("a hop without an exporter allocates %v times", allocs)
+	}
+}
+
+// BenchmarkHopUntraced measures the spans of one sub-request without an exporter.
+func BenchmarkHopUntraced(b *testing.B) {
+	o := observer{tracer: &telemetry.Tracer{}}
+	ctx, self, req, result := context.Background(), &settings.Process{}, &wire.SearchRequest{}, &wire.PartResult{}
+	for b.Loop() {
+		_, message, parent := o.message(ctx, "", "search message", seat{})
+		_, branch, parent := o.branch(ctx, parent, "branch search", "s", self)
+		_, part, _ := o.tracer.Start(ctx, parent, "target search")
+		o.endPart(part, req, wire.PartRequest{}, result, "")
+		branch.End()
+		endMessage(message, req, nil)
+	}
+}
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -32,6 +32,7 @@
 	g.load = load
 	g.start()
 	g.wait()
+	e.observer.hedges(service, g.groups)
 	g.canary.shared.Wait()
 	return g.response(start)
 }
@@ -117,6 +118,7 @@
 	ended bool
 	// answered is set if the answer was merged.
 	answered bool
+	cause    wire.Cause
 	gap      bool // searches for the rest of a range, not for the group
 	hedge    bool // paid for with a token
 	again    bool // the target may be asked again
@@ -264,6 +266,7 @@
 	g.entry.mu.Lock()
 	g.state.counts.Doubt(g.started)
 	g.entry.mu.Unlock()
+	g.entry.observer.hedges(g.service, g.groups)
 	g.probe, g.held = nil, nil
 	for i, state := range g.groups {
 		g.groups[i] = newGroupState(state.planned)
--- a/internal/daemon/searchgap.go
+++ b/internal/daemon/searchgap.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
@@ -46,7 +47,7 @@
 	now := time.Now()
 	plan := g.planGap(now, state)
 	for _, a := range plan {
-		g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, true)
+		g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, wire.CauseGap)
 	}
 	if g.pending == 0 {
 		state.gap = false
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 )
 
@@ -74,7 +75,7 @@
 		return
 	}
 	state.hedges++
-	g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, false)
+	g.sendBatch(now, seat{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, wire.CauseHedge)
 	state.attempts[len(state.attempts)-1].hedge = true
 }
 
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -20,7 +20,7 @@
 		batches[at] = append(batches[at], a)
 	}
 	for at, assignments := range batches {
-		g.sendBatch(now, at, assignments, false)
+		g.sendBatch(now, at, assignments, wire.CauseFirst)
 	}
 	for _, state := range states {
 		state.waiting = false
@@ -81,8 +81,8 @@
 }
 
 // sendBatch sends attempts to one branch host and feeds its results to the
-// event loop.
-func (g *gather) sendBatch(now time.Time, at seat, assignments []routing.Assignment, gap bool) {
+// event loop. CauseFirst stands for what follows from the state of each group.
+func (g *gather) sendBatch(now time.Time, at seat, assignments []routing.Assignment, cause wire.Cause) {
 	ctx, cancel := context.WithCancel(g.ctx)
 	b := &batch{
 		at: at, sent: now, local: g.entry.branches.isSelf(at),
@@ -95,21 +95,38 @@
 	}
 	for _, assigned := range assignments {
 		state := g.byID[assigned.Group]
-		a := &attempt{path: assigned.Path, sent: now, batch: b, gap: gap}
+		a := &attempt{path: assigned.Path, sent: now, batch: b, gap: cause == wire.CauseGap, cause: g.cause(state, cause)}
 		state.attempts = append(state.attempts, a)
 		g.pending++
 		b.attempts[assigned.Group] = a
-		req.Parts = append(req.Parts, wire.PartRequest{Group: assigned.Group, Target: assigned.Path.Target})
+		req.Parts = append(req.Parts, wire.PartRequest{Group: assigned.Group, Target: assigned.Path.Target, Cause: a.cause})
 	}
+	g.entry.observer.planned(req)
+	ctx, span, parent := g.entry.observer.message(ctx, req.Traceparent, "search message", at)
+	req.Traceparent = parent
 	go func() {
 		defer cancel()
 		err := g.entry.branches.search(ctx, at, req, b.withdraw, func(parts []wire.PartResult) {
 			g.deliver(batchEvent{batch: b, parts: parts, arrived: time.Now()})
 		})
+		endMessage(span, req, err)
 		g.deliver(batchEvent{batch: b, ended: true, err: err, arrived: time.Now()})
 	}()
 }
 
+// cause returns why the next attempt for a group is sent.
+func (g *gather) cause(state *groupState, given wire.Cause) wire.Cause {
+	switch {
+	case given != wire.CauseFirst:
+		return given
+	case g.canary.holding:
+		return wire.CauseCanary
+	case len(state.attempts) > 0:
+		return wire.CauseRetry
+	}
+	return wire.CauseFirst
+}
+
 // deliver hands an event to the loop unless the query has ended.
 func (g *gather) deliver(event batchEvent) {
 	select {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
-	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -59,25 +58,6 @@
 	return status
 }
 
-// registerGauges registers the metrics of the control plane.
-func (c *control) registerGauges(m *telemetry.Metrics) {
-	gauge := func(name, help string, value func(ControlStatus) float64) {
-		m.Gauge(name, help, func() float64 { return value(c.status()) })
-	}
-	flag := func(set bool) float64 {
-		if set {
-			return 1
-		}
-		return 0
-	}
-	gauge("host_ready", "1 while the host may start work.", func(s ControlStatus) float64 { return flag(s.Ready) })
-	gauge("host_unconfirmed", "1 while no peer or platform has fully confirmed the host's state.", func(s ControlStatus) float64 { return flag(s.Unconfirmed) })
-	gauge("host_pauses", "Pauses of the process that were noticed.", func(s ControlStatus) float64 { return float64(s.Pauses) })
-	gauge("platform_reads", "Calls to the platform.", func(s ControlStatus) float64 { return float64(s.Reads) })
-	gauge("config_refused", "Configurations that did not pass their check.", func(s ControlStatus) float64 { return float64(s.Config.Refused) })
-	gauge("config_conflicts", "Other documents seen for the version in force.", func(s ControlStatus) float64 { return float64(s.Config.Conflicts) })
-}
-
 // Status returns what the host says about itself; the versions are 0 until a
 // configuration and a host list are in force.
 func (d *Daemon) Status() Status {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -32,6 +33,7 @@
 type Deployment struct {
 	Document settings.Document
 	Model    *standin.Model
+	Traces   settings.Traces // of every host; the zero value traces nothing
 }
 
 // Load reads config.json and model.json of a directory.
@@ -59,18 +61,19 @@
 	cancel context.CancelFunc
 	done   chan error
 	socks  *sockets
+	tracer *telemetry.Tracer
 }
 
 // Stop shuts the host down gracefully and returns its error.
 func (h *Host) Stop() error {
 	h.cancel()
-	return <-h.done
+	return errors.CombineErrors(<-h.done, h.tracer.Close())
 }
 
 // Kill ends the host at once.
 func (h *Host) Kill() error {
 	h.Daemon.Abort()
-	return <-h.done
+	return errors.CombineErrors(<-h.done, h.tracer.Close())
 }
 
 // Fleet is a running deployment.
@@ -84,7 +87,8 @@
 
 	Authority *standin.Authority // signs the certificates of the hosts
 
-	log hclog.Logger
+	log    hclog.Logger
+	traces settings.Traces
 
 	tree atomic.Pointer[settings.Tree]
 
@@ -114,7 +118,7 @@
 func StartStandins(d *Deployment, log hclog.Logger) (*Fleet, error) {
 	f := &Fleet{
 		Searchers: map[string]*standin.Searcher{}, Datasets: map[string]*standin.Dataset{},
-		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log,
+		Model: d.Model, Network: standin.NewNetwork(d.Model), log: log, traces: d.Traces,
 	}
 	var err error
 	if f.document, err = clone(&d.Document); err != nil {
@@ -262,13 +266,17 @@
 	if err != nil {
 		return nil, err
 	}
+	tracer, err := telemetry.NewTracer(ctx, f.traces, process.Name, place)
+	if err != nil {
+		return nil, err
+	}
 	socks := &sockets{open: map[io.Closer]bool{}}
 	listeners := map[string]net.Listener{
 		process.Listen.Callers: socks.listener(callers), process.Listen.Operators: socks.listener(operators),
 	}
 	socks.add(peers)
 	d, err := daemon.New(daemon.Options{
-		Process: process, TLS: conf, Logger: f.log,
+		Process: process, TLS: conf, Logger: f.log, Tracer: tracer,
 		Listen:       func(address string) (net.Listener, error) { return listeners[address], nil },
 		ListenPacket: func(string) (net.PacketConn, error) { return f.Network.PacketConn(peers, place), nil },
 		DialTarget:   socks.dialer(f.Network.Dialer(place)),
@@ -278,7 +286,7 @@
 	}
 	hostCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := &Host{
-		Daemon: d, cancel: cancel, done: make(chan error, 1), socks: socks,
+		Daemon: d, cancel: cancel, done: make(chan error, 1), socks: socks, tracer: tracer,
 		Entry: platform.Host{
 			Name: process.Name, Place: place, Ordinal: ordinal, State: platform.HostLive,
 			Callers: process.Listen.Callers, Peers: process.Listen.Peers,
--- a/internal/telemetry/instrument.go
+++ b/internal/telemetry/instrument.go
@@ -60,7 +60,7 @@
 		_, policy, _ := i.Service(service)
 		priority = policy.Priority
 	}
-	i.Metrics.Requests.WithLabelValues(service, o.Kind.String(), string(o.Reason)).Inc()
+	i.Metrics.Requests.WithLabelValues(service, o.Kind.String(), reasonLabel(o.Reason)).Inc()
 	i.Metrics.Duration.WithLabelValues(service, priority.String()).Observe(took.Seconds())
 	SetOutcome(span, o)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -23,11 +23,10 @@
 	Requests    *prometheus.CounterVec   // by service, outcome, reason
 	Duration    *prometheus.HistogramVec // by service, priority
 	Coverage    *prometheus.HistogramVec // by service
-	SubRequests *prometheus.CounterVec   // by service, cause: first, hedge, retry, canary
+	SubRequests *prometheus.CounterVec   // by service, cause: first, hedge, retry, canary, gap
 	Hedges      *prometheus.CounterVec   // by service, result: won, lost
-	Pauses      prometheus.Counter
-	Refused     *prometheus.CounterVec // documents refused, by value: config, hosts
-	Reads       *prometheus.CounterVec // calls to the platform, by value
+
+	SubRequestResults *prometheus.CounterVec // on the branch host, by service, outcome, reason
 }
 
 // latencyBuckets run from 1 ms to 5 s, finer around the deadlines in use.
@@ -47,15 +46,12 @@
 		Coverage: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_coverage_ratio", Help: "Coverage of search answers.", Buckets: coverageBuckets,
 		}, []string{"service"}),
-		SubRequests: counters("subrequests_total", "Requests to targets planned, by cause.", "service", "cause"),
+		SubRequests: counters("subrequests_total", "Requests to targets planned by this entry host, by cause.", "service", "cause"),
 		Hedges:      counters("hedges_total", "Hedged sub-requests by result.", "service", "result"),
-		Pauses: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "pauses_total", Help: "Pauses of the process that were noticed.",
-		}),
-		Refused: counters("published_refused_total", "Published values refused because they are invalid.", "value"),
-		Reads:   counters("platform_reads_total", "Calls to the platform.", "value"),
+
+		SubRequestResults: counters("subrequest_results_total", "Requests to targets that ended on this branch host, by outcome.", "service", "outcome", "reason"),
 	}
-	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.Pauses, m.Refused, m.Reads,
+	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.SubRequestResults,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- /dev/null
+++ b/internal/telemetry/series.go
@@ -0,0 +1,39 @@
+package telemetry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Emit gives the value of one series with its label values.
+type Emit func(value float64, labels ...string)
+
+// series is a metric whose values are read when metrics are collected.
+type series struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(Emit)
+}
+
+// Describe implements prometheus.Collector.
+func (s *series) Describe(ch chan<- *prometheus.Desc) { ch <- s.desc }
+
+// Collect implements prometheus.Collector.
+func (s *series) Collect(ch chan<- prometheus.Metric) {
+	s.read(func(value float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(s.desc, s.kind, value, labels...)
+	})
+}
+
+// Gauges registers a gauge with labels whose values are read when metrics are
+// collected. Label values must come from a closed set or the configuration.
+func (m *Metrics) Gauges(name, help string, labels []string, read func(Emit)) {
+	m.register(prometheus.GaugeValue, name, help, labels, read)
+}
+
+// Counters registers a counter with labels that is kept elsewhere.
+func (m *Metrics) Counters(name, help string, labels []string, read func(Emit)) {
+	m.register(prometheus.CounterValue, name, help, labels, read)
+}
+
+func (m *Metrics) register(kind prometheus.ValueType, name, help string, labels []string, read func(Emit)) {
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+	m.registry.MustRegister(&series{desc: desc, kind: kind, read: read})
+}
--- a/internal/telemetry/tracing.go
+++ b/internal/telemetry/tracing.go
@@ -20,6 +20,10 @@
 // traceparent is the key of the W3C trace context in a carrier.
 const traceparent = "traceparent"
 
+// noSpan stands for a span where nothing is traced. One value for all calls
+// costs no allocation.
+var noSpan trace.Span = noop.Span{}
+
 // flushLimit bounds the export of the last spans at shutdown.
 const flushLimit = 2 * time.Second
 
@@ -83,10 +87,10 @@
 // none, the one that parent names in the W3C form. It returns the span's own
 // context in that form for the next hop.
 func (t *Tracer) Start(ctx context.Context, parent, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span, string) {
-	if t.tracer == nil {
+	if t == nil || t.tracer == nil {
 		// Without an exporter the caller's context is passed on unchanged, so
 		// that targets still see it.
-		return ctx, noop.Span{}, parent
+		return ctx, noSpan, parent
 	}
 	if parent != "" && !trace.SpanContextFromContext(ctx).IsValid() {
 		ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceparent: parent})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,6 +47,7 @@
 type PartRequest struct {
 	Group  string `cbor:"1,keyasint"`
 	Target string `cbor:"2,keyasint"`
+	Cause  Cause  `cbor:"3,keyasint,omitempty"` // for traces
 }
 
 // SearchReply carries the parts that have become ready.
@@ -106,6 +107,7 @@
 	Class       uint8  `cbor:"6,keyasint"`
 	Once        bool   `cbor:"7,keyasint,omitempty"` // the request may not be repeated
 	Traceparent string `cbor:"8,keyasint,omitempty"`
+	Cause       Cause  `cbor:"9,keyasint,omitempty"` // for traces
 }
 
 // LookupReply is the result of a lookup.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -175,6 +176,19 @@
 	return rec.entry(now, fp), true
 }
 
+// Entries returns what is known of all suspect and proven fingerprints, in
+// their order.
+func (t *Table) Entries(now time.Time) []Entry {
+	var entries []Entry
+	for fp := range t.records {
+		if e, known := t.Entry(now, fp); known {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return entries
+}
+
 // Import takes entries of another host and returns those that were new.
 func (t *Table) Import(now time.Time, entries []Entry, keep time.Duration) []Entry {
 	var learned []Entry
