--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
@@ -161,3 +162,6 @@
 		emit(float64(proven), "refused")
 	})
 }
+
+// Metrics serves the metrics of the host.
+func (d *Daemon) Metrics() http.Handler { return d.opts.Metrics.Handler() }
--- /dev/null
+++ b/internal/daemon/metrics_test.go
@@ -0,0 +1,73 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+)
+
+// scrape returns the series of all hosts that have values other than 0.
+func scrape(f *fleet.Fleet) (moved map[string]bool, text string) {
+	moved = map[string]bool{}
+	for _, h := range f.Running() {
+		w := httptest.NewRecorder()
+		h.Daemon.Metrics().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		text += w.Body.String()
+	}
+	for lines := bufio.NewScanner(strings.NewReader(text)); lines.Scan(); {
+		if series, value, ok := strings.Cut(lines.Text(), " "); ok && value != "0" && !strings.HasPrefix(series, "#") {
+			moved[series] = true
+		}
+	}
+	return moved, text
+}
+
+var _ = Describe("Metrics", func() {
+	// Guards against metrics that are declared and never counted, against label
+	// values that callers choose, and against a page that misses a metric.
+	It("move under queries and a fault and are all on the operators' page", func(ctx context.Context) {
+		f := startFleet(ctx, newEngland, "tagdesk", nil)
+		f.Searchers["tagdesk-g03-r1"].SetFaults(standin.Faults{Stuck: true})
+		f.Searchers["tagdesk-g04-r1"].Crash()
+		drive(ctx, f, "tagdesk", 200, 5*time.Millisecond)
+		const mine = "chosen-by-caller"
+		_, err := searchWith(ctx, f, 0, mine, api.SearchRequest{Terms: []string{mine}}, map[string]string{"Request-Id": mine, "Priority": mine})
+		Expect(err).To(HaveOccurred())
+		f.Platform.Publish(fleet.ConfigKey, 99, []byte(`{"version":99}`))
+		for _, series := range []string{
+			`subrequests_total{cause="first",service="tagdesk"}`, `subrequests_total{cause="hedge",service="tagdesk"}`,
+			`hedges_total{result="won",service="tagdesk"}`, `requests_total{outcome="answered",reason="",service="tagdesk"}`,
+			`subrequest_results_total{outcome="answered",reason="",service="tagdesk"}`,
+			`owned_targets{state="warm"}`, `platform_reads_total{value="config"}`, `published_refused_total{value="config"}`,
+			`config_age_seconds`, `peers_heard`, `admission_limit_queries{service="tagdesk"}`, `extra_load_budget_ratio{service="tagdesk"}`,
+		} {
+			Eventually(func() map[string]bool { moved, _ := scrape(f); return moved }, "5s").Should(HaveKey("lacewingyard_" + series))
+		}
+		_, text := scrape(f)
+		Expect(text).NotTo(ContainSubstring(mine))
+
+		page, err := os.ReadFile("../../docs/operators/observing.md")
+		Expect(err).NotTo(HaveOccurred())
+		names := func(pattern, text string) map[string]bool {
+			found := map[string]bool{}
+			for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+				found[m[1]] = true
+			}
+			return found
+		}
+		onPage := names("(?m)^\\| `(lacewingyard_[a-z_]+)`", string(page))
+		delete(onPage, "lacewingyard_handshakes_refused_total") // of the process, registered by serve
+		Expect(onPage).To(Equal(names(`(?m)^# TYPE (lacewingyard_[a-z_]+) `, text)))
+	}, NodeTimeout(time.Minute))
+})
