--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -36,6 +36,16 @@
 			for _, name := range names {
 				fmt.Fprintf(w, "place %s\t%s\n", name, status.Places[name])
 			}
+			fmt.Fprintf(w, "configuration age\t%.0f s\nconfigurations refused\t%d\n", status.ConfigAgeSeconds, status.Control.Config.Refused)
+			for _, h := range status.Hosts {
+				fmt.Fprintf(w, "host %s\t%s, %s, heard %t\n", h.Name, h.Place, h.State, h.Heard)
+			}
+			for _, t := range status.Targets {
+				fmt.Fprintf(w, "target %s\t%s, %d of %d slots, %d waiting, usually %.1f ms\n", t.Target, t.State, t.InUse, t.Slots, t.Queue, t.UsualMS)
+			}
+			for _, q := range status.Quarantined {
+				fmt.Fprintf(w, "query %s\t%s, %d deaths\n", q.Fingerprint, q.State, q.Deaths)
+			}
 		})
 	}
 	cmd.Flags().StringVar(&operator, "operators", "", "address of the host's operators' listener (IP:port)")
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -78,15 +78,20 @@
 
 // heard returns the number of contacts that were heard from recently.
 func (c *control) heard() (n int) {
+	c.eachHeard(func(string) { n++ })
+	return n
+}
+
+// eachHeard calls f with the name of every contact that was heard from recently.
+func (c *control) eachHeard(f func(name string)) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.view.Contacts() {
 		if c.view.Heard(now, p.Name) {
-			n++
+			f(p.Name)
 		}
 	}
-	return n
 }
 
 // registerEntryGauges registers the metrics of the entry role. The role is set
@@ -163,5 +168,5 @@
 	})
 }
 
-// Metrics serves the metrics of the host.
-func (d *Daemon) Metrics() http.Handler { return d.opts.Metrics.Handler() }
+// Operators serves the operators' listener.
+func (d *Daemon) Operators() http.Handler { return d.operatorRoutes() }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -1,10 +1,8 @@
 package daemon
 
 import (
-	"net/http"
 	"time"
 
-	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -21,6 +19,11 @@
 	HostsVersion  uint64            `json:"hosts_version"`
 	Places        map[string]string `json:"places"`
 	Control       ControlStatus     `json:"control"`
+
+	ConfigAgeSeconds float64            `json:"config_age_seconds"` // since the configuration came into force here
+	Hosts            []HostStatus       `json:"hosts"`
+	Targets          []TargetStatus     `json:"targets"` // owned by this host and used
+	Quarantined      []QuarantineStatus `json:"quarantined"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -65,6 +68,8 @@
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
 		Phase: d.phase().String(), Open: d.open.count.Load(),
 		Places: map[string]string{}, Control: d.control.status(),
+		ConfigAgeSeconds: d.config.age().Seconds(), Hosts: d.control.hostStatus(d.directory.hosts()),
+		Targets: d.branch.targets.status(), Quarantined: d.branch.guard.status(),
 	}
 	if hosts := d.directory.hosts(); hosts != nil {
 		status.HostsVersion = hosts.list.Version
@@ -89,7 +94,3 @@
 // MayUseShare reports whether this host may use its share of a target: neither
 // an earlier process of its ordinal nor an earlier owner can still be using it.
 func (d *Daemon) MayUseShare(target string) bool { return d.control.mayUseShare(target) }
-
-func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	api.WriteJSON(w, http.StatusOK, d.Status())
-}
