Drop the counter of granted extra load

Cause: returned tokens lower the count, and a counter must not fall. Change: the metric is gone; subrequests_total by cause shows hedges and retries.

--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -115,15 +115,6 @@
 				emit(st.budget.Balance(), name)
 			}
 		}))
-	m.Counters("extra_load_total", "Sub-requests beyond the necessary ones that the budget granted.", service,
-		wired(func(e *entry, emit telemetry.Emit) {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			for name, st := range e.services {
-				extra, _ := st.budget.Extra()
-				emit(float64(extra), name)
-			}
-		}))
 	m.Gauges("admission_limit_queries", "Queries that this entry host admits at the same time.", service,
 		wired(func(e *entry, emit telemetry.Emit) {
 			e.admission.each(func(name string, limit, _ int) { emit(float64(limit), name) })
