--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -28,6 +28,7 @@
 	// peerState returns what a host said last, and whether it is silent; nil if
 	// nothing is known of hosts.
 	peerState func(name string) (state membership.State, silent bool)
+	observer  observer
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -1,11 +1,8 @@
 package daemon
 
 import (
-	"net/http"
 	"time"
 
-	"github.com/lacewingyard/lacewingyard/internal/api"
-	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -22,6 +19,11 @@
 	HostsVersion  uint64            `json:"hosts_version"`
 	Places        map[string]string `json:"places"`
 	Control       ControlStatus     `json:"control"`
+
+	ConfigAgeSeconds float64            `json:"config_age_seconds"` // since the configuration came into force here
+	Hosts            []HostStatus       `json:"hosts"`
+	Targets          []TargetStatus     `json:"targets"` // owned by this host and used
+	Quarantined      []QuarantineStatus `json:"quarantined"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -59,25 +61,6 @@
 	return status
 }
 
-// registerGauges registers the metrics of the control plane.
-func (c *control) registerGauges(m *telemetry.Metrics) {
-	gauge := func(name, help string, value func(ControlStatus) float64) {
-		m.Gauge(name, help, func() float64 { return value(c.status()) })
-	}
-	flag := func(set bool) float64 {
-		if set {
-			return 1
-		}
-		return 0
-	}
-	gauge("host_ready", "1 while the host may start work.", func(s ControlStatus) float64 { return flag(s.Ready) })
-	gauge("host_unconfirmed", "1 while no peer or platform has fully confirmed the host's state.", func(s ControlStatus) float64 { return flag(s.Unconfirmed) })
-	gauge("host_pauses", "Pauses of the process that were noticed.", func(s ControlStatus) float64 { return float64(s.Pauses) })
-	gauge("platform_reads", "Calls to the platform.", func(s ControlStatus) float64 { return float64(s.Reads) })
-	gauge("config_refused", "Configurations that did not pass their check.", func(s ControlStatus) float64 { return float64(s.Config.Refused) })
-	gauge("config_conflicts", "Other documents seen for the version in force.", func(s ControlStatus) float64 { return float64(s.Config.Conflicts) })
-}
-
 // Status returns what the host says about itself; the versions are 0 until a
 // configuration and a host list are in force.
 func (d *Daemon) Status() Status {
@@ -85,6 +68,8 @@
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
 		Phase: d.phase().String(), Open: d.open.count.Load(),
 		Places: map[string]string{}, Control: d.control.status(),
+		ConfigAgeSeconds: d.config.age().Seconds(), Hosts: d.control.hostStatus(d.directory.hosts()),
+		Targets: d.branch.targets.status(), Quarantined: d.branch.guard.status(),
 	}
 	if hosts := d.directory.hosts(); hosts != nil {
 		status.HostsVersion = hosts.list.Version
@@ -109,7 +94,3 @@
 // MayUseShare reports whether this host may use its share of a target: neither
 // an earlier process of its ordinal nor an earlier owner can still be using it.
 func (d *Daemon) MayUseShare(target string) bool { return d.control.mayUseShare(target) }
-
-func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	api.WriteJSON(w, http.StatusOK, d.Status())
-}
