--- a/internal/daemon/pause_test.go
+++ b/internal/daemon/pause_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -91,8 +92,10 @@
 // that its own targets get after it wakes.
 func pauseAcross(t *testing.T, change func(*settings.Document), naive bool) int64 {
 	var requests atomic.Int64
-	owned := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	owned := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		t.Logf("target got %s %q %q", r.URL.Path, r.Header.Get("Request-Id"), body)
 		fmt.Fprintf(w, `{"state":"warm","version":1,"index_versions":[1],"covered":[{"from":0,"to":%d,"epoch":1}],"records":[]}`, keyspace.Size)
 	}))
 	defer owned.Close()
