--- a/internal/daemon/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -85,15 +84,14 @@
 		d.Traces = settings.Traces{File: file, SampleRatio: 0}
 		f, err := fleet.Start(ctx, d, hclog.NewNullLogger())
 		Expect(err).NotTo(HaveOccurred())
-		closeOnce := sync.OnceFunc(f.Close)
-		DeferCleanup(closeOnce)
+		DeferCleanup(f.Close) // a second close must not block
 		drive(ctx, f, "tagdesk", 40, 10*time.Millisecond)
 		f.Searchers[slow].SetFaults(standin.Faults{SlowRatio: 1, SlowFactor: 20})
 
 		const trace, caller = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
 		_, err = searchWith(ctx, f, 0, "tagdesk", api.SearchRequest{Terms: []string{"red"}, Limit: 5}, map[string]string{"Traceparent": "00-" + trace + "-" + caller + "-01"})
 		Expect(err).NotTo(HaveOccurred())
-		closeOnce()
+		f.Close()
 
 		spans := readTrace(file, trace)
 		parents := map[string]string{"search message": "entry search", "branch search": "search message", "target search": "branch search"}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,21 +59,35 @@
 	Entry  platform.Host
 	Daemon *daemon.Daemon
 	cancel context.CancelFunc
-	done   chan error
+	done   chan struct{} // closed when Run has returned
+	err    error         // what Run returned; valid when done is closed
+	ended  func() error  // waits for the end; may be called several times
 	socks  *sockets
 	tracer *telemetry.Tracer
 }
 
+// run runs the daemon until the context ends or it is aborted.
+func (h *Host) run(ctx context.Context) {
+	h.ended = sync.OnceValue(func() error {
+		<-h.done
+		return errors.CombineErrors(h.err, h.tracer.Close())
+	})
+	go func() {
+		h.err = h.Daemon.Run(ctx)
+		close(h.done)
+	}()
+}
+
 // Stop shuts the host down gracefully and returns its error.
 func (h *Host) Stop() error {
 	h.cancel()
-	return errors.CombineErrors(<-h.done, h.tracer.Close())
+	return h.ended()
 }
 
 // Kill ends the host at once.
 func (h *Host) Kill() error {
 	h.Daemon.Abort()
-	return errors.CombineErrors(<-h.done, h.tracer.Close())
+	return h.ended()
 }
 
 // Fleet is a running deployment.
@@ -166,8 +180,8 @@
 	for _, h := range f.Hosts {
 		select {
 		case <-h.Daemon.Ready():
-		case err := <-h.done:
-			return errors.Wrapf(err, "host %s ended", h.Entry.Name)
+		case <-h.done:
+			return errors.Newf("host %s ended: %v", h.Entry.Name, h.err)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -286,13 +300,13 @@
 	}
 	hostCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := &Host{
-		Daemon: d, cancel: cancel, done: make(chan error, 1), socks: socks, tracer: tracer,
+		Daemon: d, cancel: cancel, done: make(chan struct{}), socks: socks, tracer: tracer,
 		Entry: platform.Host{
 			Name: process.Name, Place: place, Ordinal: ordinal, State: platform.HostLive,
 			Callers: process.Listen.Callers, Peers: process.Listen.Peers,
 		},
 	}
-	go func() { h.done <- d.Run(hostCtx) }()
+	h.run(hostCtx)
 	f.mu.Lock()
 	f.Hosts = append(f.Hosts, h)
 	f.mu.Unlock()
