--- a/internal/bench/invariant_test.go
+++ b/internal/bench/invariant_test.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/knownred"
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -283,7 +284,7 @@
 	// Guards against answers that reach another query, lack parts or mix index
 	// versions, when parts arrive late over lossy links, targets are stuck or
 	// silent, and a new version comes to more and more of them.
-	DescribeTable("OwnAnswer", func(ctx context.Context, policy Policy, seed uint64) {
+	DescribeTable("OwnAnswer", Label(loadtest.Label), func(ctx context.Context, policy Policy, seed uint64) {
 		w := startWatched(ctx, policy, seed, nil)
 		w.Network.SetLinks(2*w.Model.OneWayDelayMS, 0.02)
 		for group := range 2 {
--- a/internal/bench/suite_test.go
+++ b/internal/bench/suite_test.go
@@ -5,9 +5,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 )
 
 func TestBench(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "bench")
+	loadtest.RunSpecs(t, "bench")
 }
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/knownred"
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -105,7 +106,7 @@
 	}
 }
 
-var _ = Describe("Killer query", func() {
+var _ = Describe("Killer query", Label(loadtest.Label), func() {
 	// Guards against a query that takes down one replica after the other when
 	// it is sent again through other hosts, and against losing the queries
 	// beside it. Without the quarantine (canary: never) it must fail.
--- a/internal/daemon/rolling_test.go
+++ b/internal/daemon/rolling_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 )
@@ -23,7 +24,7 @@
 	// Guards against answers mixed from two versions, a lost part of the key
 	// space while versions roll, and a host that knows no version yet: every
 	// answer through any host equals the naive search at its snapshot.
-	It("roll replica by replica without a loss of coverage", func(ctx context.Context) {
+	It("roll replica by replica without a loss of coverage", Label(loadtest.Label), func(ctx context.Context) {
 		f := startFleet(ctx, riga, service, nil)
 		roll := func(versions ...uint64) {
 			for replica := range 3 {
@@ -178,7 +179,7 @@
 	}, NodeTimeout(time.Minute))
 })
 
-var _ = Describe("Early finish", func() {
+var _ = Describe("Early finish", Label(loadtest.Label), func() {
 	// Guards against an answer that waits where the settings say to end, and
 	// one that ends where they say to wait: one group answers nothing.
 	DescribeTable("follows the settings of the deployment",
--- a/internal/daemon/straggler_test.go
+++ b/internal/daemon/straggler_test.go
@@ -10,11 +10,12 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/knownred"
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-var _ = Describe("Stragglers", func() {
+var _ = Describe("Stragglers", Label(loadtest.Label), func() {
 	const queries, warm = 500, 150
 	const every = 8 * time.Millisecond
 
--- a/internal/daemon/suite_test.go
+++ b/internal/daemon/suite_test.go
@@ -5,9 +5,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 )
 
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "daemon")
+	loadtest.RunSpecs(t, "daemon")
 }
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -17,11 +17,12 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/knownred"
+	"github.com/lacewingyard/lacewingyard/internal/loadtest"
 )
 
 func TestFleet(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "fleet")
+	loadtest.RunSpecs(t, "fleet")
 }
 
 // tally counts the answers to a load of searches.
@@ -66,7 +67,7 @@
 	t.sent, t.refused, t.coverage, t.missing = 0, 0, 0, map[string]int{}
 }
 
-var _ = Describe("ColdBearable: a place that restarts cold", func() {
+var _ = Describe("ColdBearable: a place that restarts cold", Label(loadtest.Label), func() {
 	// Guards against hosts that together overload restarted targets, and
 	// against targets that stay unused because an owner never learns that they
 	// are warm again (ColdBearable, coverage at least 0.99).
--- /dev/null
+++ b/internal/loadtest/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package loadtest
+
+const raceDetector = true
