Let the two owners of a target lend each other free slots

Cause: the slots of a target are split into two fixed shares, so a request waits for one owner's share while slots of the other are idle.

Change: an owner whose share of a warm target is in use asks the other owner once (SearchRequest.Borrow). That owner runs the part at once within its own share or refuses it, and the part then waits where it was. Not asked: for canaries and commands, hosts that are silent or without an open connection, and for an eighth of a service time after a refusal. Each owner still enforces its own share, so the limit of the target holds whatever the hosts believe.

--- /dev/null
+++ b/internal/daemon/borrow.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/warmup"
+)
+
+// borrowPause is the part of the mean service time for which the other owner is
+// not asked again after it had no slot free. It bounds the messages of an
+// overload to borrowPause per service time and target.
+const borrowPause = 8
+
+// borrowDoubt is how long the other owner is not asked after it gave no result.
+// It may have died or be paused, which heartbeats show only after seconds.
+const borrowDoubt = 100 * time.Millisecond
+
+// borrow runs a part on the share of the target's other owner if this host's
+// own share is in use and that owner has a slot free. Two shares of two slots
+// queue three times as long as one of four at 60 % of capacity. Each owner
+// still enforces its own share, so the sum never exceeds the target's limit.
+// Without a free slot it reports false, and nothing was run.
+func (b *branch) borrow(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, bool) {
+	if b.peers == nil || req.Borrow || req.Canary {
+		return wire.PartResult{}, false
+	}
+	t, lender, ok := b.targets.lender(part.Target)
+	if !ok || !b.peers.mayLend(lender) {
+		return wire.PartResult{}, false
+	}
+	start := time.Now()
+	result, err := b.askLender(ctx, lender, req, part, parent)
+	granted := !result.Outcome.RanNothing()
+	if b.observer.metrics != nil {
+		b.observer.metrics.Borrowed.WithLabelValues(req.Service, borrowResult(granted)).Inc()
+	}
+	switch {
+	case err != nil:
+		t.borrowLater(time.Now().Add(borrowDoubt))
+	case !granted:
+		t.borrowLater(time.Now().Add(t.service() / borrowPause))
+	}
+	if !granted {
+		return wire.PartResult{}, false
+	}
+	result.Group, result.Target, result.Borrowed = part.Group, part.Target, true
+	result.QueueUS = max(0, time.Since(start).Microseconds()-result.TargetUS)
+	return result, true
+}
+
+// askLender sends a part to the target's other owner. The error is set if that
+// owner gave no result. A lost connection counts as a refusal: a search that ran
+// there unseen may run again here.
+func (b *branch) askLender(ctx context.Context, at seat, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, error) {
+	ask := *req
+	ask.Borrow, ask.Traceparent = true, parent
+	ask.Parts = []wire.PartRequest{part}
+	ask.TimeoutMS = remaining(ctx).Milliseconds()
+	result := wire.PartResult{Outcome: outcome.Refused(outcome.Unavailable, "the other owner of target %s gave no result", part.Target)}
+	err := b.peers.search(ctx, at, &ask, nil, func(parts []wire.PartResult) { result = parts[0] })
+	switch {
+	case err == nil || ctx.Err() == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		result.Outcome = outcome.Uncertain(outcome.Canceled, "canceled at the other owner of target %s", part.Target)
+	default:
+		result.Outcome = outcome.Uncertain(outcome.Deadline, "the other owner of target %s did not answer in time", part.Target)
+	}
+	return result, err
+}
+
+func borrowResult(granted bool) string {
+	if granted {
+		return "granted"
+	}
+	return "refused"
+}
+
+// lender returns the target and its other owner if this host's share is in use
+// and that owner may have a slot free.
+func (d *dispatcher) lender(id string) (t *ownedTarget, at seat, ok bool) {
+	info, known := d.config.tree().Target(id)
+	if !known || info.Place != d.self.Place || len(info.Owners) < 2 {
+		return nil, seat{}, false
+	}
+	d.mu.Lock()
+	t = d.owned[id]
+	d.mu.Unlock()
+	if t == nil || !t.mayBorrow(time.Now()) {
+		return nil, seat{}, false
+	}
+	return t, seat{info.Place, otherOwner(info, d.self.Ordinal)}, true
+}
+
+func otherOwner(info *settings.TargetInfo, self int) int {
+	for _, ordinal := range info.Owners {
+		if ordinal != self {
+			return ordinal
+		}
+	}
+	return self
+}
+
+// mayBorrow reports whether a request would have to wait here for a slot of a
+// warm target, and the other owner is to be asked.
+func (t *ownedTarget) mayBorrow(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ramp.State() == warmup.Warm && !t.ramp.Draining() && !t.spare() && !now.Before(t.borrowAt)
+}
+
+// borrowLater sets when the other owner may be asked again.
+func (t *ownedTarget) borrowLater(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.borrowAt = at
+}
+
+// service returns the mean service time of the last answers, 0 if none is known.
+func (t *ownedTarget) service() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Service(time.Now())
+}
+
+// mayLend reports whether a host may be asked for a slot: it is listed as live,
+// is heard from, and a connection to it is open, because a request that could
+// wait in this host's queue must not wait for a handshake.
+func (c *branchClient) mayLend(at seat) bool {
+	host, ok := c.directory.hosts().bySeat[at]
+	if !ok || host.State != platform.HostLive || !c.transport.Connected(host.Peers) {
+		return false
+	}
+	if c.peerState == nil {
+		return true
+	}
+	_, silent := c.peerState(host.Name)
+	return !silent
+}
--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -22,6 +22,7 @@
 	guard    *guard
 	workers  *workers
 	observer observer
+	peers    *branchClient // reaches the other owners of this host's targets
 }
 
 func newBranch(self *settings.Process, config *config, guard *guard, dial target.Dialer) *branch {
@@ -147,9 +148,12 @@
 		return result
 	}
 	defer release()
+	if borrowed, ok := b.borrow(ctx, req, part, parent); ok {
+		return borrowed
+	}
 	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
 	work := &work{
-		target: part.Target, service: req.Service, class: settings.Priority(req.Class),
+		target: part.Target, service: req.Service, class: settings.Priority(req.Class), borrow: req.Borrow,
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -19,6 +20,8 @@
 	directory *directory
 	transport *peer.Transport
 	observer  observer
+	// peerState is control.peerState, nil if every listed host counts as heard.
+	peerState func(name string) (state membership.State, silent bool)
 }
 
 // notReachedError says that a branch host did not receive the request.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,7 +115,8 @@
 	}
 	d.registerGauges()
 	d.control.transport = d.transport
-	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch}
+	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch, peerState: d.control.peerState}
+	d.branch.peers = remote
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -43,6 +43,7 @@
 	service string
 	class   settings.Priority
 	once    bool // the request may not be repeated
+	borrow  bool // runs only if a slot is free at once
 	// allowed is checked again immediately before sending, because operators may
 	// take the target out, or this host may be paused, while the work waits. The
 	// dispatcher sets it.
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -52,11 +52,13 @@
 
 // endPart ends the span of a sub-request of a search and counts its result.
 func (o observer) endPart(span trace.Span, req *wire.SearchRequest, part wire.PartRequest, result *wire.PartResult, place string) {
-	if o.metrics != nil {
+	// The owner that ran a part counts it; a refused loan is no result yet.
+	if o.metrics != nil && !result.Borrowed && !(req.Borrow && result.Outcome.RanNothing()) {
 		o.metrics.SubRequestDone(req.Service, result.Outcome)
 	}
 	if span.IsRecording() {
 		span.SetAttributes(
+			attribute.Bool("slot.borrowed", result.Borrowed),
 			attribute.String("target", part.Target), attribute.String("group", part.Group), attribute.String("place", place),
 			attribute.String("cause", part.Cause.String()), attribute.Int64("index.version", int64(max(req.Version, result.Version))),
 			attribute.Int64("queue_us", result.QueueUS), attribute.Int64("service_us", result.TargetUS),
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -55,6 +55,7 @@
 	ramp     *warmup.Ramp
 	sending  int // requests that the target may be working on
 	probedAt time.Time
+	borrowAt time.Time // the other owner is not asked for a slot before
 }
 
 // place is a request's place in the queue. Exactly one value is sent: an empty
@@ -180,6 +181,9 @@
 		t.probeLater(now)
 		return o
 	}
+	if w.borrow && !t.spare() {
+		return t.refused(outcome.Overload, "no slot is free to lend")
+	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return outcome.Refused(outcome.Invalid, "request to target %s has no deadline", t.id)
@@ -203,6 +207,12 @@
 	return outcome.Outcome{}
 }
 
+// spare reports whether a slot is free and the target is known to be warm. The
+// caller holds t.mu.
+func (t *ownedTarget) spare() bool {
+	return t.ramp.State() == warmup.Warm && t.limiter.InUse()+t.limiter.Waiting() < t.limiter.Slots()
+}
+
 // refused returns a refusal that says when a slot should be free. The caller
 // holds t.mu.
 func (t *ownedTarget) refused(reason outcome.Reason, why string) outcome.Outcome {
--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -59,7 +59,7 @@
 	}
 	c.transport, err = peer.Listen(conn, conf, serve)
 	t.check(err)
-	c.local.guard.transport = c.transport
+	c.local.guard.transport, c.local.peers = c.transport, c
 	t.cleanup(func() { _ = c.transport.Close() })
 	return c, conn.LocalAddr().String()
 }
--- /dev/null
+++ b/internal/peer/connected_test.go
@@ -0,0 +1,26 @@
+package peer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+)
+
+var _ = Describe("Connected", func() {
+	// Guards against a request that is sent to a peer whose connection is not
+	// open, and against a connection that nothing opens.
+	It("opens a connection and reports when it is open", func() {
+		authority, err := standin.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+		conf, err := authority.TLS("host")
+		Expect(err).NotTo(HaveOccurred())
+		_, address := listen(conf)
+		client, _ := listen(conf)
+		Expect(client.Connected(address)).To(BeFalse())
+		Eventually(func() bool { return client.Connected(address) }, 5*time.Second).Should(BeTrue())
+		Consistently(func() bool { return client.Connected("127.0.0.1:1") }, 200*time.Millisecond).Should(BeFalse())
+	})
+})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -207,9 +207,7 @@
 	}
 	out, ok := t.conns[key]
 	if !ok || out.dead() {
-		out = &outgoing{done: make(chan struct{})}
-		t.conns[key] = out
-		t.wg.Go(func() { t.dial(key, out) })
+		out = t.startDial(key)
 	}
 	t.mu.Unlock()
 	select {
@@ -220,6 +218,36 @@
 	}
 }
 
+// Connected reports whether a connection to a peer is open. If there is none, it
+// starts to open one.
+func (t *Transport) Connected(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := connKey{address, false}
+	out, ok := t.conns[key]
+	if !t.closed && (!ok || out.dead()) {
+		t.startDial(key)
+		return false
+	}
+	if !ok {
+		return false
+	}
+	select {
+	case <-out.done:
+		return out.err == nil
+	default:
+		return false
+	}
+}
+
+// startDial opens a connection in the background. The caller holds t.mu.
+func (t *Transport) startDial(key connKey) *outgoing {
+	out := &outgoing{done: make(chan struct{})}
+	t.conns[key] = out
+	t.wg.Go(func() { t.dial(key, out) })
+	return out
+}
+
 func (t *Transport) dial(key connKey, out *outgoing) {
 	defer close(out.done)
 	addr, err := net.ResolveUDPAddr("udp", key.address)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	Hedges      *prometheus.CounterVec   // by service, result: won, lost
 
 	SubRequestResults *prometheus.CounterVec // on the branch host, by service, outcome, reason
+	Borrowed          *prometheus.CounterVec // on the branch host, by service, result: granted, refused
 }
 
 // latencyBuckets run from 1 ms to 5 s, finer around the deadlines in use.
@@ -50,8 +51,9 @@
 		Hedges:      counters("hedges_total", "Hedged sub-requests by result.", "service", "result"),
 
 		SubRequestResults: counters("subrequest_results_total", "Requests to targets that ended on this branch host, by outcome.", "service", "outcome", "reason"),
+		Borrowed:          counters("borrowed_slots_total", "Slots that this branch host asked the other owner of a target for, by result.", "service", "result"),
 	}
-	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.SubRequestResults,
+	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.SubRequestResults, m.Borrowed,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -41,6 +41,9 @@
 	Parts       []PartRequest `cbor:"8,keyasint"`
 	Traceparent string        `cbor:"9,keyasint,omitempty"`
 	Canary      bool          `cbor:"16,keyasint,omitempty"` // a suspect query that runs on one target alone
+	// Borrow is set by the other owner of the targets: parts run only if a slot
+	// is free at once, and are refused as Overload otherwise.
+	Borrow bool `cbor:"17,keyasint,omitempty"`
 }
 
 // PartRequest names one group and the target that shall answer for it.
@@ -70,6 +73,10 @@
 	QueueUS  int64              `cbor:"8,keyasint,omitempty"` // microseconds waited for a slot on the branch host
 	TargetUS int64              `cbor:"9,keyasint,omitempty"` // microseconds from sending to the target's answer
 
+	// Borrowed is set on the branch host that passed the part on to the target's
+	// other owner; it does not travel.
+	Borrowed bool `cbor:"-"`
+
 	Died  bool               `cbor:"16,keyasint,omitempty"` // the target's connection died under the request
 	Known []quarantine.Entry `cbor:"17,keyasint,omitempty"` // what the branch host knows of the query
 }
