Do not run a late first send after the refusal of a resend

Cause: a command whose resend is refused as "not run" had no record any more. Its first send, which the caller had given up but which was still on its way between the entry host and the home, then counted as new and ran after the refusal. On the branch host no such window was found by reading: a request leaves the queue, or gives up the connection that opens for it, before the refusal is returned, and what was sent to another host is "unknown" when it is withdrawn.

Change: the home marks a refused request for the longest deadline. When the request comes again, the home asks the sender on the same stream whether its caller still waits, and runs it only after that. Marks make room for new requests; every request without a record is asked while a lost mark would stand.

Figures: the new test delays the first send between hosts by 300 ms. The property test of pkg/atmostonce draws late sends; TestNotRunIsTrueFailsNaively shows that it finds their run in a registry that forgets refusals.

--- a/internal/daemon/capacity_bench_test.go
+++ b/internal/daemon/capacity_bench_test.go
@@ -299,7 +299,7 @@
 		ticket := home.Issue(now, time.Minute).Prefix()
 		for i := range n {
 			id, err := atmostonce.ParseID(fmt.Sprintf("%srenewal-%06d", ticket, i))
-			if err != nil || home.Begin(now, id, uint64(i)).Action != atmostonce.Run {
+			if err != nil || home.Begin(now, id, uint64(i), 0).Action != atmostonce.Run {
 				b.Fatalf("record %d was not begun: %v", i, err)
 			}
 			text := fmt.Sprintf("renewal %06d of the tag register v1", i)
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -70,22 +70,16 @@
 }
 
 // do runs a command, or joins or replays an earlier run of it. The run goes on
-// when the caller gives up, so that a resend finds its answer.
-func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest) wire.CommandReply {
-	if ctx.Err() != nil { // nobody waits for a run that would start now
-		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
-	}
-	key := id.String()
-	h.mu.Lock()
-	decision := h.registry.Begin(time.Now(), id, digest(req))
-	run := h.running[key]
-	if decision.Action == atmostonce.Run {
-		run = &commandRun{done: make(chan struct{})}
-		h.running[key] = run
-		h.inFlight.Add(1)
-		go h.run(context.WithoutCancel(ctx), id, req, run)
+// when the caller gives up, so that a resend finds its answer. confirm asks the
+// sender whether its caller still waits; nil means that ctx tells.
+func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
+	decision, run := h.begin(ctx, id, req, 0)
+	for decision.Action == atmostonce.Confirm {
+		if confirm != nil && !confirm(ctx) {
+			return gaveUpCommand()
+		}
+		decision, run = h.begin(ctx, id, req, decision.Refusals)
 	}
-	h.mu.Unlock()
 	switch decision.Action {
 	case atmostonce.Refuse:
 		return wire.CommandReply{Outcome: decision.Outcome}
@@ -100,6 +94,29 @@
 	}
 }
 
+// begin decides on a command and starts its run if there is to be one.
+func (h *home) begin(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirmed uint64) (atmostonce.Decision[wire.CommandReply], *commandRun) {
+	if ctx.Err() != nil { // nobody waits for a run that would start now
+		return atmostonce.Decision[wire.CommandReply]{Action: atmostonce.Refuse, Outcome: gaveUpCommand().Outcome}, nil
+	}
+	key := id.String()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	decision := h.registry.Begin(time.Now(), id, digest(req), confirmed)
+	run := h.running[key]
+	if decision.Action == atmostonce.Run {
+		run = &commandRun{done: make(chan struct{})}
+		h.running[key] = run
+		h.inFlight.Add(1)
+		go h.run(context.WithoutCancel(ctx), id, req, run)
+	}
+	return decision, run
+}
+
+func gaveUpCommand() wire.CommandReply {
+	return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
+}
+
 // run executes a command and records its result.
 func (h *home) run(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, run *commandRun) {
 	defer h.inFlight.Add(-1)
@@ -132,7 +149,7 @@
 	defer cancel()
 	ctx, span, parent := h.entry.observer.branch(ctx, req.Traceparent, "home command", req.Service, h.entry.self)
 	req.Traceparent = parent
-	reply := h.receive(ctx, &req)
+	reply := h.receive(ctx, &req, func(ctx context.Context) bool { return stillWanted(ctx, s) })
 	endWith(span, reply.Outcome)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
@@ -155,8 +172,17 @@
 	_ = s.Receive(&none) // fails when the stream ends
 }
 
+// stillWanted asks the sender of a command whether its caller still waits. A
+// sender that gave up has reset the stream.
+func stillWanted(ctx context.Context, s *peer.Stream) bool {
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	var yes wire.CommandConfirm
+	return s.Send(&wire.CommandReply{Confirm: true}) == nil && s.Receive(&yes) == nil
+}
+
 // receive checks a forwarded command before it is run.
-func (h *home) receive(ctx context.Context, req *wire.CommandRequest) wire.CommandReply {
+func (h *home) receive(ctx context.Context, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
 	id, err := atmostonce.ParseID(req.RequestID)
 	if err != nil {
 		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "%v", err)}
@@ -167,7 +193,7 @@
 		// command may have run under the other one.
 		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "service %s is no command service here", req.Service)}
 	}
-	return h.do(ctx, id, req)
+	return h.do(ctx, id, req, confirm)
 }
 
 // runCommand sends a command to a target. Another target is tried only after
@@ -291,7 +317,7 @@
 		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "a request to service %s needs a ticket in header %s: %v", req.Service, api.HeaderRequestID, err)}
 	}
 	if id.Ticket.Host == e.self.Name {
-		return e.home.do(ctx, id, req)
+		return e.home.do(ctx, id, req, nil)
 	}
 	host, ok := e.directory.byName(id.Ticket.Host)
 	if !ok {
@@ -312,7 +338,7 @@
 		defer stop()
 		req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
 		if err = s.Send(req); err == nil {
-			err = s.Receive(&reply)
+			reply, err = awaitReply(ctx, s)
 		}
 	}
 	if err == nil {
@@ -325,6 +351,23 @@
 	return wire.CommandReply{Outcome: outcome.Uncertain(reason, "home %s did not answer: %v", host.Name, err)}
 }
 
+// awaitReply reads the result of a command and confirms meanwhile, as often as
+// the home asks, that the caller still waits.
+func awaitReply(ctx context.Context, s *peer.Stream) (wire.CommandReply, error) {
+	for {
+		var reply wire.CommandReply
+		if err := s.Receive(&reply); err != nil || !reply.Confirm {
+			return reply, err
+		}
+		if err := ctx.Err(); err != nil {
+			return wire.CommandReply{}, err
+		}
+		if err := s.Send(&wire.CommandConfirm{}); err != nil {
+			return wire.CommandReply{}, err
+		}
+	}
+}
+
 // byName returns a listed host. A leaving host still runs its commands.
 func (d *directory) byName(name string) (platform.Host, bool) {
 	for _, host := range d.hosts().list.Hosts {
--- /dev/null
+++ b/internal/daemon/latesend_test.go
@@ -0,0 +1,73 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// shedAll makes the targets of the command service refuse everything, or nothing.
+func (t *tier) shedAll(ratio float64) {
+	for _, id := range searchersOf(t, commandService) {
+		t.Searchers[id].SetFaults(standin.Faults{ShedRatio: ratio})
+	}
+}
+
+var _ = Describe("NotRunIsTrue", func() {
+	body := api.LookupRequest{ID: "slab-000001"}
+
+	// Guards against a first send that is still on its way between two hosts when
+	// a resend through another host is refused, and runs after the refusal.
+	It("holds for a first send that arrives after the refusal of a resend", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService}, func(d *settings.Document) {
+			d.Fleet.Settings = settings.Overrides{"retry_limit": raw("0")} // only targets of the home's place are asked
+		})
+		home, far := t.hosts[0], (*fleet.Host)(nil)
+		near := home
+		for _, h := range t.hosts[1:] {
+			if h.Entry.Place != home.Entry.Place {
+				far = h
+			} else {
+				near = h
+			}
+		}
+		Expect(near).NotTo(Equal(home))
+		var ticket api.TicketResponse
+		Expect(t.post(ctx, home, "/v1/tickets", "", 0, nil, &ticket)).To(Equal(outcome.OK()))
+		send := func(ctx context.Context, through *fleet.Host, suffix string) outcome.Outcome {
+			return t.post(ctx, through, commandPath, ticket.TicketPrefix+suffix, longDeadline, body, new(api.LookupResponse))
+		}
+		Expect(send(ctx, far, "opens-connections")).To(Equal(outcome.OK()))
+		const oneWay = 300 * time.Millisecond
+		t.Network.SetLinks(float64(oneWay.Milliseconds()), 0)
+		// Repeated until the refusal came before the first send, in spite of a busy machine.
+		refuse := func(suffix string) (inTime bool) {
+			t.shedAll(1)
+			defer t.shedAll(0)
+			began := time.Now()
+			giveUp, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			Expect(send(giveUp, far, suffix).Kind).To(Equal(outcome.Unknown))
+			refused := send(ctx, near, suffix)
+			Expect(refused.Kind).To(Equal(outcome.NotRun), "%v", refused)
+			return time.Since(began) < oneWay
+		}
+		suffix := "late-0"
+		for i := 1; !refuse(suffix) && i < 10; i++ {
+			suffix = fmt.Sprint("late-", i)
+		}
+		id := ticket.TicketPrefix + suffix
+		Consistently(func() int { return t.runs()[id] }).WithTimeout(time.Second).Should(Equal(0), "ran after the refusal of a resend")
+		Expect(send(ctx, far, suffix)).To(Equal(outcome.OK()), "a resend may run")
+		Expect(t.runs()[id]).To(Equal(1))
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -6,7 +6,8 @@
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 )
 
-// ExchangeCommand is CommandRequest, then CommandReply. The number leaves room
+// ExchangeCommand is CommandRequest, then CommandReply, with CommandConfirm
+// after each reply that asks for it. The number leaves room
 // for the exchanges of queries.
 const ExchangeCommand Exchange = 32
 
@@ -27,8 +28,14 @@
 	Found   bool             `cbor:"2,keyasint,omitempty"`
 	Record  *coverage.Record `cbor:"3,keyasint,omitempty"`
 	Version uint64           `cbor:"4,keyasint,omitempty"`
+	// Confirm asks for a CommandConfirm before the result: a resend of this
+	// request was refused, and this may be an earlier send that was late.
+	Confirm bool `cbor:"5,keyasint,omitempty"`
 }
 
+// CommandConfirm says that the caller still waits for the command.
+type CommandConfirm struct{}
+
 // ExchangeQuarantine is QuarantineNotice, then QuarantineAck.
 const ExchangeQuarantine Exchange = 33
 
--- a/pkg/atmostonce/example_test.go
+++ b/pkg/atmostonce/example_test.go
@@ -18,9 +18,9 @@
 	if err != nil {
 		panic(err)
 	}
-	fmt.Println(home.Begin(now, id, 42).Action == atmostonce.Run)
+	fmt.Println(home.Begin(now, id, 42, 0).Action == atmostonce.Run)
 	home.Finish(now, id, outcome.OK(), "billed")
-	again := home.Begin(now, id, 42)
+	again := home.Begin(now, id, 42, 0)
 	fmt.Println(again.Action == atmostonce.Replay, again.Answer)
 	// Output:
 	// true
--- a/pkg/atmostonce/registry.go
+++ b/pkg/atmostonce/registry.go
@@ -12,10 +12,11 @@
 
 // Actions.
 const (
-	Refuse Action = iota // answer Decision.Outcome; nothing is to run
-	Run                  // run the request, then call Finish
-	Join                 // the request is running; wait for its result
-	Replay               // answer Decision.Outcome and Decision.Answer
+	Refuse  Action = iota // answer Decision.Outcome; nothing is to run
+	Run                   // run the request, then call Finish
+	Join                  // the request is running; wait for its result
+	Replay                // answer Decision.Outcome and Decision.Answer
+	Confirm               // ask the sender whether it still waits, then call Begin again
 )
 
 // Decision is the answer of Begin.
@@ -23,6 +24,9 @@
 	Action  Action
 	Outcome outcome.Outcome
 	Answer  A
+	// Refusals is set with Confirm: the value to pass to Begin once the sender
+	// has confirmed that it still waits.
+	Refusals uint64
 }
 
 // Limits of a registry.
@@ -41,6 +45,11 @@
 	latest      time.Time // time never goes back here, even if the clock does
 	records     map[string]*record[A]
 	ended       queue[A]
+	marks       []*record[A] // refused requests, the oldest first; some may run again
+
+	refusals  uint64    // requests refused as "not run" so far
+	unmarked  uint64    // the last of them that left no mark in records
+	doubtedTo time.Time // when no send from before that one is on its way any more
 }
 
 // record is what is known of one request.
@@ -49,6 +58,7 @@
 	digest   uint64
 	forgetAt time.Time
 	running  bool
+	refused  uint64 // its number among the refusals; such a record only marks the request
 	outcome  outcome.Outcome
 	answer   A
 }
@@ -65,7 +75,13 @@
 }
 
 // Begin decides what to do with a request. digest identifies its body.
-func (r *Registry[A]) Begin(now time.Time, id ID, digest uint64) Decision[A] {
+//
+// After "not run" a resend may run, but an earlier send that is still on its
+// way must not: the caller was told that it did not run. Begin cannot tell them
+// apart and returns Confirm. The caller of an earlier send has given up before
+// it sent again, so only the sender of the resend confirms. confirmed is 0, or
+// the Refusals of the Confirm that the sender has answered.
+func (r *Registry[A]) Begin(now time.Time, id ID, digest, confirmed uint64) Decision[A] {
 	now = r.advance(now)
 	r.forget(now)
 	if id.Ticket.Host != r.host || id.Ticket.Incarnation != r.incarnation {
@@ -73,18 +89,29 @@
 			"the ticket names incarnation %d of host %s, this is incarnation %d of %s", id.Ticket.Incarnation, id.Ticket.Host, r.incarnation, r.host))
 	}
 	key := id.String()
-	if rec, ok := r.records[key]; ok {
+	rec, ok := r.records[key]
+	if ok && rec.refused == 0 {
 		return rec.decide(digest)
 	}
-	if refusal, refused := r.checkNew(now, id.Ticket.Expiry); refused {
+	if refusal, refused := r.checkNew(now, id.Ticket.Expiry, ok); refused {
 		return refuse[A](refusal)
 	}
+	refused := uint64(0)
+	if ok {
+		refused = rec.refused
+	}
+	if now.Before(r.doubtedTo) {
+		refused = max(refused, r.unmarked)
+	}
+	if refused > confirmed {
+		return Decision[A]{Action: Confirm, Refusals: r.refusals}
+	}
 	r.records[key] = &record[A]{id: key, digest: digest, forgetAt: id.Ticket.Expiry.Add(r.limits.LongestDeadline), running: true}
 	return Decision[A]{Action: Run}
 }
 
 // checkNew refuses a request without a record that may not run.
-func (r *Registry[A]) checkNew(now, expiry time.Time) (outcome.Outcome, bool) {
+func (r *Registry[A]) checkNew(now, expiry time.Time, marked bool) (outcome.Outcome, bool) {
 	switch {
 	case !now.Before(expiry.Add(r.limits.LongestDeadline)):
 		return outcome.Uncertain(outcome.Deadline, "the ticket expired %s ago and its record is gone", now.Sub(expiry).Round(time.Second)), true
@@ -92,8 +119,10 @@
 		// A run would have left a record, so the request certainly did not run.
 		return outcome.Refused(outcome.Invalid, "the ticket has expired"), true
 	case expiry.After(now.Add(r.limits.LongestTTL)):
+		r.doubt(now)
 		return outcome.Refused(outcome.Invalid, "the ticket lives longer than any that this host issued"), true
-	case len(r.records) >= r.limits.Records:
+	case !marked && len(r.records) >= r.limits.Records && !r.dropMark():
+		r.doubt(now)
 		return outcome.Refused(outcome.Overload, "the table of requests is full"), true
 	}
 	return outcome.Outcome{}, false
@@ -103,16 +132,23 @@
 // definitive "not run" the request may run again. It returns false if the
 // request is not running.
 func (r *Registry[A]) Finish(now time.Time, id ID, o outcome.Outcome, answer A) bool {
-	r.advance(now)
+	now = r.advance(now)
 	rec, ok := r.records[id.String()]
 	if !ok || !rec.running {
 		return false
 	}
+	rec.running = false
 	if o.RanNothing() {
-		delete(r.records, rec.id)
+		r.refusals++
+		rec.refused = r.refusals
+		// No send of it that came before is on its way for longer.
+		rec.forgetAt = now.Add(r.limits.LongestDeadline)
+		if r.marks = append(r.marks, rec); len(r.marks) > 2*r.limits.Records {
+			r.dropMark()
+		}
 		return true
 	}
-	rec.running, rec.outcome, rec.answer = false, o, answer
+	rec.outcome, rec.answer = o, answer
 	heap.Push(&r.ended, rec)
 	return true
 }
@@ -131,11 +167,52 @@
 
 // forget drops the records whose time has come. Running ones stay.
 func (r *Registry[A]) forget(now time.Time) {
+	for len(r.marks) > 0 && (!r.marked(r.marks[0]) || !now.Before(r.marks[0].forgetAt)) {
+		r.popMark()
+	}
 	for len(r.ended) > 0 && !now.Before(r.ended[0].forgetAt) {
 		delete(r.records, heap.Pop(&r.ended).(*record[A]).id)
 	}
 }
 
+// marked reports whether a mark still stands; the request may have run since.
+func (r *Registry[A]) marked(rec *record[A]) bool { return r.records[rec.id] == rec }
+
+func (r *Registry[A]) popMark() {
+	if rec := r.marks[0]; r.marked(rec) {
+		delete(r.records, rec.id)
+	}
+	r.marks = r.marks[1:]
+}
+
+// dropMark makes room by dropping the oldest mark, if there is one. Every
+// request without a record is then doubted in its place.
+func (r *Registry[A]) dropMark() bool {
+	for len(r.marks) > 0 {
+		rec := r.marks[0]
+		standing := r.marked(rec)
+		r.popMark()
+		if standing {
+			r.unmarked, r.doubtedTo = max(r.unmarked, rec.refused), maxTime(r.doubtedTo, rec.forgetAt)
+			return true
+		}
+	}
+	return false
+}
+
+// doubt counts a refusal that leaves no mark.
+func (r *Registry[A]) doubt(now time.Time) {
+	r.refusals++
+	r.unmarked, r.doubtedTo = r.refusals, now.Add(r.limits.LongestDeadline)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (rec *record[A]) decide(digest uint64) Decision[A] {
 	switch {
 	case rec.digest != digest:
--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -28,12 +28,12 @@
 	It("refuses another body as not run", func() {
 		home := newHome()
 		id := request(home, "a")
-		Expect(home.Begin(start, id, 1).Action).To(Equal(atmostonce.Run))
-		d := home.Begin(start, id, 2)
+		Expect(home.Begin(start, id, 1, 0).Action).To(Equal(atmostonce.Run))
+		d := home.Begin(start, id, 2, 0)
 		Expect(d.Action).To(Equal(atmostonce.Refuse))
 		Expect(d.Outcome.Kind).To(Equal(outcome.NotRun))
 		Expect(d.Outcome.Reason).To(Equal(outcome.Invalid))
-		Expect(home.Begin(start, id, 1).Action).To(Equal(atmostonce.Join))
+		Expect(home.Begin(start, id, 1, 0).Action).To(Equal(atmostonce.Join))
 	})
 
 	// Guards against a replacement of the home running or denying a request
@@ -42,9 +42,9 @@
 		home := newHome()
 		id := request(home, "a")
 		next := atmostonce.NewRegistry[string]("h", 8, limits)
-		Expect(next.Begin(start, id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+		Expect(next.Begin(start, id, 1, 0).Outcome.Kind).To(Equal(outcome.Unknown))
 		other := atmostonce.NewRegistry[string]("g", 7, limits)
-		Expect(other.Begin(start, id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+		Expect(other.Begin(start, id, 1, 0).Outcome.Kind).To(Equal(outcome.Unknown))
 	})
 
 	// Guards against memory without bound and against evicting a record that
@@ -52,20 +52,20 @@
 	It("refuses new requests when full and keeps the old records", func() {
 		home := newHome()
 		for i := range limits.Records {
-			Expect(home.Begin(start, request(home, fmt.Sprint(i)), 1).Action).To(Equal(atmostonce.Run))
+			Expect(home.Begin(start, request(home, fmt.Sprint(i)), 1, 0).Action).To(Equal(atmostonce.Run))
 		}
-		d := home.Begin(start, request(home, "more"), 1)
+		d := home.Begin(start, request(home, "more"), 1, 0)
 		Expect(d.Outcome.Kind).To(Equal(outcome.NotRun))
 		Expect(d.Outcome.Reason).To(Equal(outcome.Overload))
-		Expect(home.Begin(start, request(home, "0"), 1).Action).To(Equal(atmostonce.Join))
+		Expect(home.Begin(start, request(home, "0"), 1, 0).Action).To(Equal(atmostonce.Join))
 	})
 
 	// Guards against "not run" for a request that ran, once its record is gone.
 	It("distinguishes an expired ticket from a forgotten one", func() {
 		home := newHome()
 		id := request(home, "a")
-		Expect(home.Begin(start.Add(time.Minute), id, 1).Outcome.Kind).To(Equal(outcome.NotRun))
-		Expect(home.Begin(start.Add(2*time.Minute), id, 1).Outcome.Kind).To(Equal(outcome.Unknown))
+		Expect(home.Begin(start.Add(time.Minute), id, 1, 0).Outcome.Kind).To(Equal(outcome.NotRun))
+		Expect(home.Begin(start.Add(2*time.Minute), id, 1, 0).Outcome.Kind).To(Equal(outcome.Unknown))
 	})
 
 	// Guards against a forged ticket that would hold a record for ever.
@@ -73,42 +73,81 @@
 		home := newHome()
 		id := request(home, "a")
 		id.Ticket.Expiry = start.Add(2 * time.Hour)
-		Expect(home.Begin(start, id, 1).Outcome.Reason).To(Equal(outcome.Invalid))
+		Expect(home.Begin(start, id, 1, 0).Outcome.Reason).To(Equal(outcome.Invalid))
 	})
 })
 
 // Guards against a second run over any order of resends, results and clock
-// steps, and against "not run" for a request that ran.
+// steps, against "not run" for a request that ran, and against a run after "not
+// run" by a send from before it, which does not confirm.
 func TestAtMostOnceRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		home, now := newHome(), start
-		running, ran := map[string]bool{}, map[string]bool{}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(t, "seconds")) * time.Second)
-			id := request(home, rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "suffix"))
-			id.Ticket.Expiry = start.Add(time.Minute)
-			key := id.String()
-			if running[key] && rapid.Bool().Draw(t, "finish") {
-				kind := rapid.SampledFrom([]outcome.Kind{outcome.Answered, outcome.Unknown, outcome.NotRun}).Draw(t, "kind")
-				running[key], ran[key] = false, kind != outcome.NotRun
-				home.Finish(now, id, outcome.Outcome{Kind: kind}, "")
-				continue
-			}
-			d := home.Begin(now, id, 1)
-			switch {
-			case d.Action == atmostonce.Run && (running[key] || ran[key]):
-				t.Fatalf("%s runs twice", key)
-			case d.Action == atmostonce.Run:
-				running[key] = true
-			case d.Outcome.RanNothing() && (running[key] || ran[key]):
-				t.Fatalf("%s is refused as not run although it ran", key)
-			case (d.Action == atmostonce.Join) != running[key]:
-				t.Fatalf("%s: %v while running is %v", key, d, running[key])
-			}
+		if fault := drawRuns(t, false); fault != "" {
+			t.Fatal(fault)
 		}
 	})
 }
 
+// TestNotRunIsTrueFailsNaively shows that the same check finds a run by a late
+// send if the home forgets its refusals.
+func TestNotRunIsTrueFailsNaively(t *testing.T) {
+	failed := false
+	rapid.Check(t, func(t *rapid.T) { failed = drawRuns(t, true) == lateRun || failed })
+	if !failed {
+		t.Fatal("no run by a late send was found")
+	}
+}
+
+const lateRun = "a late send runs although a resend was refused as not run"
+
+// drawRuns draws one history of requests at a home and returns what is wrong.
+func drawRuns(t *rapid.T, naive bool) string {
+	home, now := newHome(), start
+	latest := start
+	running, ran, refusedAt := map[string]bool{}, map[string]bool{}, map[string]time.Time{}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(t, "seconds")) * time.Second)
+		if now.After(latest) {
+			latest = now
+		}
+		id := request(home, rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "suffix"))
+		id.Ticket.Expiry = start.Add(time.Minute)
+		key := id.String()
+		if running[key] && rapid.Bool().Draw(t, "finish") {
+			kind := rapid.SampledFrom([]outcome.Kind{outcome.Answered, outcome.Unknown, outcome.NotRun}).Draw(t, "kind")
+			running[key], ran[key] = false, kind != outcome.NotRun
+			if kind == outcome.NotRun {
+				refusedAt[key] = latest
+			}
+			home.Finish(now, id, outcome.Outcome{Kind: kind}, "")
+			continue
+		}
+		at, refused := refusedAt[key]
+		late := refused && latest.Before(at.Add(limits.LongestDeadline)) && rapid.Bool().Draw(t, "late")
+		d := home.Begin(now, id, 1, 0)
+		if d.Action == atmostonce.Confirm && (naive || !late) {
+			d = home.Begin(now, id, 1, d.Refusals)
+		}
+		switch {
+		case d.Action == atmostonce.Confirm && late:
+		case d.Action == atmostonce.Run && (running[key] || ran[key]):
+			return key + " runs twice"
+		case d.Action == atmostonce.Run && late:
+			return lateRun
+		case d.Action == atmostonce.Run:
+			running[key] = true
+			delete(refusedAt, key) // whoever sent it waits for this run
+		case d.Outcome.RanNothing() && (running[key] || ran[key]):
+			return key + " is refused as not run although it ran"
+		case d.Outcome.RanNothing() && latest.Before(id.Ticket.Expiry):
+			refusedAt[key] = latest // the table is full
+		case (d.Action == atmostonce.Join) != running[key]:
+			return fmt.Sprintf("%s: %v while running is %v", key, d, running[key])
+		}
+	}
+	return ""
+}
+
 // Guards against two texts for one request, which would count as two.
 func FuzzParseID(f *testing.F) {
 	f.Add(atmostonce.ID{Ticket: atmostonce.Ticket{Host: "riga-a-0", Incarnation: 7, Expiry: start}, Suffix: "x"}.String())
