Report refusals and missing groups by message and second

Cause: the load tool counted refusals and unknown outcomes by reason only, so that a row with 788 requests "not run" did not tell which rule refused them or when.

Groups that a partial answer lacks are listed in the same way as "missing". At most 64 kinds are told apart for each row.

--- /dev/null
+++ b/internal/bench/failures.go
@@ -0,0 +1,84 @@
+package bench
+
+import (
+	"cmp"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// maxFailures bounds the kinds of failures that a row tells apart. Messages of
+// further kinds are counted together, without their text.
+const maxFailures = 64
+
+// Failure counts the requests, or the missing groups of partial answers, that
+// have one reason and message.
+type Failure struct {
+	Outcome string         `json:"outcome"` // not_run, unknown, or missing for a group of a partial answer
+	Reason  outcome.Reason `json:"reason"`
+	Message string         `json:"message"` // with # for each number
+	Count   int            `json:"count"`
+	Seconds []int          `json:"seconds"` // by second of the intended start
+}
+
+// missingGroup is the outcome of a group that a partial answer lacks.
+const missingGroup = "missing"
+
+type failureKey struct {
+	outcome string
+	reason  outcome.Reason
+	message string
+}
+
+// failures groups what went wrong in a row.
+type failures struct {
+	seconds int
+	byKey   map[failureKey]*Failure
+}
+
+func newFailures(seconds int) *failures {
+	return &failures{seconds: seconds, byKey: map[failureKey]*Failure{}}
+}
+
+var numbers = regexp.MustCompile(`[0-9]+(\.[0-9]+)*`)
+
+func (f *failures) add(kind string, reason outcome.Reason, message string, at time.Duration) {
+	key := failureKey{kind, reason, numbers.ReplaceAllString(message, "#")}
+	entry, ok := f.byKey[key]
+	if !ok && len(f.byKey) >= maxFailures {
+		key.message = "other"
+		entry, ok = f.byKey[key]
+	}
+	if !ok {
+		entry = &Failure{Outcome: key.outcome, Reason: key.reason, Message: key.message, Seconds: make([]int, f.seconds)}
+		f.byKey[key] = entry
+	}
+	entry.Count++
+	entry.Seconds[min(int(at/time.Second), f.seconds-1)]++
+}
+
+// addReply counts a request without an answer, or what an answer lacks.
+func (f *failures) addReply(r *reply, at time.Duration) {
+	switch o := r.outcome; {
+	case o.Kind == outcome.NotRun || o.Kind == outcome.Unknown:
+		f.add(o.Kind.String(), o.Reason, o.Message, at)
+	case r.search != nil:
+		for _, w := range r.search.Warnings {
+			f.add(missingGroup, w.Reason, w.Message, at)
+		}
+	}
+}
+
+// list returns the failures, the most frequent first.
+func (f *failures) list() []Failure {
+	all := make([]Failure, 0, len(f.byKey))
+	for _, entry := range f.byKey {
+		all = append(all, *entry)
+	}
+	slices.SortFunc(all, func(a, b Failure) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Message, b.Message))
+	})
+	return all
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -52,7 +52,8 @@
 	// query, as a fraction of the latter.
 	ExtraLoad float64 `json:"extra_load"`
 
-	Reasons    map[string]int       `json:"reasons"` // outcomes without an answer
+	Reasons    map[string]int       `json:"reasons"`            // outcomes without an answer
+	Failures   []Failure            `json:"failures,omitempty"` // the same and missing groups, by message and second
 	Classes    map[string]Quantiles `json:"classes,omitempty"`
 	Crashed    int                  `json:"crashed"`           // targets crashed by a killer query
 	CrashedMax int                  `json:"crashed_max"`       // most replicas of one group that one did
@@ -90,6 +91,7 @@
 	answers  int // with a coverage
 	good     int
 	seconds  []second
+	failures *failures
 }
 
 type second struct {
@@ -102,7 +104,7 @@
 	t := &tally{
 		row:     Row{Service: service, CoverageMin: 1, Reasons: map[string]int{}},
 		latency: newHistogram(), oracle: newHistogram(), classes: map[string]*hdrhistogram.Histogram{},
-		seconds: make([]second, seconds),
+		seconds: make([]second, seconds), failures: newFailures(seconds),
 	}
 	for i := range t.seconds {
 		t.seconds[i].latency = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
@@ -134,6 +136,7 @@
 	o := r.reply.outcome
 	s := &t.seconds[min(int(at/time.Second), len(t.seconds)-1)]
 	s.sent++
+	t.failures.addReply(&r.reply, at)
 	switch {
 	case o.Kind == outcome.Answered:
 		t.row.Answered++
@@ -173,6 +176,7 @@
 func (t *tally) finish(seconds float64, valid bool) *Row {
 	t.row.Quantiles, t.row.Oracle, t.row.Valid = quantiles(t.latency), quantiles(t.oracle), valid
 	t.row.latencies, t.row.oracles = t.latency, t.oracle
+	t.row.Failures = t.failures.list()
 	t.row.CoverageMean = mean(t.coverage, t.answers)
 	t.row.Goodput = float64(t.good) / seconds
 	t.row.RateWanted = float64(t.row.Sent) / seconds
