Leave paths that take no work, and try canaries on several targets

Cause: the new list of failures shows where refusals come from when a place restarts cold, is taken out, or a host is replaced.

A service with one group tried one target for a canary. A refusal cost a path 50 ms against a queue of 240 ms, and a path without a sample looked better than any measured one, so that all three attempts of a command met cold targets.

Change: the router leaves a path that refused as unavailable, draining or out for 500 ms, a cold target in proportion to the number of hosts, and a host that heartbeats or requests show to be silent, as long as the group has another path. A retry also avoids the host that has just refused. The first owner of a cold target gives it what its own dispatcher has room for. Paths are chosen in proportion to their slots. A service with one group has three candidates for a canary that is a precaution. Retries leave a place that refused as out.

Each entry host learns of a closed path by one refusal, and the reroute after it is free.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -204,7 +204,10 @@
 // false if there is none.
 func (e *entry) sendLookup(ctx context.Context, tree *settings.Tree, group *settings.Group, tried map[string]bool, req *wire.LookupRequest) (wire.LookupReply, bool) {
 	e.mu.Lock()
-	choice, ok := e.router.Next(time.Now(), e.options(tree, group, 0, tried))
+	e.markSilent(time.Now())
+	options := e.options(tree, group, 0, tried)
+	options.Retry = len(tried) > 0
+	choice, ok := e.router.Next(time.Now(), options)
 	if ok {
 		e.router.Sent(choice.Path)
 	}
@@ -220,6 +223,13 @@
 	req.Target, req.TimeoutMS = choice.Path.Target, remaining(ctx).Milliseconds()
 	reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, req)
 	e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
+	if reply.Outcome.Reason == outcome.PlaceOut {
+		// The other targets of the place may be out as well, by a configuration
+		// that is not in force here yet.
+		for _, t := range group.Targets {
+			tried[t.ID] = tried[t.ID] || t.Place == choice.Path.Place
+		}
+	}
 	return reply, true
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,6 +117,7 @@
 	d.control.transport = d.transport
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch}
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	d.entry.router.SetRoom(d.branch.targets.room)
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
@@ -37,6 +38,7 @@
 	shutdown drain.Shutdown
 	services map[string]*serviceState
 	expired  time.Time // when old statements of versions were last dropped
+	marked   time.Time // when the router was last told which hosts are silent
 }
 
 func newEntry(self *settings.Process, config *config, directory *directory, branches *branchClient) *entry {
@@ -92,9 +94,11 @@
 			continue
 		}
 		option := routing.Option{Target: t.ID, Place: t.Place}
-		for _, ordinal := range info.Owners {
+		slots := usableSlots(info.Slots, tree.Effective(t.Place, info.Service))
+		for rank, ordinal := range info.Owners {
 			if h, ok := hosts.bySeat[seat{t.Place, ordinal}]; ok && h.State == platform.HostLive && !slices.Contains(tree.Doc.HostsOut, h.Name) {
 				option.Owners = append(option.Owners, ordinal)
+				option.Slots = append(option.Slots, ownership.Share(slots, rank, len(info.Owners)))
 			}
 		}
 		result.Options = append(result.Options, option)
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -19,9 +19,16 @@
 	if e.versions.Observe(now, path.Target, status.BootID, status.Versions) {
 		e.router.Forget(path.Target)
 	}
+	switch o.Reason {
+	case outcome.ConnLost, outcome.Unavailable, outcome.Deadline, outcome.Canceled:
+		// The host itself may be lost.
+	default:
+		e.router.Replied(path)
+	}
 	switch {
 	case o.Kind == outcome.Answered:
 		e.router.Answered(now, path, took)
+		e.router.Cold(now, path, status.State == wire.TargetCold)
 	case o.Reason == outcome.Canceled:
 		e.router.Canceled(now, path, took)
 	case o.Reason == outcome.VersionGone:
@@ -31,7 +38,11 @@
 		if o.Reason == outcome.ConnLost || o.Reason == outcome.Unavailable {
 			e.versions.Forget(path.Target) // it may come back with other versions
 		}
-		e.router.Failed(now, path)
+		if o.RanNothing() && (o.Reason == outcome.Unavailable || o.Reason == outcome.Draining || o.Reason == outcome.PlaceOut) {
+			e.router.Refused(now, path)
+		} else {
+			e.router.Failed(now, path)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/places_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// placeOutDocument has a command service with four targets in place b, which
+// its hosts know to be out, and one in place c.
+const placeOutDocument = `{"version": 1, "designated_level": "place", "fleet": {"settings": {"deadline_default": "2s"}},
+	"places": {"a": {"state": "in", "hosts": 1}, "b": {"state": "in", "hosts": 3}, "c": {"state": "in", "hosts": 1}},
+	"services": {"s": {"kind": "command", "partition_epoch": 1, "groups": [{"id": "g0", "range": {"from": 0, "to": 4294967296}, "targets": [
+		{"id": "t0", "place": "b", "address": "127.0.0.1:9", "slots": 4, "connections": 8},
+		{"id": "t1", "place": "b", "address": "127.0.0.1:9", "slots": 4, "connections": 8},
+		{"id": "t2", "place": "b", "address": "127.0.0.1:9", "slots": 4, "connections": 8},
+		{"id": "t3", "place": "b", "address": "127.0.0.1:9", "slots": 4, "connections": 8},
+		{"id": "t4", "place": "c", "address": "127.0.0.1:9", "slots": 4, "connections": 8}]}]}}}`
+
+var _ = Describe("A place that is taken out", func() {
+	// Guards against commands that spend their retries on other targets of a
+	// place that is out by a configuration which the entry host does not have yet.
+	It("loses no command of an entry host with the older configuration", func(ctx context.Context) {
+		t := require{check: func(err error) { GinkgoHelper(); Expect(err).NotTo(HaveOccurred()) }, cleanup: func(f func()) { DeferCleanup(f) }}
+		authority, err := standin.NewAuthority()
+		t.check(err)
+		client, own := newTestHost(t, authority, settings.Process{Name: "a-0", Place: "a"}, "127.0.0.1:9", nil)
+		tree, err := settings.Parse([]byte(placeOutDocument))
+		t.check(err)
+		client.local.config.current.Store(tree)
+		hosts := map[seat]string{{"a", 0}: own}
+		out := outcome.Refused(outcome.PlaceOut, "out")
+		for at, o := range map[seat]outcome.Outcome{{"b", 0}: out, {"b", 1}: out, {"b", 2}: out, {"c", 0}: outcome.OK()} {
+			_, hosts[at] = newTestHost(t, authority, settings.Process{Name: "other", Place: at.place, Ordinal: at.ordinal}, "127.0.0.1:9",
+				func(_ context.Context, _ wire.Exchange, s *peer.Stream) {
+					var req wire.LookupRequest
+					if s.Receive(&req) == nil {
+						_ = s.Send(&wire.LookupReply{Outcome: o})
+					}
+				})
+		}
+		client.list(hosts)
+		for i := range 20 {
+			e := newEntry(client.self, client.local.config, client.directory, client) // one that knows of no refusal yet
+			within, cancel := context.WithTimeout(ctx, 5*time.Second)
+			reply := e.runCommand(within, &wire.CommandRequest{Service: "s", ID: fmt.Sprint("record-", i)})
+			cancel()
+			Expect(reply.Outcome).To(Equal(outcome.OK()), "command %d", i)
+		}
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -218,10 +218,12 @@
 	shared     sync.WaitGroup
 }
 
-// canaryPlace is where a canary may run. Lower scores are tried first.
+// canaryPlace is where a canary may run. Lower scores are tried first, and
+// targets that take no work at present last.
 type canaryPlace struct {
 	group, target string
 	score         uint64
+	closed        bool
 }
 
 // begin sends a query as the quarantine allows: to all groups, to one target
@@ -265,9 +267,11 @@
 			if slices.Contains(plan.Avoid, state.planned.group.ID) {
 				continue
 			}
-			if at, ok := g.usablePlace(state.planned); ok {
-				others = append(others, at)
+			places := g.usablePlaces(state.planned)
+			if len(states) > 1 || plan.Suspect {
+				places = places[:min(len(places), 1)]
 			}
+			others = append(others, places...)
 		}
 		sortPlaces(others)
 		all = append(all, others...)
@@ -275,21 +279,21 @@
 	return all[:min(len(all), maxCanaries)]
 }
 
-// usablePlace returns the first usable target of a group in the order of trial.
-func (g *gather) usablePlace(p *plannedGroup) (canaryPlace, bool) {
+// usablePlaces returns the usable targets of a group in the order of trial.
+func (g *gather) usablePlaces(p *plannedGroup) []canaryPlace {
 	var all []canaryPlace
+	now := time.Now()
 	g.entry.mu.Lock()
 	for i, o := range p.options.Options {
 		if p.targets[i].Serves(g.merger.Version()) {
-			all = append(all, g.canaryAt(p.group.ID, o.Target))
+			at := g.canaryAt(p.group.ID, o.Target)
+			at.closed = !g.entry.router.Open(now, o)
+			all = append(all, at)
 		}
 	}
 	g.entry.mu.Unlock()
-	if len(all) == 0 {
-		return canaryPlace{}, false
-	}
 	sortPlaces(all)
-	return all[0], true
+	return all
 }
 
 func (g *gather) canaryAt(group, target string) canaryPlace {
@@ -298,7 +302,15 @@
 }
 
 func sortPlaces(all []canaryPlace) {
-	slices.SortFunc(all, func(a, b canaryPlace) int { return cmp.Compare(a.score, b.score) })
+	slices.SortFunc(all, func(a, b canaryPlace) int {
+		if a.closed != b.closed {
+			if b.closed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.score, b.score)
+	})
 }
 
 // nextCanary sends the canary to the next candidate. Without one left it gives
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -78,6 +78,7 @@
 	gapRounds int       // searches for the rest so far
 	waiting   bool      // a retry waits for the extra-load budget
 	only      string    // a canary may be sent to this target alone
+	placeOut  string    // a place that refused because it, or its target, is out
 	done      bool
 	last      outcome.Outcome // why the group has no answer
 }
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -37,6 +37,9 @@
 		return g.merge(state, a, part)
 	}
 	state.last = part.Outcome
+	if part.Outcome.Reason == outcome.PlaceOut {
+		state.placeOut = a.path.Place
+	}
 	a.again = part.Outcome.Reason == outcome.Silent // the next request uses a new connection
 	if a.gap {
 		return nil // fillGaps asks the next target
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -35,11 +35,15 @@
 	groups := make([]*routing.Group, len(states))
 	for i, state := range states {
 		groups[i] = g.canaryOwners(&state.planned.options)
+		if state.last.RanNothing() && len(state.attempts) > 0 {
+			groups[i] = &routing.Group{ID: groups[i].ID, Options: groups[i].Options, Retry: true}
+		}
 	}
 	version := g.merger.Version()
 	usable := func(i, option int) bool {
 		p := states[i].planned
-		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target)
+		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target) &&
+			(states[i].placeOut == "" || states[i].placeOut != p.options.Options[option].Place)
 	}
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -18,6 +18,8 @@
 	versionsLast = 5 * time.Second
 	// expireEvery is how often old statements are looked for.
 	expireEvery = time.Second
+	// markEvery is how often the router is told which hosts are silent.
+	markEvery = 100 * time.Millisecond
 )
 
 // serviceState is what the entry host has learned about one search service,
@@ -57,6 +59,7 @@
 // e.mu.
 func (e *entry) service(tree *settings.Tree, name string) *serviceState {
 	now := time.Now()
+	e.markSilent(now)
 	if now.Sub(e.expired) > expireEvery {
 		e.expired = now
 		e.versions.Expire(now.Add(-versionsLast))
@@ -72,12 +75,28 @@
 	return st
 }
 
+// markSilent tells the router which hosts have not been heard of. The caller
+// holds e.mu.
+func (e *entry) markSilent(now time.Time) {
+	if e.peerState == nil || now.Sub(e.marked) < markEvery {
+		return
+	}
+	e.marked = now
+	for _, h := range e.directory.hosts().list.Hosts {
+		if h.Name != e.self.Name {
+			_, silent := e.peerState(h.Name)
+			e.router.SetSilent(h.Place, h.Ordinal, silent)
+		}
+	}
+}
+
 // prepare builds the groups of a service anew.
 func (e *entry) prepare(st *serviceState, tree *settings.Tree, hosts *hosts, name string) {
 	if st.counts != nil {
 		st.counts.Close()
 	}
 	st.tree, st.hosts = tree, hosts
+	e.router.SetHosts(len(hosts.list.Hosts))
 	st.fruitless = map[string]time.Time{}
 	st.stated, st.home = map[string][]coverage.Covered{}, map[string]*plannedGroup{}
 	configured := tree.Doc.Services[name].Groups
--- a/internal/daemon/statustargets.go
+++ b/internal/daemon/statustargets.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/warmup"
 )
@@ -45,6 +46,22 @@
 	return all
 }
 
+// room reports whether this host, as an owner of a target, has a slot free that
+// the target's state allows.
+func (d *dispatcher) room(id string) bool {
+	d.mu.Lock()
+	t, ok := d.owned[id]
+	d.mu.Unlock()
+	if !ok {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	return t.closedFor(now).Reason == outcome.None &&
+		t.limiter.InUse()+t.limiter.Waiting() < t.ramp.Allowed(now, t.terms.mayUseCold)
+}
+
 // status returns the state of the target.
 func (t *ownedTarget) status(now time.Time) TargetStatus {
 	t.mu.Lock()
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -23,7 +23,7 @@
 	// nearly the same latencies; without it all of them would move to the same
 	// replica at the same moment.
 	spread = 0.3
-	// slotsPerPath is the usual number of slots that an owner holds.
+	// slotsPerPath stands in for the slots of an owner that are not stated.
 	slotsPerPath = 2
 	// forgetAfter is the half-life with which an estimate without new samples
 	// returns to that of the group's other replicas. A path that is avoided
@@ -49,6 +49,7 @@
 	Target string
 	Place  string
 	Owners []int
+	Slots  []int // each owner's share of the target's slots; nil if not known
 
 	paths []*pathStats // by index in Owners, filled by Link
 }
@@ -63,6 +64,9 @@
 type Group struct {
 	ID      string
 	Options []Option
+	// Retry says that an attempt was refused: a path that refused before and has
+	// not answered since is left to other requests.
+	Retry bool
 }
 
 // Assignment is the chosen path for a group.
@@ -88,11 +92,10 @@
 	seats   map[seat]*seatStats
 	plans   uint64
 	rng     *rand.Rand
+	hosts   int
+	room    func(target string) bool
 }
 
-// seatStats marks the branch hosts that the current plan uses.
-type seatStats struct{ plan uint64 }
-
 // NewRouter returns a router for the host with an ordinal in a place.
 func NewRouter(place string, ordinal int, rng *rand.Rand) *Router {
 	return &Router{
@@ -142,6 +145,10 @@
 	o.paths = make([]*pathStats, len(o.Owners))
 	for i, ordinal := range o.Owners {
 		o.paths[i] = r.stats(Path{o.Target, o.Place, ordinal})
+		o.paths[i].first, o.paths[i].slots = i == 0, slotsPerPath
+		if i < len(o.Slots) {
+			o.paths[i].slots = max(1, o.Slots[i])
+		}
 	}
 }
 
@@ -156,6 +163,7 @@
 	for i, g := range groups {
 		if best := r.best(now, i, g, usable, nil); best != nil {
 			best.seat.plan = r.plans
+			r.chosen(now, best)
 			plan = append(plan, Assignment{g.ID, best.path, best})
 		}
 	}
@@ -175,12 +183,15 @@
 	if best == nil {
 		return Assignment{}, false
 	}
+	r.chosen(now, best)
 	return Assignment{g.ID, best.path, best}, true
 }
 
+// best returns the path with the least cost, an open one if there is any.
 func (r *Router) best(now time.Time, index int, g *Group, usable Usable, avoid []Path) *pathStats {
 	var best *pathStats
 	var bestCost time.Duration
+	bestClosed := false
 	usual := usualLatency(g, usable, index)
 	for i := range g.Options {
 		o := &g.Options[i]
@@ -191,9 +202,9 @@
 			r.link(o)
 		}
 		for _, s := range o.paths {
-			cost := r.cost(now, s, usual) + avoidCost(s.path, avoid)
-			if best == nil || cost < bestCost {
-				best, bestCost = s, cost
+			cost, closed := r.cost(now, s, usual)+avoidCost(s.path, avoid), r.closed(now, s, g.Retry)
+			if best == nil || bestClosed && !closed || bestClosed == closed && cost < bestCost {
+				best, bestCost, bestClosed = s, cost, closed
 			}
 		}
 	}
@@ -244,7 +255,13 @@
 	}
 	// Each request in flight beyond the slots holds the next one up.
 	latency := s.estimate(now, usual)
-	latency += latency * time.Duration(s.inFlight) / slotsPerPath
-	latency += time.Duration(spread * (r.rng.Float64() - 0.5) * float64(latency))
+	latency += latency * time.Duration(s.inFlight) / time.Duration(s.slots)
+	// Each slot draws: of paths that look alike, one with two slots is chosen
+	// twice as often as one with a single slot.
+	draw := r.rng.Float64()
+	for range s.slots - 1 {
+		draw = min(draw, r.rng.Float64())
+	}
+	latency += time.Duration(spread * (draw - 0.5) * float64(latency))
 	return cost + latency + s.penalty(now) + s.target.penalty(now)
 }
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -37,12 +37,19 @@
 	inFlight int
 	failures int
 	failedAt time.Time
+
+	slots       int       // that the owner holds
+	first       bool      // through the target's first listed owner
+	closedUntil time.Time // zero if the owner did not refuse since its last answer
 }
 
 // targetStats is what is known about a target through any of its owners.
 type targetStats struct {
 	losses int // attempts in a row that a hedge overtook
 	lostAt time.Time
+
+	cold      bool // by its last answer
+	coldUntil time.Time
 }
 
 // stats returns the statistics of a path and creates them if needed.
@@ -61,7 +68,7 @@
 		mark = &seatStats{}
 		r.seats[at] = mark
 	}
-	s := &pathStats{path: p, at: at, seat: mark, target: target}
+	s := &pathStats{path: p, at: at, seat: mark, target: target, slots: slotsPerPath}
 	r.paths[p] = s
 	return s
 }
@@ -83,6 +90,7 @@
 	s.end()
 	s.failures = 0
 	s.target.losses = 0
+	s.seat.answered(latency)
 	s.sample(now, latency)
 }
 
