--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,7 +214,7 @@
 		}
 		reply, sent := e.sendLookup(ctx, tree, group, tried, &wire.LookupRequest{
 			RequestID: req.RequestID, Service: req.Service, ID: req.ID,
-			Class: req.Class, Once: true, Traceparent: req.Traceparent,
+			Class: req.Class, Once: true, Traceparent: req.Traceparent, Turns: turns(attempt, limit),
 		})
 		if !sent {
 			break
@@ -230,7 +231,10 @@
 // false if there is none.
 func (e *entry) sendLookup(ctx context.Context, tree *settings.Tree, group *settings.Group, tried map[string]bool, req *wire.LookupRequest) (wire.LookupReply, bool) {
 	e.mu.Lock()
-	choice, ok := e.router.Next(time.Now(), e.options(tree, group, 0, tried))
+	e.markSilent(time.Now())
+	options := e.options(tree, group, 0, tried)
+	options.Retry = len(tried) > 0
+	choice, ok := e.router.Next(time.Now(), options)
 	if ok {
 		e.router.Sent(choice.Path)
 	}
@@ -246,6 +250,13 @@
 	req.Target, req.TimeoutMS = choice.Path.Target, remaining(ctx).Milliseconds()
 	reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, req)
 	e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
+	if reply.Outcome.Reason == outcome.PlaceOut {
+		// The other targets of the place may be out as well, by a configuration
+		// that is not in force here yet.
+		for _, t := range group.Targets {
+			tried[t.ID] = tried[t.ID] || t.Place == choice.Path.Place
+		}
+	}
 	return reply, true
 }
 
@@ -279,15 +290,35 @@
 	}, reply.Outcome
 }
 
+// turns returns how long an attempt may wait for a slot, in service times. An
+// entry host does not see the queues that others fill; a short queue that
+// refuses costs one message, while a request in a long one cannot be moved.
+func turns(attempt, limit int) uint8 {
+	if attempt >= limit {
+		return 0
+	}
+	return uint8(min(attempt+1, math.MaxUint8))
+}
+
+// readPart is the part, in quarters, of the time left that an attempt of a
+// lookup may take if others may follow. The branch host gives up a silent
+// connection after half of it; with a third of the time left, half of it was
+// shorter than 13 % of the answers of photo-archive.
+const readPart = 3
+
 // read answers a lookup that may be repeated. It tries another target after
-// any failure. Each attempt may take an equal part of the time left, so that
-// one silent target does not use up the deadline.
+// any failure. One silent target or host does not use up the deadline.
 func (e *entry) read(ctx context.Context, tree *settings.Tree, policy *settings.Policy, req *wire.LookupRequest) wire.CommandReply {
 	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
 	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
 	tried := map[string]bool{}
 	for left := policy.RetryLimit + 1; left > 0 && ctx.Err() == nil; left-- {
-		attempt, cancel := context.WithTimeout(ctx, remaining(ctx)/time.Duration(left))
+		limit := remaining(ctx)
+		if left > 1 {
+			limit = limit * readPart / 4
+		}
+		attempt, cancel := context.WithTimeout(ctx, limit)
+		req.Turns = turns(policy.RetryLimit+1-left, policy.RetryLimit)
 		reply, sent := e.sendLookup(attempt, tree, group, tried, req)
 		cancel()
 		if !sent {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -42,8 +42,9 @@
 	target  string
 	service string
 	class   settings.Priority
-	once    bool // the request may not be repeated
-	borrow  bool // runs only if a slot is free at once
+	once    bool  // the request may not be repeated
+	borrow  bool  // runs only if a slot is free at once
+	turns   uint8 // longest wait for a slot, in service times; 0 is not bounded
 	// allowed is checked again immediately before sending, because operators may
 	// take the target out, or this host may be paused, while the work waits. The
 	// dispatcher sets it.
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -79,6 +79,7 @@
 	waiting   bool      // a retry waits for the extra-load budget
 	trial     bool      // the first attempt is a trial, its hedge goes out at once
 	only      string    // a canary may be sent to this target alone
+	placeOut  string    // a place that refused because it, or its target, is out
 	done      bool
 	last      outcome.Outcome // why the group has no answer
 }
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -35,11 +35,15 @@
 	groups := make([]*routing.Group, len(states))
 	for i, state := range states {
 		groups[i] = g.canaryOwners(&state.planned.options)
+		if state.last.RanNothing() && len(state.attempts) > 0 {
+			groups[i] = &routing.Group{ID: groups[i].ID, Options: groups[i].Options, Retry: true}
+		}
 	}
 	version := g.merger.Version()
 	usable := func(i, option int) bool {
 		p := states[i].planned
-		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target)
+		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target) &&
+			(states[i].placeOut == "" || states[i].placeOut != p.options.Options[option].Place)
 	}
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
@@ -117,13 +121,18 @@
 		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
 		Canary: g.canary.holding && g.canary.suspect,
 	}
+	turns := g.firstTurns(now)
 	for _, assigned := range assignments {
 		state := g.byID[assigned.Group]
 		a := &attempt{path: assigned.Path, sent: now, batch: b, gap: cause == wire.CauseGap, cause: g.cause(state, cause)}
 		state.attempts = append(state.attempts, a)
 		g.pending++
 		b.attempts[assigned.Group] = a
-		req.Parts = append(req.Parts, wire.PartRequest{Group: assigned.Group, Target: assigned.Path.Target, Cause: a.cause})
+		part := wire.PartRequest{Group: assigned.Group, Target: assigned.Path.Target, Cause: a.cause}
+		if a.cause == wire.CauseFirst && len(state.planned.targets) > 1 {
+			part.Turns = turns
+		}
+		req.Parts = append(req.Parts, part)
 	}
 	g.entry.observer.planned(req)
 	ctx, span, parent := g.entry.observer.message(ctx, req.Traceparent, "search message", at)
@@ -138,6 +147,17 @@
 	}()
 }
 
+// firstTurns returns how long a first attempt may wait for a slot, in service
+// times. In overload the other replicas would refuse as well.
+func (g *gather) firstTurns(now time.Time) uint8 {
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	if g.policy.RetryLimit == 0 || g.state.load.Overloaded(now) {
+		return 0
+	}
+	return 1
+}
+
 // cause returns why the next attempt for a group is sent.
 func (g *gather) cause(state *groupState, given wire.Cause) wire.Cause {
 	switch {
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -24,9 +24,9 @@
 	// lossFactor is how much longer than usual a withdrawn attempt must have
 	// waited to count as a loss.
 	lossFactor = 2
-	// suspectAfter is the number of losses in a row after which a target is
+	// trialAfter is the number of losses in a row after which a target is
 	// asked only as a trial. One loss is mostly a single straggler.
-	suspectAfter = 2
+	trialAfter = 2
 )
 
 // pathStats is what is known about one path.
@@ -40,12 +40,19 @@
 	inFlight int
 	failures int
 	failedAt time.Time
+
+	slots       int       // that the owner holds
+	first       bool      // through the target's first listed owner
+	closedUntil time.Time // zero if the owner did not refuse since its last answer
 }
 
 // targetStats is what is known about a target through any of its owners.
 type targetStats struct {
 	losses int // attempts in a row that a hedge overtook
 	lostAt time.Time
+
+	cold      bool // by its last answer
+	coldUntil time.Time
 }
 
 // stats returns the statistics of a path and creates them if needed.
@@ -64,7 +71,7 @@
 		mark = &seatStats{}
 		r.seats[at] = mark
 	}
-	s := &pathStats{path: p, at: at, seat: mark, target: target}
+	s := &pathStats{path: p, at: at, seat: mark, target: target, slots: slotsPerPath}
 	r.paths[p] = s
 	return s
 }
@@ -89,6 +96,7 @@
 	s.end()
 	s.failures = 0
 	s.target.losses = 0
+	s.seat.answered(latency)
 	s.sample(now, latency)
 }
 
@@ -107,7 +115,7 @@
 	s := r.stats(p)
 	s.end()
 	waited -= r.Delay(p.Place)
-	if !s.target.suspect() && waited <= lossFactor*max(s.latency, priorLatency) {
+	if !s.target.onTrial() && waited <= lossFactor*max(s.latency, priorLatency) {
 		return
 	}
 	// The latency stays that of answers: raised by losses, it would hide the
@@ -168,7 +176,7 @@
 	return failurePenalty * time.Duration(s.failures)
 }
 
-func (t *targetStats) suspect() bool { return t.losses >= suspectAfter }
+func (t *targetStats) onTrial() bool { return t.losses >= trialAfter }
 
 func (t *targetStats) penalty(now time.Time) time.Duration {
 	if t.losses == 0 {
