--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -40,7 +40,9 @@
 	if part.Outcome.Reason == outcome.PlaceOut {
 		state.placeOut = a.path.Place
 	}
-	a.again = part.Outcome.Reason == outcome.Silent // the next request uses a new connection
+	// After Silent the next request uses a new connection, and after Busy it may
+	// wait longer: perhaps no other target serves the version.
+	a.again = part.Outcome.Reason == outcome.Silent || part.Outcome.Reason == outcome.Busy
 	if a.gap {
 		return nil // fillGaps asks the next target
 	}
