Say less often that a command's outcome is unknown

Change: - A home that stops gracefully begins nothing more, waits for what runs, and states its requests to up to 16 hosts. These answer for it: with the recorded outcome, or with "not run" for a request that it did not state. - Entry hosts keep the answers that they passed on. For a home that does not answer, the entry host looks there and asks the same hosts. - A home hands a command over to another branch host only after that host has answered.

--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -128,6 +128,9 @@
 	if c.isSelf(at) {
 		return c.local.lookup(ctx, req)
 	}
+	if req.Once {
+		return c.lookupOnce(ctx, at, req)
+	}
 	s, err := c.open(ctx, at, wire.ExchangeLookup)
 	if err != nil {
 		return wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "%v", err)}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex // guards what follows
 	registry *atmostonce.Registry[wire.CommandReply]
 	running  map[string]*commandRun
+	gone     *atmostonce.Successor[wire.CommandReply] // answers for homes that are gone
 }
 
 // commandRun is a command that is running. The reply is valid when done is closed.
@@ -47,6 +48,7 @@
 	return &home{
 		self: self, entry: entry, running: map[string]*commandRun{},
 		registry: atmostonce.NewRegistry[wire.CommandReply](self.Name, incarnation, commandLimits),
+		gone:     atmostonce.NewSuccessor[wire.CommandReply](commandLimits),
 	}
 }
 
@@ -193,6 +195,9 @@
 		// command may have run under the other one.
 		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "service %s is no command service here", req.Service)}
 	}
+	if reply, ok := h.answerForGone(id, req); ok {
+		return reply
+	}
 	return h.do(ctx, id, req, confirm)
 }
 
@@ -319,15 +324,24 @@
 	if id.Ticket.Host == e.self.Name {
 		return e.home.do(ctx, id, req, nil)
 	}
+	if reply, ok := e.home.answerForGone(id, req); ok {
+		return reply
+	}
 	host, ok := e.directory.byName(id.Ticket.Host)
 	if !ok {
-		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "home %s is not listed", id.Ticket.Host)}
+		return e.askOthers(ctx, id, req, outcome.Uncertain(outcome.Unavailable, "home %s is not listed", id.Ticket.Host))
 	}
-	return e.branches.command(ctx, host, req)
+	reply, err := e.branches.command(ctx, host, req)
+	if err != nil {
+		return e.askOthers(ctx, id, req, reply.Outcome)
+	}
+	e.home.note(id, req, reply)
+	return reply
 }
 
-// command forwards a command to its home.
-func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) (reply wire.CommandReply) {
+// command forwards a command to its home, or to another host that may know what
+// became of it. With an error, the outcome is unknown.
+func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) (reply wire.CommandReply, err error) {
 	ctx, span, parent := c.observer.message(ctx, req.Traceparent, "command message", seat{host.Place, host.Ordinal})
 	req.Traceparent = parent
 	defer func() { endWith(span, reply.Outcome) }()
@@ -342,13 +356,13 @@
 		}
 	}
 	if err == nil {
-		return reply
+		return reply, nil
 	}
 	reason := outcome.Unavailable
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		reason = outcome.Deadline
 	}
-	return wire.CommandReply{Outcome: outcome.Uncertain(reason, "home %s did not answer: %v", host.Name, err)}
+	return wire.CommandReply{Outcome: outcome.Uncertain(reason, "home %s did not answer: %v", host.Name, err)}, err
 }
 
 // awaitReply reads the result of a command and confirms meanwhile, as often as
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -175,6 +175,13 @@
 	return c.view.PeerState(time.Now(), name)
 }
 
+// incarnation returns that of a host's newest process, and 0 if it is not known.
+func (c *control) incarnation(name string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Incarnation(name)
+}
+
 // setLoad sets the source of the load. Peers may be answered already.
 func (c *control) setLoad(load func() uint8) {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
-	d.entry.peerState = d.control.peerState
+	d.entry.peerState, d.entry.incarnation = d.control.peerState, d.control.incarnation
 	close(d.wired)
 	return d, nil
 }
@@ -202,6 +202,10 @@
 		d.branch.guard.serve(s)
 	case wire.ExchangeCommand:
 		d.serveCommand(ctx, s)
+	case wire.ExchangeOnce:
+		d.branch.serveOnce(ctx, s)
+	case wire.ExchangeHandover:
+		d.serveHandover(s)
 	default:
 		s.Reset() // a newer version of the peer may know more exchanges
 	}
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/entries"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
@@ -18,7 +19,7 @@
 		Entries: []api.Entry{},
 		TTLMS:   tree.Effective(e.self.Place, "").EntriesTTL.Milliseconds(),
 	}
-	prefix := e.Ticket().TicketPrefix
+	prefix, ttl := e.Ticket().TicketPrefix, tree.Effective(e.self.Place, "").TicketTTL
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -44,10 +45,27 @@
 	}
 	for _, h := range entries.Choose(known, e.self.Place, e.rng) {
 		listed := api.Entry{Host: h.Name, Place: h.Place, Address: h.Address}
-		if h.Name == e.self.Name { // the incarnations of other hosts are not known here
+		if h.Name == e.self.Name {
 			listed.TicketPrefix = prefix
+		} else if e.incarnation != nil {
+			listed.TicketPrefix = ticketFor(h.Name, e.incarnation(h.Name), now, ttl)
 		}
 		answer.Entries = append(answer.Entries, listed)
 	}
 	return answer
 }
+
+// expiryMargin keeps the longest ticket for another host inside what that host
+// accepts, although its clock may be behind.
+const expiryMargin = time.Minute
+
+// ticketFor returns the prefix of a ticket for another host. With it a caller
+// sends a command to the host that may run it: if that host is gone, the
+// connection is refused, and the caller knows that the command did not run.
+func ticketFor(host string, incarnation uint64, now time.Time, ttl time.Duration) string {
+	if incarnation == 0 {
+		return ""
+	}
+	expiry := now.Add(min(ttl, commandLimits.LongestTTL-expiryMargin)).Truncate(time.Millisecond)
+	return atmostonce.Ticket{Host: host, Incarnation: incarnation, Expiry: expiry}.Prefix()
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -28,7 +28,9 @@
 	// peerState returns what a host said last, and whether it is silent; nil if
 	// nothing is known of hosts.
 	peerState func(name string) (state membership.State, silent bool)
-	observer  observer
+	// incarnation returns that of a host's process, or 0; nil if nothing is known.
+	incarnation func(name string) uint64
+	observer    observer
 
 	mu       sync.Mutex // guards what follows
 	router   *routing.Router
--- /dev/null
+++ b/internal/daemon/handover.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+const (
+	// maxHeirs is the number of hosts that a home which stops tells of its
+	// requests, and that are asked for those of a home that is gone. In a small
+	// fleet it is every host.
+	maxHeirs = membership.SmallFleet
+	// handoverRecords bounds the records of one message, which stays far under
+	// wire.MaxMessageBytes at 16 KB per record.
+	handoverRecords = 500
+	// handoverLimit bounds the time that a shutdown takes longer for it.
+	handoverLimit = 2 * time.Second
+)
+
+// heirs returns the hosts that may know the requests of a home, in an order
+// that every host with the same list finds.
+func (d *directory) heirs(home, self string) []platform.Host {
+	var all []platform.Host
+	for _, h := range d.hosts().list.Hosts {
+		if h.Name != home && h.Name != self {
+			all = append(all, h)
+		}
+	}
+	slices.SortFunc(all, func(a, b platform.Host) int {
+		return cmp.Compare(xxhash.Sum64String(home+"\x00"+a.Name), xxhash.Sum64String(home+"\x00"+b.Name))
+	})
+	return all[:min(len(all), maxHeirs)]
+}
+
+// answerForGone returns what became of a command whose home is gone, if this
+// host knows it.
+func (h *home) answerForGone(id atmostonce.ID, req *wire.CommandRequest) (wire.CommandReply, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	decision, ok := h.gone.Decide(time.Now(), id, digest(req))
+	if decision.Action == atmostonce.Replay {
+		decision.Answer.Outcome = decision.Outcome
+		return decision.Answer, ok
+	}
+	return wire.CommandReply{Outcome: decision.Outcome}, ok
+}
+
+// note keeps an answer that this host passed on, in case its home is lost.
+func (h *home) note(id atmostonce.ID, req *wire.CommandRequest, reply wire.CommandReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gone.Note(time.Now(), id, digest(req), reply.Outcome, reply)
+}
+
+// askOthers asks other hosts what became of a command that its home does not
+// answer for. The command runs nowhere else.
+func (e *entry) askOthers(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, unknown outcome.Outcome) wire.CommandReply {
+	if reply, ok := e.home.answerForGone(id, req); ok { // it was told while the home was asked
+		return reply
+	}
+	if ctx.Err() != nil {
+		return wire.CommandReply{Outcome: unknown}
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining(ctx)/2)
+	defer cancel()
+	others := e.directory.heirs(id.Ticket.Host, e.self.Name)
+	replies := make(chan wire.CommandReply, len(others))
+	for _, host := range others {
+		go func() {
+			copied := *req
+			reply, _ := e.branches.command(ctx, host, &copied)
+			replies <- reply
+		}()
+	}
+	for range others {
+		if reply := <-replies; reply.Outcome.Kind != outcome.Unknown {
+			return reply
+		}
+	}
+	return wire.CommandReply{Outcome: unknown}
+}
+
+// stop lets no command begin any more and waits for those that began meanwhile.
+func (h *home) stop(ctx context.Context) {
+	h.mu.Lock()
+	h.registry.Close(time.Now())
+	h.mu.Unlock()
+	h.wait(ctx)
+}
+
+// handOver states the requests of a stopped home to the other hosts, so that
+// they can say what became of them. It returns when the hosts that answer hold
+// them.
+func (h *home) handOver(transport *peer.Transport, directory *directory, ttl time.Duration) {
+	h.mu.Lock()
+	closing := h.registry.Close(time.Now())
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, host := range directory.heirs(h.self.Name, h.self.Name) {
+		wg.Go(func() { h.sendHandover(ctx, transport, host, &closing, ttl) })
+	}
+	wg.Wait()
+}
+
+// sendHandover states the requests to one host. What it does not hold stays
+// unknown to it, so an error changes nothing.
+func (h *home) sendHandover(ctx context.Context, transport *peer.Transport, to platform.Host, closing *atmostonce.Handover[wire.CommandReply], ttl time.Duration) {
+	s, err := transport.Open(ctx, to.Peers, wire.ExchangeHandover)
+	if err != nil {
+		return
+	}
+	defer s.Reset()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	rest := closing.Records
+	for last := false; !last; {
+		part := rest[:min(len(rest), handoverRecords)]
+		rest = rest[len(part):]
+		last = len(rest) == 0
+		message := wire.Handover{
+			Host: closing.Host, Incarnation: closing.Incarnation, AtMS: closing.At.UnixMilli(),
+			KeepMS: (ttl + commandLimits.LongestDeadline).Milliseconds(), Last: last,
+		}
+		for _, rec := range part {
+			reply := rec.Answer
+			reply.Outcome = rec.Outcome
+			message.Records = append(message.Records, wire.HandoverRecord{RequestID: rec.ID, Digest: rec.Digest, Reply: reply})
+		}
+		if s.Send(&message) != nil {
+			return
+		}
+	}
+	var held wire.HandoverAck
+	_ = s.Receive(&held)
+}
+
+// serveHandover takes the requests of a home that stops.
+func (d *Daemon) serveHandover(s *peer.Stream) {
+	select {
+	case <-d.wired:
+	default:
+		s.Reset() // this host has just started and holds nothing
+		return
+	}
+	var all atmostonce.Handover[wire.CommandReply]
+	var message wire.Handover
+	for !message.Last {
+		message = wire.Handover{}
+		if err := s.Receive(&message); err != nil || len(all.Records)+len(message.Records) > commandLimits.Records {
+			s.Reset()
+			return
+		}
+		for _, rec := range message.Records {
+			all.Records = append(all.Records, atmostonce.Ended[wire.CommandReply]{
+				ID: rec.RequestID, Digest: rec.Digest, Outcome: rec.Reply.Outcome, Answer: rec.Reply})
+		}
+	}
+	all.Host, all.Incarnation, all.At = message.Host, message.Incarnation, time.UnixMilli(message.AtMS)
+	h := d.entry.home
+	h.mu.Lock()
+	held := h.gone.Accept(time.Now(), all, time.Duration(message.KeepMS)*time.Millisecond)
+	h.mu.Unlock()
+	if err := s.Send(&wire.HandoverAck{Held: held}); err != nil {
+		s.Reset()
+	}
+}
--- /dev/null
+++ b/internal/daemon/once.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// handOverPart is the part of the time left that a branch host has to say that
+// it is there. At a deadline of 300 ms the first has 150 ms, several round trips
+// between places, and two others can be tried after it.
+const handOverPart = 2
+
+// lookupOnce sends a lookup that may not be repeated to another branch host. It
+// is handed over only to a host that has answered, so that a host which is gone
+// or cut off leaves it "not run".
+func (c *branchClient) lookupOnce(ctx context.Context, at seat, req *wire.LookupRequest) wire.LookupReply {
+	s, err := c.offer(ctx, at, req)
+	if err != nil {
+		return wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "branch host did not take the request: %v", err)}
+	}
+	defer s.Reset()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	left := remaining(ctx)
+	if ctx.Err() != nil || left < time.Millisecond {
+		return wire.LookupReply{Outcome: gaveUp(ctx, "before the branch host was told to send")}
+	}
+	var reply wire.LookupReply
+	if err = s.Send(&wire.LookupGo{TimeoutMS: left.Milliseconds()}); err == nil {
+		err = s.Receive(&reply)
+	}
+	if err != nil {
+		reason := outcome.ConnLost
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = outcome.Deadline
+		}
+		return wire.LookupReply{Outcome: outcome.Uncertain(reason, "branch host did not answer: %v", err)}
+	}
+	return reply
+}
+
+// offer opens a stream to a branch host and waits until it is ready to take the
+// lookup.
+func (c *branchClient) offer(ctx context.Context, at seat, req *wire.LookupRequest) (*peer.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, remaining(ctx)/handOverPart)
+	defer cancel()
+	s, err := c.open(ctx, at, wire.ExchangeOnce)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Reset)
+	var ready wire.LookupReady
+	req.TimeoutMS = remaining(ctx).Milliseconds()
+	if err = s.Send(req); err == nil {
+		err = s.Receive(&ready)
+	}
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		s.Reset()
+		return nil, err
+	}
+	return s, nil
+}
+
+// serveOnce answers the stream of a lookup that may not be repeated. Nothing
+// runs before the home hands it over.
+func (b *branch) serveOnce(ctx context.Context, s *peer.Stream) {
+	var req wire.LookupRequest
+	var handed wire.LookupGo
+	if err := s.Receive(&req); err != nil || !req.Once {
+		s.Reset()
+		return
+	}
+	stop := time.AfterFunc(time.Duration(req.TimeoutMS)*time.Millisecond, s.Reset)
+	err := s.Send(&wire.LookupReady{})
+	if err == nil {
+		err = s.Receive(&handed)
+	}
+	if !stop.Stop() || err != nil {
+		s.Reset()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(handed.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	reply := b.lookup(ctx, &req)
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+	}
+}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -81,6 +81,8 @@
 	go func() {
 		err := d.callers.Shutdown(ctx)
 		d.entry.home.wait(ctx)
+		d.entry.home.stop(ctx)
+		d.entry.home.handOver(d.transport, d.directory, policy.TicketTTL)
 		closed <- err
 	}()
 	select {
--- a/internal/target/lease.go
+++ b/internal/target/lease.go
@@ -53,7 +53,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	err := c.lease.pool.prove(c.lease.conn)
+	err := c.lease.pool.prove(c.lease.conn, probeLimit)
 	c.lease.reusable = err == nil
 	return err
 }
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -22,6 +22,13 @@
 	retryAfter = 20 * time.Millisecond
 	// provenFor is how long after an answer a connection counts as proven live.
 	provenFor = time.Second
+	// freshFor is how long after an answer a connection carries a request that
+	// may not be repeated without another probe. A connection that has gone
+	// silent since its last answer would leave the request unknown.
+	freshFor = 20 * time.Millisecond
+	// checkLimit bounds that probe; a target answers it within a round trip in
+	// its place, and without a slot.
+	checkLimit = 50 * time.Millisecond
 )
 
 // ErrDown says that the target accepts no connection. Nothing was sent.
@@ -114,13 +121,18 @@
 
 // Take returns a client for one request, bound to a free connection, and waits
 // for one to open if there is none. For a request that may not be repeated,
-// once selects a connection that is proven live. It returns ErrDown if the
+// once selects a connection that is proven live, and probes it again unless it
+// has just answered. It returns ErrDown if the
 // target accepts no connection. The caller calls Release on the client.
 func (p *Pool) Take(ctx context.Context, once bool) (*Client, error) {
 	p.mu.Lock()
 	if c := p.takeIdle(once); c != nil {
+		fresh := !once || time.Since(c.proven) <= freshFor
 		p.mu.Unlock()
-		return p.client(c), nil
+		if fresh || p.prove(c, checkLimit) == nil {
+			return p.client(c), nil
+		}
+		p.mu.Lock() // the others may be silent as well, so a new one is used
 	}
 	w := &waiter{once: once, ready: make(chan *conn, 1)}
 	p.waiters = append(p.waiters, w)
@@ -153,7 +165,7 @@
 	p.mu.Unlock()
 	if c != nil {
 		go func() {
-			if p.prove(c) == nil {
+			if p.prove(c, probeLimit) == nil {
 				p.put(c)
 			}
 		}()
@@ -217,24 +229,24 @@
 	p.usable++
 	p.counts.Dialed++
 	p.mu.Unlock()
-	if p.prove(c) == nil {
+	if p.prove(c, probeLimit) == nil {
 		p.put(c)
 	}
 }
 
 // prove sends a probe: a search without a body, which the target refuses as
 // invalid. The refusal takes no slot and carries the target's state.
-func (p *Pool) prove(c *conn) error {
+func (p *Pool) prove(c *conn, limit time.Duration) error {
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, probeLimit)
+	ctx, cancel := context.WithTimeout(p.ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+"/search", bytes.NewReader(nil))
 	if err != nil {
 		c.closeQuietly()
 		return err
 	}
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(probeLimit.Milliseconds(), 10))
-	resp, err := c.exchange(ctx, req, probeLimit)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(limit.Milliseconds(), 10))
+	resp, err := c.exchange(ctx, req, limit)
 	if err != nil {
 		p.giveUp(c)
 		return err
--- a/pkg/atmostonce/registry.go
+++ b/pkg/atmostonce/registry.go
@@ -42,6 +42,7 @@
 	host        string
 	incarnation uint64
 	limits      Limits
+	closed      bool
 	latest      time.Time // time never goes back here, even if the clock does
 	records     map[string]*record[A]
 	ended       queue[A]
@@ -118,6 +119,8 @@
 	case !now.Before(expiry):
 		// A run would have left a record, so the request certainly did not run.
 		return outcome.Refused(outcome.Invalid, "the ticket has expired"), true
+	case r.closed:
+		return outcome.Refused(outcome.Draining, "host %s is stopping; a new ticket is needed", r.host), true
 	case expiry.After(now.Add(r.limits.LongestTTL)):
 		r.doubt(now)
 		return outcome.Refused(outcome.Invalid, "the ticket lives longer than any that this host issued"), true
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// Incarnation returns the incarnation of a host's newest process that was heard
+// of, and 0 if none was.
+func (v *View) Incarnation(name string) uint64 { return v.states[name].incarnation }
+
 // PeerState returns the last state of a host, and whether it is silent: a
 // contact of which nothing was heard lately. Of hosts that are not contacts
 // nothing is expected.
