Add a naive comparison for NotRunIsTrue

Cause: the list of invariants said that NotRunIsTrue had none; the naive entry was checked for second runs only.

Change: a small table resends requests that ran while all targets refuse. With tickets no resend may be called "not run"; the naive version, lookups without tickets, must call one so.

--- a/internal/daemon/latesend_test.go
+++ b/internal/daemon/latesend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,6 +26,37 @@
 var _ = Describe("NotRunIsTrue", func() {
 	body := api.LookupRequest{ID: "slab-000001"}
 
+	// Guards against "not run" for a request that ran, because a resend is refused
+	// by itself. The naive version, which keeps no record of what ran, must fail.
+	DescribeTable("holds for a resend that the targets refuse", func(ctx context.Context, naive bool) {
+		t := startTier(ctx, []string{commandService}, func(d *settings.Document) {
+			if naive {
+				service := d.Services[commandService]
+				service.Kind = settings.KindLookup
+				d.Services[commandService] = service
+			}
+		})
+		s, rng := &storm{tier: t, tickets: !naive}, rand.New(rand.NewPCG(1, 1))
+		untrue := 0
+		for n := range 10 {
+			id := s.newID(ctx, rng, n)
+			Expect(s.send(ctx, t.host(rng), id, body.ID, longDeadline)).To(Equal(outcome.OK()))
+			t.shedAll(1)
+			if s.send(ctx, t.host(rng), id, body.ID, longDeadline).RanNothing() && t.runs()[id] > 0 {
+				untrue++
+			}
+			t.shedAll(0)
+		}
+		if naive {
+			Expect(untrue).To(BeNumerically(">", 0), "the check shows nothing")
+			return
+		}
+		Expect(untrue).To(Equal(0))
+	},
+		Entry("with tickets", false, NodeTimeout(time.Minute)),
+		Entry("naive", true, NodeTimeout(time.Minute)),
+	)
+
 	// Guards against a first send that is still on its way between two hosts when
 	// a resend through another host is refused, and runs after the refusal.
 	It("holds for a first send that arrives after the refusal of a resend", func(ctx context.Context) {
