Refuse settings of a whole host at a service

quarantine_for, ticket_ttl, entries_ttl, drain_grace and caller_rate_limit are read for a host, not for a service. A service that set one passed the check, and explain showed the value as effective, but no host used it.

Such a document is now refused with the path of the setting, and the reference table has a column with the levels at which each setting may be set.

--- a/pkg/settings/policy.go
+++ b/pkg/settings/policy.go
@@ -73,8 +73,12 @@
 	Range   string // accepted values, for people
 	Default string
 	Doc     string
-	parse   func(raw json.RawMessage) (any, error)
-	set     func(p *Policy, value any)
+	// HostWide says that the value holds for a host as a whole, whatever the
+	// service, so that a service cannot set it.
+	HostWide bool
+
+	parse func(raw json.RawMessage) (any, error)
+	set   func(p *Policy, value any)
 }
 
 // Fields lists every policy setting in the order of the reference page.
@@ -118,20 +122,20 @@
 			p.Canary = mode
 			return nil
 		}),
-	durationField("quarantine_for", "60s", time.Second, time.Hour,
-		"How long a query that crashed two targets is refused.", func(p *Policy) *time.Duration { return &p.QuarantineFor }),
-	durationField("ticket_ttl", "60s", time.Second, time.Hour,
-		"How long a ticket for a non-repeatable request is valid.", func(p *Policy) *time.Duration { return &p.TicketTTL }),
-	durationField("entries_ttl", "5s", 100*time.Millisecond, time.Hour,
-		"How long a caller may keep an entries answer.", func(p *Policy) *time.Duration { return &p.EntriesTTL }),
-	durationField("drain_grace", "30s", 0, time.Hour,
-		"Longest time a graceful shutdown waits for open requests.", func(p *Policy) *time.Duration { return &p.DrainGrace }),
+	hostWide(durationField("quarantine_for", "60s", time.Second, time.Hour,
+		"How long a query that crashed two targets is refused.", func(p *Policy) *time.Duration { return &p.QuarantineFor })),
+	hostWide(durationField("ticket_ttl", "60s", time.Second, time.Hour,
+		"How long a ticket for a non-repeatable request is valid.", func(p *Policy) *time.Duration { return &p.TicketTTL })),
+	hostWide(durationField("entries_ttl", "5s", 100*time.Millisecond, time.Hour,
+		"How long a caller may keep an entries answer.", func(p *Policy) *time.Duration { return &p.EntriesTTL })),
+	hostWide(durationField("drain_grace", "30s", 0, time.Hour,
+		"Longest time a graceful shutdown waits for open requests.", func(p *Policy) *time.Duration { return &p.DrainGrace })),
 	ratioField("slot_limit_ratio", 1, 0.1, 1,
 		"Fraction of a target's slots that the tier uses.", func(p *Policy) *float64 { return &p.SlotLimitRatio }),
 	bytesField("max_body_bytes", 64<<10, 1, 16<<20,
 		"Largest request body that is accepted.", func(p *Policy) *int { return &p.MaxBodyBytes }),
-	countField("caller_rate_limit", 0, 0, 1000000,
-		"Requests a second that one host accepts from one caller address; 0 accepts all.", func(p *Policy) *int { return &p.CallerRateLimit }),
+	hostWide(countField("caller_rate_limit", 0, 0, 1000000,
+		"Requests a second that one host accepts from one caller address; 0 accepts all.", func(p *Policy) *int { return &p.CallerRateLimit })),
 }
 
 var fieldByName = func() map[string]*Field {
@@ -155,6 +159,12 @@
 	return p
 }
 
+// hostWide marks a field that a service cannot set.
+func hostWide(f Field) Field {
+	f.HostWide = true
+	return f
+}
+
 func durationField(name, def string, low, high time.Duration, doc string, at func(*Policy) *time.Duration) Field {
 	return Field{
 		Name: name, Unit: "duration", Doc: doc, Default: `"` + def + `"`,
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -8,9 +8,13 @@
 // Reference returns the table of policy settings for the reference page.
 func Reference() string {
 	var b strings.Builder
-	b.WriteString("| setting | unit | accepted | default | meaning |\n| --- | --- | --- | --- | --- |\n")
+	b.WriteString("| setting | levels | unit | accepted | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, f := range fields {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | `%s` | %s |\n", f.Name, f.Unit, f.Range, f.Default, f.Doc)
+		levels := "fleet, place, service"
+		if f.HostWide {
+			levels = "fleet, place"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | `%s` | %s |\n", f.Name, levels, f.Unit, f.Range, f.Default, f.Doc)
 	}
 	return b.String()
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -36,6 +36,8 @@
 		},
 		Entry("unknown setting", `"hedge_quantile"`, `"hedge_quantil"`, "fleet.settings.hedge_quantil: unknown field"),
 		Entry("unknown field", `"state"`, `"condition"`, "places.north.condition: unknown field"),
+		Entry("setting of a host at a service", `"partition_epoch": 1, "settings": {}`, `"partition_epoch": 1, "settings": {"entries_ttl": "5s"}`,
+			"services.tags.settings.entries_ttl: holds for a host as a whole"),
 		Entry("missing unit", `"hedge_quantile": 0.9`, `"hedge_min_delay": 5`, "fleet.settings.hedge_min_delay: 5 is not a duration"),
 		Entry("wrong unit", `"hedge_quantile": 0.9`, `"hedge_min_delay": "5 parsecs"`, "fleet.settings.hedge_min_delay"),
 		Entry("out of range", `0.9`, `1.5`, "fleet.settings.hedge_quantile: 1.5 is outside 0.5 to 0.9999"),
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -184,24 +184,27 @@
 }
 
 func (t *Tree) checkSettings(found *faults) {
-	check := func(path string, set Overrides) {
+	check := func(path string, level Level, set Overrides) {
 		for name, raw := range set {
 			f, ok := fieldByName[name]
 			if !ok {
 				found.addf(path+".settings."+name, "unknown field")
 				continue
 			}
+			if f.HostWide && level == LevelService {
+				found.addf(path+".settings."+name, "holds for a host as a whole; set it for the fleet or a place")
+			}
 			if _, err := f.parse(bytes.TrimSpace(raw)); err != nil {
 				found.addf(path+".settings."+name, "%v", err)
 			}
 		}
 	}
-	check("fleet", t.Doc.Fleet.Settings)
+	check("fleet", LevelFleet, t.Doc.Fleet.Settings)
 	for name, place := range t.Doc.Places {
-		check("places."+name, place.Settings)
+		check("places."+name, LevelPlace, place.Settings)
 	}
 	for name, service := range t.Doc.Services {
-		check("services."+name, service.Settings)
+		check("services."+name, LevelService, service.Settings)
 	}
 	slices.SortFunc(*found, func(a, b Fault) int { return bytes.Compare([]byte(a.Path), []byte(b.Path)) })
 }
