Share the answer step of the handlers and count rate-limited requests

The handlers of search and lookup repeated the same steps: accept the request, run it, write the answer or the outcome. They now call api.Serve. The rate limit, which answers before the entry role counts anything, counts its refusals, so that a metric can show them.

--- a/internal/api/commands/commands.go
+++ b/internal/api/commands/commands.go
@@ -37,15 +37,5 @@
 }
 
 func (h handler) lookup(w http.ResponseWriter, r *http.Request) {
-	var req api.LookupRequest
-	service, meta, ok := api.Accept(w, r, h.backend, method, &req)
-	if !ok {
-		return
-	}
-	answer, o := h.backend.Lookup(r.Context(), service, meta, &req)
-	if answer == nil {
-		api.WriteOutcome(w, o)
-		return
-	}
-	api.WriteJSON(w, http.StatusOK, answer)
+	api.Serve(w, r, h.backend, method, h.backend.Lookup)
 }
--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -29,9 +30,9 @@
 	Kinds []settings.ServiceKind // the services that allow it
 }
 
-// Accept reads a request to the service that the path names. It answers a
+// accept reads a request to the service that the path names. It answers a
 // faulty request itself, as "not run", and returns false.
-func Accept(w http.ResponseWriter, r *http.Request, services Services, method Method, body Body) (service string, meta Meta, ok bool) {
+func accept(w http.ResponseWriter, r *http.Request, services Services, method Method, body Body) (service string, meta Meta, ok bool) {
 	service = mux.Vars(r)["service"]
 	kind, policy, known := services.Service(service)
 	if !known {
@@ -49,6 +50,27 @@
 	return service, meta, true
 }
 
+// Serve reads a request to the service that the path names, runs it and writes
+// its answer, or the outcome if there is none.
+func Serve[Request, Answer any, Pointer interface {
+	*Request
+	Body
+}](w http.ResponseWriter, r *http.Request, services Services, method Method,
+	run func(ctx context.Context, service string, meta Meta, req Pointer) (*Answer, outcome.Outcome),
+) {
+	req := Pointer(new(Request))
+	service, meta, ok := accept(w, r, services, method, req)
+	if !ok {
+		return
+	}
+	answer, o := run(r.Context(), service, meta, req)
+	if answer == nil {
+		WriteOutcome(w, o)
+		return
+	}
+	WriteJSON(w, http.StatusOK, answer)
+}
+
 func readRequest(r *http.Request, policy *settings.Policy, body Body) (Meta, error) {
 	meta, err := ReadMeta(r.Header)
 	if err == nil {
--- a/internal/api/limits.go
+++ b/internal/api/limits.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -20,7 +21,8 @@
 
 // RateLimit refuses requests of a caller address above a rate.
 type RateLimit struct {
-	limit func() int // requests a second, 0 for no limit
+	limit   func() int // requests a second, 0 for no limit
+	refused atomic.Int64
 
 	mu      sync.Mutex
 	rate    int
@@ -33,10 +35,14 @@
 	return &RateLimit{limit: limit, callers: map[string]*rate.Limiter{}}
 }
 
+// Refused returns the number of requests refused so far.
+func (l *RateLimit) Refused() int64 { return l.refused.Load() }
+
 // Wrap puts the limit before a handler.
 func (l *RateLimit) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !l.allow(r.RemoteAddr, time.Now()) {
+			l.refused.Add(1)
 			o := outcome.Refused(outcome.Overload, "caller exceeds %d requests a second", l.limit())
 			o.RetryAfter = time.Second
 			WriteOutcome(w, o)
--- a/internal/api/queries/queries.go
+++ b/internal/api/queries/queries.go
@@ -37,15 +37,5 @@
 }
 
 func (h handler) search(w http.ResponseWriter, r *http.Request) {
-	var req api.SearchRequest
-	service, meta, ok := api.Accept(w, r, h.backend, method, &req)
-	if !ok {
-		return
-	}
-	answer, o := h.backend.Search(r.Context(), service, meta, &req)
-	if answer == nil {
-		api.WriteOutcome(w, o)
-		return
-	}
-	api.WriteJSON(w, http.StatusOK, answer)
+	api.Serve(w, r, h.backend, method, h.backend.Search)
 }
