--- a/internal/bench/invariant_test.go
+++ b/internal/bench/invariant_test.go
@@ -141,6 +141,18 @@
 	return w.Searchers[w.Tree().Doc.Services[watchedService].Groups[group].Targets[replica].ID]
 }
 
+// anyTarget returns a random searcher of the watched service.
+func (w *watched) anyTarget() *standin.Searcher {
+	group, replica := w.rng.IntN(10), w.rng.IntN(3)
+	return w.target(group, replica)
+}
+
+// awaitMore waits until a count has grown by more than a number.
+func awaitMore(count func() int64, by int64, within time.Duration, why string) {
+	before := count()
+	Eventually(count, within).Should(BeNumerically(">", before+by), why)
+}
+
 // during repeats a fault until a time has passed.
 func during(ctx context.Context, length, every time.Duration, fault func()) {
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
@@ -158,7 +170,7 @@
 		stop := w.load(ctx, 16, w.everyHost())
 		newest := uint64(1)
 		during(ctx, 4*time.Second, 40*time.Millisecond, func() {
-			s := w.target(w.rng.IntN(10), w.rng.IntN(3))
+			s := w.anyTarget()
 			if w.rng.IntN(20) == 0 {
 				newest++
 				s.Crash()
@@ -202,7 +214,7 @@
 		}
 		stop := w.load(ctx, 16, w.everyHost())
 		defer stop()
-		Eventually(work, "5s").Should(BeNumerically(">", 20))
+		awaitMore(work, 20, 5*time.Second, "the place is used")
 		in := &injector{fleet: w.Fleet, checker: w.checker}
 		Expect(in.setPlace(out, false)).To(Succeed())
 		Eventually(func() bool {
@@ -217,8 +229,7 @@
 		time.Sleep(time.Second)
 		late := work() - before
 		Expect(in.setPlace(out, true)).To(Succeed())
-		after := work()
-		Eventually(work, "10s").Should(BeNumerically(">", after+20), "the place is used again")
+		awaitMore(work, 20, 10*time.Second, "the place is used again")
 		stop()
 		coverage := w.report()
 		fmt.Fprintf(GinkgoWriter, "%s out, read by %s: %d sub-requests later than 3 s\n", out, reads, late)
@@ -291,8 +302,8 @@
 		}
 		stop := w.load(ctx, 16, w.everyHost())
 		during(ctx, 4*time.Second, 200*time.Millisecond, func() {
-			w.target(w.rng.IntN(10), w.rng.IntN(3)).SilenceConnections()
-			w.target(w.rng.IntN(10), w.rng.IntN(3)).SetVersions(1, 2)
+			w.anyTarget().SilenceConnections()
+			w.anyTarget().SetVersions(1, 2)
 		})
 		stop()
 		coverage := w.report()
@@ -332,9 +343,7 @@
 			return c.entries[c.rng.IntN(len(c.entries))].Address
 		})
 		for range 3 {
-			answered := func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.answers }
-			before := answered()
-			Eventually(answered, "10s").Should(BeNumerically(">", before+50))
+			awaitMore(func() int64 { w.mu.Lock(); defer w.mu.Unlock(); return int64(w.answers) }, 50, 10*time.Second, "callers are answered")
 			running := w.Running()
 			err := w.StopHost(running[w.rng.IntN(len(running))], graceful)
 			if graceful {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // echo answers a search request with a final reply.
@@ -35,6 +36,17 @@
 	return t, conn.LocalAddr().String()
 }
 
+// listenWithFiles listens with keys that are read from files.
+func listenWithFiles(authority *standin.Authority) (dir string, files settings.KeyFiles, keys *peer.Keys, address string) {
+	dir = GinkgoT().TempDir()
+	files, err := authority.WriteFiles(dir, "host")
+	Expect(err).NotTo(HaveOccurred())
+	keys, err = peer.LoadKeys(files)
+	Expect(err).NotTo(HaveOccurred())
+	_, address = listen(keys.Config())
+	return dir, files, keys, address
+}
+
 func exchange(from *peer.Transport, to string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -62,13 +74,7 @@
 	// Guards against a stranger that takes part in the fleet, with a
 	// certificate of another authority or without one.
 	It("refuses strangers and counts them", func() {
-		dir := GinkgoT().TempDir()
-		files, err := authority.WriteFiles(dir, "host")
-		Expect(err).NotTo(HaveOccurred())
-		keys, err := peer.LoadKeys(files)
-		Expect(err).NotTo(HaveOccurred())
-		_, address := listen(keys.Config())
-
+		_, _, keys, address := listenWithFiles(authority)
 		strangers, err := standin.NewAuthority()
 		Expect(err).NotTo(HaveOccurred())
 		conf, err := strangers.TLS("stranger")
@@ -85,13 +91,7 @@
 	// Guards against certificates that can only be replaced by a restart, and
 	// against a broken file that takes the working keys away.
 	It("follows replaced key files without a restart", func() {
-		dir := GinkgoT().TempDir()
-		files, err := authority.WriteFiles(dir, "host")
-		Expect(err).NotTo(HaveOccurred())
-		keys, err := peer.LoadKeys(files)
-		Expect(err).NotTo(HaveOccurred())
-		_, address := listen(keys.Config())
-
+		dir, files, keys, address := listenWithFiles(authority)
 		next, err := standin.NewAuthority()
 		Expect(err).NotTo(HaveOccurred())
 		conf, err := next.TLS("other")
