Show what a host knows of the others and all its targets in the status

The status page showed the host's own phase, whether other hosts were heard, and only the targets that were already used. A drain could be followed only on the host itself, and coverage only with a metrics system.

The page and the JSON now hold the places with their hosts, each host's phase, load and configuration version by its last message with its age, all targets that the host owns ("not used yet" before their use, "draining" and "out" when they are taken out, "suspect" after a death under a listed query), and the coverage of the last minute by service. places in the JSON is a list now, and lists everything by name. New metrics: place_in_service, target_slots_in_use and rate_limited_total.

POST /v1/drain, which the design names, did not exist; it begins the same shutdown as SIGTERM. The phase of pkg/drain is now the one source of both the status and the waits of the shutdown: Left gives the time until the phase that Phase returns has passed, and replaces Until, which the daemon asked for a phase of its own choice. Commands that run for other hosts count as open.

--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
+	"strings"
 
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/spf13/cobra"
@@ -15,7 +15,7 @@
 	cmd := &cobra.Command{
 		Use:     "status",
 		GroupID: "queries",
-		Short:   "Show the state of one host",
+		Short:   "Show the state of one host and what it knows of the others",
 		Example: "  lacewingyard status --operators 127.0.0.1:8070",
 		Args:    cobra.NoArgs,
 	}
@@ -25,30 +25,59 @@
 		if err := call(cmd.Context(), http.MethodGet, operator, "/status", nil, nil, &status); err != nil {
 			return err
 		}
-		return format.print(cmd.OutOrStdout(), status, func(w io.Writer) {
-			fmt.Fprintf(w, "host\t%s\nplace\t%s\nordinal\t%d\nphase\t%s\nopen requests\t%d\nconfiguration version\t%d\nhost list version\t%d\n",
-				status.Host, status.Place, status.Ordinal, status.Phase, status.Open, status.ConfigVersion, status.HostsVersion)
-			names := make([]string, 0, len(status.Places))
-			for name := range status.Places {
-				names = append(names, name)
-			}
-			slices.Sort(names)
-			for _, name := range names {
-				fmt.Fprintf(w, "place %s\t%s\n", name, status.Places[name])
-			}
-			fmt.Fprintf(w, "configuration age\t%.0f s\nconfigurations refused\t%d\n", status.ConfigAgeSeconds, status.Control.Config.Refused)
-			for _, h := range status.Hosts {
-				fmt.Fprintf(w, "host %s\t%s, %s, heard %t\n", h.Name, h.Place, h.State, h.Heard)
-			}
-			for _, t := range status.Targets {
-				fmt.Fprintf(w, "target %s\t%s, %d of %d slots, %d waiting, usually %.1f ms\n", t.Target, t.State, t.InUse, t.Slots, t.Queue, t.UsualMS)
-			}
-			for _, q := range status.Quarantined {
-				fmt.Fprintf(w, "query %s\t%s, %d deaths\n", q.Fingerprint, q.State, q.Deaths)
-			}
-		})
+		return format.print(cmd.OutOrStdout(), status, func(w io.Writer) { printStatus(w, &status) })
 	}
 	cmd.Flags().StringVar(&operator, "operators", "", "address of the host's operators' listener (IP:port)")
 	_ = cmd.MarkFlagRequired("operators")
 	return cmd
 }
+
+func printStatus(w io.Writer, s *daemon.Status) {
+	fmt.Fprintf(w, "host\t%s\nplace\t%s\nordinal\t%d\nphase\t%s\nmay start work\t%t\nopen requests\t%d\n",
+		s.Host, s.Place, s.Ordinal, s.Phase, s.Control.Ready, s.Open)
+	fmt.Fprintf(w, "configuration version\t%d\nconfiguration age\t%.0f s\nconfigurations refused\t%d\nhost list version\t%d\n",
+		s.ConfigVersion, s.ConfigAgeSeconds, s.Control.Config.Refused, s.HostsVersion)
+	if s.Control.LastRefusal != "" {
+		fmt.Fprintf(w, "last refusal\t%s\n", s.Control.LastRefusal)
+	}
+	fmt.Fprintln(w, "\nPLACE\tSTATE\tORDINALS\tTAKE WORK\tHEARD\tIN USE HERE")
+	for _, p := range s.Places {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", p.Name, p.State, p.Hosts, p.Live, p.Heard, p.InUse)
+	}
+	fmt.Fprintln(w, "\nSERVICE\tKIND\tGROUPS\tUNUSABLE\tANSWERS/MIN\tFAILED\tCOVERAGE\tLOWEST")
+	for _, v := range s.Services {
+		mean, lowest := "-", "-"
+		if v.Searches > 0 {
+			mean, lowest = fmt.Sprintf("%.4f", v.CoverageMean), fmt.Sprintf("%.4f", v.CoverageMin)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", v.Service, v.Kind, v.Groups, len(v.Unusable), v.Answers, v.Failed, mean, lowest)
+	}
+	fmt.Fprintln(w, "\nHOST\tPLACE\tORDINAL\tLIST\tPHASE\tLAST MESSAGE\tLOAD\tCONFIGURATION")
+	for _, h := range s.Hosts {
+		age := "never"
+		if h.AgeSeconds != nil {
+			age = fmt.Sprintf("%.1f s ago", *h.AgeSeconds)
+		}
+		switch {
+		case h.Self:
+			age = "this host"
+		case h.Silent:
+			age = "silent, " + age
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%.2f\t%d\n", h.Name, h.Place, h.Ordinal, h.State, h.Phase, age, h.Load, h.ConfigVersion)
+	}
+	fmt.Fprintln(w, "\nTARGET\tSERVICE\tRANK\tSTATE\tIN USE\tSLOTS\tWAITING\tSERVICE ms\tUSUAL ms")
+	for _, t := range s.Targets {
+		state := t.State
+		if t.Suspect {
+			state += ", suspect"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%.1f\t%.1f\n", t.Target, t.Service, t.Rank, state, t.InUse, t.Slots, t.Queue, t.ServiceMS, t.UsualMS)
+	}
+	if len(s.Quarantined) > 0 {
+		fmt.Fprintln(w, "\nQUERY\tSTATE\tREFUSED FOR s\tTARGETS THAT DIED")
+	}
+	for _, q := range s.Quarantined {
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%s\n", q.Fingerprint, q.State, q.LeftSeconds, strings.Join(q.Targets, " "))
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,9 +62,12 @@
 	callers   *http.Server
 	operators *http.Server
 	open      openRequests
+	limit     *api.RateLimit
 	ready     chan struct{}
 	aborted   chan struct{}
 	abortOnce sync.Once
+	leaving   chan struct{} // closed when operators ask for a shutdown
+	leaveOnce sync.Once
 	wired     chan struct{} // closed when New has set every field
 }
 
@@ -91,8 +94,10 @@
 	if err := atmostonce.CheckHost(opts.Process.Name); err != nil {
 		return nil, errors.Wrap(err, "process settings")
 	}
-	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), wired: make(chan struct{}), aborted: make(chan struct{})}
+	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), wired: make(chan struct{}), aborted: make(chan struct{}),
+		leaving: make(chan struct{})}
 	d.config = newConfig(opts.Process, d.log)
+	d.limit = api.NewRateLimit(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit })
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	guard := newGuard(opts.Process, d.config, d.directory)
@@ -128,8 +133,8 @@
 // Ready is closed when the daemon serves callers.
 func (d *Daemon) Ready() <-chan struct{} { return d.ready }
 
-// Run serves until the context ends, then shuts down gracefully: it finishes
-// the requests in progress and returns nil.
+// Run serves until the context ends or Drain is called, then shuts down
+// gracefully: it finishes the requests in progress and returns nil.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -175,8 +180,7 @@
 	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
 	queries.Register(router, entry)
 	commands.Register(router, entry)
-	limit := api.NewRateLimit(func() int { return d.config.tree().Effective(d.opts.Process.Place, "").CallerRateLimit })
-	return limit.Wrap(router)
+	return d.limit.Wrap(router)
 }
 
 func (d *Daemon) operatorRoutes() http.Handler {
@@ -184,6 +188,7 @@
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	router.Handle("/metrics", d.opts.Metrics.Handler())
 	router.HandleFunc("/status", d.serveStatus).Methods(http.MethodGet)
+	router.HandleFunc("/v1/drain", d.serveDrain).Methods(http.MethodPost)
 	return router
 }
 
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -27,6 +27,21 @@
 		}
 		return 0
 	})
+	m.Gauges("place_in_service", "1 for a place that is in service by the configuration in force, 0 for one that is out.", []string{"place"},
+		func(emit telemetry.Emit) {
+			tree := d.config.tree()
+			if tree == nil {
+				return
+			}
+			for name := range tree.Doc.Places {
+				in := 0.0
+				if tree.PlaceIsIn(name) {
+					in = 1
+				}
+				emit(in, name)
+			}
+		})
+	m.Counter("rate_limited_total", "Requests refused because their caller address exceeded its rate.", func() float64 { return float64(d.limit.Refused()) })
 	m.Gauge("open_requests", "Requests of callers in progress.", func() float64 { return float64(d.open.count.Load()) })
 	d.control.registerGauges(m)
 	d.registerEntryGauges(m)
@@ -145,6 +160,13 @@
 			emit(float64(n), state)
 		}
 	})
+	m.Gauge("target_slots_in_use", "Slots of this host's targets that are in use.", func() float64 {
+		sum := 0
+		for _, t := range b.targets.status() {
+			sum += t.InUse
+		}
+		return float64(sum)
+	})
 	m.Gauges("quarantine_fingerprints", "Queries known to crash targets, by state.", []string{"state"}, func(emit telemetry.Emit) {
 		suspect, proven := 0, 0
 		for _, q := range b.guard.status() {
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
@@ -15,6 +17,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // scrape returns the series of all hosts that have values other than 0.
@@ -70,4 +73,22 @@
 		delete(onPage, "lacewingyard_handshakes_refused_total") // of the process, registered by serve
 		Expect(onPage).To(Equal(names(`(?m)^# TYPE (lacewingyard_[a-z_]+) `, text)))
 	}, NodeTimeout(time.Minute))
+
+	// Guards against refusals of the rate limit that no metric shows, because
+	// they are answered before the entry role counts.
+	It("count the requests that the rate limit refuses", func(ctx context.Context) {
+		t := startTier(ctx, []string{searchService}, func(d *settings.Document) { d.Fleet.Settings["caller_rate_limit"] = raw("5") })
+		refused := 0
+		for range 20 {
+			resp, err := t.http.Get("http://" + t.Hosts[0].Entry.Callers + "/v1/entries")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			if resp.StatusCode == http.StatusTooManyRequests {
+				refused++
+			}
+		}
+		Expect(refused).To(BeNumerically(">", 0))
+		_, text := scrape(t.Fleet)
+		Expect(text).To(ContainSubstring(fmt.Sprintf("\nlacewingyard_rate_limited_total %d\n", refused)))
+	}, NodeTimeout(time.Minute))
 })
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -34,7 +35,30 @@
 // *AbortedError if requests were cut.
 func (d *Daemon) Abort() { d.abortOnce.Do(func() { close(d.aborted) }) }
 
-// serve answers callers and operators until the context ends, then shuts down.
+// Drain begins a graceful shutdown, as the end of Run's context does. Further
+// calls change nothing.
+func (d *Daemon) Drain() { d.leaveOnce.Do(func() { close(d.leaving) }) }
+
+// DrainResponse is the answer to POST /v1/drain.
+type DrainResponse struct {
+	Host string `json:"host"`
+	// AcceptingMS is how long the host still accepts requests, GraceMS how long
+	// open requests may take after that.
+	AcceptingMS int64 `json:"accepting_ms"`
+	GraceMS     int64 `json:"grace_ms"`
+}
+
+// serveDrain begins a graceful shutdown for an operator.
+func (d *Daemon) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	policy := d.config.tree().Effective(d.opts.Process.Place, "")
+	d.Drain()
+	api.WriteJSON(w, http.StatusOK, DrainResponse{
+		Host: d.opts.Process.Name, AcceptingMS: policy.EntriesTTL.Milliseconds(), GraceMS: policy.DrainGrace.Milliseconds(),
+	})
+}
+
+// serve answers callers and operators until the context ends or operators
+// ask for a drain, then shuts down.
 func (d *Daemon) serve(ctx context.Context) error {
 	callers, err := d.opts.Listen(d.opts.Process.Listen.Callers)
 	if err != nil {
@@ -58,6 +82,8 @@
 		err = errors.Wrap(err, "HTTP server")
 	case <-ctx.Done():
 		err = d.shutdown()
+	case <-d.leaving:
+		err = d.shutdown()
 	case <-d.aborted:
 		err = d.cut()
 	}
@@ -68,14 +94,17 @@
 // kept answers have run out, and finishes what is open.
 func (d *Daemon) shutdown() error {
 	policy := d.config.tree().Effective(d.opts.Process.Place, "")
-	s := d.entry.beginShutdown(policy)
+	d.entry.beginShutdown(policy)
 	d.control.leave()
 	d.log.Info("leaving", "accepting_for", policy.EntriesTTL, "open", d.open.count.Load())
-	if !d.wait(s.Until(time.Now(), drain.Leaving)) {
-		return d.cut()
+	phase, left := d.phase()
+	for ; phase == drain.Leaving; phase, left = d.phase() {
+		if !d.wait(left) {
+			return d.cut()
+		}
 	}
 	d.log.Info("closing", "open", d.open.count.Load())
-	ctx, cancel := context.WithTimeout(context.Background(), s.Until(time.Now(), drain.Closing))
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	closed := make(chan error, 1)
 	go func() {
@@ -95,18 +124,19 @@
 }
 
 // beginShutdown takes this host out of the entries answers.
-func (e *entry) beginShutdown(policy *settings.Policy) drain.Shutdown {
+func (e *entry) beginShutdown(policy *settings.Policy) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.shutdown.Begin(time.Now(), policy.EntriesTTL, policy.DrainGrace)
-	return e.shutdown
 }
 
-// phase returns the phase of this host's life.
-func (d *Daemon) phase() drain.Phase {
+// phase returns the phase of this host's life and the time until it must have
+// passed. Commands of other hosts that run here count as open requests.
+func (d *Daemon) phase() (drain.Phase, time.Duration) {
+	now, open := time.Now(), int(d.open.count.Load()+d.entry.home.inFlight.Load())
 	d.entry.mu.Lock()
 	defer d.entry.mu.Unlock()
-	return d.entry.shutdown.Phase(time.Now(), int(d.open.count.Load()))
+	return d.entry.shutdown.Phase(now, open), d.entry.shutdown.Left(now, open)
 }
 
 // wait returns true after a duration and false if the shutdown was aborted.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -8,22 +8,24 @@
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-// Status is what a host says about itself on the operators' listener.
+// Status is what a host says about itself on the operators' listener, and what
+// it knows of the others.
 type Status struct {
-	Host          string            `json:"host"`
-	Place         string            `json:"place"`
-	Ordinal       int               `json:"ordinal"`
-	Phase         string            `json:"phase"` // serving, leaving, closing
-	Open          int64             `json:"open"`  // requests of callers in progress
-	ConfigVersion uint64            `json:"config_version"`
-	HostsVersion  uint64            `json:"hosts_version"`
-	Places        map[string]string `json:"places"`
-	Control       ControlStatus     `json:"control"`
+	Host          string `json:"host"`
+	Place         string `json:"place"`
+	Ordinal       int    `json:"ordinal"`
+	Phase         string `json:"phase"` // serving, leaving, closing, done
+	Open          int64  `json:"open"`  // requests of callers in progress
+	ConfigVersion uint64 `json:"config_version"`
+	HostsVersion  uint64 `json:"hosts_version"`
 
 	ConfigAgeSeconds float64            `json:"config_age_seconds"` // since the configuration came into force here
+	Places           []PlaceStatus      `json:"places"`
 	Hosts            []HostStatus       `json:"hosts"`
-	Targets          []TargetStatus     `json:"targets"` // owned by this host and used
+	Services         []ServiceStatus    `json:"services"`
+	Targets          []TargetStatus     `json:"targets"` // owned by this host
 	Quarantined      []QuarantineStatus `json:"quarantined"`
+	Control          ControlStatus      `json:"control"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -61,25 +63,28 @@
 	return status
 }
 
-// Status returns what the host says about itself; the versions are 0 until a
-// configuration and a host list are in force.
+// Status returns what the host says about itself; the versions are 0 and the
+// lists empty until a configuration and a host list are in force.
 func (d *Daemon) Status() Status {
+	phase, _ := d.phase()
 	status := Status{
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
-		Phase: d.phase().String(), Open: d.open.count.Load(),
-		Places: map[string]string{}, Control: d.control.status(),
-		ConfigAgeSeconds: d.config.age().Seconds(), Hosts: d.control.hostStatus(d.directory.hosts()),
-		Targets: d.branch.targets.status(), Quarantined: d.branch.guard.status(),
+		Phase: phase.String(), Open: d.open.count.Load(), Control: d.control.status(),
+		ConfigAgeSeconds: d.config.age().Seconds(), Quarantined: d.branch.guard.status(),
 	}
-	if hosts := d.directory.hosts(); hosts != nil {
+	tree, hosts := d.config.tree(), d.directory.hosts()
+	if hosts != nil {
 		status.HostsVersion = hosts.list.Version
 	}
-	if tree := d.config.tree(); tree != nil {
-		status.ConfigVersion = tree.Doc.Version
-		for name, place := range tree.Doc.Places {
-			status.Places[name] = string(place.State)
-		}
+	if tree == nil || hosts == nil {
+		return status
 	}
+	status.ConfigVersion = tree.Doc.Version
+	status.Hosts = d.hostStatus(tree, hosts, status.Phase)
+	status.Targets = d.branch.targets.ownedStatus(tree)
+	markSuspects(status.Targets, status.Quarantined)
+	status.Places = placeStatus(tree, status.Hosts, d.opts.Process.Place, status.Targets)
+	status.Services = d.serviceStatus(tree)
 	return status
 }
 
--- a/internal/daemon/statuspage_test.go
+++ b/internal/daemon/statuspage_test.go
@@ -8,6 +8,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/daemon"
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 var _ = Describe("The status page", func() {
@@ -26,4 +31,54 @@
 		Expect(page).To(And(ContainSubstring(f.Hosts[1].Entry.Name), ContainSubstring("<td>tagdesk-g"), ContainSubstring("boston-hall"), Not(ContainSubstring("<script"))))
 		Expect(get("*/*").Header().Get("Content-Type")).To(HavePrefix("application/json"))
 	}, NodeTimeout(time.Minute))
+
+	// Guards against a status that hides what this host has not used, keeps
+	// what it was told about others to itself, or shows a place that is out as
+	// taking work.
+	It("shows targets before their use, what the others said, suspects and a place that is out", func(ctx context.Context) {
+		f := startFleet(ctx, newEngland, "tagdesk", nil)
+		status := func(i int) daemon.Status { return f.Hosts[i].Daemon.Status() }
+		self, version := status(0).Place, f.Tree().Doc.Version
+		Expect(status(0).Targets).NotTo(BeEmpty())
+		Expect(status(0).Targets).To(HaveEach(And(HaveField("State", "not used yet"), HaveField("Service", "tagdesk"), HaveField("Slots", BeNumerically(">", 0)))))
+
+		drive(ctx, f, "tagdesk", 40, 5*time.Millisecond)
+		Expect(status(0).Targets).To(ContainElement(HaveField("State", "warm")))
+		Expect(status(0).Services).To(ConsistOf(And(HaveField("Searches", 5), HaveField("CoverageMean", BeNumerically(">", 0)), HaveField("Unusable", BeEmpty()))))
+		Eventually(func() []daemon.HostStatus { return status(0).Hosts }, "5s").Should(And(HaveLen(8), HaveEach(And(
+			HaveField("Phase", "serving"), HaveField("Heard", true), HaveField("Silent", false),
+			HaveField("AgeSeconds", HaveValue(BeNumerically("<", 3))), HaveField("ConfigVersion", version)))))
+
+		for _, s := range f.Searchers {
+			s.SetFaults(standin.Faults{KillTerm: killTerm})
+		}
+		_, _ = search(ctx, f, 0, "tagdesk", api.SearchRequest{Terms: []string{killTerm}})
+		for id, s := range f.Searchers {
+			if s.Counts().Crashed.Load() > 0 && s.Place == self {
+				Expect(status(0).Quarantined).To(ContainElement(HaveField("Targets", ContainElement(id))))
+			}
+		}
+		suspects := 0
+		for i := range f.Hosts {
+			for _, t := range status(i).Targets {
+				if t.Suspect {
+					suspects++
+					Expect(f.Searchers[t.Target].Counts().Crashed.Load()).To(BeNumerically(">", 0))
+				}
+			}
+		}
+		Expect(suspects).To(BeNumerically(">", 0))
+
+		f.Hosts[1].Daemon.Drain()
+		Eventually(func() []daemon.HostStatus { return status(0).Hosts }, "3s").Should(ContainElement(And(
+			HaveField("Name", f.Hosts[1].Entry.Name), HaveField("Phase", "leaving"))))
+		Expect(f.PublishConfig(func(d *settings.Document) {
+			p := d.Places[self]
+			p.State = settings.PlaceOut
+			d.Places[self] = p
+		})).To(Succeed())
+		Eventually(func() []daemon.PlaceStatus { return status(0).Places }, "3s").Should(ContainElement(And(
+			HaveField("Name", self), HaveField("State", "out"), HaveField("Live", 0), HaveField("InUse", 0))))
+		Expect(status(0).Targets).To(HaveEach(And(HaveField("State", "out"), HaveField("Slots", 0))))
+	}, NodeTimeout(time.Minute))
 })
--- a/internal/daemon/statustargets.go
+++ b/internal/daemon/statustargets.go
@@ -6,14 +6,29 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/pkg/warmup"
 )
 
+// States of targets beside those of pkg/warmup.
+const (
+	targetUnused   = "not used yet"
+	targetDraining = "draining" // takes no new work; some may be in progress
+	targetOut      = "out"      // taken out, and nothing is in progress
+)
+
 // TargetStatus is what a host knows of a target that it owns.
 type TargetStatus struct {
-	Target    string  `json:"target"`
-	State     string  `json:"state"`      // unproven, cold, warm, draining
+	Target  string `json:"target"`
+	Service string `json:"service"`
+	Group   string `json:"group"`
+	Rank    int    `json:"rank"` // 0 for the owner that holds the cold allowance
+	// State is "not used yet", unproven, cold, warm, draining or out.
+	State string `json:"state"`
+	// Suspect says that the target died under a query that crashes targets.
+	Suspect   bool    `json:"suspect"`
 	Slots     int     `json:"slots"`      // that this host may use now
 	InUse     int     `json:"in_use"`     // slots in use
 	Queue     int     `json:"queue"`      // requests that wait for a slot
@@ -23,10 +38,53 @@
 
 // QuarantineStatus is a query that is known to have crashed a target.
 type QuarantineStatus struct {
-	Fingerprint string  `json:"fingerprint"`
-	State       string  `json:"state"`        // suspect, refused
-	LeftSeconds float64 `json:"left_seconds"` // for which it is refused
-	Deaths      int     `json:"deaths"`       // targets that died under it
+	Fingerprint string   `json:"fingerprint"`
+	State       string   `json:"state"`        // suspect, refused
+	LeftSeconds float64  `json:"left_seconds"` // for which it is refused
+	Deaths      int      `json:"deaths"`       // targets that died under it
+	Targets     []string `json:"targets"`      // their identifiers
+}
+
+// ownedStatus returns the state of every target that this host owns, used or
+// not, by service and name.
+func (d *dispatcher) ownedStatus(tree *settings.Tree) []TargetStatus {
+	used := map[string]TargetStatus{}
+	for _, t := range d.status() {
+		used[t.Target] = t
+	}
+	all := []TargetStatus{}
+	tree.Targets(func(info *settings.TargetInfo) {
+		rank := ownership.Rank(info.Owners, d.self.Ordinal)
+		if info.Place != d.self.Place || rank < 0 {
+			return
+		}
+		s, ok := used[info.ID]
+		if !ok {
+			policy := tree.Effective(info.Place, info.Service)
+			s = TargetStatus{Target: info.ID, State: targetUnused, Slots: ownership.Share(usableSlots(info.Slots, policy), rank, len(info.Owners))}
+		}
+		s.Service, s.Group, s.Rank = info.Service, info.Group, rank
+		if info.Out || !tree.PlaceIsIn(info.Place) || d.rules.leaving != nil && d.rules.leaving(info.ID) {
+			s.State, s.Slots = targetOut, 0
+			if s.InUse+s.Queue > 0 {
+				s.State = targetDraining
+			}
+		}
+		all = append(all, s)
+	})
+	slices.SortFunc(all, func(a, b TargetStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	return all
+}
+
+// markSuspects marks the targets that died under a query in quarantine.
+func markSuspects(targets []TargetStatus, queries []QuarantineStatus) {
+	for i := range targets {
+		for _, q := range queries {
+			targets[i].Suspect = targets[i].Suspect || slices.Contains(q.Targets, targets[i].Target)
+		}
+	}
 }
 
 // status returns the state of every target that this host has used, by name.
@@ -54,7 +112,7 @@
 		ServiceMS: milliseconds(t.limiter.Service(now)), UsualMS: milliseconds(t.usual.get()),
 	}
 	if t.ramp.Draining() {
-		s.State = "draining"
+		s.State = targetDraining
 	} else if t.ramp.State() == warmup.Unproven {
 		s.Slots = t.terms.slots
 	}
@@ -69,6 +127,9 @@
 	all := make([]QuarantineStatus, len(entries))
 	for i, e := range entries {
 		all[i] = QuarantineStatus{Fingerprint: fingerprintText(e.Fingerprint), State: "suspect", Deaths: len(e.Deaths)}
+		for _, death := range e.Deaths {
+			all[i].Targets = append(all[i].Targets, death.Target)
+		}
 		if e.Proven > 0 {
 			all[i].State, all[i].LeftSeconds = "refused", e.Proven.Seconds()
 		}
--- a/internal/telemetry/instrument.go
+++ b/internal/telemetry/instrument.go
@@ -38,6 +38,7 @@
 	i.observe(span, service, meta, o, time.Since(start))
 	if answer != nil {
 		i.Metrics.Coverage.WithLabelValues(service).Observe(answer.Coverage)
+		i.Metrics.Recent.add(time.Now(), service, func(b *bucket) { b.search(answer.Coverage) })
 		span.SetAttributes(attribute.Float64("coverage", answer.Coverage), attribute.Int64("snapshot", int64(answer.Snapshot)))
 	}
 	return answer, o
@@ -62,6 +63,13 @@
 	}
 	i.Metrics.Requests.WithLabelValues(service, o.Kind.String(), reasonLabel(o.Reason)).Inc()
 	i.Metrics.Duration.WithLabelValues(service, priority.String()).Observe(took.Seconds())
+	i.Metrics.Recent.add(time.Now(), service, func(b *bucket) {
+		if o.Kind == outcome.Answered || o.Kind == outcome.Partial {
+			b.Answers++
+		} else {
+			b.Failed++
+		}
+	})
 	SetOutcome(span, o)
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,8 @@
 	Hedges      *prometheus.CounterVec   // by service, result: won, lost
 
 	SubRequestResults *prometheus.CounterVec // on the branch host, by service, outcome, reason
+
+	Recent Recent // answers of the last minute
 }
 
 // latencyBuckets run from 1 ms to 5 s, finer around the deadlines in use.
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -59,14 +59,18 @@
 	}
 }
 
-// Until returns the time left in the phases Leaving and Closing, 0 otherwise.
-func (s *Shutdown) Until(now time.Time, phase Phase) time.Duration {
-	switch phase {
+// Left returns the time until the phase must have passed: in Leaving until the
+// last kept answer runs out, after that until open requests are given up. It is
+// 0 in Serving and when the grace period is over. A host whose requests ended
+// early is Done and still has time left, because one may come in while the
+// listener closes.
+func (s *Shutdown) Left(now time.Time, open int) time.Duration {
+	switch s.Phase(now, open) {
+	case Serving:
+		return 0
 	case Leaving:
 		return s.keptFor.Sub(now)
-	case Closing:
-		return s.grace.Sub(now)
 	default:
-		return 0
+		return max(0, s.grace.Sub(now))
 	}
 }
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -22,8 +22,25 @@
 		Expect(s.Phase(start, 0)).To(Equal(drain.Leaving))
 		Expect(s.Phase(start.Add(4*time.Second), 0)).To(Equal(drain.Leaving))
 		Expect(s.Phase(start.Add(5*time.Second), 1)).To(Equal(drain.Closing))
-		Expect(s.Until(start.Add(5*time.Second), drain.Closing)).To(Equal(30 * time.Second))
+		Expect(s.Left(start.Add(5*time.Second), 1)).To(Equal(30 * time.Second))
 		Expect(s.Phase(start.Add(5*time.Second), 0)).To(Equal(drain.Done))
 		Expect(s.Phase(start.Add(35*time.Second), 1)).To(Equal(drain.Done))
 	})
+
+	// Guards against a daemon that waits for another time than the one at which
+	// its status and the entries answers change.
+	It("has left each phase after the time that it gives", func() {
+		var s drain.Shutdown
+		Expect(s.Left(start, 1)).To(BeZero())
+		s.Begin(start, 5*time.Second, 30*time.Second)
+		now := start.Add(time.Second)
+		Expect(s.Phase(now.Add(s.Left(now, 1)-1), 1)).To(Equal(drain.Leaving))
+		now = now.Add(s.Left(now, 1))
+		Expect(s.Phase(now, 1)).To(Equal(drain.Closing))
+		Expect(s.Left(now, 0)).To(Equal(s.Left(now, 1)), "a request may come in while the listener closes")
+		Expect(s.Phase(now.Add(s.Left(now, 1)-1), 1)).To(Equal(drain.Closing))
+		now = now.Add(s.Left(now, 1))
+		Expect(s.Phase(now, 1)).To(Equal(drain.Done))
+		Expect(s.Left(now.Add(time.Second), 1)).To(BeZero())
+	})
 })
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -15,6 +15,15 @@
 type peerState struct {
 	State
 	incarnation uint64
+	at          time.Time // when it said so
+	config      uint64    // version in force there; 0 if it has not said
+}
+
+// Known is the last that a host has heard of another.
+type Known struct {
+	State
+	At     time.Time // when it was heard
+	Config uint64    // configuration version in force there; 0 if not known
 }
 
 // SetLoad sets the load that heartbeats carry.
@@ -25,13 +34,16 @@
 
 // learnState takes the state of a host. A process that leaves does not come
 // back, so that a message which arrives late does not undo it.
-func (v *View) learnState(name string, incarnation uint64, state State) {
+func (v *View) learnState(now time.Time, name string, incarnation uint64, state State, config uint64) {
 	before, known := v.states[name]
 	if incarnation < before.incarnation || !known && len(v.states) >= maxSeats {
 		return
 	}
-	state.Leaving = state.Leaving || before.Leaving && incarnation == before.incarnation
-	v.states[name] = peerState{state, incarnation}
+	if incarnation == before.incarnation {
+		state.Leaving = state.Leaving || before.Leaving
+		config = max(config, before.config) // versions in force only go up
+	}
+	v.states[name] = peerState{State: state, incarnation: incarnation, at: now, config: config}
 }
 
 // keepStates drops the states of hosts that are not listed. That of a host
@@ -51,3 +63,10 @@
 	contact := slices.ContainsFunc(v.contacts, func(p Peer) bool { return p.Name == name })
 	return v.states[name].State, contact && !v.Heard(now, name)
 }
+
+// Known returns the last that was heard of a host, however old it is, and false
+// if nothing was heard since a list named it.
+func (v *View) Known(name string) (Known, bool) {
+	s, ok := v.states[name]
+	return Known{State: s.State, At: s.at, Config: s.config}, ok
+}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -229,7 +229,7 @@
 // Receive takes a heartbeat and returns its acknowledgement.
 func (v *View) Receive(now time.Time, hb Heartbeat, config uint64) Ack {
 	v.heard[hb.From.Name] = now
-	v.learnState(hb.From.Name, hb.Incarnation, hb.State)
+	v.learnState(now, hb.From.Name, hb.Incarnation, hb.State, 0)
 	ack := Ack{Incarnation: v.incarnation, State: v.state, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
 	ack.First = v.knowsNoOther(hb)
@@ -241,7 +241,7 @@
 func (v *View) Acked(now, sent time.Time, from Peer, ack Ack) {
 	v.heard[from.Name] = now
 	v.acked[from.Name] = sent
-	v.learnState(from.Name, ack.Incarnation, ack.State)
+	v.learnState(now, from.Name, ack.Incarnation, ack.State, ack.Config)
 	if ack.Higher > v.incarnation {
 		v.superseded = true
 		return
