--- a/cmd/lacewingyard/bench.go
+++ b/cmd/lacewingyard/bench.go
@@ -25,7 +25,7 @@
 
 	policies []string
 	seeds    int
-	asJSON   bool
+	format   *output
 	opts     bench.Options // of every run, without policy
 }
 
@@ -39,7 +39,8 @@
 			"while a case applies faults, and print a row per service: latency beside that of\n" +
 			"an oracle, coverage, goodput, extra load and violations. Progress goes to stderr.\n" +
 			"Several policies run one after the other with the same seed, several seeds one\n" +
-			"after the other. The exit status is 1 if there are violations under policy tier.",
+			"after the other. With -o json there is a series by second, and a list if there\n" +
+			"are several runs. The exit status is 1 if there are violations under policy tier.",
 		Example: "  lacewingyard bench --settings examples/new-england --case stragglers --policy tier --seed 1 --seconds 10\n" +
 			"  lacewingyard bench --settings examples/riga --case place-move --policy tier --policy naive --report out\n" +
 			"  lacewingyard bench --settings examples/riga --case killer --seeds 20",
@@ -57,9 +58,10 @@
 	flags.Float64Var(&f.opts.Seconds, "seconds", 0, "measured time of a run; 0 takes the case's")
 	flags.Float64Var(&f.opts.Rate, "rate", 0, "queries/s over all services; 0 takes the case's load")
 	flags.StringVar(&f.reportDir, "report", "", "directory for an HTML page with plots; with several seeds, one directory inside it for each")
-	flags.BoolVar(&f.asJSON, "json", false, "print JSON, with a series by second; a list if there are several runs")
 	flags.StringVar(&f.logLevel, "log-level", "error", "log level of the hosts")
 	flags.StringVar(&f.cpuProfile, "cpuprofile", "", "file for a processor profile of all runs")
+	f.format = outputFlag(cmd)
+	f.format.jsonAlias(cmd)
 	_ = cmd.MarkFlagRequired("settings")
 	cmd.MarkFlagsMutuallyExclusive("case", "case-file")
 	return cmd
--- a/cmd/lacewingyard/benchprint.go
+++ b/cmd/lacewingyard/benchprint.go
@@ -12,15 +12,11 @@
 	if len(runs) == 0 {
 		return nil
 	}
-	format := output("table")
-	if f.asJSON {
-		format = "json"
-	}
 	var value any = runs
 	if f.seeds == 1 && len(f.policies) == 1 {
 		value = runs[0]
 	}
-	return format.print(w, value, func(w io.Writer) {
+	return f.format.print(w, value, func(w io.Writer) {
 		for _, run := range runs {
 			printBench(w, run)
 		}
--- a/cmd/lacewingyard/check.go
+++ b/cmd/lacewingyard/check.go
@@ -2,29 +2,40 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
 )
 
+// checkReport is what check prints of a valid document.
+type checkReport struct {
+	Version  uint64 `json:"version"`
+	Places   int    `json:"places"`
+	Services int    `json:"services"`
+	Targets  int    `json:"targets"`
+}
+
 func newCheck() *cobra.Command {
-	return &cobra.Command{
+	cmd := &cobra.Command{
 		Use:     "check FILE",
 		GroupID: "queries",
 		Short:   "Check a configuration document",
 		Long:    "Check a configuration document and list every fault with its path.",
 		Example: "  lacewingyard check examples/riga/config.json",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			tree, err := settings.LoadDocument(args[0])
-			if err != nil {
-				return usageError{err}
-			}
-			targets := 0
-			tree.Targets(func(*settings.TargetInfo) { targets++ })
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "version %d is valid: %d places, %d services, %d targets\n",
-				tree.Doc.Version, len(tree.Doc.Places), len(tree.Doc.Services), targets)
-			return err
-		},
 	}
+	format := outputFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		tree, err := settings.LoadDocument(args[0])
+		if err != nil {
+			return usageError{err}
+		}
+		report := checkReport{Version: tree.Doc.Version, Places: len(tree.Doc.Places), Services: len(tree.Doc.Services)}
+		tree.Targets(func(*settings.TargetInfo) { report.Targets++ })
+		return format.print(cmd.OutOrStdout(), report, func(w io.Writer) {
+			fmt.Fprintf(w, "version %d is valid: %d places, %d services, %d targets\n", report.Version, report.Places, report.Services, report.Targets)
+		})
+	}
+	return cmd
 }
--- a/cmd/lacewingyard/demo.go
+++ b/cmd/lacewingyard/demo.go
@@ -1,27 +1,48 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/demo"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
 )
 
-// demoLimit bounds the whole demo.
+// demoLimit bounds the start and the check of the answers.
 const demoLimit = 2 * time.Minute
 
+// Limits of a deployment that goes on.
+const (
+	maxHold     = time.Hour
+	maxHoldRate = 200 // searches/s, the load goes on beside an operator's work and measures nothing
+)
+
+// prepareHold makes the directory and lets the hosts write spans into it.
+func prepareHold(hold *demo.Hold, d *fleet.Deployment) (err error) {
+	if hold.Dir == "" {
+		hold.Dir, err = os.MkdirTemp("", "lacewingyard-demo-")
+	} else {
+		err = os.MkdirAll(hold.Dir, 0o700)
+	}
+	// No trace starts at a host: only requests whose caller asks for it are traced.
+	d.Traces = settings.Traces{File: filepath.Join(hold.Dir, demo.TraceFile)}
+	return err
+}
+
 func newDemo() *cobra.Command {
 	var dir, logLevel string
 	var queries int
-	var asJSON bool
+	hold := demo.Hold{Output: os.Stderr}
 	cmd := &cobra.Command{
 		Use:     "demo",
 		GroupID: "commands",
@@ -29,42 +50,59 @@
 		Long: "Run a whole deployment in one process on loopback: stand-ins for the platform\n" +
 			"and the searchers, and every entry host with real sockets between them. Send\n" +
 			"queries to each service and compare each answer with a naive search of all\n" +
-			"records. The exit status is 1 if an answer was wrong.",
-		Example: "  lacewingyard demo --settings examples/new-england",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if queries < 1 {
-				return usageError{fmt.Errorf("--queries must be at least 1, not %d", queries)}
-			}
-			deployment, err := fleet.Load(dir)
-			if err != nil {
-				return usageError{err}
-			}
-			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(logLevel), Output: os.Stderr})
-			report, err := demo.Run(cmd.Context(), deployment, demo.Options{
-				Queries: queries, Limit: demoLimit, Logger: log, HTTP: http.DefaultClient,
-				Rand: rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
-			})
-			if err != nil {
-				return err
-			}
-			format := output("table")
-			if asJSON {
-				format = "json"
-			}
-			if err := format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printDemo(w, report) }); err != nil {
+			"records. The exit status is 1 if an answer was wrong.\n\n" +
+			"With --for the deployment goes on running after that: the addresses of all hosts\n" +
+			"go to standard error, and the directory that --dir names holds the configuration\n" +
+			"and the host list, which are published when you change them, the trace file, and\n" +
+			"process settings for replacements of the hosts.",
+		Example: "  lacewingyard demo --settings examples/new-england\n" +
+			"  lacewingyard demo --settings examples/new-england --for 10m --dir /tmp/lacewingyard-demo",
+		Args: cobra.NoArgs,
+	}
+	format := outputFlag(cmd)
+	format.jsonAlias(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if queries < 1 {
+			return usageError{fmt.Errorf("--queries must be at least 1, not %d", queries)}
+		}
+		if hold.For < 0 || hold.For > maxHold || hold.Rate < 0 || hold.Rate > maxHoldRate {
+			return usageError{fmt.Errorf("--for must be 0 to %s and --rate 0 to %d", maxHold, maxHoldRate)}
+		}
+		deployment, err := fleet.Load(dir)
+		if err != nil {
+			return usageError{err}
+		}
+		opts := demo.Options{
+			Queries: queries, Limit: demoLimit, HTTP: http.DefaultClient,
+			Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(logLevel), Output: os.Stderr}),
+			Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
+		}
+		opts.Then = func(ctx context.Context, f *fleet.Fleet, report *demo.Report) error {
+			if err := format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printDemo(w, report) }); err != nil || hold.For == 0 {
 				return err
 			}
-			if wrong := report.Wrong(); wrong > 0 {
-				return fmt.Errorf("%d answers were wrong", wrong)
+			return hold.Run(ctx, f, opts)
+		}
+		if hold.For > 0 {
+			if err := prepareHold(&hold, deployment); err != nil {
+				return usageError{err}
 			}
-			return nil
-		},
+		}
+		report, err := demo.Run(cmd.Context(), deployment, opts)
+		if err != nil {
+			return err
+		}
+		if wrong := report.Wrong(); wrong > 0 {
+			return fmt.Errorf("%d answers were wrong", wrong)
+		}
+		return nil
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&dir, "settings", "", "directory with config.json and model.json")
 	flags.IntVar(&queries, "queries", 50, "queries to each service")
-	flags.BoolVar(&asJSON, "json", false, "print JSON")
+	flags.DurationVar(&hold.For, "for", 0, "time for which the deployment goes on running")
+	flags.StringVar(&hold.Dir, "dir", "", "directory for the files of a deployment that goes on; empty for a new temporary one")
+	flags.Float64Var(&hold.Rate, "rate", 20, "searches/s over all search services while the deployment goes on; 0 for none")
 	flags.StringVar(&logLevel, "log-level", "warn", "log level of the hosts")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
--- a/cmd/lacewingyard/lookup.go
+++ b/cmd/lacewingyard/lookup.go
@@ -17,6 +17,7 @@
 func newLookup() *cobra.Command {
 	var entry, service, id, requestID string
 	var deadline time.Duration
+	var traced bool
 	cmd := &cobra.Command{
 		Use:     "lookup",
 		GroupID: "commands",
@@ -42,6 +43,9 @@
 		}
 		header := http.Header{}
 		header.Set(api.HeaderRequestID, requestID)
+		if traced {
+			traceRequest(cmd, header)
+		}
 		if deadline > 0 {
 			header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 		}
@@ -61,6 +65,7 @@
 	flags.StringVar(&service, "service", "", "service to ask")
 	flags.StringVar(&id, "id", "", "identifier of the record")
 	flags.StringVar(&requestID, "request-id", "", "identifier of a request that is sent again; empty for a new one")
+	flags.BoolVar(&traced, "trace", false, "trace the request and write the trace's identifier to standard error")
 	flags.DurationVar(&deadline, "deadline", 0, "time the answer may take; 0 for the service's default")
 	for _, name := range []string{"entry", "service", "id"} {
 		_ = cmd.MarkFlagRequired(name)
--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -25,6 +25,25 @@
 
 func (e usageError) Unwrap() error { return e.error }
 
+// runError marks an error of a command that ran. Errors without it come from
+// the check of the command line.
+type runError struct{ error }
+
+func (e runError) Unwrap() error { return e.error }
+
+// markRun marks the errors of a command's run that are not usage errors.
+func markRun(cmd *cobra.Command) {
+	run := cmd.RunE
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		err := run(cmd, args)
+		var usage usageError
+		if err == nil || errors.As(err, &usage) {
+			return err
+		}
+		return runError{err}
+	}
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	// A second signal gets the default action, the end of the process, unless
@@ -36,11 +55,11 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "lacewingyard:", err)
-	var usage usageError
-	if errors.As(err, &usage) {
-		os.Exit(exitUsage)
+	var failed runError
+	if errors.As(err, &failed) {
+		os.Exit(exitFailed)
 	}
-	os.Exit(exitFailed)
+	os.Exit(exitUsage)
 }
 
 func newRoot() *cobra.Command {
@@ -53,14 +72,16 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddGroup(
 		&cobra.Group{ID: "commands", Title: "Commands (run something):"},
 		&cobra.Group{ID: "queries", Title: "Queries (ask something):"},
 	)
 	root.AddCommand(
-		newServe(), newDemo(), newBench(), newLookup(),
-		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newVersion(),
+		newServe(), newDrain(), newDemo(), newBench(), newLookup(),
+		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newTrace(), newVersion(),
 	)
+	for _, cmd := range root.Commands() {
+		markRun(cmd)
+	}
 	return root
 }
--- a/cmd/lacewingyard/output.go
+++ b/cmd/lacewingyard/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -29,6 +30,17 @@
 	return &o
 }
 
+// jsonAlias adds --json, an older name of "-o json".
+func (o *output) jsonAlias(cmd *cobra.Command) {
+	cmd.Flags().BoolFunc("json", "same as -o json", func(text string) error {
+		on, err := strconv.ParseBool(text)
+		if err == nil && on {
+			*o = "json"
+		}
+		return err
+	})
+}
+
 // print writes a value as JSON, or the rows of a table.
 func (o output) print(w io.Writer, value any, rows func(w io.Writer)) error {
 	if o == "json" {
--- a/cmd/lacewingyard/query.go
+++ b/cmd/lacewingyard/query.go
@@ -17,7 +17,9 @@
 	var entry, service, priority string
 	var terms []string
 	var limit int
+	var minCoverage float64
 	var deadline time.Duration
+	var traced bool
 	cmd := &cobra.Command{
 		Use:     "query",
 		GroupID: "queries",
@@ -27,11 +29,14 @@
 	}
 	format := outputFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		body, err := json.Marshal(api.SearchRequest{Terms: terms, Limit: limit})
+		body, err := json.Marshal(api.SearchRequest{Terms: terms, Limit: limit, MinCoverage: minCoverage})
 		if err != nil {
 			return err
 		}
 		header := http.Header{}
+		if traced {
+			traceRequest(cmd, header)
+		}
 		if deadline > 0 {
 			header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 		}
@@ -58,7 +63,9 @@
 	flags.StringVar(&service, "service", "", "service to search")
 	flags.StringArrayVar(&terms, "term", nil, "word that records must hold; may be given several times")
 	flags.IntVar(&limit, "limit", 20, "records wanted; 0 for all")
+	flags.Float64Var(&minCoverage, "min-coverage", 0, "coverage below which the search must not end early")
 	flags.DurationVar(&deadline, "deadline", 0, "time the answer may take; 0 for the service's default")
+	flags.BoolVar(&traced, "trace", false, "trace the request and write the trace's identifier to standard error")
 	flags.StringVar(&priority, "priority", "", "critical, interactive or batch; empty for the service's default")
 	for _, name := range []string{"entry", "service", "term"} {
 		_ = cmd.MarkFlagRequired(name)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -33,6 +33,10 @@
 	Logger  hclog.Logger
 	HTTP    *http.Client
 	Rand    *rand.Rand
+
+	// Then is called with the report before the deployment is stopped; nil does
+	// nothing.
+	Then func(ctx context.Context, f *fleet.Fleet, report *Report) error
 }
 
 // Report is the result of a run.
@@ -71,13 +75,22 @@
 
 // Run starts a deployment, sends queries to each service and stops it.
 func Run(ctx context.Context, d *fleet.Deployment, opts Options) (*Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, opts.Limit)
+	limited, cancel := context.WithTimeout(ctx, opts.Limit)
 	defer cancel()
-	f, err := fleet.Start(ctx, d, opts.Logger)
+	f, err := fleet.Start(limited, d, opts.Logger)
 	if err != nil {
 		return nil, errors.Wrap(err, "start the deployment")
 	}
 	defer f.Close()
+	report, err := check(limited, d, f, opts)
+	if err == nil && opts.Then != nil {
+		err = opts.Then(ctx, f, report)
+	}
+	return report, err
+}
+
+// check sends queries to each service and compares the answers.
+func check(ctx context.Context, d *fleet.Deployment, f *fleet.Fleet, opts Options) (*Report, error) {
 	report := &Report{Hosts: len(f.Hosts), Searchers: len(f.Searchers), Services: map[string]*ServiceReport{}}
 	for name, service := range d.Document.Services {
 		s := &ServiceReport{Kind: service.Kind, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,14 +57,15 @@
 
 // Host is one running daemon.
 type Host struct {
-	Entry  platform.Host
-	Daemon *daemon.Daemon
-	cancel context.CancelFunc
-	done   chan struct{} // closed when Run has returned
-	err    error         // what Run returned; valid when done is closed
-	ended  func() error  // waits for the end; may be called several times
-	socks  *sockets
-	tracer *telemetry.Tracer
+	Entry     platform.Host
+	Operators string // IP and port for operators
+	Daemon    *daemon.Daemon
+	cancel    context.CancelFunc
+	done      chan struct{} // closed when Run has returned
+	err       error         // what Run returned; valid when done is closed
+	ended     func() error  // waits for the end; may be called several times
+	socks     *sockets
+	tracer    *telemetry.Tracer
 }
 
 // run runs the daemon until the context ends or it is aborted.
@@ -249,6 +251,15 @@
 	return f.Platform.PublishJSON(HostsKey, f.list.Version, &f.list)
 }
 
+// HostList returns the host list published last.
+func (f *Fleet) HostList() platform.HostList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.list
+	list.Hosts = slices.Clone(list.Hosts)
+	return list
+}
+
 // AddHost starts a daemon for an ordinal of a place and lists it.
 func (f *Fleet) AddHost(ctx context.Context, place string, ordinal int) (*Host, error) {
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
@@ -300,7 +311,8 @@
 	}
 	hostCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := &Host{
-		Daemon: d, cancel: cancel, done: make(chan struct{}), socks: socks, tracer: tracer,
+		Operators: process.Listen.Operators,
+		Daemon:    d, cancel: cancel, done: make(chan struct{}), socks: socks, tracer: tracer,
 		Entry: platform.Host{
 			Name: process.Name, Place: place, Ordinal: ordinal, State: platform.HostLive,
 			Callers: process.Listen.Callers, Peers: process.Listen.Peers,
--- a/internal/telemetry/tracing.go
+++ b/internal/telemetry/tracing.go
@@ -20,6 +20,12 @@
 // traceparent is the key of the W3C trace context in a carrier.
 const traceparent = "traceparent"
 
+// Attributes of the resource that every span carries.
+const (
+	hostAttribute  = "host.name"
+	placeAttribute = "lacewingyard.place"
+)
+
 // noSpan stands for a span where nothing is traced. One value for all calls
 // costs no allocation.
 var noSpan trace.Span = noop.Span{}
@@ -44,7 +50,7 @@
 		sdktrace.WithBatcher(exporter),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.SampleRatio))),
 		sdktrace.WithResource(resource.NewSchemaless(
-			attribute.String("service.name", namespace), attribute.String("host.name", host), attribute.String("lacewingyard.place", place),
+			attribute.String("service.name", namespace), attribute.String(hostAttribute, host), attribute.String(placeAttribute, place),
 		)),
 	)
 	return &Tracer{
