Test the spans of commands and lookups, OTLP, and the header to targets

No test guarded the spans of lookups and commands, the export to a collector or the trace context that targets receive, and none showed a straggler and a killer query in one trace. The collector of the test takes OTLP over HTTP in its protobuf form. A lookup in the test has a deadline of 3 s: with the default of 250 ms and three attempts, a fresh host takes its first target for silent after 41 ms.

--- a/internal/daemon/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -1,11 +1,14 @@
 package daemon_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,112 +18,218 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-// tracedSpan is a span as the trace file holds it.
-type tracedSpan struct {
-	Name        string
-	SpanContext struct{ TraceID, SpanID string }
-	Parent      struct{ SpanID string }
-	StartTime   time.Time
-	EndTime     time.Time
-	Attributes  []struct {
-		Key   string
-		Value struct{ Value any }
-	}
-	Resource []struct {
-		Key   string
-		Value struct{ Value any }
-	}
+// The trace of a caller that asks for one.
+const (
+	trace, caller = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
+	traceHeader   = "00-" + trace + "-" + caller + "-01"
+)
+
+// tracedFleet is a deployment whose hosts write spans to a file. No trace
+// starts at a host.
+type tracedFleet struct {
+	*fleet.Fleet
+	file string
 }
 
-func (s *tracedSpan) attr(key string) any {
-	for _, a := range s.Attributes {
-		if a.Key == key {
-			return a.Value.Value
-		}
+func startTraced(ctx context.Context, change func(*settings.Document), services ...string) *tracedFleet {
+	d, err := fleet.Load(newEngland)
+	Expect(err).NotTo(HaveOccurred())
+	kept := map[string]settings.Service{}
+	for _, name := range services {
+		kept[name] = d.Document.Services[name]
 	}
-	return nil
+	d.Document.Services = kept
+	if change != nil {
+		change(&d.Document)
+	}
+	t := &tracedFleet{file: filepath.Join(GinkgoT().TempDir(), "trace.json")}
+	d.Traces = settings.Traces{File: t.file}
+	t.Fleet, err = fleet.Start(ctx, d, hclog.NewNullLogger())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(t.Close) // a second close must not block
+	return t
 }
 
-func (s *tracedSpan) host() any {
-	for _, a := range s.Resource {
-		if a.Key == "host.name" {
-			return a.Value.Value
+// spans stops the hosts and returns the spans of the trace by identifier. Each
+// span's parent must be there and, unless it is the first, have the name given.
+func (t *tracedFleet) spans(first string, parents map[string]string) map[string]*telemetry.Span {
+	t.Close()
+	file, err := os.Open(t.file)
+	Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	all, err := telemetry.ReadSpans(file, trace)
+	Expect(err).NotTo(HaveOccurred())
+	spans := map[string]*telemetry.Span{}
+	for _, s := range all {
+		spans[s.ID] = s
+	}
+	for _, s := range spans {
+		if s.Name == first {
+			Expect(s.Parent).To(Equal(caller))
+			continue
 		}
+		Expect(spans).To(HaveKey(s.Parent), s.Name)
+		Expect(spans[s.Parent].Name).To(Equal(parents[s.Name]), s.Name)
 	}
-	return nil
+	return spans
 }
 
-// readTrace returns the spans of one trace by their identifier.
-func readTrace(file, trace string) map[string]*tracedSpan {
-	data, err := os.Open(file)
-	Expect(err).NotTo(HaveOccurred())
-	defer data.Close()
-	spans := map[string]*tracedSpan{}
-	for dec := json.NewDecoder(data); dec.More(); {
-		s := new(tracedSpan)
-		Expect(dec.Decode(s)).To(Succeed())
-		if s.SpanContext.TraceID == trace {
-			spans[s.SpanContext.SpanID] = s
+var searchParents = map[string]string{"search message": "entry search", "branch search": "search message", "target search": "branch search"}
+
+// named returns the spans of a name.
+func named(spans map[string]*telemetry.Span, name string) (found []*telemetry.Span) {
+	for _, s := range spans {
+		if s.Name == name {
+			found = append(found, s)
 		}
 	}
-	return spans
+	return found
 }
 
 var _ = Describe("Traces", func() {
 	// Guards against a hop without a span, against a trace context that is lost
-	// between hosts, and against spans that do not show which target was slow.
-	It("follow a query over two hosts and show the straggler", func(ctx context.Context) {
-		const slow = "tagdesk-g03-r1"
-		file := filepath.Join(GinkgoT().TempDir(), "trace.json")
-		d, err := fleet.Load(newEngland)
-		Expect(err).NotTo(HaveOccurred())
-		s := d.Document.Services["tagdesk"]
+	// between hosts, and against spans that do not show which target was slow
+	// or which ones the query crashed.
+	It("follow a query over two hosts and show the straggler and the targets that it killed", func(ctx context.Context) {
+		const slow, killed = "tagdesk-g03-r1", "tagdesk-g05"
 		// Only the slow replica of its group is left, so that the query meets it.
-		d.Document.TargetsOut = []string{"tagdesk-g03-r0", "tagdesk-g03-r2"}
-		d.Document.Services = map[string]settings.Service{"tagdesk": s}
-		d.Traces = settings.Traces{File: file, SampleRatio: 0}
-		f, err := fleet.Start(ctx, d, hclog.NewNullLogger())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(f.Close) // a second close must not block
-		drive(ctx, f, "tagdesk", 40, 10*time.Millisecond)
+		f := startTraced(ctx, func(d *settings.Document) { d.TargetsOut = []string{"tagdesk-g03-r0", "tagdesk-g03-r2"} }, "tagdesk")
+		drive(ctx, f.Fleet, "tagdesk", 40, 10*time.Millisecond)
 		f.Searchers[slow].SetFaults(standin.Faults{SlowRatio: 1, SlowFactor: 20})
-
-		const trace, caller = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
-		_, err = searchWith(ctx, f, 0, "tagdesk", api.SearchRequest{Terms: []string{"red"}, Limit: 5}, map[string]string{"Traceparent": "00-" + trace + "-" + caller + "-01"})
+		for id, s := range f.Searchers {
+			if strings.HasPrefix(id, killed) {
+				s.SetFaults(standin.Faults{KillTerm: killTerm})
+			}
+		}
+		_, err := searchWith(ctx, f.Fleet, 0, "tagdesk", api.SearchRequest{Terms: []string{killTerm}, Limit: 5, MinCoverage: 1}, map[string]string{"Traceparent": traceHeader})
 		Expect(err).NotTo(HaveOccurred())
-		f.Close()
+		spans := f.spans("entry search", searchParents)
 
-		spans := readTrace(file, trace)
-		parents := map[string]string{"search message": "entry search", "branch search": "search message", "target search": "branch search"}
-		names, hosts, targets := map[string]int{}, map[any]bool{}, 0
-		var slowest *tracedSpan
+		hosts, fingerprints, died, ran := map[string]bool{}, map[any]bool{}, map[any]bool{}, map[any]bool{}
+		var slowest *telemetry.Span
 		for _, s := range spans {
-			names[s.Name]++
-			hosts[s.host()] = true
-			if s.Name == "entry search" {
-				Expect(s.Parent.SpanID).To(Equal(caller))
-				continue
-			}
-			Expect(spans).To(HaveKey(s.Parent.SpanID), s.Name)
-			Expect(spans[s.Parent.SpanID].Name).To(Equal(parents[s.Name]))
-			if s.Name != "target search" {
-				continue
-			}
-			targets++
+			hosts[s.Host] = true
+		}
+		for _, s := range named(spans, "target search") {
 			for _, key := range []string{"target", "group", "place", "cause", "index.version", "queue_us", "service_us", "outcome"} {
-				Expect(s.attr(key)).NotTo(BeNil(), key)
+				Expect(s.Attributes).To(HaveKey(key))
+			}
+			ran[s.Attributes["group"]] = true
+			fingerprints[s.Attributes["query.fingerprint"]] = true
+			if s.Attributes["target.died"] == true {
+				died[s.Attributes["target"]] = true
 			}
-			if slowest == nil || s.EndTime.Sub(s.StartTime) > slowest.EndTime.Sub(slowest.StartTime) {
+			if slowest == nil || s.Duration() > slowest.Duration() {
 				slowest = s
 			}
 		}
-		Expect(names["entry search"]).To(Equal(1))
+		crashed := map[any]bool{}
+		for id, s := range f.Searchers {
+			if s.Counts().Crashed.Load() > 0 {
+				crashed[id] = true
+			}
+		}
+		Expect(named(spans, "entry search")).To(HaveLen(1))
 		Expect(len(hosts)).To(BeNumerically(">=", 2))
-		Expect(targets).To(BeNumerically(">=", 10), "one sub-request for each group")
-		Expect(slowest.attr("target")).To(Equal(slow))
-		Expect(strings.HasPrefix(slowest.attr("group").(string), "tagdesk-g03")).To(BeTrue())
+		Expect(len(ran)).To(BeNumerically(">=", 10), "one sub-request for each group")
+		Expect(slowest.Attributes["target"]).To(Equal(slow))
+		Expect(slowest.Attributes["group"]).To(HavePrefix("tagdesk-g03"))
+		Expect(crashed).NotTo(BeEmpty())
+		Expect(died).To(Equal(crashed))
+		Expect(fingerprints).To(HaveLen(1))
 	}, NodeTimeout(time.Minute))
+
+	// Guards against a target that cannot join the trace, or joins it below
+	// another span than that of its own sub-request.
+	It("reach the targets in the header of each sub-request", func(ctx context.Context) {
+		f := startTraced(ctx, nil, "tagdesk")
+		var mu sync.Mutex
+		received := map[string]string{} // target by traceparent
+		for id, s := range f.Searchers {
+			s.OnRequest(func(h http.Header) {
+				mu.Lock()
+				defer mu.Unlock()
+				received[h.Get("Traceparent")] = id
+			})
+		}
+		_, err := searchWith(ctx, f.Fleet, 0, "tagdesk", api.SearchRequest{Terms: []string{"red"}, MinCoverage: 1}, map[string]string{"Traceparent": traceHeader})
+		Expect(err).NotTo(HaveOccurred())
+		sent := map[string]string{}
+		for _, s := range named(f.spans("entry search", searchParents), "target search") {
+			if s.Attributes["service_us"] != 0.0 {
+				sent["00-"+trace+"-"+s.ID+"-01"] = s.Attributes["target"].(string)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		delete(received, "") // probes of new connections carry no work
+		Expect(len(sent)).To(BeNumerically(">=", 10))
+		Expect(received).To(Equal(sent))
+	}, NodeTimeout(time.Minute))
+
+	// Guards against a command or a lookup whose trace ends at a host: at the
+	// entry, at the home that the ticket names, or at the branch host.
+	DescribeTable("follow a record's request from the entry to the target",
+		func(ctx context.Context, service, record string, chain ...string) {
+			f := startTraced(ctx, func(d *settings.Document) {
+				s := d.Services[service]
+				if len(chain) == 4 {
+					s.Kind = settings.KindLookup // the example has no lookup service
+				}
+				d.Services[service] = s
+			}, service)
+			header := map[string]string{"Traceparent": traceHeader, "Deadline-Ms": "3000"}
+			if len(chain) > 4 {
+				// Any host but the asked one is the home, so that the command is forwarded.
+				var ticket api.TicketResponse
+				Expect(postJSON(ctx, f.Hosts[1].Entry.Callers, "/v1/tickets", nil, nil, &ticket)).To(Succeed())
+				header["Request-Id"] = ticket.TicketPrefix + "1"
+			}
+			var answer api.LookupResponse
+			path := "/v1/services/" + service + "/lookup"
+			Expect(postJSON(ctx, f.Hosts[0].Entry.Callers, path, header, api.LookupRequest{ID: record}, &answer)).To(Succeed())
+			parents := map[string]string{}
+			for i, name := range chain[1:] {
+				parents[name] = chain[i]
+			}
+			spans := f.spans(chain[0], parents)
+			for _, name := range chain {
+				Expect(named(spans, name)).NotTo(BeEmpty(), name)
+			}
+			for _, s := range named(spans, "target lookup") {
+				Expect(s.Attributes).To(And(HaveKey("target"), HaveKey("queue_us"), HaveKey("service_us"), HaveKeyWithValue("outcome", "answered")))
+			}
+			if len(chain) > 4 {
+				Expect(named(spans, "entry lookup")[0].Host).To(Equal(f.Hosts[0].Entry.Name))
+				Expect(named(spans, "home command")[0].Host).To(Equal(f.Hosts[1].Entry.Name))
+			}
+		},
+		Entry("command", "renewals", "renewal-000007", "entry lookup", "command message", "home command", "lookup message", "branch lookup", "target lookup", NodeTimeout(time.Minute)),
+		Entry("lookup", "bulletin", "notice-000007", "entry lookup", "lookup message", "branch lookup", "target lookup", NodeTimeout(time.Minute)),
+	)
 })
+
+// postJSON posts a body and decodes the answer.
+func postJSON(ctx context.Context, host, path string, header map[string]string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return api.ReadAnswer(resp, answer)
+}
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -49,6 +49,8 @@
 
 	noticed time.Time // last cancellation
 
+	observe atomic.Pointer[func(http.Header)] // told the headers of each request; nil tells nobody
+
 	active atomic.Int64
 	counts Counts
 }
@@ -104,6 +106,9 @@
 	return id, runs
 }
 
+// OnRequest calls f with the headers of each request from now on.
+func (s *Searcher) OnRequest(f func(http.Header)) { s.observe.Store(&f) }
+
 // Log returns how often each search and each lookup ran, by request
 // identifier. The caller must not change the maps; read them when the searcher
 // gets no more requests.
@@ -261,6 +266,9 @@
 // admit takes a slot and decodes the body. It answers the request itself and
 // returns false if the request does not run.
 func (s *Searcher) admit(w http.ResponseWriter, r *http.Request, body any) bool {
+	if f := s.observe.Load(); f != nil {
+		(*f)(r.Header)
+	}
 	if s.silent(r.Context()) {
 		<-r.Context().Done()
 		return false
--- /dev/null
+++ b/internal/telemetry/otlp_test.go
@@ -0,0 +1,101 @@
+package telemetry_test
+
+import (
+	"compress/gzip"
+	"context"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// received is what the stand-in collector got.
+type received struct {
+	mu    sync.Mutex
+	paths []string
+	spans collector.ExportTraceServiceRequest
+}
+
+// ServeHTTP takes an export over OTLP/HTTP in the protobuf encoding.
+func (c *received) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body := io.Reader(r.Body)
+	if r.Header.Get("Content-Encoding") == "gzip" {
+		body, _ = gzip.NewReader(r.Body)
+	}
+	data, err := io.ReadAll(body)
+	var message collector.ExportTraceServiceRequest
+	if err != nil || r.Header.Get("Content-Type") != "application/x-protobuf" || proto.Unmarshal(data, &message) != nil {
+		http.Error(w, "not an export", http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths = append(c.paths, r.URL.Path)
+	proto.Merge(&c.spans, &message)
+	w.Header().Set("Content-Type", "application/x-protobuf")
+}
+
+// Guards against spans that never reach a collector, or reach it without the
+// host and the parent that join the hops of a query.
+func TestOTLP(t *testing.T) {
+	g := NewWithT(t)
+	got := &received{}
+	server := httptest.NewServer(got)
+	defer server.Close()
+	tracer, err := telemetry.NewTracer(context.Background(), settings.Traces{Endpoint: server.URL + "/v1/traces"}, "host-a", "north")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, entry, _ := tracer.Start(context.Background(), "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01", "entry search")
+	_, branch, parent := tracer.Start(ctx, "", "branch search")
+	_, unsampled, _ := tracer.Start(context.Background(), "", "starts here")
+	unsampled.End()
+	branch.End()
+	entry.End()
+	g.Expect(tracer.Close()).To(Succeed())
+
+	g.Expect(got.paths).To(HaveEach("/v1/traces"))
+	names := map[string]string{} // parent by span, hexadecimal
+	for _, resource := range got.spans.ResourceSpans {
+		attributes := map[string]string{}
+		for _, a := range resource.Resource.Attributes {
+			attributes[a.Key] = a.Value.GetStringValue()
+		}
+		g.Expect(attributes).To(And(HaveKeyWithValue("service.name", "lacewingyard"), HaveKeyWithValue("host.name", "host-a"), HaveKeyWithValue("lacewingyard.place", "north")))
+		for _, scope := range resource.ScopeSpans {
+			for _, span := range scope.Spans {
+				g.Expect(span.TraceId).To(HaveLen(16))
+				names[span.Name] = hex.EncodeToString(span.ParentSpanId)
+				if span.Name == "branch search" {
+					g.Expect(parent).To(ContainSubstring(hex.EncodeToString(span.SpanId)), "the next hop gets the span's own identifier")
+				}
+			}
+		}
+	}
+	g.Expect(names).To(HaveLen(2))
+	g.Expect(names["entry search"]).To(Equal("00f067aa0ba902b7"))
+}
+
+// Guards against a collector that takes no data and delays the end of a host.
+func TestOTLPSilentCollector(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	tracer, err := telemetry.NewTracer(context.Background(), settings.Traces{Endpoint: server.URL + "/v1/traces", SampleRatio: 1}, "host-a", "north")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, span, _ := tracer.Start(context.Background(), "", "entry search")
+	span.End()
+	start := time.Now()
+	g.Expect(tracer.Close()).NotTo(Succeed())
+	g.Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second), "twice the limit of the last export")
+}
