--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -28,6 +28,8 @@
 
 	SubRequestResults *prometheus.CounterVec // on the branch host, by service, outcome, reason
 	Borrowed          *prometheus.CounterVec // on the branch host, by service, result: granted, refused
+
+	Recent Recent // answers of the last minute
 }
 
 // latencyBuckets run from 1 ms to 5 s, finer around the deadlines in use.
