Measure silence by the time before the wait for a slot

Change: the limit is again half of the time, but of the time that the request had when it arrived, not of what a wait for a slot has left. A retry may take all the time left, because hardly another attempt could follow it.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -150,6 +150,7 @@
 	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
 	work := &work{
 		target: part.Target, service: req.Service, class: settings.Priority(req.Class), turns: part.Turns,
+		retry: part.Cause == wire.CauseRetry,
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -43,6 +43,7 @@
 	service string
 	class   settings.Priority
 	once    bool  // the request may not be repeated
+	retry   bool  // an earlier attempt failed, so there is hardly time for another
 	turns   uint8 // longest wait for a slot, in service times; 0 is not bounded
 	// allowed is checked again immediately before sending, because operators may
 	// take the target out, or this host may be paused, while the work waits. The
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -29,10 +29,7 @@
 	// A connection counts as silent after progressFactor times the usual
 	// service time.
 	progressFactor = 8
-	// slowAnswer times the usual service time is exceeded by 0.3 % of the answers
-	// (log-normal, sigma 0.4).
-	slowAnswer  = 3
-	minProgress = 50 * time.Millisecond
+	minProgress    = 50 * time.Millisecond
 )
 
 // shareTerms are this host's limits on a target.
@@ -146,7 +143,7 @@
 		t.leave(true)
 		return done{outcome: o, queued: sent.Sub(start)}
 	}
-	client.SetProgress(t.progress(w, timeout))
+	client.SetProgress(t.progress(w, timeout, deadline.Sub(start)/2))
 	status, o := w.send(ctx, client, timeout)
 	result := done{outcome: o, status: status, queued: sent.Sub(start), served: time.Since(sent)}
 	t.observe(sent, result)
@@ -345,9 +342,12 @@
 }
 
 // progress returns how long the request may be without an answer. A request
-// that may not be repeated gains nothing from an early end.
-func (t *ownedTarget) progress(w *work, timeout time.Duration) time.Duration {
-	if w.once {
+// that may not be repeated, or that is a retry itself, gains nothing from an
+// early end. half is half of the
+// time that the request had before it waited for a slot: half of what is left
+// after a long wait is less than many answers take.
+func (t *ownedTarget) progress(w *work, timeout, half time.Duration) time.Duration {
+	if w.once || w.retry {
 		return timeout
 	}
 	t.mu.Lock()
@@ -361,18 +361,9 @@
 	}
 	expected := max(t.usual.get(), service)
 	if expected == 0 {
-		return timeout / 2
+		return half
 	}
-	limit := max(progressFactor*expected, minProgress)
-	if limit <= timeout/2 {
-		return limit
-	}
-	// Half of the time is left for another attempt, but if that is no more than
-	// slow answers take, the attempt would fail as well.
-	if timeout/2 >= slowAnswer*expected {
-		return timeout / 2
-	}
-	return timeout
+	return min(max(progressFactor*expected, minProgress), half)
 }
 
 // observe learns from the end of a request.
--- a/internal/daemon/places_test.go
+++ b/internal/daemon/places_test.go
@@ -25,6 +25,16 @@
 		Eventually(func() bool { r.askFor(350*time.Millisecond, 0, false); return r.searcher.Cold() }, longEnough).Should(BeFalse())
 	})
 
+	// Guards against answers that count as silence because little time is left
+	// after a wait for a slot, or to a retry.
+	It("does not cut a request short after a wait or on a retry", func() {
+		r := newRig(false, standin.ServiceModel{MedianMS: 100})
+		Eventually(r.answers(0), longEnough).Should(BeTrue())
+		t := r.owners[0].owned["t0"]
+		Expect(t.progress(&work{}, 140*time.Millisecond, 120*time.Millisecond)).To(Equal(120 * time.Millisecond))
+		Expect(t.progress(&work{retry: true}, 140*time.Millisecond, 70*time.Millisecond)).To(Equal(140 * time.Millisecond))
+	})
+
 	// Guards against a request that waits in a long queue of one owner while
 	// other owners have free slots.
 	It("refuses a request that would wait longer than it may", func() {
