Wait for the last target instead of ending as busy

Change: after a busy first attempt a group is sent again without a token, and the same target may be asked again. A lookup with one target left may wait as long as the deadline allows.

A target that answers "busy" itself is an ordinary refusal, so that it cannot be asked without end.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -208,6 +208,9 @@
 	e.markSilent(time.Now())
 	options := e.options(tree, group, 0, tried)
 	options.Retry = len(tried) > 0
+	if len(options.Options) < 2 {
+		req.Turns = 0 // no other target could be asked after this one
+	}
 	choice, ok := e.router.Next(time.Now(), options)
 	if ok {
 		e.router.Sent(choice.Path)
--- a/internal/daemon/places_test.go
+++ b/internal/daemon/places_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
@@ -98,3 +100,61 @@
 		}
 	}, NodeTimeout(time.Minute))
 })
+
+var _ = Describe("A queue that is longer than a first attempt may wait", func() {
+	// Guards against queries and commands that end as busy although the target
+	// could still run them in time, because no other one can be asked.
+	It("is waited for if no other target is left", func(ctx context.Context) {
+		t := require{check: func(err error) { GinkgoHelper(); Expect(err).NotTo(HaveOccurred()) }, cleanup: func(f func()) { DeferCleanup(f) }}
+		authority, err := standin.NewAuthority()
+		t.check(err)
+		client, own := newTestHost(t, authority, settings.Process{Name: "a-0", Place: "a"}, "127.0.0.1:9", nil)
+		busy := outcome.Refused(outcome.Busy, "long queue")
+		serve := func(_ context.Context, exchange wire.Exchange, s *peer.Stream) {
+			if exchange == wire.ExchangeLookup {
+				var req wire.LookupRequest
+				if s.Receive(&req) == nil {
+					reply := wire.LookupReply{Outcome: outcome.OK()}
+					if req.Turns > 0 {
+						reply.Outcome = busy
+					}
+					_ = s.Send(&reply)
+				}
+				return
+			}
+			var req wire.SearchRequest
+			if s.Receive(&req) != nil {
+				return
+			}
+			reply := wire.SearchReply{QueryID: req.QueryID, Final: true}
+			for _, asked := range req.Parts {
+				p := part(asked.Group, asked.Target, "r")
+				if asked.Turns > 0 {
+					p = wire.PartResult{Group: asked.Group, Target: asked.Target, Outcome: busy}
+				}
+				reply.Parts = append(reply.Parts, p)
+			}
+			_ = s.Send(&reply)
+		}
+		document := strings.ReplaceAll(fmt.Sprintf(scriptedDocument, "127.0.0.1:9"), `"targets": [`,
+			`"targets": [{"id": "%s", "place": "b", "address": "127.0.0.1:9", "slots": 4, "connections": 8}, `)
+		tree, err := settings.Parse(fmt.Appendf(nil, document, "t2", "t3"))
+		t.check(err)
+		client.local.config.current.Store(tree)
+		hosts := map[seat]string{{"a", 0}: own}
+		for ordinal := range 2 {
+			_, hosts[seat{"b", ordinal}] = newTestHost(t, authority, settings.Process{Name: "b", Place: "b", Ordinal: ordinal}, "127.0.0.1:9", serve)
+		}
+		client.list(hosts)
+		e := newEntry(client.self, client.local.config, client.directory, client)
+		e.guard = client.local.guard
+		for i := range 20 {
+			answer, o := e.Search(ctx, "s", api.Meta{RequestID: fmt.Sprint("query-", i)}, &api.SearchRequest{})
+			Expect(o).To(Equal(outcome.OK()))
+			Expect(answer.Coverage).To(Equal(1.0))
+		}
+		within, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		Expect(e.runCommand(within, &wire.CommandRequest{Service: "s", ID: "record-1"}).Outcome).To(Equal(outcome.OK()))
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -40,7 +40,9 @@
 	if part.Outcome.Reason == outcome.PlaceOut {
 		state.placeOut = a.path.Place
 	}
-	a.again = part.Outcome.Reason == outcome.Silent // the next request uses a new connection
+	// After silence the next request uses a new connection; after busy it may
+	// wait as long as the deadline allows.
+	a.again = part.Outcome.Reason == outcome.Silent || part.Outcome.Reason == outcome.Busy
 	if a.gap {
 		return nil // fillGaps asks the next target
 	}
@@ -127,6 +129,9 @@
 		g.closeIfIdle(state)
 		return nil
 	}
+	if o.Reason == outcome.Busy && len(state.attempts) == 1 {
+		return []*groupState{state} // nothing ran, and the next attempt may wait
+	}
 	if !g.mayRetry(state, o) {
 		return nil
 	}
