--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -129,6 +129,9 @@
 		g.closeIfIdle(state)
 		return nil
 	}
+	if o.Reason == outcome.Busy && len(state.attempts) == 1 {
+		return []*groupState{state} // nothing ran, and the next attempt may wait
+	}
 	if !g.mayRetry(state, o) {
 		return nil
 	}
