Send callers away from a host whose ordinal a newer process has

A host that hears of a newer process with its ordinal refuses all work, but the entries answers of all hosts went on naming it until it was drained or left the host list. Heartbeats of such a host now say that it leaves, which all entries answers follow.

The host still refuses as entry host what it could send to other owners; that is decided in internal/daemon/config.go and not changed here.

--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
@@ -160,6 +161,12 @@
 	g.Expect(err).NotTo(HaveOccurred(), "a caller that kept the address is still served")
 	g.Expect(<-open).NotTo(HaveOccurred())
 	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+
+	// A drain that operators ask for ends a host in the same way.
+	var drained daemon.DrainResponse
+	g.Expect(call(t.Context(), http.MethodPost, south.settings.Listen.Operators, "/v1/drain", nil, nil, &drained)).To(Succeed())
+	g.Expect(drained.AcceptingMS).To(Equal(int64(300)))
+	g.Expect(south.cmd.Wait()).To(Succeed(), south.log.String())
 }
 
 // Guards against a second signal that is ignored or that hides what it cut.
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -28,10 +28,11 @@
 	for _, h := range list {
 		var state membership.State
 		silent := false
+		if e.peerState != nil {
+			state, silent = e.peerState(h.Name)
+		}
 		if h.Name == e.self.Name {
 			state.Load = e.admission.load()
-		} else if e.peerState != nil {
-			state, silent = e.peerState(h.Name)
 		}
 		known = append(known, entries.Host{
 			Name: h.Name, Place: h.Place, Address: h.Callers,
--- a/internal/daemon/entries_test.go
+++ b/internal/daemon/entries_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -70,4 +71,17 @@
 			return everywhere(t, func(names []string) bool { return names[len(names)-1] == h.Entry.Name })
 		}).WithTimeout(time.Second).Should(BeTrue())
 	}, NodeTimeout(time.Minute))
+
+	// Guards against callers that are sent to a host which refuses them, because
+	// its replacement was started before it was drained. The replacement may use
+	// the targets after takeover_wait.
+	It("omit a host whose ordinal a newer process has", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService}, func(*settings.Document) {})
+		old := t.hosts[0]
+		_, err := t.AddHost(ctx, old.Entry.Place, old.Entry.Ordinal)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool {
+			return everywhere(t, func(names []string) bool { return !slices.Contains(names, old.Entry.Name) })
+		}).WithTimeout(membership.TakeoverWait).Should(BeTrue())
+	}, NodeTimeout(time.Minute))
 })
--- a/pkg/membership/cold.go
+++ b/pkg/membership/cold.go
@@ -30,7 +30,7 @@
 	if hb.From.Seat == v.self.Seat {
 		v.replaces = true
 		if hb.Incarnation > v.incarnation {
-			v.superseded = true
+			v.supersede()
 		}
 		return max(v.incarnation, hb.Incarnation), false
 	}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -58,8 +58,11 @@
 
 // PeerState returns the last state of a host, and whether it is silent: a
 // contact of which nothing was heard lately. Of hosts that are not contacts
-// nothing is expected.
+// nothing is expected. Of this host it returns what heartbeats say.
 func (v *View) PeerState(now time.Time, name string) (state State, silent bool) {
+	if name == v.self.Name {
+		return v.state, false
+	}
 	contact := slices.ContainsFunc(v.contacts, func(p Peer) bool { return p.Name == name })
 	return v.states[name].State, contact && !v.Heard(now, name)
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -94,7 +94,7 @@
 		v.peers = append(v.peers, h)
 	}
 	if v.wasNamed && !named && v.listed[v.self.Seat] {
-		v.superseded = true
+		v.supersede()
 	}
 	v.keepStates(hosts)
 	v.named, v.wasNamed = named, v.wasNamed || named
@@ -243,7 +243,7 @@
 	v.acked[from.Name] = sent
 	v.learnState(now, from.Name, ack.Incarnation, ack.State, ack.Config)
 	if ack.Higher > v.incarnation {
-		v.superseded = true
+		v.supersede()
 		return
 	}
 	v.keepPromise(sent, from.Seat, ack)
@@ -251,6 +251,13 @@
 	v.answered(now, sent, ack)
 }
 
+// supersede gives up the seat to a newer process. Heartbeats say that this host
+// leaves, so that callers are sent elsewhere: it refuses their requests.
+func (v *View) supersede() {
+	v.superseded = true
+	v.Leave()
+}
+
 // Superseded reports whether a newer process has this host's seat. It must
 // stop new work on targets for good.
 func (v *View) Superseded() bool { return v.superseded }
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -99,6 +99,7 @@
 		view.Acked(now, now, fleet[2], membership.Ack{Higher: 11, Confirmed: true})
 		Expect(view.Superseded()).To(BeTrue())
 		Expect(view.Ready(now)).To(BeFalse())
+		Expect(view.Heartbeat().State.Leaving).To(BeTrue(), "callers must not be sent to it")
 		setup(4)
 		self := fleet[0]
 		self.Name = "replacement"
