Await the late result of a command that was sent

Cause: of the commands that stayed unknown, many had been sent to a target that answered after the deadline. The home and the branch host gave them up at the deadline and recorded "unknown", although giving up does not stop the command and a resend then finds nothing better.

Change: once a command is sent, home and branch host await its result for 1 s beyond the deadline. The caller still gets "unknown" at the deadline; a resend gets the result. A silent connection holds its slot for so much longer. branch.go sets the longer wait in the function that sends a lookup, since only that function knows that the command passed the queue.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -197,6 +197,12 @@
 			if refused, ok := b.config.workRefusal(req.Once); ok {
 				return wire.TargetStatus{}, refused
 			}
+			if req.Once {
+				var stop context.CancelFunc
+				ctx, stop = outlast(ctx)
+				defer stop()
+				c.SetProgress(timeout + lateWait)
+			}
 			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: parent},
 				target.LookupBody{Service: req.Service, ID: req.ID})
 			reply.Found, reply.Record, reply.Version = answer.Found, answer.Record, answer.Version
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -15,6 +15,18 @@
 // between places, and two others can be tried after it.
 const handOverPart = 2
 
+// lateWait is how long the result of a command that was sent is awaited beyond
+// its deadline. Giving up earlier gains nothing, since the command may run all
+// the same, and a resend would find it unknown. It holds a slot for so long if
+// the connection has gone silent.
+const lateWait = time.Second
+
+// outlast returns a context for a command that was sent. It ends lateWait after
+// the deadline, also if the sender gives up.
+func outlast(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), remaining(ctx)+lateWait)
+}
+
 // lookupOnce sends a lookup that may not be repeated to another branch host. It
 // is handed over only to a host that has answered, so that a host which is gone
 // or cut off leaves it "not run".
@@ -24,12 +36,14 @@
 		return wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "branch host did not take the request: %v", err)}
 	}
 	defer s.Reset()
-	stop := context.AfterFunc(ctx, s.Reset)
-	defer stop()
 	left := remaining(ctx)
 	if ctx.Err() != nil || left < time.Millisecond {
 		return wire.LookupReply{Outcome: gaveUp(ctx, "before the branch host was told to send")}
 	}
+	ctx, cancel := outlast(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
 	var reply wire.LookupReply
 	if err = s.Send(&wire.LookupGo{TimeoutMS: left.Milliseconds()}); err == nil {
 		err = s.Receive(&reply)
