Bound what is kept for homes that are gone to 13 MB

Cause: a host kept up to 131,072 answers that it passed on and as many records that were handed over, which together would take 102 MB by the 388 B of a record in docs/CAPACITY.md, above the 64 MB that a daemon may use for control.

Change: 16,384 of each. The oldest answers make room; a handover that does not fit is not held, and its requests stay unknown. The size of an entry was not measured apart.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -23,6 +23,11 @@
 // lives 120 s, so the table holds 1,092 commands/s for each host.
 var commandLimits = atmostonce.Limits{Records: 1 << 17, LongestTTL: time.Hour, LongestDeadline: time.Minute}
 
+// goneLimits bound what is kept for homes that are gone: as many records that
+// they handed over, and as many answers that passed by. Each kind takes 6 MB when
+// full if an entry is as large as a record of a home (388 B, docs/CAPACITY.md).
+var goneLimits = atmostonce.Limits{Records: 1 << 14, LongestTTL: commandLimits.LongestTTL, LongestDeadline: commandLimits.LongestDeadline}
+
 // waitPoll is how often a shutdown looks whether commands are still running.
 const waitPoll = 5 * time.Millisecond
 
@@ -48,7 +53,7 @@
 	return &home{
 		self: self, entry: entry, running: map[string]*commandRun{},
 		registry: atmostonce.NewRegistry[wire.CommandReply](self.Name, incarnation, commandLimits),
-		gone:     atmostonce.NewSuccessor[wire.CommandReply](commandLimits),
+		gone:     atmostonce.NewSuccessor[wire.CommandReply](goneLimits),
 	}
 }
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -159,7 +159,7 @@
 	var message wire.Handover
 	for !message.Last {
 		message = wire.Handover{}
-		if err := s.Receive(&message); err != nil || len(all.Records)+len(message.Records) > commandLimits.Records {
+		if err := s.Receive(&message); err != nil || len(all.Records)+len(message.Records) > goneLimits.Records {
 			s.Reset()
 			return
 		}
