Decode plain configuration documents in one pass

Cause: the check of a document of 6,800 targets walked the tokens, checked the generic values against the JSON schema and decoded the bytes a second time. It delays every change on every host.

Everything that it does not take goes to the schema as before, which alone reports faults, so no document is accepted that was refused. The path of a target is formatted for faults only.

--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
@@ -53,8 +54,11 @@
 		return nil, &InvalidError{Faults: []Fault{{Problem: fmt.Sprintf("document has %d bytes, the limit is %d", len(data), MaxDocumentBytes)}}}
 	}
 	t := &Tree{Digest: xxhash.Sum64(data), Raw: data}
-	if err := decodeStrict(data, "document", &t.Doc); err != nil {
-		return nil, err
+	if !readDocument(data, &t.Doc) {
+		t.Doc = Document{}
+		if err := decodeStrict(data, "document", &t.Doc); err != nil {
+			return nil, err
+		}
 	}
 	var found faults
 	t.checkSettings(&found)
@@ -207,12 +211,12 @@
 }
 
 func (t *Tree) checkTopology(found *faults) {
-	ids := map[string]string{}
+	ids := map[string]targetAt{}
 	for name, service := range t.Doc.Services {
 		path := "services." + name
 		var space keyspace.Set
 		for i, group := range service.Groups {
-			at := fmt.Sprintf("%s.groups[%d]", path, i)
+			at := path + ".groups[" + strconv.Itoa(i) + "]"
 			if !group.Range.Valid() {
 				found.addf(at+".range", "%s is empty or outside the key space [0,%d)", group.Range, keyspace.Size)
 				continue
@@ -234,18 +238,27 @@
 	}
 }
 
-func (t *Tree) checkTargets(at string, group Group, ids map[string]string, found *faults) {
+// targetAt is the position of a target in the document. Its path is built only
+// for a fault.
+type targetAt struct {
+	group string // path
+	index int
+}
+
+func (a targetAt) String() string { return fmt.Sprintf("%s.targets[%d]", a.group, a.index) }
+
+func (t *Tree) checkTargets(at string, group Group, ids map[string]targetAt, found *faults) {
 	for i, target := range group.Targets {
-		path := fmt.Sprintf("%s.targets[%d]", at, i)
+		path := targetAt{at, i}
 		if other, ok := ids[target.ID]; ok {
-			found.addf(path+".id", "%q is also the identifier of %s", target.ID, other)
+			found.addf(path.String()+".id", "%q is also the identifier of %s", target.ID, other)
 		}
 		ids[target.ID] = path
 		if _, ok := t.Doc.Places[target.Place]; !ok {
-			found.addf(path+".place", "place %q does not exist", target.Place)
+			found.addf(path.String()+".place", "place %q does not exist", target.Place)
 		}
 		if err := checkAddress(target.Address); err != nil {
-			found.addf(path+".address", "%v", err)
+			found.addf(path.String()+".address", "%v", err)
 		}
 	}
 }
