Apply a service's own quarantine_for

Cause: the guard read quarantine_for of the place only, so a value set for a service had no effect.

Change: the value is read for the service of the query, or for that of the targets that died where only a fingerprint is known. An entry of a peer without a known target uses the value of the place.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -58,8 +58,20 @@
 	}
 }
 
-func (g *guard) keep() time.Duration {
-	return g.config.tree().Effective(g.self.Place, "").QuarantineFor
+// keep returns how long queries of a service are refused; with no service, what
+// the place sets.
+func (g *guard) keep(service string) time.Duration {
+	return g.config.tree().Effective(g.self.Place, service).QuarantineFor
+}
+
+// serviceOf returns the service whose targets died; empty if none is known.
+func (g *guard) serviceOf(deaths ...quarantine.Death) string {
+	for _, d := range deaths {
+		if info, ok := g.config.tree().Target(d.Target); ok {
+			return info.Service
+		}
+	}
+	return ""
 }
 
 // decide returns the verdict on a query, and where its canary may run.
@@ -78,25 +90,27 @@
 }
 
 func (g *guard) died(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool) {
-	keep := g.keep()
+	keep := g.keep(g.serviceOf(d))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Died(time.Now(), fp, d, oneGroup, keep)
 }
 
-func (g *guard) succeeded(fp quarantine.Fingerprint) {
-	keep := g.keep()
+func (g *guard) succeeded(fp quarantine.Fingerprint, service string) {
+	keep := g.keep(service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Succeeded(time.Now(), fp, keep)
 }
 
 func (g *guard) learn(entries []quarantine.Entry) {
-	keep := g.keep()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, e := range g.table.Import(time.Now(), entries, keep) {
-		g.outbox[e.Fingerprint] = entrySends
+	for i, e := range entries {
+		keep := g.keep(g.serviceOf(e.Deaths...))
+		if len(g.table.Import(time.Now(), entries[i:i+1], keep)) > 0 {
+			g.outbox[e.Fingerprint] = entrySends
+		}
 	}
 }
 
@@ -425,7 +439,7 @@
 		return
 	}
 	if g.merger.Coverage() > 0 {
-		g.entry.guard.succeeded(g.canary.fp)
+		g.entry.guard.succeeded(g.canary.fp, g.service)
 		g.release()
 	} else if g.pending == 0 {
 		g.moveCanary()
