Read the configuration compressed and by other watchers for each version

Cause: two hosts of each place read the whole document for each change.

Change: the stand-in service answers with gzip, which the client asked for already, and SetPlain ends that. The client reads the version from entity tags of compressed forms (W/"7", "7-gzip"); before, it would have read such a service in a loop without effect. The watchers of a place are chosen by the version in force as well, so that the reads move over its hosts with each change, also if the service does not compress. platform_read_bytes_total counts what is received. A value per service was weighed and not built: it gains nothing where one service has most targets, and splits the operators' document.

--- a/internal/daemon/configforward_test.go
+++ b/internal/daemon/configforward_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -163,3 +164,28 @@
 		t.Errorf("the older process may use %d cold targets and %d shares", cold, share)
 	}
 }
+
+// TestConfigForwardChangingWatchers guards against a change that nobody reads
+// while the watchers change with the version, or because those of the version
+// in force have failed.
+func TestConfigForwardChangingWatchers(t *testing.T) {
+	s := newSpread(t, newDocument(1, 8, 8))
+	s.startAll()
+	s.wait(membership.SpreadLimit, "version 1", func() bool { return s.inForce(1) })
+	settled := func() { time.Sleep(2 * rolePoll) } // the former watchers have stopped
+	for version := uint64(2); version < 8; version++ {
+		if version%2 == 0 {
+			settled()
+		}
+		s.publish(nextVersion)
+		s.wait(membership.SpreadLimit, "the version is in force everywhere", func() bool { return s.inForce(version) })
+	}
+	settled()
+	for _, ordinal := range configsync.Watchers(placeName(0), 8, 7)[:configsync.WatchersPerPlace] {
+		at := seat{placeName(0), ordinal}
+		s.hosts[at].stop()
+		delete(s.hosts, at)
+	}
+	s.publish(nextVersion)
+	s.wait(membership.SpreadLimit, "the version is in force without its watchers", func() bool { return s.inForce(8) })
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -324,7 +324,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return configsync.Watches(c.self.Place, c.self.Ordinal, tree.Doc.Places[c.self.Place].Hosts, func(ordinal int) bool {
+	return configsync.Watches(c.self.Place, c.self.Ordinal, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version, func(ordinal int) bool {
 		h, ok := c.directory.hosts().bySeat[seat{c.self.Place, ordinal}]
 		return ok && c.view.Heard(now, h.Name)
 	})
@@ -363,7 +363,7 @@
 		return nil
 	}
 	var names []string
-	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts)
+	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version)
 	if ownership.Rank(order, c.self.Ordinal) == configsync.WatchersPerPlace {
 		for _, ordinal := range order[:configsync.WatchersPerPlace] {
 			names = append(names, hosts.bySeat[seat{c.self.Place, ordinal}].Name)
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -62,6 +62,11 @@
 			emit(float64(client.Reads()), publishedNames[v])
 		}
 	})
+	m.Counters("platform_read_bytes_total", "Bytes received from the platform, by published value.", value, func(emit telemetry.Emit) {
+		for v, client := range c.clients {
+			emit(float64(client.BytesRead()), publishedNames[v])
+		}
+	})
 	published := func(name, help string, count func(configsync.Counters) uint64) {
 		m.Counters(name, help, value, func(emit telemetry.Emit) {
 			for v := range wire.Published(wire.PublishedCount) {
--- a/internal/daemon/spread_bench_test.go
+++ b/internal/daemon/spread_bench_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/platform"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -23,6 +25,8 @@
 // processors of one machine and each checks the whole document, so larger
 // fleets need a smaller document.
 //
+// SPREAD_PLAIN=1 lets the stand-in platform answer without compression.
+//
 // Per host: B/s sent with IP and UDP headers while nothing changes and while a
 // change is published each 4 s, CPU in ms/s, and heap. The processor time
 // includes the stand-in platform.
@@ -59,7 +63,9 @@
 		}
 	}
 	before := heapBytes()
-	s := newSpread(b, newDocument(min(23, max(3, hosts/8)), hosts, groups))
+	places := min(23, max(3, hosts/8))
+	s := newSpread(b, newDocument(places, hosts, groups))
+	s.platform.SetPlain(os.Getenv("SPREAD_PLAIN") != "")
 	s.startAll()
 	s.wait(30*time.Second, "version 1 everywhere", func() bool { return s.inForce(1) })
 	time.Sleep(3 * time.Second) // the reads and handshakes of the start
@@ -68,6 +74,7 @@
 	quiet.report(b, "quiet", hosts)
 
 	var slowest time.Duration
+	readBefore := s.readBytes()
 	busy := s.measure(changes*changeEvery, func() {
 		for i := range changes {
 			began := time.Now()
@@ -79,6 +86,9 @@
 		}
 	})
 	b.ReportMetric(busy.reads/changes, "reads/change")
+	read := (s.readBytes() - readBefore) / changes
+	b.ReportMetric(read/float64(places*configsync.WatchersPerPlace), "read-B/change/watcher")
+	b.ReportMetric(read/float64(hosts), "read-B/change/host")
 	perChange := (busy.bytes - quiet.bytes*changes*changeEvery.Seconds()/quietFor.Seconds()) / changes / float64(hosts)
 	b.ReportMetric(perChange, "B/change")
 	cpu := (busy.cpu - quiet.cpu*changes*changeEvery.Seconds()/quietFor.Seconds()) / changes / float64(hosts)
@@ -86,6 +96,14 @@
 	b.ReportMetric(slowest.Seconds()*1000, "ms-in-force-max")
 }
 
+// readBytes returns what all hosts have received from the configuration service.
+func (s *spread) readBytes() (bytes float64) {
+	for _, h := range s.hosts {
+		bytes += float64(h.daemon.control.clients[wire.PublishedConfig].BytesRead())
+	}
+	return bytes
+}
+
 // cost is what the fleet used in a time.
 type cost struct{ seconds, bytes, datagrams, reads, cpu float64 }
 
--- a/internal/daemon/spread_model_test.go
+++ b/internal/daemon/spread_model_test.go
@@ -86,7 +86,7 @@
 	told := func(at time.Duration) time.Duration { return at + 5*modelOneWay + modelCheck }
 	queue, done, last := &arrivals{}, make([]bool, hosts), time.Duration(0)
 	for i := range hosts {
-		order := configsync.Watchers(peers[i].Seat.Place, (hosts+places-1-i%places)/places)
+		order := configsync.Watchers(peers[i].Seat.Place, (hosts+places-1-i%places)/places, 1)
 		for rank, ordinal := range order {
 			if rank < configsync.WatchersPerPlace && ordinal == peers[i].Seat.Ordinal && readers > 0 {
 				readers--
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,7 +3,9 @@
 //
 // Both are HTTP resources with a version in the ETag header. A read with
 // ?after=VERSION&wait_ms=N waits until a newer version exists and answers 304
-// when the wait ends without one.
+// when the wait ends without one. A value may be sent with the content coding
+// gzip, which the client asks for: the configuration of 6,800 targets has 0.8 MB,
+// and read whole for each change it would exceed the control budget of a host.
 package platform
 
 import (
@@ -11,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,16 +40,46 @@
 	url   string
 	http  *http.Client
 	reads atomic.Uint64
+	bytes atomic.Uint64
 }
 
 // NewClient returns a client for the value at a URL.
 func NewClient(url string) *Client {
-	return &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}}
+	c := &Client{url: url}
+	// The transport asks for gzip and decodes it, because DisableCompression is
+	// not set.
+	c.http = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4, DialContext: c.dial}}
+	return c
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, bytes: &c.bytes}, nil
+}
+
+// countedConn counts the bytes that are received.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(uint64(n))
+	return n, err
 }
 
 // Reads returns the number of calls so far; a waiting one counts as one.
 func (c *Client) Reads() uint64 { return c.reads.Load() }
 
+// BytesRead returns the bytes received so far, with HTTP headers and as they
+// were sent, that is compressed if the service compresses.
+func (c *Client) BytesRead() uint64 { return c.bytes.Load() }
+
 // Get reads the value. With after > 0 it waits up to wait for a version above
 // after and returns ErrUnchanged if there is none.
 func (c *Client) Get(ctx context.Context, after uint64, wait time.Duration) (data []byte, version uint64, err error) {
@@ -64,7 +97,7 @@
 		return nil, 0, errors.Wrap(err, "read from platform")
 	}
 	defer resp.Body.Close()
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1)) // the limit is on the decoded value
 	switch {
 	case err != nil:
 		return nil, 0, errors.Wrap(err, "read from platform")
@@ -75,13 +108,24 @@
 	case len(data) > maxValueBytes:
 		return nil, 0, errors.Newf("platform value exceeds %d bytes", maxValueBytes)
 	}
-	version, err = strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "platform ETag is not a version")
+	if version, err = parseETag(resp.Header.Get("ETag")); err != nil {
+		return nil, 0, err
 	}
 	return data, version, nil
 }
 
+// parseETag returns the version in an entity tag. Servers that compress mark
+// the tag of the coded form as weak or add the coding to it (RFC 9110, 8.8.3.3),
+// so W/"7" and "7-gzip" are version 7 as well.
+func parseETag(tag string) (uint64, error) {
+	text := strings.Trim(strings.TrimPrefix(tag, "W/"), `"`)
+	for _, separator := range []string{"-", ";", ":"} {
+		text = strings.TrimSuffix(text, separator+"gzip")
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	return version, errors.Wrapf(err, "platform ETag %q is not a version", tag)
+}
+
 // Watch waits for values above the version that known returns and passes each
 // to offer until the context ends. A value that offer refuses is not read
 // again; the next version is awaited. answered is told when each answered call
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,11 +1,14 @@
 package standin
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +21,7 @@
 	base   string
 	reads  atomic.Int64
 	down   atomic.Bool
+	plain  atomic.Bool // no content coding is offered
 
 	mu     sync.Mutex
 	values map[string][]*value // every published version, oldest first
@@ -28,6 +32,7 @@
 	data    []byte
 	version uint64
 	changed chan struct{} // closed when a newer version was published
+	gzip    func() []byte // data with the content coding gzip
 }
 
 // NewPlatform starts the stand-in on a loopback port.
@@ -71,6 +76,9 @@
 // SetDown makes every call fail while down.
 func (p *Platform) SetDown(down bool) { p.down.Store(down) }
 
+// SetPlain makes the service answer without a content coding.
+func (p *Platform) SetPlain(plain bool) { p.plain.Store(plain) }
+
 // Publish sets a value.
 func (p *Platform) Publish(key string, version uint64, data []byte) {
 	p.mu.Lock()
@@ -78,7 +86,16 @@
 	if old := p.values[key]; len(old) > 0 {
 		close(old[len(old)-1].changed)
 	}
-	p.values[key] = append(p.values[key], &value{data: data, version: version, changed: make(chan struct{})})
+	p.values[key] = append(p.values[key], &value{data: data, version: version, changed: make(chan struct{}),
+		gzip: sync.OnceValue(func() []byte { return compress(data) })})
+}
+
+func compress(data []byte) []byte {
+	var coded bytes.Buffer
+	w := gzip.NewWriter(&coded)
+	_, _ = w.Write(data)
+	_ = w.Close() // a buffer takes every write
+	return coded.Bytes()
 }
 
 // PublishJSON sets a value from a Go value.
@@ -121,8 +138,7 @@
 			http.NotFound(w, r)
 			return
 		case v.version > after:
-			w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(v.version, 10)))
-			_, _ = w.Write(v.data)
+			p.answer(w, r, v)
 			return
 		}
 		select {
@@ -135,3 +151,16 @@
 		}
 	}
 }
+
+// answer sends a value, compressed if the reader accepts that. The entity tag of
+// the compressed form is weak, because a strong one names exact bytes.
+func (p *Platform) answer(w http.ResponseWriter, r *http.Request, v *value) {
+	tag, data := fmt.Sprintf("%q", strconv.FormatUint(v.version, 10)), v.data
+	w.Header().Set("Vary", "Accept-Encoding")
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") && !p.plain.Load() {
+		tag, data = "W/"+tag, v.gzip()
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	w.Header().Set("ETag", tag)
+	_, _ = w.Write(data)
+}
--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -116,16 +116,31 @@
 	It("names two hosts of a place, and a third while one is silent", func() {
 		count := func(heard func(int) bool) (n int) {
 			for ordinal := range 56 {
-				if configsync.Watches("north", ordinal, 56, heard) {
+				if configsync.Watches("north", ordinal, 56, 7, heard) {
 					n++
 				}
 			}
 			return n
 		}
-		silent := configsync.Watchers("north", 56)[0]
+		silent := configsync.Watchers("north", 56, 7)[0]
 		Expect(count(func(int) bool { return true })).To(Equal(2))
 		Expect(count(func(o int) bool { return o != silent })).To(Equal(3))
 	})
+
+	// Guards against hosts that read every change, uncompressed if the service
+	// does not compress: the budget is 4 KB/s, a day has 1,500 changes.
+	It("lets no host read more than its budget on a day", func() {
+		const changes, documentBytes, budget = 1500, 835 << 10, 4 << 10
+		reads := map[int]int{}
+		for version := range uint64(changes) {
+			for _, ordinal := range configsync.Watchers("north", 57, version)[:configsync.WatchersPerPlace] {
+				reads[ordinal]++
+			}
+		}
+		for ordinal := range 57 {
+			Expect(reads[ordinal]*documentBytes/86400).To(BeNumerically("<", budget), "ordinal %d", ordinal)
+		}
+	})
 })
 
 // Guards against reassembly that is not exact: any two documents, JSON or not,
--- a/pkg/configsync/watch.go
+++ b/pkg/configsync/watch.go
@@ -1,20 +1,27 @@
 package configsync
 
-import "github.com/lacewingyard/lacewingyard/pkg/ownership"
+import (
+	"strconv"
+
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
+)
 
 // WatchersPerPlace is the number of hosts of a place that watch the service.
 const WatchersPerPlace = 2
 
-// Watchers returns the ordinals of a place that watch the service, and after
-// them the substitute that watches while one of them is not heard from.
-func Watchers(place string, ordinals int) []int {
-	return ownership.Owners("watch/"+place, ordinals, WatchersPerPlace+1)
+// Watchers returns the ordinals of a place that watch the service while a version
+// is in force, and after them the substitute that watches while one of them is
+// not heard from. Each version has others: two hosts that read every change, a
+// document of 0.8 MB each minute, would exceed the control budget of 4 KB/s.
+func Watchers(place string, ordinals int, version uint64) []int {
+	return ownership.Owners("watch/"+place+"/"+strconv.FormatUint(version, 10), ordinals, WatchersPerPlace+1)
 }
 
-// Watches reports whether the host with an ordinal watches the service. heard
+// Watches reports whether the host with an ordinal watches the service while a
+// version is in force. heard
 // says whether a host of the place with another ordinal was heard recently.
-func Watches(place string, ordinal, ordinals int, heard func(ordinal int) bool) bool {
-	order := Watchers(place, ordinals)
+func Watches(place string, ordinal, ordinals int, version uint64, heard func(ordinal int) bool) bool {
+	order := Watchers(place, ordinals, version)
 	switch rank := ownership.Rank(order, ordinal); {
 	case rank < 0:
 		return false
