Use a new target as soon as all hosts hold the version that added it

Cause: an owner of a target that was just added waited 11 s for a former owner that does not exist, with its share and with the cold allowance.

Change: the configuration history of one host does not show that nobody else uses the target (two documents of one version, skipped versions, a target removed and added again, hosts that are late). So an acknowledgement carries the trail, a hash of the document in force and of the one before if that was in force for takeover_wait, and an owner uses a new target when all hosts have answered with its own trail. This needs no bound on the spread. With a host down or cut off, and in fleets of more than 16 hosts, the wait of 11 s remains. MayUseShare takes a Tenure in place of a time; the checks in view_test.go are the same.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -19,9 +20,10 @@
 	self    *settings.Process
 	checked *settings.Tree // passed the check last; guarded by published.mu
 	current atomic.Pointer[settings.Tree]
-	owned   atomic.Pointer[map[string]time.Time] // since when this host owns a target; zero for the first configuration
-	since   atomic.Int64                         // when it came into force, Unix nanoseconds
-	first   chan struct{}                        // closed when a configuration is in force
+	owned   atomic.Pointer[map[string]membership.Tenure] // of the targets that this host owns
+	trail   uint64                                       // of the configuration in force; guarded by published.mu
+	since   atomic.Int64                                 // when it came into force, Unix nanoseconds
+	first   chan struct{}                                // closed when a configuration is in force
 
 	// ready reports whether this host may start work; nil means always.
 	ready func() bool
@@ -29,6 +31,11 @@
 	confirmed func() bool
 	// inForce is told the version in force or refused; nil tells nobody.
 	inForce func(version uint64)
+	// agreed reports whether all hosts have come to a trail; nil means no.
+	agreed func(trail uint64) bool
+	// trailed is told the trail and the number of host ordinals in force; nil
+	// tells nobody.
+	trailed func(trail uint64, ordinals int)
 }
 
 func newConfig(self *settings.Process, log hclog.Logger) *config {
@@ -89,8 +96,7 @@
 		}
 	}
 	old := c.current.Load()
-	owned := ownedSince(c.self, old, tree, c.owned.Load())
-	c.owned.Store(&owned)
+	c.takeTenures(old, tree)
 	c.current.Store(tree)
 	c.since.Store(time.Now().UnixNano())
 	c.checked = nil
@@ -98,28 +104,41 @@
 	if c.inForce != nil {
 		c.inForce(tree.Doc.Version)
 	}
+	if c.trailed != nil {
+		ordinals := 0
+		for _, p := range tree.Doc.Places {
+			ordinals += p.Hosts
+		}
+		c.trailed(c.trail, ordinals)
+	}
 	if old == nil {
 		close(c.first)
 	}
 }
 
-// ownedSince returns for each target that a host owns since when it holds its
-// rank. Owners of the first configuration hold theirs since ever.
-func ownedSince(self *settings.Process, old, tree *settings.Tree, before *map[string]time.Time) map[string]time.Time {
-	now, since := time.Now(), map[string]time.Time{}
+// takeTenures sets since when this host owns each of its targets. The first
+// configuration gives it its targets since ever.
+func (c *config) takeTenures(old, tree *settings.Tree) {
+	now, agreed := time.Now(), c.agreed != nil && c.agreed(c.trail)
+	if old != nil {
+		c.trail = membership.NewTrail(c.age(), old.Digest, tree.Digest)
+	}
+	tenures := map[string]membership.Tenure{}
 	tree.Targets(func(t *settings.TargetInfo) {
-		rank := ownership.Rank(t.Owners, self.Ordinal)
-		if t.Place != self.Place || rank < 0 {
+		rank := ownership.Rank(t.Owners, c.self.Ordinal)
+		if t.Place != c.self.Place || rank < 0 {
 			return
 		}
-		since[t.ID] = time.Time{}
 		if old == nil {
+			tenures[t.ID] = membership.Tenure{}
 			return
 		}
-		since[t.ID] = now
-		if was, ok := old.Target(t.ID); ok && was.Place == t.Place && ownership.Rank(was.Owners, self.Ordinal) == rank {
-			since[t.ID] = (*before)[t.ID]
+		was, known := old.Target(t.ID)
+		if known && was.Place == t.Place && ownership.Rank(was.Owners, c.self.Ordinal) == rank {
+			tenures[t.ID] = (*c.owned.Load())[t.ID].Continue(agreed)
+			return
 		}
+		tenures[t.ID] = membership.NewTenure(now, !known, c.trail)
 	})
-	return since
+	c.owned.Store(&tenures)
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,7 @@
 	}
 	config.ready, config.confirmed = c.ready, c.confirmed
 	config.inForce = c.configInForce
+	config.agreed, config.trailed = c.agreed, c.trailed
 	directory.changed = c.hostsChanged
 	return c
 }
@@ -195,6 +196,18 @@
 	c.view.ConfigInForce(time.Now(), version)
 }
 
+func (c *control) agreed(trail uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Agreed(trail)
+}
+
+func (c *control) trailed(trail uint64, ordinals int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetTrail(trail, ordinals)
+}
+
 func (c *control) hostsChanged(hosts []platform.Host) {
 	peers := make([]membership.Peer, len(hosts))
 	for i, h := range hosts {
@@ -415,8 +428,8 @@
 	if owned == nil {
 		return false
 	}
-	since, ok := (*owned)[target]
+	tenure, ok := (*owned)[target]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ok && c.view.MayUseShare(time.Now(), since)
+	return ok && c.view.MayUseShare(time.Now(), tenure)
 }
--- a/pkg/membership/ready.go
+++ b/pkg/membership/ready.go
@@ -105,15 +105,3 @@
 
 // Pauses returns how often the process was found to have been paused.
 func (v *View) Pauses() uint64 { return v.pauses }
-
-// MayUseShare reports whether this process may use its share of a target that
-// its seat has owned since a time; ownedSince is zero if it was an owner in the
-// first configuration that this process applied. Unless this is the seat's
-// first process, an earlier incarnation or an
-// earlier owner may still be using the share before that.
-func (v *View) MayUseShare(now, ownedSince time.Time) bool {
-	if v.superseded || now.Sub(v.started) < TakeoverWait && !v.First() {
-		return false
-	}
-	return ownedSince.IsZero() || now.Sub(ownedSince) >= TakeoverWait+SpreadLimit
-}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -34,14 +35,14 @@
 	v.states[name] = peerState{state, incarnation}
 }
 
-// keepStates drops the states of hosts that are not listed. That of a host
+// keepStates drops the states and trails of hosts that are not listed. That of a host
 // which left stays while a list that lags still names it.
 func (v *View) keepStates(hosts []Peer) {
-	for name := range v.states {
-		if !slices.ContainsFunc(hosts, func(p Peer) bool { return p.Name == name }) {
-			delete(v.states, name)
-		}
+	unlisted := func(name string) bool {
+		return !slices.ContainsFunc(hosts, func(p Peer) bool { return p.Name == name })
 	}
+	maps.DeleteFunc(v.states, func(name string, _ peerState) bool { return unlisted(name) })
+	maps.DeleteFunc(v.trails, func(name string, _ uint64) bool { return unlisted(name) })
 }
 
 // PeerState returns the last state of a host, and whether it is silent: a
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -35,6 +35,7 @@
 	Config      uint64 `cbor:"5,keyasint,omitempty"` // configuration version in force there
 	State       State  `cbor:"7,keyasint,omitempty"`
 	First       bool   `cbor:"6,keyasint,omitempty"` // it knows of no other process of the sender's seat
+	Trail       uint64 `cbor:"8,keyasint,omitempty"` // of the configuration in force there and the one before
 }
 
 // View is what a host knows of its peers.
@@ -61,6 +62,10 @@
 	acked map[string]time.Time // when the last acknowledged heartbeat was sent, by name
 	seats map[Seat]seatState
 
+	trail    uint64            // of the configuration in force here
+	allSeats int               // of the configuration in force here
+	trails   map[string]uint64 // small fleets: the last trail of each peer
+
 	state  State                // of this host
 	states map[string]peerState // of hosts, by name
 
@@ -73,7 +78,7 @@
 	return &View{
 		self: self, incarnation: incarnation, started: started, rng: rng,
 		nextBeat: map[string]time.Time{}, heard: map[string]time.Time{}, acked: map[string]time.Time{},
-		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, readiness: readiness{since: started},
+		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, trails: map[string]uint64{}, readiness: readiness{since: started},
 	}
 }
 
@@ -233,6 +238,9 @@
 	ack := Ack{Incarnation: v.incarnation, State: v.state, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
 	ack.First = v.knowsNoOther(hb)
+	if len(v.peers) < SmallFleet {
+		ack.Trail = v.trail
+	}
 	return ack
 }
 
@@ -248,6 +256,7 @@
 	}
 	v.keepPromise(sent, from.Seat, ack)
 	v.firstAnswer(from, ack)
+	v.learnTrail(from.Name, ack.Trail)
 	v.answered(now, sent, ack)
 }
 
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -147,11 +147,11 @@
 	// Guards against a new owner using a share that the earlier one still uses.
 	It("lets a share be used after the earlier owner has stopped", func() {
 		setup(4)
-		Expect(view.MayUseShare(now, time.Time{})).To(BeFalse())
+		Expect(view.MayUseShare(now, membership.Tenure{})).To(BeFalse())
 		now = now.Add(membership.TakeoverWait)
-		Expect(view.MayUseShare(now, time.Time{})).To(BeTrue())
-		Expect(view.MayUseShare(now.Add(10*time.Second), now)).To(BeFalse())
-		Expect(view.MayUseShare(now.Add(11*time.Second), now)).To(BeTrue())
+		Expect(view.MayUseShare(now, membership.Tenure{})).To(BeTrue())
+		Expect(view.MayUseShare(now.Add(10*time.Second), membership.Tenure{Since: now})).To(BeFalse())
+		Expect(view.MayUseShare(now.Add(11*time.Second), membership.Tenure{Since: now})).To(BeTrue())
 	})
 })
 
@@ -173,7 +173,7 @@
 	// were, and against a share that two processes use at the same time.
 	DescribeTable("uses its share at once only if no other process is known",
 		func(build func() *membership.View, want bool) {
-			Expect(build().MayUseShare(now, time.Time{})).To(Equal(want))
+			Expect(build().MayUseShare(now, membership.Tenure{})).To(Equal(want))
 		},
 		Entry("alone in the list", func() *membership.View { return start(a, 2, a) }, true),
 		Entry("not in the list yet", func() *membership.View { return start(a, 2, b) }, false),
