--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,7 @@
 	}
 	config.ready, config.confirmed = c.ready, c.confirmed
 	config.inForce = c.configInForce
+	config.agreed, config.trailed = c.agreed, c.trailed
 	directory.changed = c.hostsChanged
 	return c
 }
@@ -202,6 +203,18 @@
 	c.view.ConfigInForce(time.Now(), version)
 }
 
+func (c *control) agreed(trail uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Agreed(trail)
+}
+
+func (c *control) trailed(trail uint64, ordinals int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetTrail(trail, ordinals)
+}
+
 func (c *control) hostsChanged(hosts []platform.Host) {
 	peers := make([]membership.Peer, len(hosts))
 	for i, h := range hosts {
@@ -331,7 +344,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return configsync.Watches(c.self.Place, c.self.Ordinal, tree.Doc.Places[c.self.Place].Hosts, func(ordinal int) bool {
+	return configsync.Watches(c.self.Place, c.self.Ordinal, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version, func(ordinal int) bool {
 		h, ok := c.directory.hosts().bySeat[seat{c.self.Place, ordinal}]
 		return ok && c.view.Heard(now, h.Name)
 	})
@@ -370,7 +383,7 @@
 		return nil
 	}
 	var names []string
-	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts)
+	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version)
 	if ownership.Rank(order, c.self.Ordinal) == configsync.WatchersPerPlace {
 		for _, ordinal := range order[:configsync.WatchersPerPlace] {
 			names = append(names, hosts.bySeat[seat{c.self.Place, ordinal}].Name)
@@ -422,8 +435,8 @@
 	if owned == nil {
 		return false
 	}
-	since, ok := (*owned)[target]
+	tenure, ok := (*owned)[target]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ok && c.view.MayUseShare(time.Now(), since)
+	return ok && c.view.MayUseShare(time.Now(), tenure)
 }
