Let an answer count for the group that gave it

Cause: a canary that was answered cleared its query for all groups and on its own host only. A query that crashes one shard was cleared by a canary on another shard and then lost the replicas of its own one by one. The other hosts kept the canary deaths from before the answer, so a second canary that died of something else convicted a harmless query, and the conviction spread. News that a peer repeated also restarted the time in which a canary waits for the target that died.

Change: a death is refuted by an answer of its group; an answer elsewhere only shows that the query does not crash every shard. A group that has not answered since a death gets the query as a canary on the target that died, and not at all after two canaries died there. Hosts tell each other answers as well; deaths are numbered per target so that older news is recognised. A sister replica is asked after a death only if the group had answered that query before.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -70,25 +70,38 @@
 	return g.table.Decide(now, fp, mode), g.table.Plan(now, fp)
 }
 
-// cleared reports whether a query may go to a sister replica after a death.
-func (g *guard) cleared(fp quarantine.Fingerprint) bool {
+func (g *guard) died(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool) {
+	keep := g.keep()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Cleared(time.Now(), fp)
+	g.table.Died(time.Now(), fp, d, oneGroup, keep)
 }
 
-func (g *guard) died(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool) {
+// saw takes the death of a part that another host reports, unless this host
+// has learned of it already.
+func (g *guard) saw(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool, known []quarantine.Entry) {
+	g.learn(known)
+	entry, _ := g.entry(fp)
+	if !slices.ContainsFunc(entry.Deaths, func(k quarantine.Death) bool {
+		return k.Target == d.Target && k.Answered == quarantine.Nowhere && (k.Canary || !d.Canary)
+	}) {
+		g.died(fp, d, oneGroup)
+	}
+}
+
+// succeeded records the answer to a query that ran in a group alone.
+func (g *guard) succeeded(fp quarantine.Fingerprint, group string) {
 	keep := g.keep()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Died(time.Now(), fp, d, oneGroup, keep)
+	g.table.Succeeded(time.Now(), fp, group, keep)
 }
 
-func (g *guard) succeeded(fp quarantine.Fingerprint) {
-	keep := g.keep()
+// answered records the answer of one group among several.
+func (g *guard) answered(fp quarantine.Fingerprint, group string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Succeeded(time.Now(), fp, keep)
+	g.table.Answered(time.Now(), fp, group)
 }
 
 func (g *guard) learn(entries []quarantine.Entry) {
@@ -165,13 +178,25 @@
 			return nil, outcome.Refused(outcome.Deadline, "another suspect runs on target %s", part.Target), false
 		}
 	}
-	if entry, known := g.entry(quarantine.Of(req.Service, req.Terms)); known && entry.Proven > 0 {
+	fp := quarantine.Of(req.Service, req.Terms)
+	if entry, known := g.entry(fp); known && entry.Proven > 0 {
 		release()
 		return nil, quarantined(entry.Proven), false
 	}
+	if req.Canary && g.refuses(fp, part.Group) {
+		release()
+		return nil, quarantinedIn(part.Group), false
+	}
 	return release, outcome.Outcome{}, true
 }
 
+// refuses reports whether two canaries of a query died in a group.
+func (g *guard) refuses(fp quarantine.Fingerprint, group string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Plan(time.Now(), fp).Held[group].Refuse
+}
+
 func (g *guard) token(target string) chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,25 +214,41 @@
 	fp := quarantine.Of(req.Service, req.Terms)
 	result.Died = result.Outcome.Kind == outcome.Unknown && result.Outcome.Reason == outcome.ConnLost
 	if result.Died {
-		g.died(fp, quarantine.Death{Target: result.Target, Group: result.Group, Canary: req.Canary},
+		g.died(fp, quarantine.Death{Target: result.Target, Group: g.groupOf(result), Canary: req.Canary},
 			len(g.config.tree().Doc.Services[req.Service].Groups) < 2)
 	}
-	if entry, known := g.entry(fp); known {
+	if entry, known := g.entry(fp); known && entry.Open() {
 		result.Known = []quarantine.Entry{entry}
 	}
 }
 
+// groupOf returns the group of a part's target. It is another one than the
+// part's if the target was asked for keys that the part's group lacks.
+func (g *guard) groupOf(part *wire.PartResult) string {
+	if info, ok := g.config.tree().Target(part.Target); ok {
+		return info.Group
+	}
+	return part.Group
+}
+
 func quarantined(left time.Duration) outcome.Outcome {
 	o := outcome.Refused(outcome.Quarantined, "the query crashed its targets")
 	o.RetryAfter = left
 	return o
 }
 
+func quarantinedIn(group string) outcome.Outcome {
+	return outcome.Refused(outcome.Quarantined, "the query crashed targets of group %s", group)
+}
+
 // canary is the quarantine's part of a search in progress.
 type canary struct {
 	fp         quarantine.Fingerprint
-	holding    bool // the other groups wait for one target's answer
-	suspect    bool // a connection died under the query before
+	holding    bool   // the other groups wait for one target's answer
+	suspect    bool   // a connection died under the query before
+	group      string // the group that the canary was sent to last
+	plan       quarantine.Plan
+	known      bool // answers of single groups are recorded
 	candidates []canaryPlace
 	slow       <-chan time.Time // a precaution holds up the others no longer
 	again      <-chan time.Time // the targets that died before are tried again
@@ -233,6 +274,7 @@
 		g.canary.giveUp = time.Now().Add(remaining(g.ctx) * (canaryShare - 1) / canaryShare)
 	}
 	verdict, plan := g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	g.canary.plan, g.canary.known = plan, plan.Held != nil || plan.Answered != nil
 	switch {
 	case verdict == quarantine.Refuse:
 		g.refuse(quarantined(0))
@@ -244,8 +286,47 @@
 		}
 		g.nextCanary()
 	default:
+		g.sendHeld(states)
+	}
+}
+
+// sendHeld sends groups that need not wait for a canary. A group in which the
+// query died and that has not answered since gets it as a canary: on one
+// target, without hedges or retries.
+func (g *gather) sendHeld(states []*groupState) {
+	if len(g.canary.plan.Held) == 0 || g.policy.Canary == settings.CanaryNever {
 		g.sendAll(states)
+		return
 	}
+	var free, held []*groupState
+	for _, state := range states {
+		group := state.planned.group.ID
+		hold, ok := g.canary.plan.Held[group]
+		if !ok {
+			free = append(free, state)
+			continue
+		}
+		if hold.Refuse {
+			state.last = quarantinedIn(group)
+			g.closeIfIdle(state)
+			continue
+		}
+		// The target that died first, so that no sister replica is lost.
+		state.only, state.held, state.hedges = hold.Targets[0], true, maxHedges
+		held = append(held, state)
+	}
+	g.sendAll(append(free, held...))
+}
+
+// heldElsewhere lets a held group run on the next target in the order of trial
+// if the one that died takes no work and had the time to restart.
+func (g *gather) heldElsewhere(state *groupState, o outcome.Outcome) bool {
+	if g.canary.plan.Held[state.planned.group.ID].Only || !o.RanNothing() || o.Reason == outcome.Quarantined {
+		return false
+	}
+	at, ok := g.usablePlace(state)
+	state.only = at.target
+	return ok
 }
 
 // candidates lists where the canary may run, in the order of trial. The order
@@ -254,7 +335,7 @@
 func (g *gather) candidates(states []*groupState, plan quarantine.Plan) []canaryPlace {
 	var all []canaryPlace
 	for _, id := range plan.Prefer {
-		if info, ok := g.state.tree.Target(id); ok {
+		if info, ok := g.entry.config.tree().Target(id); ok {
 			all = append(all, g.canaryAt(info.Group, id))
 		}
 	}
@@ -265,7 +346,7 @@
 			if slices.Contains(plan.Avoid, state.planned.group.ID) {
 				continue
 			}
-			if at, ok := g.usablePlace(state.planned); ok {
+			if at, ok := g.usablePlace(state); ok {
 				others = append(others, at)
 			}
 		}
@@ -275,12 +356,14 @@
 	return all[:min(len(all), maxCanaries)]
 }
 
-// usablePlace returns the first usable target of a group in the order of trial.
-func (g *gather) usablePlace(p *plannedGroup) (canaryPlace, bool) {
+// usablePlace returns the first usable target of a group, in the order of
+// trial, that was not asked yet.
+func (g *gather) usablePlace(state *groupState) (canaryPlace, bool) {
+	p := state.planned
 	var all []canaryPlace
 	g.entry.mu.Lock()
 	for i, o := range p.options.Options {
-		if p.targets[i].Serves(g.merger.Version()) {
+		if p.targets[i].Serves(g.merger.Version()) && !state.tried(o.Target) {
 			all = append(all, g.canaryAt(p.group.ID, o.Target))
 		}
 	}
@@ -312,7 +395,7 @@
 			continue
 		}
 		g.reopen(state)
-		state.only = at.target
+		state.only, g.canary.group = at.target, at.group
 		g.send([]*groupState{state})
 		if g.pending > 0 {
 			return
@@ -329,8 +412,9 @@
 
 // canaryOwners leaves a suspect's canary to the first listed owner of each
 // target, so that the canaries on a target wait for each other on one host.
-func (g *gather) canaryOwners(group *routing.Group) *routing.Group {
-	if !g.canary.holding || !g.canary.suspect {
+func (g *gather) canaryOwners(state *groupState) *routing.Group {
+	group := &state.planned.options
+	if !state.held && !g.suspectCanary() {
 		return group
 	}
 	first := &routing.Group{ID: group.ID, Options: make([]routing.Option, len(group.Options))}
@@ -340,6 +424,9 @@
 	return first
 }
 
+// suspectCanary reports whether the canary of a suspect is in progress.
+func (g *gather) suspectCanary() bool { return g.canary.holding && g.canary.suspect }
+
 // reopen lets a group be sent again, to targets that it was sent to as well.
 func (g *gather) reopen(state *groupState) {
 	if state.done {
@@ -349,6 +436,9 @@
 	for _, a := range state.attempts {
 		a.again = a.ended
 	}
+	if state.held {
+		state.held, state.hedges = false, 0
+	}
 	state.only, state.retries, state.waiting = "", 0, false
 }
 
@@ -391,19 +481,27 @@
 	for _, state := range g.groups {
 		state.only = ""
 	}
-	g.sendAll(g.reopenAll())
+	_, g.canary.plan = g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	g.sendHeld(g.reopenAll())
 }
 
 // inspect takes what a part says about the quarantine. It returns false if the
 // group must not be sent to a sister replica.
 func (g *gather) inspect(part *wire.PartResult) (mayRetry bool) {
-	guard := g.entry.guard
+	guard, state := g.entry.guard, g.byID[part.Group]
+	if part.Outcome.Kind == outcome.Answered && g.canary.known {
+		guard.answered(g.canary.fp, guard.groupOf(part))
+	}
 	if !part.Died {
 		guard.learn(part.Known)
-		return part.Outcome.Reason != outcome.Quarantined
-	}
-	mayRetry = guard.cleared(g.canary.fp)
-	guard.died(g.canary.fp, quarantine.Death{Target: part.Target, Group: part.Group, Canary: g.canary.suspect && g.canary.holding}, len(g.groups) < 2)
+		return part.Outcome.Reason != outcome.Quarantined && (!state.held || g.heldElsewhere(state, part.Outcome))
+	}
+	// Only the group's own answer shows that the query does not crash its
+	// shard. It allows one sister replica.
+	group := guard.groupOf(part)
+	mayRetry = g.canary.plan.Answered[group] && !state.held
+	delete(g.canary.plan.Answered, group)
+	guard.saw(g.canary.fp, quarantine.Death{Target: part.Target, Group: group, Canary: g.suspectCanary() || state.held}, len(g.groups) < 2, part.Known)
 	g.canary.dirty = true
 	if !mayRetry {
 		g.canary.died = true
@@ -425,7 +523,8 @@
 		return
 	}
 	if g.merger.Coverage() > 0 {
-		g.entry.guard.succeeded(g.canary.fp)
+		g.entry.guard.succeeded(g.canary.fp, g.canary.group)
+		g.canary.known = true
 		g.release()
 	} else if g.pending == 0 {
 		g.moveCanary()
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -78,6 +78,7 @@
 	gapRounds int       // searches for the rest so far
 	waiting   bool      // a retry waits for the extra-load budget
 	only      string    // a canary may be sent to this target alone
+	held      bool      // the query died in the group, which runs it as a canary
 	done      bool
 	last      outcome.Outcome // why the group has no answer
 }
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -14,13 +14,17 @@
 func (g *gather) send(states []*groupState) {
 	now := time.Now()
 	plan := g.plan(now, states)
-	batches := map[seat][]routing.Assignment{}
+	type message struct {
+		at   seat
+		held bool // a message says for all its parts whether they are canaries
+	}
+	batches := map[message][]routing.Assignment{}
 	for _, a := range plan {
-		at := seat{a.Path.Place, a.Path.Ordinal}
-		batches[at] = append(batches[at], a)
+		m := message{seat{a.Path.Place, a.Path.Ordinal}, g.byID[a.Group].held}
+		batches[m] = append(batches[m], a)
 	}
-	for at, assignments := range batches {
-		g.sendBatch(now, at, assignments, wire.CauseFirst)
+	for m, assignments := range batches {
+		g.sendBatch(now, m.at, assignments, wire.CauseFirst)
 	}
 	for _, state := range states {
 		state.waiting = false
@@ -34,7 +38,7 @@
 func (g *gather) plan(now time.Time, states []*groupState) []routing.Assignment {
 	groups := make([]*routing.Group, len(states))
 	for i, state := range states {
-		groups[i] = g.canaryOwners(&state.planned.options)
+		groups[i] = g.canaryOwners(state)
 	}
 	version := g.merger.Version()
 	usable := func(i, option int) bool {
@@ -91,7 +95,7 @@
 	req := &wire.SearchRequest{
 		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
 		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
-		Canary: g.canary.holding && g.canary.suspect,
+		Canary: g.suspectCanary() || g.byID[assignments[0].Group].held,
 	}
 	for _, assigned := range assignments {
 		state := g.byID[assigned.Group]
@@ -119,7 +123,7 @@
 	switch {
 	case given != wire.CauseFirst:
 		return given
-	case g.canary.holding:
+	case g.canary.holding || state.held:
 		return wire.CauseCanary
 	case len(state.attempts) > 0:
 		return wire.CauseRetry
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,7 +10,7 @@
 )
 
 const (
-	// maxDeaths bounds what is kept per fingerprint; two prove it.
+	// maxDeaths bounds what is kept per fingerprint; two canaries prove it.
 	maxDeaths = 16
 	// alertFor is how long after a death unknown queries run as canaries with
 	// `canary: auto`: long enough for the same client to send its next query.
@@ -29,15 +30,34 @@
 	Refuse                // not at all
 )
 
-// Death is a connection that died under a query.
+// Death is a target whose connections died under a query.
 type Death struct {
 	Target string `cbor:"1,keyasint"`
 	Group  string `cbor:"2,keyasint"`
-	// Canary says that the query ran as a canary, and that no other suspect's
-	// canary was on the target.
+	// Canary says that the query ran as a canary, that no other suspect's
+	// canary was on the target, and that the query was answered nowhere since.
 	Canary bool `cbor:"3,keyasint,omitempty"`
+	// Canaries counts the canaries that died since the group last answered. The
+	// table sets this field and those that follow.
+	Canaries uint8 `cbor:"4,keyasint,omitempty"`
+	// Seq grows with each death that says something new; of two statements
+	// about a target the one with the higher number is the newer.
+	Seq uint32 `cbor:"5,keyasint,omitempty"`
+	// Answered is where the query was answered since.
+	Answered Answered `cbor:"6,keyasint,omitempty"`
 }
 
+// Answered says what an answer after a death refutes. Higher values replace
+// lower ones.
+type Answered uint8
+
+// Values of Answered.
+const (
+	Nowhere   Answered = iota // nothing
+	Elsewhere                 // that the query crashes every shard
+	InGroup                   // also that it crashes the shard on which it died
+)
+
 // Entry is what one host tells another about a fingerprint.
 type Entry struct {
 	Fingerprint Fingerprint   `cbor:"1,keyasint"`
@@ -51,7 +71,21 @@
 	Prefer  []string // targets on which the query died, but not as a canary
 	Only    bool     // no other target may be used yet
 	Avoid   []string // groups in which a canary died already
-	Suspect bool     // the query died before
+	Suspect bool     // the query died and was not answered since
+	// Held holds the groups in which the query died and that have not answered
+	// since. Each of them runs the query as a canary, even after another group
+	// answered.
+	Held map[string]Hold
+	// Answered holds the groups that answered the query since it last died
+	// there. If it dies in one of them, it may be sent to a sister replica.
+	Answered map[string]bool
+}
+
+// Hold says how a query may run in a group in which it died.
+type Hold struct {
+	Targets []string // the targets that died, in the order of their deaths
+	Only    bool     // no other target may be used yet
+	Refuse  bool     // two canaries died in the group: the query may not run there
 }
 
 // Table holds the fingerprints that a host knows.
@@ -62,16 +96,6 @@
 	fresh    map[Fingerprint]bool
 }
 
-// record is a suspect, proven or cleared fingerprint.
-type record struct {
-	deaths   []Death
-	oneGroup bool
-	diedAt   time.Time
-	proven   time.Time // refused until then
-	cleared  bool
-	expires  time.Time
-}
-
 // NewTable returns a table of at most capacity fingerprints.
 func NewTable(capacity int) *Table {
 	return &Table{capacity: capacity, records: map[Fingerprint]*record{}, fresh: map[Fingerprint]bool{}}
@@ -87,7 +111,7 @@
 		return Run
 	case mode == settings.CanaryAlways:
 		return Canary
-	case rec != nil && !rec.cleared:
+	case rec != nil && rec.suspect():
 		return Canary
 	case rec == nil && now.Before(t.alert):
 		return Canary
@@ -96,28 +120,24 @@
 	}
 }
 
-// Cleared reports whether a query may be sent to another replica after a
-// connection died under it.
-func (t *Table) Cleared(now time.Time, fp Fingerprint) bool {
-	rec := t.get(now, fp)
-	return rec != nil && rec.cleared
-}
-
-// Plan says where the canary of a query may run. A target that died under the
-// query before is taken again, so that no second replica is lost to it.
+// Plan says where a query may run. A target that died under the query before
+// is taken again, so that no second replica is lost to it.
 func (t *Table) Plan(now time.Time, fp Fingerprint) Plan {
 	rec := t.get(now, fp)
-	if rec == nil || rec.cleared || len(rec.deaths) == 0 {
+	if rec == nil {
 		return Plan{}
 	}
-	plan := Plan{Suspect: true}
+	plan := Plan{Suspect: rec.suspect(), Held: rec.held(now), Answered: maps.Clone(rec.answered)}
+	if !plan.Suspect {
+		return plan
+	}
 	for _, d := range rec.deaths {
-		if d.Canary && !rec.oneGroup {
+		if d.Answered < InGroup && d.Canaries > 0 && !rec.oneGroup {
 			plan.Avoid = append(plan.Avoid, d.Group)
 		}
 	}
 	for _, d := range rec.deaths {
-		if !d.Canary && !slices.Contains(plan.Avoid, d.Group) {
+		if d.Answered < InGroup && d.Canaries == 0 && !slices.Contains(plan.Avoid, d.Group) {
 			plan.Prefer = append(plan.Prefer, d.Target)
 		}
 	}
@@ -130,22 +150,64 @@
 // something that other hosts should know.
 func (t *Table) Died(now time.Time, fp Fingerprint, d Death, oneGroup bool, keep time.Duration) bool {
 	t.alert = now.Add(alertFor)
-	if rec := t.get(now, fp); rec != nil && rec.cleared {
-		*rec = record{expires: rec.expires}
-	}
-	return t.learn(now, fp, []Death{d}, oneGroup, keep)
+	return t.learn(now, fp, []Death{d}, oneGroup, keep, (*record).died)
 }
 
-// Succeeded records that a query was answered by a target alone.
-func (t *Table) Succeeded(now time.Time, fp Fingerprint, keep time.Duration) {
+// Succeeded records that a query was answered by a target of a group alone.
+func (t *Table) Succeeded(now time.Time, fp Fingerprint, group string, keep time.Duration) {
 	if rec := t.get(now, fp); rec != nil && now.Before(rec.proven) {
 		return
 	}
-	if rec := t.put(now, fp); rec != nil {
-		// The deaths stay, so that a peer that still reports them does not
-		// make the query a suspect again.
-		rec.cleared, rec.expires = true, now.Add(keep)
-		delete(t.fresh, fp)
+	rec := t.put(now, fp)
+	if rec == nil {
+		return
+	}
+	if until := now.Add(keep); rec.expires.Before(until) {
+		rec.expires = until
+	}
+	// A query that crashes one shard dies in one group only. One that died in
+	// several groups beside others and is answered in one of them only ran
+	// beside the cause.
+	var diedIn []string
+	for _, d := range rec.deaths {
+		if d.Answered < InGroup && !slices.Contains(diedIn, d.Group) {
+			diedIn = append(diedIn, d.Group)
+		}
+	}
+	beside := len(diedIn) > 1 && slices.Contains(diedIn, group)
+	t.refute(fp, rec, func(d Death) Answered {
+		if d.Group == group || beside && d.Canaries == 0 {
+			return InGroup
+		}
+		return Elsewhere
+	})
+	rec.answer(group)
+}
+
+// Answered records that a group answered a query that ran on several groups.
+func (t *Table) Answered(now time.Time, fp Fingerprint, group string) {
+	rec := t.get(now, fp)
+	if rec == nil || now.Before(rec.proven) {
+		return
+	}
+	t.refute(fp, rec, func(d Death) Answered {
+		if d.Group == group {
+			return InGroup
+		}
+		return Nowhere
+	})
+	rec.answer(group)
+}
+
+// refute records the answer to a query for each of its deaths. The deaths stay,
+// so that a peer that still reports them does not make the query a suspect
+// again, and so that peers learn of the answer.
+func (t *Table) refute(fp Fingerprint, rec *record, answered func(Death) Answered) {
+	for i, d := range rec.deaths {
+		if a := answered(d); a > d.Answered {
+			rec.deaths[i].Answered = a
+			t.fresh[fp] = true
+		}
 	}
 }
 
@@ -167,21 +229,27 @@
 	return entries
 }
 
-// Entry returns what is known of a suspect or proven fingerprint.
+// Entry returns what is known of a fingerprint that died.
 func (t *Table) Entry(now time.Time, fp Fingerprint) (Entry, bool) {
 	rec := t.get(now, fp)
-	if rec == nil || rec.cleared {
+	if rec == nil || len(rec.deaths) == 0 && !now.Before(rec.proven) {
 		return Entry{}, false
 	}
 	return rec.entry(now, fp), true
 }
 
+// Open reports whether the query is refused, or a group in which it died has
+// not answered since.
+func (e Entry) Open() bool {
+	return e.Proven > 0 || slices.ContainsFunc(e.Deaths, func(d Death) bool { return d.Answered < InGroup })
+}
+
 // Entries returns what is known of all suspect and proven fingerprints, in
 // their order.
 func (t *Table) Entries(now time.Time) []Entry {
 	var entries []Entry
 	for fp := range t.records {
-		if e, known := t.Entry(now, fp); known {
+		if e, known := t.Entry(now, fp); known && e.Open() {
 			entries = append(entries, e)
 		}
 	}
@@ -194,13 +262,18 @@
 	var learned []Entry
 	for _, e := range entries {
 		rec := t.get(now, e.Fingerprint)
+		if rec == nil && !e.Open() {
+			continue
+		}
 		proven := e.Proven > 0 && (rec == nil || !now.Before(rec.proven))
-		changed := t.learn(now, e.Fingerprint, e.Deaths, e.OneGroup, keep)
+		changed := t.learn(now, e.Fingerprint, e.Deaths, e.OneGroup, keep, (*record).merge)
 		if rec = t.get(now, e.Fingerprint); proven && rec != nil {
-			rec.proven, rec.cleared, changed = now.Add(min(e.Proven, keep)), false, true
+			rec.proven, changed = now.Add(min(e.Proven, keep)), true
 		}
 		if changed {
-			t.alert = now.Add(alertFor)
+			if e.Open() {
+				t.alert = now.Add(alertFor)
+			}
 			learned = append(learned, e)
 		}
 	}
@@ -210,26 +283,27 @@
 // Len returns the number of fingerprints.
 func (t *Table) Len() int { return len(t.records) }
 
-func (t *Table) learn(now time.Time, fp Fingerprint, deaths []Death, oneGroup bool, keep time.Duration) bool {
+func (t *Table) learn(now time.Time, fp Fingerprint, deaths []Death, oneGroup bool, keep time.Duration, take func(*record, Death) (changed, died bool)) bool {
 	rec := t.put(now, fp)
 	if rec == nil {
 		return false
 	}
-	changed := false
+	changed, died := false, false
 	for _, d := range deaths {
-		changed = rec.add(d) || changed
+		c, isNew := take(rec, d)
+		changed, died = changed || c, died || isNew
 	}
-	if rec.cleared && !changed {
-		return false
-	}
-	rec.cleared = false
 	rec.oneGroup = rec.oneGroup || oneGroup
-	rec.diedAt = now
-	// A suspect is remembered for longer than a proven query is refused, so
-	// that it starts again as a canary.
-	rec.expires = now.Add(2 * keep)
-	if !now.Before(rec.proven) && rec.isProven() {
-		rec.proven, changed = now.Add(keep), true
+	if died {
+		rec.diedAt, rec.holds = now, now.Add(keep)
+	}
+	if changed || rec.suspect() || rec.expires.IsZero() {
+		// A suspect is remembered for longer than a proven query is refused, so
+		// that it starts again as a canary.
+		rec.expires = now.Add(2 * keep)
+	}
+	if changed && !now.Before(rec.proven) && rec.isProven() {
+		rec.proven = now.Add(keep)
 	}
 	if changed {
 		t.fresh[fp] = true
@@ -237,43 +311,6 @@
 	return changed
 }
 
-// add records a death; a repeated one counts once.
-func (r *record) add(d Death) bool {
-	for i := range r.deaths {
-		if r.deaths[i].Target == d.Target {
-			changed := d.Canary && !r.deaths[i].Canary
-			r.deaths[i].Canary = r.deaths[i].Canary || d.Canary
-			return changed
-		}
-	}
-	if len(r.deaths) == maxDeaths {
-		if !d.Canary {
-			return false
-		}
-		r.deaths = r.deaths[1:]
-	}
-	r.deaths = append(r.deaths, d)
-	return true
-}
-
-// isProven reports whether canaries died on two targets, of different groups
-// where the service has several. One canary that died is not enough: over many
-// canaries some run on a target that fails of something else.
-func (r *record) isProven() bool {
-	for _, c := range r.deaths {
-		for _, d := range r.deaths {
-			if c.Canary && d.Canary && c.Target != d.Target && (r.oneGroup || c.Group != d.Group) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (r *record) entry(now time.Time, fp Fingerprint) Entry {
-	return Entry{Fingerprint: fp, Proven: max(0, r.proven.Sub(now)), Deaths: slices.Clone(r.deaths), OneGroup: r.oneGroup}
-}
-
 // get returns a record that has not expired.
 func (t *Table) get(now time.Time, fp Fingerprint) *record {
 	rec, ok := t.records[fp]
@@ -312,8 +349,9 @@
 			delete(t.fresh, fp)
 			continue
 		}
-		if rec.cleared {
+		if !rec.suspect() && !now.Before(rec.proven) && len(rec.held(now)) == 0 {
 			delete(t.records, fp) // it only saves a canary
+			delete(t.fresh, fp)
 			return true
 		}
 		if !now.Before(rec.proven) && (least == nil || rec.expires.Before(least.expires)) {
