Compare OwnAnswer with a naive merge and count the groups it misses

Cause: the crossed-parts test had no naive comparison, and the report of the bench invariants did not say which groups an answer lacks and why.

Change: a naive client of the scripted branch host merges what arrives and must return records of the wrong part. The bench report counts the missing groups by group and reason and names the stuck targets.

--- a/internal/bench/invariant_test.go
+++ b/internal/bench/invariant_test.go
@@ -36,6 +36,7 @@
 	refused    int // refused, cut or without a connection
 	coverage   float64
 	violations Violations
+	missing    map[string]int // answers without a group, by group and reason
 	sample     string
 }
 
@@ -49,7 +50,7 @@
 	f, c, err := startCluster(ctx, d, policy, seed, hclog.NewNullLogger())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { c.close(); f.Close() })
-	w := &watched{Fleet: f, cluster: c, checker: newChecker(f.Datasets), rng: rand.New(rand.NewPCG(seed, 1)), seed: seed}
+	w := &watched{Fleet: f, cluster: c, checker: newChecker(f.Datasets), rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, missing: map[string]int{}}
 	w.checker.learn(&d.Document)
 	return w
 }
@@ -102,6 +103,10 @@
 	}
 	w.answers++
 	w.coverage += r.search.Coverage
+	for _, warning := range r.search.Warnings {
+		w.missing[fmt.Sprint(warning.Group, " ", warning.Reason)]++
+		w.sample = fmt.Sprintf("last missing: %+v after %.0f ms", warning, r.search.ElapsedMS)
+	}
 	w.violations.add(v)
 	if v.Total() > 0 {
 		w.sample = fmt.Sprintf("%+v: asked %+v, got %d records, coverage %v, %v", v, q.search, len(r.search.Records), r.search.Coverage, r.search.Warnings)
@@ -131,8 +136,8 @@
 // report prints what was seen. Call it when the load has stopped.
 func (w *watched) report() (meanCoverage float64) {
 	meanCoverage = w.coverage / float64(max(1, w.answers))
-	fmt.Fprintf(GinkgoWriter, "seed %d: %d answers, coverage %.4f, %d refused, violations %+v; %s\n",
-		w.seed, w.answers, meanCoverage, w.refused, w.violations, w.sample)
+	fmt.Fprintf(GinkgoWriter, "seed %d: %d answers, coverage %.4f, %d refused, groups missing %v, violations %+v; %s\n",
+		w.seed, w.answers, meanCoverage, w.refused, w.missing, w.violations, w.sample)
 	return meanCoverage
 }
 
@@ -287,7 +292,9 @@
 		w := startWatched(ctx, policy, seed, nil)
 		w.Network.SetLinks(2*w.Model.OneWayDelayMS, 0.02)
 		for group := range 2 {
-			w.target(w.rng.IntN(5)+5*group, w.rng.IntN(3)).SetFaults(standin.Faults{Stuck: true})
+			s := w.target(w.rng.IntN(5)+5*group, w.rng.IntN(3))
+			s.SetFaults(standin.Faults{Stuck: true})
+			fmt.Fprintf(GinkgoWriter, "stuck: %s\n", s.ID)
 		}
 		stop := w.load(ctx, 16, w.everyHost())
 		during(ctx, 4*time.Second, 200*time.Millisecond, func() {
--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -128,9 +128,33 @@
 			}
 			Expect(ids).To(Equal([]string{"right-g0", "right-g1"}))
 		}
+		Expect(naiveSearch(ctx, client)).To(ContainElement(HavePrefix("wrong")), "the naive version merges what arrives")
 	}, NodeTimeout(30*time.Second))
 })
 
+// naiveSearch asks both groups and merges every part that comes over the
+// stream. It returns the identifiers of the records.
+func naiveSearch(ctx context.Context, client *branchClient) (ids []string) {
+	merger := coverage.NewMerger(1)
+	for i, group := range []string{"g0", "g1"} {
+		s, err := client.open(ctx, seat{"b", 0}, wire.ExchangeSearch)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Send(&wire.SearchRequest{QueryID: "naive", Service: "s", Parts: []wire.PartRequest{{Group: group, Target: fmt.Sprint("t", i)}}})).To(Succeed())
+		for reply := (wire.SearchReply{}); !reply.Final; {
+			reply = wire.SearchReply{}
+			Expect(s.Receive(&reply)).To(Succeed())
+			for _, p := range reply.Parts {
+				_ = merger.Add(coverage.Part{Version: p.Version, Covered: p.Covered, Records: p.Records})
+			}
+		}
+		s.Reset()
+	}
+	for _, r := range merger.Records(0) {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
 // part is an answer for a group with one record.
 func part(group, target, id string) wire.PartResult {
 	r := keyspace.Split(2)[map[string]int{"g0": 0, "g1": 1}[group]]
