--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -80,6 +80,7 @@
 	trial     bool      // the first attempt is a trial, its hedge goes out at once
 	only      string    // a canary may be sent to this target alone
 	placeOut  string    // a place that refused because it, or its target, is out
+	held      bool      // the query died in the group, which runs it as a canary
 	done      bool
 	last      outcome.Outcome // why the group has no answer
 }
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -14,13 +14,17 @@
 func (g *gather) send(states []*groupState) {
 	now := time.Now()
 	plan := g.plan(now, states)
-	batches := map[seat][]routing.Assignment{}
+	type message struct {
+		at   seat
+		held bool // a message says for all its parts whether they are canaries
+	}
+	batches := map[message][]routing.Assignment{}
 	for _, a := range plan {
-		at := seat{a.Path.Place, a.Path.Ordinal}
-		batches[at] = append(batches[at], a)
+		m := message{seat{a.Path.Place, a.Path.Ordinal}, g.byID[a.Group].held}
+		batches[m] = append(batches[m], a)
 	}
-	for at, assignments := range batches {
-		g.sendBatch(now, at, assignments, wire.CauseFirst)
+	for m, assignments := range batches {
+		g.sendBatch(now, m.at, assignments, wire.CauseFirst)
 	}
 	for _, state := range states {
 		state.waiting = false
@@ -34,7 +38,7 @@
 func (g *gather) plan(now time.Time, states []*groupState) []routing.Assignment {
 	groups := make([]*routing.Group, len(states))
 	for i, state := range states {
-		groups[i] = g.canaryOwners(&state.planned.options)
+		groups[i] = g.canaryOwners(state)
 		if state.last.RanNothing() && len(state.attempts) > 0 {
 			groups[i] = &routing.Group{ID: groups[i].ID, Options: groups[i].Options, Retry: true}
 		}
@@ -61,7 +65,7 @@
 		a := &plan[i]
 		state := g.byID[a.Group]
 		state.due = now.Add(g.state.latencies.Delay(a.Group, rule, balance))
-		state.trial = a.Trial && trials && g.state.budget.Has(1)
+		state.trial = a.Trial && trials && !state.held && g.state.budget.Has(1)
 		switch {
 		case state.trial:
 			state.due = now // its second attempt
@@ -78,7 +82,7 @@
 func (g *gather) avoidTrial(now time.Time, state *groupState, a *routing.Assignment) {
 	version := g.merger.Version()
 	p := state.planned
-	other, ok := g.entry.router.Alternative(now, g.canaryOwners(&p.options), func(_, option int) bool {
+	other, ok := g.entry.router.Alternative(now, g.canaryOwners(state), func(_, option int) bool {
 		target := p.options.Options[option].Target
 		return target != a.Path.Target && p.targets[option].Serves(version) && state.mayAsk(target)
 	}, nil)
@@ -119,7 +123,7 @@
 	req := &wire.SearchRequest{
 		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
 		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
-		Canary: g.canary.holding && g.canary.suspect,
+		Canary: g.suspectCanary() || g.byID[assignments[0].Group].held,
 	}
 	turns := g.firstTurns(now)
 	for _, assigned := range assignments {
@@ -163,7 +167,7 @@
 	switch {
 	case given != wire.CauseFirst:
 		return given
-	case g.canary.holding:
+	case g.canary.holding || state.held:
 		return wire.CauseCanary
 	case len(state.attempts) > 0:
 		return wire.CauseRetry
