Leave the decoding of configuration documents to the schema library

Cause: a decoder of our own (314 lines) had replaced the schema library for plain documents to save processor time. The house style prefers libraries for serialization even where they are slower.

Change: the decoder and its comparison with the schema are removed. Paths of targets are still built for faults only.

--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -54,11 +54,8 @@
 		return nil, &InvalidError{Faults: []Fault{{Problem: fmt.Sprintf("document has %d bytes, the limit is %d", len(data), MaxDocumentBytes)}}}
 	}
 	t := &Tree{Digest: xxhash.Sum64(data), Raw: data}
-	if !readDocument(data, &t.Doc) {
-		t.Doc = Document{}
-		if err := decodeStrict(data, "document", &t.Doc); err != nil {
-			return nil, err
-		}
+	if err := decodeStrict(data, "document", &t.Doc); err != nil {
+		return nil, err
 	}
 	var found faults
 	t.checkSettings(&found)
