--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-var _ = Describe("Killer query", Label(loadtest.Label), func() {
+var _ = Describe("Killer query", func() {
 	// Guards against a query that takes down one replica after the other when
 	// it is sent again through other hosts, and against losing the queries
 	// beside it. Without the quarantine (canary: never) it must fail.
@@ -180,11 +180,11 @@
 		Expect(coverage).To(BeNumerically(">=", 0.99))
 		a.expectNoneConvicted(ctx)
 	},
-		Entry("through one host after the other", uint64(1), settings.CanaryAuto, false, false, NodeTimeout(2*time.Minute)),
-		Entry("through all hosts at once, canary always", uint64(3), settings.CanaryAlways, true, false, NodeTimeout(2*time.Minute)),
-		Entry("through all hosts at once, canary auto", uint64(1), settings.CanaryAuto, true, false, NodeTimeout(2*time.Minute)),
-		Entry("through one host after the other, deadly on one shard", uint64(5), settings.CanaryAuto, false, true, NodeTimeout(2*time.Minute)),
-		Entry("through all hosts at once, canary always, deadly on one shard", uint64(6), settings.CanaryAlways, true, true, NodeTimeout(2*time.Minute)),
+		Entry("through one host after the other", Label(loadtest.Label), uint64(1), settings.CanaryAuto, false, false, NodeTimeout(2*time.Minute)),
+		Entry("through all hosts at once, canary always", Label(loadtest.Label), uint64(3), settings.CanaryAlways, true, false, NodeTimeout(2*time.Minute)),
+		Entry("through all hosts at once, canary auto", Label(loadtest.Label), uint64(1), settings.CanaryAuto, true, false, NodeTimeout(2*time.Minute)),
+		Entry("through one host after the other, deadly on one shard", Label(loadtest.Label), uint64(5), settings.CanaryAuto, false, true, NodeTimeout(2*time.Minute)),
+		Entry("through all hosts at once, canary always, deadly on one shard", Label(loadtest.Label), uint64(6), settings.CanaryAlways, true, true, NodeTimeout(2*time.Minute)),
 		Entry("naive", uint64(1), settings.CanaryNever, false, false, NodeTimeout(2*time.Minute)),
 	)
 
--- a/pkg/settings/policy.go
+++ b/pkg/settings/policy.go
@@ -122,8 +122,8 @@
 			p.Canary = mode
 			return nil
 		}),
-	hostWide(durationField("quarantine_for", "60s", time.Second, time.Hour,
-		"How long a query that crashed two targets is refused.", func(p *Policy) *time.Duration { return &p.QuarantineFor })),
+	durationField("quarantine_for", "60s", time.Second, time.Hour,
+		"How long a query that crashed two targets is refused.", func(p *Policy) *time.Duration { return &p.QuarantineFor }),
 	hostWide(durationField("ticket_ttl", "60s", time.Second, time.Hour,
 		"How long a ticket for a non-repeatable request is valid.", func(p *Policy) *time.Duration { return &p.TicketTTL })),
 	hostWide(durationField("entries_ttl", "5s", 100*time.Millisecond, time.Hour,
