Share the exchange of a lookup and the choice of usable targets

The sending of a lookup and the outcome without a reply were copied from lookupAt into lookupOnce. avoidTrial had its own copy of the rule for usable targets of plan, without the part that leaves a place which refused as out.

Change: awaitLookup and gather.usable serve both. A trial that is avoided now leaves such a place as well; nothing else behaves differently. maxHeirs is named maxSuccessors, as its function is.

--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -141,9 +141,16 @@
 	defer s.Reset()
 	stop := context.AfterFunc(ctx, s.Reset)
 	defer stop()
-	var reply wire.LookupReply
 	req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
-	if err = s.Send(req); err == nil {
+	return awaitLookup(ctx, s, req)
+}
+
+// awaitLookup sends the message that makes a branch host run a lookup, and
+// returns its reply. Without a reply the lookup may have run.
+func awaitLookup(ctx context.Context, s *peer.Stream, message any) wire.LookupReply {
+	var reply wire.LookupReply
+	err := s.Send(message)
+	if err == nil {
 		err = s.Receive(&reply)
 	}
 	if err != nil {
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// maxHeirs is the number of hosts that a home which stops tells of its
+	// maxSuccessors is the number of hosts that a home which stops tells of its
 	// requests, and that are asked for those of a home that is gone. In a small
 	// fleet it is every host.
-	maxHeirs = membership.SmallFleet
+	maxSuccessors = membership.SmallFleet
 	// handoverRecords bounds the records of one message, which stays far under
 	// wire.MaxMessageBytes at 16 KB per record.
 	handoverRecords = 500
@@ -40,7 +40,7 @@
 	slices.SortFunc(all, func(a, b platform.Host) int {
 		return cmp.Compare(xxhash.Sum64String(home+"\x00"+a.Name), xxhash.Sum64String(home+"\x00"+b.Name))
 	})
-	return all[:min(len(all), maxHeirs)]
+	return all[:min(len(all), maxSuccessors)]
 }
 
 // answerForGone returns what became of a command whose home is gone, if this
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -44,18 +43,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, s.Reset)
 	defer stop()
-	var reply wire.LookupReply
-	if err = s.Send(&wire.LookupGo{TimeoutMS: left.Milliseconds()}); err == nil {
-		err = s.Receive(&reply)
-	}
-	if err != nil {
-		reason := outcome.ConnLost
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			reason = outcome.Deadline
-		}
-		return wire.LookupReply{Outcome: outcome.Uncertain(reason, "branch host did not answer: %v", err)}
-	}
-	return reply
+	return awaitLookup(ctx, s, &wire.LookupGo{TimeoutMS: left.Milliseconds()})
 }
 
 // offer opens a stream to a branch host and waits until it is ready to take the
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -43,12 +43,7 @@
 			groups[i] = &routing.Group{ID: groups[i].ID, Options: groups[i].Options, Retry: true}
 		}
 	}
-	version := g.merger.Version()
-	usable := func(i, option int) bool {
-		p := states[i].planned
-		return p.targets[option].Serves(version) && states[i].mayAsk(p.options.Options[option].Target) &&
-			(states[i].placeOut == "" || states[i].placeOut != p.options.Options[option].Place)
-	}
+	usable := func(i, option int) bool { return g.usable(states[i], option) }
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
 	narrow := len(g.state.stated) > 0
@@ -77,14 +72,20 @@
 	return plan
 }
 
+// usable reports whether a target of a group may be asked: it may serve the
+// query's version, and neither it nor its place has refused the group as out.
+func (g *gather) usable(state *groupState, option int) bool {
+	p := state.planned
+	o := &p.options.Options[option]
+	return p.targets[option].Serves(g.merger.Version()) && state.mayAsk(o.Target) &&
+		(state.placeOut == "" || state.placeOut != o.Place)
+}
+
 // avoidTrial replaces a trial that gets no second attempt, if another target
 // can be asked. The caller holds entry.mu.
 func (g *gather) avoidTrial(now time.Time, state *groupState, a *routing.Assignment) {
-	version := g.merger.Version()
-	p := state.planned
 	other, ok := g.entry.router.Alternative(now, g.canaryOwners(state), func(_, option int) bool {
-		target := p.options.Options[option].Target
-		return target != a.Path.Target && p.targets[option].Serves(version) && state.mayAsk(target)
+		return state.planned.options.Options[option].Target != a.Path.Target && g.usable(state, option)
 	}, nil)
 	if ok {
 		*a = other
