Split the quarantine of the daemon by job

The table and the branch side stay there; the notices to peers, the canary of a search and the choice of its targets get a file each. No code is changed.

--- /dev/null
+++ b/internal/daemon/quarantineplaces.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/routing"
+)
+
+// maxCanaries is how many targets a query tries to run its canary on.
+const maxCanaries = 3
+
+// canaryPlace is where a canary may run. Lower scores are tried first, and
+// targets that take no work at present last.
+type canaryPlace struct {
+	group, target string
+	score         uint64
+	closed        bool
+}
+
+// candidates lists where the canary may run, in the order of trial. The order
+// follows from the query and the targets alone, so that hosts that get a killer
+// query at the same time lose the same target to it.
+func (g *gather) candidates(states []*groupState, plan quarantine.Plan) []canaryPlace {
+	var all []canaryPlace
+	for _, id := range plan.Prefer {
+		if info, ok := g.entry.config.tree().Target(id); ok {
+			all = append(all, g.canaryAt(info.Group, id))
+		}
+	}
+	sortPlaces(all)
+	if !plan.Only {
+		var others []canaryPlace
+		for _, state := range states {
+			if slices.Contains(plan.Avoid, state.planned.group.ID) {
+				continue
+			}
+			places := g.usablePlaces(state)
+			if len(states) > 1 || plan.Suspect {
+				places = places[:min(len(places), 1)]
+			}
+			others = append(others, places...)
+		}
+		sortPlaces(others)
+		all = append(all, others...)
+	}
+	return all[:min(len(all), maxCanaries)]
+}
+
+// usablePlaces returns the usable targets of a group that were not asked yet, in
+// the order of trial.
+func (g *gather) usablePlaces(state *groupState) []canaryPlace {
+	p := state.planned
+	var all []canaryPlace
+	now := time.Now()
+	g.entry.mu.Lock()
+	for i, o := range p.options.Options {
+		if p.targets[i].Serves(g.merger.Version()) && !state.tried(o.Target) {
+			at := g.canaryAt(p.group.ID, o.Target)
+			at.closed = !g.entry.router.Open(now, o)
+			all = append(all, at)
+		}
+	}
+	g.entry.mu.Unlock()
+	sortPlaces(all)
+	return all
+}
+
+func (g *gather) canaryAt(group, target string) canaryPlace {
+	score := xxhash.Sum64String(strconv.FormatUint(uint64(g.canary.fp), 16) + "/" + target)
+	return canaryPlace{group: group, target: target, score: score}
+}
+
+func sortPlaces(all []canaryPlace) {
+	slices.SortFunc(all, func(a, b canaryPlace) int {
+		if a.closed != b.closed {
+			if b.closed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+}
+
+// canaryOwners leaves a suspect's canary to the first listed owner of each
+// target, so that the canaries on a target wait for each other on one host.
+func (g *gather) canaryOwners(state *groupState) *routing.Group {
+	group := &state.planned.options
+	if !state.held && !g.suspectCanary() {
+		return group
+	}
+	first := &routing.Group{ID: group.ID, Options: make([]routing.Option, len(group.Options))}
+	for i, o := range group.Options {
+		first.Options[i] = o.FirstOwner()
+	}
+	return first
+}
