Send a query that was not answered yet to the same replicas from every host

Cause: a host that had not heard of a killer query asked the replicas of its own place. Hosts of three places that got it within the delay of their links crashed all replicas of a group. With canary: always the same happened to the one deadly group, after canaries on another shard had been answered.

Change: a query is cleared on a host for the index version at which all groups answered it. Until then every host chooses the same replica of each group, that of one place where possible, by a hash of the query. Such a query is hedged or sent on from a busy target only after some group has answered, and waits 50 ms for notices at a target that is down. Canaries follow the same order of places. A death under a cleared query on one target of a group makes it no suspect, so that the loss of a place does not hold the ordinary queries; cleared queries need no precautionary canary after a death.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -53,11 +53,28 @@
 }
 
 // decide returns the verdict on a query, and where its canary may run.
-func (g *guard) decide(fp quarantine.Fingerprint, mode settings.CanaryMode) (quarantine.Verdict, quarantine.Plan) {
+func (g *guard) decide(fp quarantine.Fingerprint, version uint64, mode settings.CanaryMode) (quarantine.Verdict, quarantine.Plan) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.table.Decide(now, fp, mode), g.table.Plan(now, fp)
+	verdict, plan := g.table.Decide(now, fp, mode), g.table.Plan(now, fp)
+	if verdict == quarantine.Canary && mode == settings.CanaryAuto && !plan.Suspect && g.table.Cleared(fp, version) {
+		verdict = quarantine.Run // the precaution is for queries that no host knows
+	}
+	return verdict, plan
+}
+
+func (g *guard) cleared(fp quarantine.Fingerprint, version uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Cleared(fp, version)
+}
+
+// clear records that all groups answered a query.
+func (g *guard) clear(fp quarantine.Fingerprint, version uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Clear(time.Now(), fp, version)
 }
 
 func (g *guard) died(fp quarantine.Fingerprint, d quarantine.Death, oneGroup bool) {
@@ -161,7 +178,7 @@
 	fp := quarantine.Of(req.Service, req.Terms)
 	result.Died = result.Outcome.Kind == outcome.Unknown && result.Outcome.Reason == outcome.ConnLost
 	if result.Died {
-		g.died(fp, quarantine.Death{Target: result.Target, Group: g.groupOf(result), Canary: req.Canary},
+		g.died(fp, quarantine.Death{Target: result.Target, Group: g.groupOf(result), Canary: req.Canary, Version: req.Version},
 			len(g.config.tree().Doc.Services[req.Service].Groups) < 2)
 	}
 	if entry, known := g.entry(fp); known && entry.Open() {
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -31,7 +31,8 @@
 	mu       sync.Mutex
 	coverage float64 // sum over the other queries
 	others   int
-	short    int // others with less than full coverage
+	short    int            // others with less than full coverage
+	missing  map[string]int // their groups without an answer, by the reason
 }
 
 // crashes returns the crashes so far, and the most replicas lost in a group.
@@ -51,7 +52,7 @@
 }
 
 func newAttack(ctx context.Context, change func(*settings.Document)) *attack {
-	return &attack{tier: startTier(ctx, []string{searchService}, change)}
+	return &attack{missing: map[string]int{}, tier: startTier(ctx, []string{searchService}, change)}
 }
 
 // start sends other queries until enough were sent, then closes the channel.
@@ -103,6 +104,9 @@
 		if answer.Coverage < 1 {
 			a.short++
 		}
+		for _, w := range answer.Warnings {
+			a.missing[fmt.Sprintf("%s: %.30s", w.Reason, w.Message)]++
+		}
 		done := a.others >= enough
 		a.mu.Unlock()
 		if done {
@@ -169,8 +173,8 @@
 		}
 		total, replicas := a.crashes(service)
 		coverage := a.coverage / float64(a.others)
-		fmt.Fprintf(GinkgoWriter, "seed %d canary %s: killer sent %d times, %d crashes by the first, %d later, at most %d replicas of a group; coverage of %d others %.4f, %d of them less than 1\n",
-			seed, mode, sent, first, total-first, replicas, a.others, coverage, a.short)
+		fmt.Fprintf(GinkgoWriter, "seed %d canary %s: killer sent %d times, %d crashes by the first, %d later, at most %d replicas of a group; coverage of %d others %.4f, %d of them less than 1, missing %v\n",
+			seed, mode, sent, first, total-first, replicas, a.others, coverage, a.short, a.missing)
 		if naive {
 			Expect(replicas).To(BeNumerically(">", 1))
 			return
--- /dev/null
+++ b/internal/daemon/quarantinebind.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"cmp"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// newsWait is how long a query that this host has not cleared waits after a
+// target refused it because it is down. The query itself may have taken the
+// target down through another host, and a sister replica would be the next one;
+// the notice of that host takes the delay of a link and the time to handle a
+// dead connection there.
+const newsWait = 50 * time.Millisecond
+
+// findBinding decides whether the query is bound: all hosts choose the same
+// replica of each group for a query that they have not cleared, so that a killer
+// query that they get within the delay of the links between them meets on it.
+// The replicas are those of one place wherever possible: the query then crosses
+// one link at most, and for one of the places none.
+func (g *gather) findBinding() {
+	g.canary.uncleared = g.policy.Canary != settings.CanaryNever &&
+		!g.entry.guard.cleared(g.canary.fp, g.merger.Version())
+}
+
+// rank returns the rank of a place, or of a target in its place, for the query.
+func (g *gather) rank(of string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(uint64(g.canary.fp), 16) + "/" + of)
+}
+
+// placeRank returns the rank of a place; the lowest is the query's home.
+func (g *gather) placeRank(place string) uint64 {
+	rank, ok := g.canary.ranks[place]
+	if !ok {
+		if g.canary.ranks == nil {
+			g.canary.ranks = map[string]uint64{}
+		}
+		rank = g.rank(place)
+		g.canary.ranks[place] = rank
+	}
+	return rank
+}
+
+// bind chooses the only target to which each group may be sent next. A group
+// that was answered or refused elsewhere in the meantime is free, except after a
+// target that is down: the query dies on no shard that answers it, and a killer
+// of all shards gets no answer at all.
+func (g *gather) bind(states []*groupState) {
+	if !g.canary.uncleared {
+		return
+	}
+	g.entry.mu.Lock()
+	defer g.entry.mu.Unlock()
+	now := time.Now()
+	for _, state := range states {
+		state.bound = ""
+		if state.only != "" || state.held || len(state.attempts) > 0 && g.merger.Coverage() > 0 && state.last.Reason != outcome.Unavailable {
+			continue
+		}
+		var best canaryPlace
+		options := state.planned.options.Options
+		for i := range options {
+			if !g.usable(state, i) {
+				continue
+			}
+			at := g.canaryAt(state.planned.group.ID, options[i].Target, options[i].Place)
+			at.closed = !g.entry.router.Open(now, options[i], false)
+			if best.target == "" || comparePlaces(at, best) < 0 {
+				best = at
+			}
+		}
+		state.bound = best.target
+	}
+}
+
+// mayHedge reports whether a late group may be sent to a sister replica: an
+// uncleared query of which nothing was answered may be about to kill the first.
+func (g *gather) mayHedge() bool {
+	return !g.canary.uncleared || g.merger.Coverage() > 0
+}
+
+// awaitNews makes an uncleared group wait before it is sent on from a target
+// that is down.
+func (g *gather) awaitNews(state *groupState, part *wire.PartResult) bool {
+	if !g.canary.uncleared || g.canary.holding || !part.Outcome.RanNothing() ||
+		part.Outcome.Reason != outcome.Unavailable || part.Status.State == wire.TargetCold {
+		return false
+	}
+	now := time.Now()
+	state.waiting, state.news, state.due = true, true, now.Add(newsWait)
+	g.arm(now)
+	return true
+}
+
+// stopped ends the wait for news of a group and reports whether the group must
+// not be sent on: the query died in it elsewhere, or died in some group and was
+// answered by none.
+func (g *gather) stopped(state *groupState) bool {
+	if !state.news {
+		return false
+	}
+	state.news = false
+	verdict, plan := g.decide()
+	g.canary.plan = plan
+	_, held := plan.Held[state.planned.group.ID]
+	if verdict != quarantine.Refuse && !held && (!plan.Suspect || g.merger.Coverage() > 0) {
+		return false
+	}
+	state.waiting = false
+	state.last = outcome.Refused(outcome.Quarantined, "the query crashed a target, perhaps of group %s", state.planned.group.ID)
+	g.closeIfIdle(state)
+	return true
+}
+
+// clear records an answer of all groups.
+func (g *gather) clear() {
+	if g.merger.Full() {
+		g.entry.guard.clear(g.canary.fp, g.merger.Version())
+	}
+}
+
+func comparePlaces(a, b canaryPlace) int {
+	if a.closed != b.closed {
+		if b.closed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.home, b.home), cmp.Compare(a.score, b.score))
+}
--- a/internal/daemon/quarantinecanary.go
+++ b/internal/daemon/quarantinecanary.go
@@ -22,9 +22,11 @@
 // canary is the quarantine's part of a search in progress.
 type canary struct {
 	fp         quarantine.Fingerprint
-	holding    bool   // the other groups wait for one target's answer
-	suspect    bool   // a connection died under the query before
-	group      string // the group that the canary was sent to last
+	uncleared  bool              // this host has no answer of all groups to the query
+	ranks      map[string]uint64 // by place, for the choice of targets
+	holding    bool              // the other groups wait for one target's answer
+	suspect    bool              // a connection died under the query before
+	group      string            // the group that the canary was sent to last
 	plan       quarantine.Plan
 	known      bool // answers of single groups are recorded
 	candidates []canaryPlace
@@ -45,7 +47,8 @@
 	if g.canary.giveUp.IsZero() {
 		g.canary.giveUp = time.Now().Add(remaining(g.ctx) * (canaryShare - 1) / canaryShare)
 	}
-	verdict, plan := g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	g.findBinding()
+	verdict, plan := g.decide()
 	g.canary.plan, g.canary.known = plan, plan.Held != nil || plan.Answered != nil
 	switch {
 	case verdict == quarantine.Refuse:
@@ -62,6 +65,10 @@
 	}
 }
 
+func (g *gather) decide() (quarantine.Verdict, quarantine.Plan) {
+	return g.entry.guard.decide(g.canary.fp, g.merger.Version(), g.policy.Canary)
+}
+
 // sendHeld sends groups that need not wait for a canary. A group in which the
 // query died and that has not answered since gets it as a canary: on one
 // target, without hedges or retries.
@@ -145,7 +152,7 @@
 	if state.held {
 		state.held, state.hedges = false, 0
 	}
-	state.only, state.retries, state.waiting = "", 0, false
+	state.only, state.retries, state.waiting, state.news = "", 0, false, false
 }
 
 // refuse closes the groups that were not sent, with the reason.
@@ -187,7 +194,7 @@
 	for _, state := range g.groups {
 		state.only = ""
 	}
-	_, g.canary.plan = g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	_, g.canary.plan = g.decide()
 	g.sendHeld(g.reopenAll())
 }
 
@@ -205,9 +212,12 @@
 	// Only the group's own answer shows that the query does not crash its
 	// shard. It allows one sister replica.
 	group := guard.groupOf(part)
-	mayRetry = g.canary.plan.Answered[group] && !state.held
+	mayRetry = (g.canary.plan.Answered[group] || !g.canary.uncleared && !state.died) && !state.held
 	delete(g.canary.plan.Answered, group)
-	guard.saw(g.canary.fp, quarantine.Death{Target: part.Target, Group: group, Canary: g.suspectCanary() || state.held}, len(g.groups) < 2, part.Known)
+	state.died = true
+	guard.saw(g.canary.fp, quarantine.Death{
+		Target: part.Target, Group: group, Canary: g.suspectCanary() || state.held, Version: g.merger.Version(),
+	}, len(g.groups) < 2, part.Known)
 	g.canary.dirty = true
 	if !mayRetry {
 		g.canary.died = true
@@ -241,7 +251,7 @@
 // the query is a suspect, its canary is planned anew, so that it does not take
 // down another target.
 func (g *gather) moveCanary() {
-	verdict, plan := g.entry.guard.decide(g.canary.fp, g.policy.Canary)
+	verdict, plan := g.decide()
 	if !g.canary.died && (verdict == quarantine.Refuse || plan.Suspect && !g.canary.suspect) {
 		g.begin(g.reopenAll())
 		return
--- a/internal/daemon/quarantineplaces.go
+++ b/internal/daemon/quarantineplaces.go
@@ -1,12 +1,9 @@
 package daemon
 
 import (
-	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 )
@@ -18,7 +15,8 @@
 // targets that take no work at present last.
 type canaryPlace struct {
 	group, target string
-	score         uint64
+	home          uint64 // rank of the place
+	score         uint64 // among those of a place
 	closed        bool
 }
 
@@ -29,7 +27,7 @@
 	var all []canaryPlace
 	for _, id := range plan.Prefer {
 		if info, ok := g.entry.config.tree().Target(id); ok {
-			all = append(all, g.canaryAt(info.Group, id))
+			all = append(all, g.canaryAt(info.Group, id, info.Place))
 		}
 	}
 	sortPlaces(all)
@@ -60,8 +58,8 @@
 	g.entry.mu.Lock()
 	for i, o := range p.options.Options {
 		if p.targets[i].Serves(g.merger.Version()) && !state.tried(o.Target) {
-			at := g.canaryAt(p.group.ID, o.Target)
-			at.closed = !g.entry.router.Open(now, o)
+			at := g.canaryAt(p.group.ID, o.Target, o.Place)
+			at.closed = !g.entry.router.Open(now, o, true)
 			all = append(all, at)
 		}
 	}
@@ -70,22 +68,15 @@
 	return all
 }
 
-func (g *gather) canaryAt(group, target string) canaryPlace {
-	score := xxhash.Sum64String(strconv.FormatUint(uint64(g.canary.fp), 16) + "/" + target)
-	return canaryPlace{group: group, target: target, score: score}
+func (g *gather) canaryAt(group, target, place string) canaryPlace {
+	at := canaryPlace{group: group, target: target, score: g.rank(target)}
+	if len(g.groups) > 1 { // one group needs one target, and may have several in a place
+		at.home = g.placeRank(place)
+	}
+	return at
 }
 
-func sortPlaces(all []canaryPlace) {
-	slices.SortFunc(all, func(a, b canaryPlace) int {
-		if a.closed != b.closed {
-			if b.closed {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.score, b.score)
-	})
-}
+func sortPlaces(all []canaryPlace) { slices.SortFunc(all, comparePlaces) }
 
 // canaryOwners leaves a suspect's canary to the first listed owner of each
 // target, so that the canaries on a target wait for each other on one host.
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -33,6 +33,7 @@
 	g.start()
 	g.wait()
 	e.observer.hedges(service, g.groups)
+	g.clear()
 	g.canary.shared.Wait()
 	return g.response(start)
 }
@@ -79,6 +80,9 @@
 	waiting   bool      // a retry waits for the extra-load budget
 	trial     bool      // the first attempt is a trial, its hedge goes out at once
 	only      string    // a canary may be sent to this target alone
+	bound     string    // an uncleared query may be sent to this target alone
+	news      bool      // waits for notices about the query, whose target is down
+	died      bool      // a target's connection died under the query
 	placeOut  string    // a place that refused because it, or its target, is out
 	held      bool      // the query died in the group, which runs it as a canary
 	done      bool
@@ -108,7 +112,7 @@
 
 // mayAsk reports whether a target may be sent an attempt for the group.
 func (s *groupState) mayAsk(target string) bool {
-	if s.only != "" && s.only != target {
+	if s.only != "" && s.only != target || s.bound != "" && s.bound != target {
 		return false
 	}
 	return len(s.attempts) == 0 || !s.tried(target)
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -43,6 +43,7 @@
 		}
 		state.due = time.Time{}
 		switch {
+		case state.waiting && g.stopped(state):
 		case state.waiting:
 			state.waiting = false
 			if g.mayRetry(state, state.last) {
@@ -66,7 +67,7 @@
 	if state.hedges >= maxHedges || g.canary.died {
 		return // a query that may have crashed a target goes to no sister replica
 	}
-	if g.canary.holding {
+	if g.canary.holding || !g.mayHedge() {
 		state.due = now.Add(tokenWait)
 		return
 	}
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -50,6 +50,9 @@
 		g.closeIfIdle(state)
 		return nil
 	}
+	if g.awaitNews(state, part) {
+		return nil
+	}
 	return g.retry(state, part.Outcome)
 }
 
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -43,6 +43,7 @@
 			groups[i] = &routing.Group{ID: groups[i].ID, Options: groups[i].Options, Retry: true}
 		}
 	}
+	g.bind(states)
 	usable := func(i, option int) bool { return g.usable(states[i], option) }
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
@@ -53,7 +54,7 @@
 	if narrow && len(plan) < len(states) {
 		plan = g.planRest(now, states, groups, usable, plan)
 	}
-	trials := !g.state.load.Overloaded(now) && !g.canary.holding && !g.canary.died
+	trials := !g.state.load.Overloaded(now) && !g.canary.holding && !g.canary.died && !g.canary.uncleared
 	rule := g.hedgeRule()
 	balance := g.state.budget.Balance()
 	for i := range plan {
--- /dev/null
+++ b/pkg/quarantine/cleared_test.go
@@ -0,0 +1,59 @@
+package quarantine_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+var _ = Describe("Clear", func() {
+	var table *quarantine.Table
+	decide := func() quarantine.Verdict { return table.Decide(now, fp, settings.CanaryAuto) }
+	BeforeEach(func() {
+		table = quarantine.NewTable(4)
+		table.Clear(now, fp, 7)
+	})
+	died := func(group, replica int, version uint64) {
+		d := death(group, replica, false)
+		d.Version = version
+		table.Died(now, fp, d, false, keep)
+	}
+
+	// Guards against ordinary queries that are held as suspects after the loss
+	// of a place, on this host and on one that has not cleared them.
+	It("keeps a cleared query from suspicion for one target of each group", func() {
+		for g := range 10 {
+			died(g, 0, 7)
+		}
+		Expect(decide()).To(Equal(quarantine.Run))
+		other := quarantine.NewTable(4)
+		other.Died(now, fp, death(0, 0, false), false, keep)
+		Expect(other.Import(now, table.Export(now), keep)).To(HaveLen(1))
+		Expect(other.Decide(now, fp, settings.CanaryAuto)).To(Equal(quarantine.Run))
+	})
+
+	// Guards against a query that crashes targets although they answered it
+	// before, and hides behind that answer.
+	It("suspects a cleared query after a second target of a group, or on a newer version", func() {
+		died(0, 0, 7)
+		died(0, 1, 7)
+		Expect(decide()).To(Equal(quarantine.Canary))
+		Expect(table.Cleared(fp, 7)).To(BeFalse())
+		table.Clear(now, fp, 7)
+		died(1, 0, 8)
+		Expect(decide()).To(Equal(quarantine.Canary))
+	})
+
+	// Guards against unbounded memory, and against forgetting queries in use.
+	It("forgets the oldest queries", func() {
+		for i := range quarantine.Fingerprint(100_000) {
+			table.Clear(now, i, 7)
+			table.Clear(now, fp, 7)
+		}
+		Expect(table.Cleared(1, 7)).To(BeFalse())
+		Expect(table.Cleared(99_999, 7)).To(BeTrue())
+		Expect(table.Cleared(fp, 7)).To(BeTrue())
+	})
+})
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -13,6 +13,10 @@
 // group in which the query died gets it as a canary until that group has
 // answered itself, and does not get it after two canaries died there.
 //
+// A query that all groups answered is cleared for that index version. A death
+// under it on one target of a group makes it no suspect: every query on the
+// targets of a place dies when the place is lost.
+//
 // The package guards against a query that takes down one replica after the
 // other, and against refusing queries that only ran beside it. It does not send
 // queries and does not exchange entries; Export and Import give them as values.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -45,6 +45,10 @@
 	Seq uint32 `cbor:"5,keyasint,omitempty"`
 	// Answered is where the query was answered since.
 	Answered Answered `cbor:"6,keyasint,omitempty"`
+	// Version is the index version that the query asked for; 0 if none was known.
+	Version uint64 `cbor:"7,keyasint,omitempty"`
+
+	excused bool // the query was cleared before, on this host
 }
 
 // Answered says what an answer after a death refutes. Higher values replace
@@ -94,6 +98,7 @@
 	records  map[Fingerprint]*record
 	alert    time.Time // unknown queries run as canaries until then
 	fresh    map[Fingerprint]bool
+	cleared  cleared
 }
 
 // NewTable returns a table of at most capacity fingerprints.
@@ -291,6 +296,7 @@
 	changed, died := false, false
 	for _, d := range deaths {
 		c, isNew := take(rec, d)
+		isNew = isNew && !t.excuse(fp, rec, d)
 		changed, died = changed || c, died || isNew
 	}
 	rec.oneGroup = rec.oneGroup || oneGroup
--- a/pkg/routing/closed.go
+++ b/pkg/routing/closed.go
@@ -91,7 +91,8 @@
 	}
 }
 
-// Open reports whether a target may be asked now through any of its owners.
-func (r *Router) Open(now time.Time, o Option) bool {
-	return slices.ContainsFunc(o.paths, func(s *pathStats) bool { return !r.closed(now, s, true) })
+// Open reports whether a target may be asked now through any of its owners. With
+// retry, one that refused lately and has not answered since may not.
+func (r *Router) Open(now time.Time, o Option, retry bool) bool {
+	return slices.ContainsFunc(o.paths, func(s *pathStats) bool { return !r.closed(now, s, retry) })
 }
