Send the answers of a message in as few reply frames as possible

Cause: a branch host sent a reply frame whenever an answer was ready and no other had arrived in the same turn of the scheduler. Every frame costs an encoding, a datagram with its receipt, a decoding and an event of the query at the entry host.

Change: a frame goes out when all parts have ended, when a part failed, so that the entry host can ask another replica at once, or 0.3 ms after its first answer. The last answer of a message waits for nothing, so a query that needs all answers ends no later.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,32 +98,23 @@
 }
 
 // search runs the parts of a request on this host's targets and emits results
-// as they arrive; several that are ready together go in one emission.
+// in frames; only an error of emit ends it before the final one.
 func (b *branch) search(run *branchRun, req *wire.SearchRequest, emit func([]wire.PartResult, bool) error) error {
 	defer run.cancel(nil)
-	results := make(chan wire.PartResult, len(req.Parts))
+	if len(req.Parts) == 0 {
+		return nil
+	}
+	frames := newReplyFrames(len(req.Parts))
+	defer frames.stop()
 	for _, part := range req.Parts {
-		b.workers.run(func() { results <- b.searchPart(run.contexts[part.Group], req, part) })
-	}
-	for left := len(req.Parts); left > 0; {
-		ready := []wire.PartResult{<-results}
-		// Lets parts whose answer has just arrived join this message: each
-		// message costs a datagram, a decoding and an event at the entry host.
-		runtime.Gosched()
-		for more := true; more; {
-			select {
-			case r := <-results:
-				ready = append(ready, r)
-			default:
-				more = false
-			}
-		}
-		left -= len(ready)
-		if err := emit(ready, left == 0); err != nil {
+		b.workers.run(func() { frames.add(b.searchPart(run.contexts[part.Group], req, part)) })
+	}
+	for {
+		ready, final := frames.next()
+		if err := emit(ready, final); err != nil || final {
 			return err
 		}
 	}
-	return nil
 }
 
 func (b *branch) searchPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
