Reuse the buffers of messages between hosts

Cause: each message was encoded into one new buffer, copied into another behind its length, and received into a third.

Change: messages are encoded behind their length and received in buffers that are used again, up to 64 KB each. The decoder copies what a message keeps.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,9 +6,11 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
@@ -134,8 +136,8 @@
 	decMode = mustDecMode()
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.EncOptions{}.EncMode()
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
 		panic(err) // broken invariant: the options are constant
 	}
@@ -161,34 +163,58 @@
 // Unmarshal decodes a message that Marshal encoded.
 func Unmarshal(data []byte, message any) error { return decMode.Unmarshal(data, message) }
 
-// Write writes one message with its length.
+// maxPooledBytes bounds the buffers that are kept for the next message; nearly
+// all messages are shorter.
+const maxPooledBytes = 64 << 10
+
+// lengthBytes is the size of the length in front of a message.
+const lengthBytes = 4
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// putBuffer keeps a buffer of usual size for the next message.
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() <= maxPooledBytes {
+		b.Reset()
+		buffers.Put(b)
+	}
+}
+
+// Write writes one message with its length in one call of w.Write.
 func Write(w io.Writer, message any) error {
-	body, err := encMode.Marshal(message)
-	if err != nil {
+	frame := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(frame)
+	frame.Write(make([]byte, lengthBytes))
+	if err := encMode.MarshalToBuffer(message, frame); err != nil {
 		return fmt.Errorf("encode %T: %w", message, err)
 	}
-	if len(body) > MaxMessageBytes {
-		return fmt.Errorf("message %T has %d bytes, the limit is %d", message, len(body), MaxMessageBytes)
+	size := frame.Len() - lengthBytes
+	if size > MaxMessageBytes {
+		return fmt.Errorf("message %T has %d bytes, the limit is %d", message, size, MaxMessageBytes)
 	}
-	frame := make([]byte, 4, 4+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	if _, err := w.Write(append(frame, body...)); err != nil {
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(size))
+	if _, err := w.Write(frame.Bytes()); err != nil {
 		return fmt.Errorf("send %T: %w", message, err)
 	}
 	return nil
 }
 
 // Read reads one message. It returns io.EOF if the stream ended before it.
+// The message keeps no part of the buffer, because the decoder copies strings
+// and bytes.
 func Read(r io.Reader, message any) error {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+	frame := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(frame)
+	head := append(frame.AvailableBuffer(), make([]byte, lengthBytes)...)
+	if _, err := io.ReadFull(r, head); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(head[:])
+	size := binary.BigEndian.Uint32(head)
 	if size > MaxMessageBytes {
 		return fmt.Errorf("message of %d bytes, the limit is %d", size, MaxMessageBytes)
 	}
-	body := make([]byte, size)
+	frame.Grow(int(size))
+	body := frame.AvailableBuffer()[:size]
 	if _, err := io.ReadFull(r, body); err != nil {
 		return fmt.Errorf("receive %T: %w", message, err)
 	}
