--- a/internal/daemon/borrow.go
+++ b/internal/daemon/borrow.go
@@ -9,7 +9,6 @@
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
-	"github.com/lacewingyard/lacewingyard/pkg/warmup"
 )
 
 // borrowPause is the part of the mean service time for which the other owner is
@@ -91,7 +90,7 @@
 	d.mu.Lock()
 	t = d.owned[id]
 	d.mu.Unlock()
-	if t == nil || !t.mayBorrow(time.Now()) {
+	if t == nil || !t.borrows(time.Now()) {
 		return nil, seat{}, false
 	}
 	return t, seat{info.Place, otherOwner(info, d.self.Ordinal)}, true
@@ -106,14 +105,6 @@
 	return self
 }
 
-// mayBorrow reports whether a request would have to wait here for a slot of a
-// warm target, and the other owner is to be asked.
-func (t *ownedTarget) mayBorrow(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.ramp.State() == warmup.Warm && !t.ramp.Draining() && !t.spare() && !now.Before(t.borrowAt)
-}
-
 // borrowLater sets when the other owner may be asked again.
 func (t *ownedTarget) borrowLater(at time.Time) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/daemon/ownedresult.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/warmup"
+)
+
+// usual is a warmup.Usual shared by the targets of a service.
+type usual struct {
+	mu    sync.Mutex
+	value warmup.Usual
+}
+
+func (u *usual) add(took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.value.Add(took)
+}
+
+func (u *usual) get() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.value.Value()
+}
+
+// observe learns from the end of a request.
+func (t *ownedTarget) observe(sent time.Time, d done) {
+	sample := warmup.Sample{
+		Sent: sent, BootID: d.status.BootID, Mark: mark(d.status.State), Took: d.served, Usual: t.usual.get(),
+	}
+	known := true
+	sample.Result, known = result(d.outcome)
+	t.learn(func(now time.Time) {
+		if !known {
+			t.ramp.Probed(now, sent, sample.BootID, sample.Mark)
+			return
+		}
+		t.ramp.Observe(now, sample)
+		if d.outcome.Kind == outcome.Answered {
+			t.limiter.Served(now, d.served)
+			if t.ramp.State() == warmup.Warm {
+				t.usual.add(d.served)
+			}
+		}
+	})
+}
+
+// gaveUp returns the outcome of a request that was not sent in time.
+func gaveUp(ctx context.Context, format string, args ...any) outcome.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcome.Refused(outcome.Canceled, "canceled "+format, args...)
+	}
+	return outcome.Refused(outcome.Deadline, "the deadline passed "+format, args...)
+}
+
+// mark translates a target's statement about its state.
+func mark(s wire.TargetState) warmup.Mark {
+	switch s {
+	case wire.TargetWarm:
+		return warmup.MarkWarm
+	case wire.TargetCold:
+		return warmup.MarkCold
+	case wire.TargetDraining:
+		return warmup.MarkDraining
+	}
+	return warmup.MarkNone
+}
+
+// result translates an outcome. known is false if it tells nothing about the
+// target's load.
+func result(o outcome.Outcome) (r warmup.Result, known bool) {
+	switch {
+	case o.Kind == outcome.Answered:
+		return warmup.Answered, true
+	case o.Reason == outcome.Canceled || o.Reason == outcome.Deadline:
+		return warmup.Abandoned, o.Kind == outcome.Unknown
+	case o.Kind == outcome.NotRun:
+		return warmup.Refused, o.Reason == outcome.Overload
+	}
+	return warmup.Lost, true
+}
--- a/internal/daemon/statustargets.go
+++ b/internal/daemon/statustargets.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -115,9 +114,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	return t.closedFor(now).Reason == outcome.None &&
-		t.limiter.InUse()+t.limiter.Waiting() < t.ramp.Allowed(now, t.terms.mayUseCold)
+	return t.free(time.Now()) > 0
 }
 
 // status returns the state of the target.
