Do less per part on the branch host

Cause: each part computed the fingerprint of the query twice, and the end of a request took the lock of its target twice and settled its queue twice.

Change: the fingerprint is computed once per message, and what a result tells is learned in the same turn in which its slot is returned, unless the target has not ended the request yet.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -46,7 +47,7 @@
 	ctx, span, parent := b.observer.branch(ctx, req.Traceparent, "branch search", req.Service, b.self)
 	defer span.End()
 	req.Traceparent = parent
-	run := newBranchRun(ctx, req.Parts)
+	run := newBranchRun(ctx, &req)
 	go func() {
 		for {
 			var withdrawn wire.Cancel
@@ -71,11 +72,16 @@
 type branchRun struct {
 	contexts map[string]context.Context
 	cancels  map[string]context.CancelFunc
+	query    quarantine.Fingerprint // of all parts, so it is computed once
 }
 
-func newBranchRun(ctx context.Context, parts []wire.PartRequest) *branchRun {
-	r := &branchRun{contexts: map[string]context.Context{}, cancels: map[string]context.CancelFunc{}}
-	for _, p := range parts {
+func newBranchRun(ctx context.Context, req *wire.SearchRequest) *branchRun {
+	r := &branchRun{
+		contexts: make(map[string]context.Context, len(req.Parts)),
+		cancels:  make(map[string]context.CancelFunc, len(req.Parts)),
+		query:    quarantine.Of(req.Service, req.Terms),
+	}
+	for _, p := range req.Parts {
 		r.contexts[p.Group], r.cancels[p.Group] = context.WithCancel(ctx)
 	}
 	return r
@@ -107,7 +113,7 @@
 	frames := newReplyFrames(len(req.Parts))
 	defer frames.stop()
 	for _, part := range req.Parts {
-		b.workers.run(func() { frames.add(b.searchPart(run.contexts[part.Group], req, part)) })
+		b.workers.run(func() { frames.add(b.searchPart(run, req, part)) })
 	}
 	for {
 		ready, final := frames.next()
@@ -117,24 +123,24 @@
 	}
 }
 
-func (b *branch) searchPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
-	ctx, span, parent := b.observer.tracer.Start(ctx, req.Traceparent, "target search")
-	result := b.runPart(ctx, req, part, parent)
+func (b *branch) searchPart(run *branchRun, req *wire.SearchRequest, part wire.PartRequest) wire.PartResult {
+	ctx, span, parent := b.observer.tracer.Start(run.contexts[part.Group], req.Traceparent, "target search")
+	result := b.runPart(ctx, run.query, req, part, parent)
 	b.observer.endPart(span, req, part, &result, b.self.Place)
 	return result
 }
 
 // runPart sends a part to its target, with the trace context of its span.
-func (b *branch) runPart(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) wire.PartResult {
+func (b *branch) runPart(ctx context.Context, query quarantine.Fingerprint, req *wire.SearchRequest, part wire.PartRequest, parent string) wire.PartResult {
 	result := wire.PartResult{Group: part.Group, Target: part.Target}
 	if refused, ok := b.config.refusal(); ok {
 		result.Outcome = refused
 		return result
 	}
-	release, refusal, ok := b.guard.admit(ctx, req, part)
+	release, refusal, ok := b.guard.admit(ctx, query, req, part)
 	if !ok {
 		result.Outcome = refusal
-		b.guard.mark(req, &result)
+		b.guard.mark(query, req, &result)
 		return result
 	}
 	defer release()
@@ -156,7 +162,7 @@
 	}
 	done := b.targets.do(ctx, work)
 	result.Outcome, result.Status = done.outcome, done.status
-	b.guard.mark(req, &result)
+	b.guard.mark(query, req, &result)
 	result.QueueUS, result.TargetUS = done.queued.Microseconds(), done.served.Microseconds()
 	return result
 }
--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -100,7 +100,7 @@
 	ctx, span, parent := c.local.observer.branch(ctx, req.Traceparent, "branch search", req.Service, c.self)
 	defer span.End()
 	req.Traceparent = parent
-	run := newBranchRun(ctx, req.Parts)
+	run := newBranchRun(ctx, req)
 	go func() {
 		for {
 			select {
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -112,11 +112,33 @@
 	client.SetProgress(t.progress(w, timeout, deadline.Sub(start)/2))
 	status, o := w.send(ctx, client, timeout)
 	result := done{outcome: o, status: status, queued: sent.Sub(start), served: time.Since(sent)}
-	t.observe(sent, result)
-	t.leaveAfter(client.Release())
+	t.end(sent, result, client)
 	return result
 }
 
+// end learns from the end of a request and returns its connection, and its slot
+// as soon as the target has ended the request.
+func (t *ownedTarget) end(sent time.Time, d done, client *target.Client) {
+	usual := t.usual.get()
+	var ended <-chan struct{}
+	t.learn(func(now time.Time) {
+		t.observe(now, sent, d, usual)
+		ended = client.Release()
+		select {
+		case <-ended: // the usual case, which needs no second turn of the lock
+			ended = nil
+			t.release(true)
+		default:
+		}
+	})
+	if ended != nil {
+		go func() {
+			<-ended
+			t.leave(true)
+		}()
+	}
+}
+
 // learn changes the belief about the target and applies it.
 func (t *ownedTarget) learn(change func(now time.Time)) {
 	t.mu.Lock()
@@ -157,23 +179,13 @@
 
 // leave returns the slot; sent tells whether the request passed the gate.
 func (t *ownedTarget) leave(sent bool) {
-	t.learn(func(time.Time) {
-		if sent {
-			t.sending--
-		}
-		t.limiter.Release()
-	})
+	t.learn(func(time.Time) { t.release(sent) })
 }
 
-// leaveAfter returns the slot of a sent request when the target has ended it.
-func (t *ownedTarget) leaveAfter(ended <-chan struct{}) {
-	select {
-	case <-ended:
-		t.leave(true)
-	default:
-		go func() {
-			<-ended
-			t.leave(true)
-		}()
+// release is leave for a caller that holds t.mu and applies the change.
+func (t *ownedTarget) release(sent bool) {
+	if sent {
+		t.sending--
 	}
+	t.limiter.Release()
 }
--- a/internal/daemon/ownedresult.go
+++ b/internal/daemon/ownedresult.go
@@ -29,26 +29,23 @@
 	return u.value.Value()
 }
 
-// observe learns from the end of a request.
-func (t *ownedTarget) observe(sent time.Time, d done) {
-	sample := warmup.Sample{
-		Sent: sent, BootID: d.status.BootID, Mark: mark(d.status.State), Took: d.served, Usual: t.usual.get(),
-	}
+// observe learns from the end of a request. usual is the usual latency of the
+// service. The caller holds t.mu.
+func (t *ownedTarget) observe(now, sent time.Time, d done, usual time.Duration) {
+	sample := warmup.Sample{Sent: sent, BootID: d.status.BootID, Mark: mark(d.status.State), Took: d.served, Usual: usual}
 	known := true
 	sample.Result, known = result(d.outcome)
-	t.learn(func(now time.Time) {
-		if !known {
-			t.ramp.Probed(now, sent, sample.BootID, sample.Mark)
-			return
-		}
-		t.ramp.Observe(now, sample)
-		if d.outcome.Kind == outcome.Answered {
-			t.limiter.Served(now, d.served)
-			if t.ramp.State() == warmup.Warm {
-				t.usual.add(d.served)
-			}
+	if !known {
+		t.ramp.Probed(now, sent, sample.BootID, sample.Mark)
+		return
+	}
+	t.ramp.Observe(now, sample)
+	if d.outcome.Kind == outcome.Answered {
+		t.limiter.Served(now, d.served)
+		if t.ramp.State() == warmup.Warm {
+			t.usual.add(d.served)
 		}
-	})
+	}
 }
 
 // gaveUp returns the outcome of a request that was not sent in time.
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -181,7 +181,7 @@
 // admit lets a sub-request run on a target of this branch host. A suspect's
 // canary waits until no other one is on the target, because the two could not
 // be told apart if the target died. release must be called if it may run.
-func (g *guard) admit(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest) (release func(), refusal outcome.Outcome, ok bool) {
+func (g *guard) admit(ctx context.Context, fp quarantine.Fingerprint, req *wire.SearchRequest, part wire.PartRequest) (release func(), refusal outcome.Outcome, ok bool) {
 	release = func() {}
 	if req.Canary {
 		token := g.token(part.Target)
@@ -192,7 +192,6 @@
 			return nil, outcome.Refused(outcome.Deadline, "another suspect runs on target %s", part.Target), false
 		}
 	}
-	fp := quarantine.Of(req.Service, req.Terms)
 	if entry, known := g.entry(fp); known && entry.Proven > 0 {
 		release()
 		return nil, quarantined(entry.Proven), false
@@ -224,8 +223,7 @@
 
 // mark adds to a part what the entry host should know: that the target's
 // connection died under it, and what this host knows of the query.
-func (g *guard) mark(req *wire.SearchRequest, result *wire.PartResult) {
-	fp := quarantine.Of(req.Service, req.Terms)
+func (g *guard) mark(fp quarantine.Fingerprint, req *wire.SearchRequest, result *wire.PartResult) {
 	result.Died = result.Outcome.Kind == outcome.Unknown && result.Outcome.Reason == outcome.ConnLost
 	if result.Died {
 		g.died(fp, quarantine.Death{Target: result.Target, Group: g.groupOf(result), Canary: req.Canary},
