Read the answer of a target once

Cause: the body of an answer was read into a growing buffer, wrapped, and read into a second one, and a client trace was set up for each request to learn whether it may have been sent, which the connection knows.

Change: a body of known length up to 64 KB is read into a buffer of its size, which the decoder uses. errEnded alone says that nothing was sent on a connection of a pool.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -136,12 +136,6 @@
 	if err != nil {
 		return wire.TargetStatus{}, outcome.Refused(outcome.Invalid, "encode request: %v", err)
 	}
-	// Bytes may be on the way as soon as a connection was assigned. Without
-	// GetBody, net/http resends on another connection only if it wrote nothing.
-	var assigned atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) },
-	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, io.NopCloser(bytes.NewReader(data)))
 	if err != nil {
 		return wire.TargetStatus{}, outcome.Refused(outcome.Invalid, "build request: %v", err)
@@ -153,14 +147,29 @@
 	if r.Traceparent != "" {
 		req.Header.Set(HeaderTrace, r.Traceparent)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, maySent, err := c.roundTrip(req)
 	if err != nil {
-		return wire.TargetStatus{}, failed(ctx, err, assigned.Load())
+		return wire.TargetStatus{}, failed(ctx, err, maySent)
 	}
 	defer resp.Body.Close()
 	return decode(ctx, resp, answer)
 }
 
+// roundTrip sends a request. After an error, maySent tells whether bytes of it
+// may be on the way.
+func (c *Client) roundTrip(req *http.Request) (resp *http.Response, maySent bool, err error) {
+	if c.lease != nil {
+		resp, err = c.lease.RoundTrip(req)
+		return resp, err == nil || !errors.Is(err, errEnded), err
+	}
+	// Bytes may be on the way as soon as a connection was assigned. Without
+	// GetBody, net/http resends on another connection only if it wrote nothing.
+	var assigned atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) }}
+	resp, err = c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	return resp, assigned.Load(), err
+}
+
 // failed classifies an error without an answer.
 func failed(ctx context.Context, err error, maySent bool) outcome.Outcome {
 	reason := outcome.ConnLost
@@ -182,7 +191,7 @@
 
 // decode reads an answer or a refusal.
 func decode(ctx context.Context, resp *http.Response, answer any) (wire.TargetStatus, outcome.Outcome) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	data, err := readBody(resp)
 	if err != nil {
 		return wire.TargetStatus{}, failed(ctx, err, true)
 	}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,10 @@
 // connection, is cut off.
 const releaseLimit = time.Second // a busy target noticed the end of a request up to 346 ms late
 
+// maxKnownBytes bounds the buffer that is allocated because a target states a
+// length; longer answers get theirs as they arrive.
+const maxKnownBytes = 64 << 10
+
 // noticeTime is the time given to the target to notice a close if only the whole
 // connection can be closed, so that the target cannot show that it has.
 const noticeTime = 50 * time.Millisecond
@@ -108,28 +111,50 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	data, err := readBody(resp)
 	if err != nil {
 		return nil, err
 	}
 	if len(data) > maxAnswerBytes {
 		resp.Close = true // the rest stays unread, so the connection is of no further use
 	}
-	resp.Body = io.NopCloser(bytes.NewReader(data))
+	body := &bufferedBody{data: data}
+	body.Reset(data)
+	resp.Body = body
 	return resp, nil
 }
 
+// bufferedBody is a body that has been read from its connection.
+type bufferedBody struct {
+	bytes.Reader
+	data []byte
+}
+
+func (*bufferedBody) Close() error { return nil }
+
+// readBody reads a body up to one byte more than the limit. One that was read
+// before is not copied, and one whose length is known gets a buffer of its size.
+func readBody(resp *http.Response) ([]byte, error) {
+	if body, ok := resp.Body.(*bufferedBody); ok {
+		return body.data, nil
+	}
+	if resp.ContentLength < 0 || resp.ContentLength > maxKnownBytes {
+		return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	}
+	data := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, data)
+	return data, err
+}
+
 // exchange sends a request and waits for its answer, at most for progress. An
-// exchange that fails ends the connection.
+// exchange that fails ends the connection. Unless it returns errEnded, bytes of
+// the request may have been sent.
 func (c *conn) exchange(ctx context.Context, req *http.Request, progress time.Duration) (*http.Response, error) {
 	select {
 	case <-c.ended:
 		return nil, errEnded
 	default:
 	}
-	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
-		trace.GotConn(httptrace.GotConnInfo{Conn: c.nc, Reused: true})
-	}
 	timer := time.NewTimer(progress)
 	defer timer.Stop()
 	c.asked.Store(req)
