Split the control plane and the commands of the daemon by job

The exchange of a message for a reply existed in three forms (lookup, offer of a command, forward of a command); all use branchclient.ask, which resets the stream at the end of the context.

No behaviour changes.

--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -139,8 +140,6 @@
 		return wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "%v", err)}
 	}
 	defer s.Reset()
-	stop := context.AfterFunc(ctx, s.Reset)
-	defer stop()
 	req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
 	return awaitLookup(ctx, s, req)
 }
@@ -149,18 +148,55 @@
 // returns its reply. Without a reply the lookup may have run.
 func awaitLookup(ctx context.Context, s *peer.Stream, message any) wire.LookupReply {
 	var reply wire.LookupReply
-	err := s.Send(message)
-	if err == nil {
-		err = s.Receive(&reply)
+	if err := ask(ctx, s, message, &reply); err != nil {
+		return wire.LookupReply{Outcome: outcome.Uncertain(lostReason(ctx, outcome.ConnLost), "branch host did not answer: %v", err)}
 	}
-	if err != nil {
-		reason := outcome.ConnLost
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			reason = outcome.Deadline
+	return reply
+}
+
+// command forwards a command to its home, or to another host that may know what
+// became of it. It confirms, as often as the home asks, that the caller still
+// waits. With an error, the outcome is unknown.
+func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) (reply wire.CommandReply, err error) {
+	ctx, span, parent := c.observer.message(ctx, req.Traceparent, "command message", seat{host.Place, host.Ordinal})
+	req.Traceparent = parent
+	defer func() { endWith(span, reply.Outcome) }()
+	s, err := c.transport.Open(ctx, host.Peers, wire.ExchangeCommand)
+	if err == nil {
+		defer s.Reset()
+		req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
+		err = ask(ctx, s, req, &reply)
+		for err == nil && reply.Confirm {
+			reply = wire.CommandReply{}
+			err = ask(ctx, s, &wire.CommandConfirm{}, &reply)
 		}
-		return wire.LookupReply{Outcome: outcome.Uncertain(reason, "branch host did not answer: %v", err)}
 	}
-	return reply
+	if err == nil {
+		return reply, nil
+	}
+	return wire.CommandReply{Outcome: outcome.Uncertain(lostReason(ctx, outcome.Unavailable), "home %s did not answer: %v", host.Name, err)}, err
+}
+
+// ask sends a message and reads its reply. The end of the context resets the
+// stream, so that the other host learns that nobody waits any more.
+func ask(ctx context.Context, s *peer.Stream, message, reply any) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	if err := s.Send(message); err != nil {
+		return err
+	}
+	return s.Receive(reply)
+}
+
+// lostReason is the reason of an outcome without a reply.
+func lostReason(ctx context.Context, lost outcome.Reason) outcome.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.Deadline
+	}
+	return lost
 }
 
 // remaining returns the time left until the context's deadline.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,34 +3,22 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
-	"github.com/lacewingyard/lacewingyard/pkg/ownership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 const (
 	exchangeLimit = time.Second // for one heartbeat or pull
 	pushFanout    = 4           // peers told of a change at once
-	joinPeers     = 8           // peers that a new host of a large fleet asks
-	pinFor        = 10 * time.Second
-
-	// platformCheckPause limits the reads of hosts that are paused again and
-	// again: 1,300 of them then cost 650 reads a second.
-	platformCheckPause = 2 * time.Second
-
-	joinPoll = 10 * time.Millisecond
-	rolePoll = 500 * time.Millisecond
 )
 
 // control runs the control plane of a host: it reads what the platform
@@ -237,206 +225,3 @@
 		c.start(func(ctx context.Context) { c.exchange(ctx, p) })
 	}
 }
-
-// join asks the service and peers for the configuration before it comes into
-// force, and then waits until this host may work.
-func (c *control) join(ctx context.Context) {
-	if waitFor(ctx, joinPoll, func() bool { return c.directory.hosts() != nil }) != nil {
-		return
-	}
-	c.mu.Lock()
-	ask := c.view.Contacts()
-	if len(ask) <= membership.MaxContacts {
-		hosts := c.directory.hosts().list.Hosts
-		all := make([]membership.Peer, 0, len(hosts))
-		for _, h := range hosts {
-			if h.Name != c.self.Name {
-				all = append(all, membership.Peer{Name: h.Name, Address: h.Peers, Seat: membership.Seat{Place: h.Place, Ordinal: h.Ordinal}})
-			}
-		}
-		ask = membership.Sample(c.rng, all, c.self.Place, joinPeers)
-	}
-	c.mu.Unlock()
-	asking, cancel := context.WithTimeout(ctx, membership.ConfirmLimit)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, p := range ask {
-		wg.Go(func() { c.exchange(asking, p) })
-	}
-	wg.Wait()
-	// A heartbeat may still be pulling what a peer named.
-	_ = waitFor(asking, joinPoll, c.holdsNewest)
-	if waitFor(ctx, joinPoll, func() bool { return c.config.at().Version > 0 }) != nil {
-		return
-	}
-	c.config.release()
-	// Callers of a fleet that starts for the first time should not meet hosts
-	// that may not use their shares yet. A replacement serves as entry at once.
-	_ = waitFor(asking, joinPoll, c.shareSettled)
-	if waitFor(ctx, joinPoll, c.ready) == nil {
-		close(c.joined)
-	}
-}
-
-// holdsNewest reports whether this host holds the newest configuration that a
-// peer has named, or has refused it.
-func (c *control) holdsNewest() bool {
-	c.mu.Lock()
-	newest := c.newest
-	c.mu.Unlock()
-	held := false
-	c.config.with(func(s *configsync.State) { held = !s.Behind(newest) })
-	return held
-}
-
-// waitFor polls a condition until it holds or the context ends.
-func waitFor(ctx context.Context, poll time.Duration, condition func() bool) error {
-	ticker := time.NewTicker(poll)
-	defer ticker.Stop()
-	for !condition() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-// watch reads a value once and then watches it while this host is one of its
-// place's watchers.
-func (c *control) watch(ctx context.Context, value wire.Published) {
-	known := func() uint64 { return c.published(value).at().Version }
-	offer := func(raw []byte) { c.offer(value, raw) }
-	answered := func(began time.Time) {
-		if value == wire.PublishedConfig {
-			c.platformAnswered(began)
-		}
-	}
-	for first := true; ctx.Err() == nil; first = false {
-		if first || c.watches() {
-			watching, cancel := context.WithCancel(ctx)
-			c.watching[value].Store(true)
-			c.wg.Go(func() {
-				_ = waitFor(watching, rolePoll, func() bool { return !c.needsRead(value) })
-				cancel()
-			})
-			c.clients[value].Watch(watching, known, offer, answered)
-			c.watching[value].Store(false)
-			cancel()
-		}
-		_ = waitFor(ctx, rolePoll, func() bool { return c.needsRead(value) })
-	}
-}
-
-// needsRead reports whether this host reads a value: it has none yet, has not
-// joined, or is a watcher of its place.
-func (c *control) needsRead(value wire.Published) bool {
-	return c.config.tree() == nil || c.published(value).at().Version == 0 || c.watches()
-}
-
-// watches reports whether this host is a watcher of its place now.
-func (c *control) watches() bool {
-	tree := c.config.tree()
-	if tree == nil {
-		return false
-	}
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return configsync.Watches(c.self.Place, c.self.Ordinal, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version, func(ordinal int) bool {
-		h, ok := c.directory.hosts().bySeat[seat{c.self.Place, ordinal}]
-		return ok && c.view.Heard(now, h.Name)
-	})
-}
-
-func (c *control) platformAnswered(began time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.view.PlatformRead(time.Now(), began)
-}
-
-// checkPlatform asks the service for a newer configuration after a pause.
-func (c *control) checkPlatform(ctx context.Context) {
-	last, now := c.platformCheck.Load(), time.Now().UnixNano()
-	if time.Duration(now-last) < platformCheckPause || !c.platformCheck.CompareAndSwap(last, now) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, membership.ConfirmLimit)
-	defer cancel()
-	began := time.Now()
-	data, _, err := c.clients[wire.PublishedConfig].Get(ctx, c.config.at().Version, 0)
-	if err == nil {
-		c.offer(wire.PublishedConfig, data)
-	}
-	if err == nil || errors.Is(err, platform.ErrUnchanged) {
-		c.platformAnswered(began)
-	}
-}
-
-// pins returns the hosts that rules need an acknowledgement of: the watchers of
-// the place if this host is their substitute, and the other owners of cold
-// targets. The caller holds c.mu.
-func (c *control) pins() []string {
-	tree, hosts := c.config.tree(), c.directory.hosts()
-	if tree == nil || hosts == nil {
-		return nil
-	}
-	var names []string
-	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version)
-	if ownership.Rank(order, c.self.Ordinal) == configsync.WatchersPerPlace {
-		for _, ordinal := range order[:configsync.WatchersPerPlace] {
-			names = append(names, hosts.bySeat[seat{c.self.Place, ordinal}].Name)
-		}
-	}
-	first := len(names)
-	for name, at := range c.wanted {
-		if time.Since(at) > pinFor {
-			delete(c.wanted, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	slices.Sort(names[first:])
-	return names
-}
-
-// mayUseCold reports whether this host may use a cold target's allowance.
-func (c *control) mayUseCold(t *settings.TargetInfo) bool {
-	rank := ownership.Rank(t.Owners, c.self.Ordinal)
-	if t.Place != c.self.Place || rank < 0 {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(t.Owners) == 1 {
-		return c.view.MayUseCold(time.Now(), rank, nil)
-	}
-	other := membership.Seat{Place: t.Place, Ordinal: t.Owners[1-rank]}
-	if hosts := c.directory.hosts(); hosts != nil && rank == 0 {
-		if h, ok := hosts.bySeat[seat{other.Place, other.Ordinal}]; ok {
-			c.wanted[h.Name] = time.Now()
-		}
-	}
-	return c.view.MayUseCold(time.Now(), rank, &other)
-}
-
-// shareSettled reports whether no answer of a peer can change when this host
-// may use its share.
-func (c *control) shareSettled() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view.FirstSettled()
-}
-
-// mayUseShare reports whether this host may use its share of a target.
-func (c *control) mayUseShare(target string) bool {
-	owned := c.config.owned.Load()
-	if owned == nil {
-		return false
-	}
-	tenure, ok := (*owned)[target]
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return ok && c.view.MayUseShare(time.Now(), tenure)
-}
--- /dev/null
+++ b/internal/daemon/home.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lacewingyard/lacewingyard/internal/peer"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// commandLimits bound the table of requests. The durations are the upper
+// bounds of ticket_ttl and deadline_max. At the default ticket_ttl a record
+// lives 120 s, so the table holds 1,092 commands/s for each host.
+var commandLimits = atmostonce.Limits{Records: 1 << 17, LongestTTL: time.Hour, LongestDeadline: time.Minute}
+
+// goneLimits bound what is kept for homes that are gone: as many records that
+// they handed over, and as many answers that passed by. Each kind takes 6 MB when
+// full if an entry is as large as a record of a home (388 B, docs/CAPACITY.md).
+var goneLimits = atmostonce.Limits{Records: 1 << 14, LongestTTL: commandLimits.LongestTTL, LongestDeadline: commandLimits.LongestDeadline}
+
+// waitPoll is how often a shutdown looks whether commands are still running.
+const waitPoll = 5 * time.Millisecond
+
+// home runs the commands whose tickets name this host incarnation.
+type home struct {
+	self     *settings.Process
+	entry    *entry
+	inFlight atomic.Int64 // runs, and replies to other hosts
+
+	mu       sync.Mutex // guards what follows
+	registry *atmostonce.Registry[wire.CommandReply]
+	running  map[string]*commandRun
+	gone     *atmostonce.Successor[wire.CommandReply] // answers for homes that are gone
+}
+
+// commandRun is a command that is running. The reply is valid when done is closed.
+type commandRun struct {
+	done  chan struct{}
+	reply wire.CommandReply
+}
+
+func newHome(self *settings.Process, incarnation uint64, entry *entry) *home {
+	return &home{
+		self: self, entry: entry, running: map[string]*commandRun{},
+		registry: atmostonce.NewRegistry[wire.CommandReply](self.Name, incarnation, commandLimits),
+		gone:     atmostonce.NewSuccessor[wire.CommandReply](goneLimits),
+	}
+}
+
+// ticket issues a ticket that names this host incarnation.
+func (h *home) ticket(ttl time.Duration) atmostonce.Ticket {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registry.Issue(time.Now(), ttl)
+}
+
+// wait blocks until no command is running or the context ends.
+func (h *home) wait(ctx context.Context) {
+	poll := time.NewTicker(waitPoll)
+	defer poll.Stop()
+	for h.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// do runs a command, or joins or replays an earlier run of it. The run goes on
+// when the caller gives up, so that a resend finds its answer. confirm asks the
+// sender whether its caller still waits; nil means that ctx tells.
+func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
+	decision, run := h.begin(ctx, id, req, 0)
+	for decision.Action == atmostonce.Confirm {
+		if confirm != nil && !confirm(ctx) {
+			return gaveUpCommand()
+		}
+		decision, run = h.begin(ctx, id, req, decision.Refusals)
+	}
+	switch decision.Action {
+	case atmostonce.Refuse:
+		return wire.CommandReply{Outcome: decision.Outcome}
+	case atmostonce.Replay:
+		return decision.Answer
+	}
+	select {
+	case <-run.done:
+		return run.reply
+	case <-ctx.Done():
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Deadline, "the command is still running")}
+	}
+}
+
+// begin decides on a command and starts its run if there is to be one.
+func (h *home) begin(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirmed uint64) (atmostonce.Decision[wire.CommandReply], *commandRun) {
+	if ctx.Err() != nil { // nobody waits for a run that would start now
+		return atmostonce.Decision[wire.CommandReply]{Action: atmostonce.Refuse, Outcome: gaveUpCommand().Outcome}, nil
+	}
+	key := id.String()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	decision := h.registry.Begin(time.Now(), id, digest(req), confirmed)
+	run := h.running[key]
+	if decision.Action == atmostonce.Run {
+		run = &commandRun{done: make(chan struct{})}
+		h.running[key] = run
+		h.inFlight.Add(1)
+		go h.run(context.WithoutCancel(ctx), id, req, run)
+	}
+	return decision, run
+}
+
+func gaveUpCommand() wire.CommandReply {
+	return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
+}
+
+// run executes a command and records its result.
+func (h *home) run(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, run *commandRun) {
+	defer h.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	reply := h.entry.runCommand(ctx, req)
+	h.mu.Lock()
+	h.registry.Finish(time.Now(), id, reply.Outcome, reply)
+	delete(h.running, id.String())
+	h.mu.Unlock()
+	run.reply = reply
+	close(run.done)
+}
+
+// digest identifies the body of a command.
+func digest(req *wire.CommandRequest) uint64 {
+	return xxhash.Sum64String(req.Service + "\x00" + req.ID)
+}
+
+// serve answers a command stream of another host.
+func (h *home) serve(ctx context.Context, s *peer.Stream) {
+	var req wire.CommandRequest
+	if err := s.Receive(&req); err != nil {
+		s.Reset()
+		return
+	}
+	h.inFlight.Add(1) // a shutdown waits until the reply is on its way
+	defer h.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	ctx, span, parent := h.entry.observer.branch(ctx, req.Traceparent, "home command", req.Service, h.entry.self)
+	req.Traceparent = parent
+	reply := h.receive(ctx, &req, func(ctx context.Context) bool { return stillWanted(ctx, s) })
+	endWith(span, reply.Outcome)
+	if err := s.Send(&reply); err != nil {
+		s.Reset()
+		return
+	}
+	awaitReceipt(s)
+}
+
+// receiptLimit bounds the wait for a sender that is gone. It is several round
+// trips with a lost packet between the most distant places.
+const receiptLimit = 500 * time.Millisecond
+
+// awaitReceipt blocks until the sender has read the reply, which it shows by
+// ending the stream. A reply that was only written is lost if the transport
+// closes.
+func awaitReceipt(s *peer.Stream) {
+	stop := time.AfterFunc(receiptLimit, s.Reset)
+	defer stop.Stop()
+	var none wire.CommandRequest
+	_ = s.Receive(&none) // fails when the stream ends
+}
+
+// stillWanted asks the sender of a command whether its caller still waits. A
+// sender that gave up has reset the stream.
+func stillWanted(ctx context.Context, s *peer.Stream) bool {
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	var yes wire.CommandConfirm
+	return s.Send(&wire.CommandReply{Confirm: true}) == nil && s.Receive(&yes) == nil
+}
+
+// receive checks a forwarded command before it is run.
+func (h *home) receive(ctx context.Context, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
+	id, err := atmostonce.ParseID(req.RequestID)
+	if err != nil {
+		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "%v", err)}
+	}
+	service, ok := h.entry.config.tree().Doc.Services[req.Service]
+	if !ok || service.Kind != settings.KindCommand {
+		// The sender's configuration differs from this host's, and the
+		// command may have run under the other one.
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "service %s is no command service here", req.Service)}
+	}
+	if reply, ok := h.answerForGone(id, req); ok {
+		return reply
+	}
+	return h.do(ctx, id, req, confirm)
+}
+
+// serveCommand answers a command stream as soon as the daemon is complete and
+// has a configuration.
+func (d *Daemon) serveCommand(ctx context.Context, s *peer.Stream) {
+	for _, first := range []<-chan struct{}{d.wired, d.config.first, d.directory.first} {
+		select {
+		case <-first:
+		case <-ctx.Done():
+			s.Reset()
+			return
+		}
+	}
+	d.entry.home.serve(ctx, s)
+}
--- /dev/null
+++ b/internal/daemon/lookup.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// sendLookup sends a lookup to the best target that was not tried. It returns
+// false if there is none.
+func (e *entry) sendLookup(ctx context.Context, tree *settings.Tree, group *settings.Group, tried map[string]bool, req *wire.LookupRequest) (wire.LookupReply, bool) {
+	e.mu.Lock()
+	e.markSilent(time.Now())
+	options := e.options(tree, group, 0, tried)
+	options.Retry = len(tried) > 0
+	if len(options.Options) < 2 {
+		req.Turns = 0 // no other target could be asked after this one
+	}
+	choice, ok := e.router.Next(time.Now(), options)
+	if ok {
+		e.router.Sent(choice.Path)
+	}
+	e.mu.Unlock()
+	if !ok {
+		return wire.LookupReply{}, false
+	}
+	if len(tried) > 0 {
+		req.Cause = wire.CauseRetry
+	}
+	tried[choice.Path.Target] = true
+	sent := time.Now()
+	req.Target, req.TimeoutMS = choice.Path.Target, remaining(ctx).Milliseconds()
+	reply := e.branches.lookup(ctx, seat{choice.Path.Place, choice.Path.Ordinal}, req)
+	e.observe(choice.Path, reply.Outcome, reply.Status, time.Since(sent))
+	if reply.Outcome.Reason == outcome.PlaceOut {
+		// The other targets of the place may be out as well, by a configuration
+		// that is not in force here yet.
+		for _, t := range group.Targets {
+			tried[t.ID] = tried[t.ID] || t.Place == choice.Path.Place
+		}
+	}
+	return reply, true
+}
+
+// Lookup reads one record, through the home if the request may not be repeated.
+func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
+	start := time.Now()
+	tree := e.config.tree()
+	policy := tree.Effective(e.self.Place, service)
+	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
+	defer cancel()
+	var reply wire.CommandReply
+	if tree.Doc.Services[service].Kind == settings.KindCommand {
+		reply = e.command(ctx, &wire.CommandRequest{
+			RequestID: meta.RequestID, Service: service, ID: req.ID, TimeoutMS: remaining(ctx).Milliseconds(),
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+		})
+	} else if refused, ok := e.config.refusal(); ok {
+		reply.Outcome = refused
+	} else {
+		reply = e.read(ctx, tree, policy, &wire.LookupRequest{
+			RequestID: requestID(meta), Service: service, ID: req.ID,
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+		})
+	}
+	if reply.Outcome.Kind != outcome.Answered {
+		return nil, reply.Outcome
+	}
+	return &api.LookupResponse{
+		RequestID: meta.RequestID, Service: service, Outcome: outcome.Answered, Found: reply.Found,
+		Record: reply.Record, Snapshot: reply.Version, ElapsedMS: milliseconds(time.Since(start)),
+	}, reply.Outcome
+}
+
+// turns returns how long an attempt may wait for a slot, in service times. An
+// entry host does not see the queues that others fill; a short queue that
+// refuses costs one message, while a request in a long one cannot be moved.
+func turns(attempt, limit int) uint8 {
+	if attempt >= limit {
+		return 0
+	}
+	return uint8(min(attempt+1, math.MaxUint8))
+}
+
+// readPart is the part, in quarters, of the time left that an attempt of a
+// lookup may take if others may follow. The branch host gives up a silent
+// connection after half of it; with a third of the time left, half of it was
+// shorter than 13 % of the answers of photo-archive.
+const readPart = 3
+
+// read answers a lookup that may be repeated. It tries another target after
+// any failure. One silent target or host does not use up the deadline.
+func (e *entry) read(ctx context.Context, tree *settings.Tree, policy *settings.Policy, req *wire.LookupRequest) wire.CommandReply {
+	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
+	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
+	tried := map[string]bool{}
+	for left := policy.RetryLimit + 1; left > 0 && ctx.Err() == nil; left-- {
+		limit := remaining(ctx)
+		if left > 1 {
+			limit = limit * readPart / 4
+		}
+		attempt, cancel := context.WithTimeout(ctx, limit)
+		req.Turns = turns(policy.RetryLimit+1-left, policy.RetryLimit)
+		reply, sent := e.sendLookup(attempt, tree, group, tried, req)
+		cancel()
+		if !sent {
+			break
+		}
+		if reply.Outcome.Kind == outcome.Answered {
+			return wire.CommandReply{Outcome: reply.Outcome, Found: reply.Found, Record: reply.Record, Version: reply.Version}
+		}
+		last = worse(last, reply.Outcome)
+	}
+	return wire.CommandReply{Outcome: last}
+}
+
+// worse keeps "unknown" over a later "not run": some attempt may have run.
+func worse(before, now outcome.Outcome) outcome.Outcome {
+	if now.RanNothing() && !before.RanNothing() {
+		return before
+	}
+	return now
+}
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -41,8 +41,6 @@
 	}
 	ctx, cancel := outlast(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, s.Reset)
-	defer stop()
 	return awaitLookup(ctx, s, &wire.LookupGo{TimeoutMS: left.Milliseconds()})
 }
 
@@ -55,14 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, s.Reset)
-	var ready wire.LookupReady
 	req.TimeoutMS = remaining(ctx).Milliseconds()
-	if err = s.Send(req); err == nil {
-		err = s.Receive(&ready)
-	}
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if err = ask(ctx, s, req, &wire.LookupReady{}); err == nil {
+		err = ctx.Err() // the end of the context has reset the stream
 	}
 	if err != nil {
 		s.Reset()
--- /dev/null
+++ b/internal/daemon/rights.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/configsync"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
+	"github.com/lacewingyard/lacewingyard/pkg/ownership"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+// pinFor is how long a host stays a contact after a rule asked for it.
+const pinFor = 10 * time.Second
+
+// pins returns the hosts that rules need an acknowledgement of: the watchers of
+// the place if this host is their substitute, and the other owners of cold
+// targets. The caller holds c.mu.
+func (c *control) pins() []string {
+	tree, hosts := c.config.tree(), c.directory.hosts()
+	if tree == nil || hosts == nil {
+		return nil
+	}
+	var names []string
+	order := configsync.Watchers(c.self.Place, tree.Doc.Places[c.self.Place].Hosts, tree.Doc.Version)
+	if ownership.Rank(order, c.self.Ordinal) == configsync.WatchersPerPlace {
+		for _, ordinal := range order[:configsync.WatchersPerPlace] {
+			names = append(names, hosts.bySeat[seat{c.self.Place, ordinal}].Name)
+		}
+	}
+	first := len(names)
+	for name, at := range c.wanted {
+		if time.Since(at) > pinFor {
+			delete(c.wanted, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names[first:])
+	return names
+}
+
+// mayUseCold reports whether this host may use a cold target's allowance.
+func (c *control) mayUseCold(t *settings.TargetInfo) bool {
+	rank := ownership.Rank(t.Owners, c.self.Ordinal)
+	if t.Place != c.self.Place || rank < 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(t.Owners) == 1 {
+		return c.view.MayUseCold(time.Now(), rank, nil)
+	}
+	other := membership.Seat{Place: t.Place, Ordinal: t.Owners[1-rank]}
+	if hosts := c.directory.hosts(); hosts != nil && rank == 0 {
+		if h, ok := hosts.bySeat[seat{other.Place, other.Ordinal}]; ok {
+			c.wanted[h.Name] = time.Now()
+		}
+	}
+	return c.view.MayUseCold(time.Now(), rank, &other)
+}
+
+// shareSettled reports whether no answer of a peer can change when this host
+// may use its share.
+func (c *control) shareSettled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.FirstSettled()
+}
+
+// mayUseShare reports whether this host may use its share of a target.
+func (c *control) mayUseShare(target string) bool {
+	owned := c.config.owned.Load()
+	if owned == nil {
+		return false
+	}
+	tenure, ok := (*owned)[target]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ok && c.view.MayUseShare(time.Now(), tenure)
+}
