Plan around hosts that are not reached or wait, and reuse a vacated seat

A replacement that waits takeover_wait was asked twice a second by each host for each path and refused. With a link cut in one direction a host counts as heard.

- The entries answer leaves out hosts that were not heard of if most were.
- Heartbeats say that a process may not use its shares yet; other hosts plan no work into it and do not ask it to lend.
- A process that stops gracefully says so once no request is left on its targets.
Its replacement in a fleet of up to 16 hosts then does not wait if all listed hosts know that the earlier process has stopped.

The spec 'name a silent host last' is replaced by 'omit a host that crashed': the host is to be in no answer at all while the others are heard.

--- a/internal/daemon/borrow.go
+++ b/internal/daemon/borrow.go
@@ -139,6 +139,6 @@
 	if c.peerState == nil {
 		return true
 	}
-	_, silent := c.peerState(host.Name)
-	return !silent
+	state, silent := c.peerState(host.Name)
+	return !silent && !state.Waiting
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// stopped tells the contacts that this process uses no target any more, so that
+// its replacement need not wait for it.
+func (c *control) stopped() {
+	c.mu.Lock()
+	said := c.view.Stop(time.Now())
+	contacts, ctx := c.view.Contacts(), c.background
+	c.mu.Unlock()
+	if !said {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range contacts {
+		wg.Go(func() { c.exchange(ctx, p) })
+	}
+	wg.Wait()
+}
+
 // peerState returns what a host said last, and whether it is silent.
 func (c *control) peerState(name string) (state membership.State, silent bool) {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
-	d.entry.peerState, d.entry.incarnation = d.control.peerState, d.control.incarnation
+	d.entry.peerState, d.entry.incarnation, d.entry.lost = d.control.peerState, d.control.incarnation, d.transport.Lost
 	close(d.wired)
 	return d, nil
 }
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -9,7 +9,6 @@
 	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/entries"
-	"github.com/lacewingyard/lacewingyard/pkg/membership"
 )
 
 // Entries returns the addresses that a caller may use.
@@ -27,11 +26,7 @@
 	list := e.directory.hosts().list.Hosts
 	known := make([]entries.Host, 0, len(list))
 	for _, h := range list {
-		var state membership.State
-		silent := false
-		if e.peerState != nil {
-			state, silent = e.peerState(h.Name)
-		}
+		state, silent := e.heardOf(h)
 		if h.Name == e.self.Name {
 			state.Load = e.admission.load()
 		}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,6 +29,9 @@
 	// peerState returns what a host said last, and whether it is silent; nil if
 	// nothing is known of hosts.
 	peerState func(name string) (state membership.State, silent bool)
+	// lost reports whether the connection to a host's address for peers was lost;
+	// nil means never.
+	lost func(address string) bool
 	// incarnation returns that of a host's process, or 0; nil if nothing is known.
 	incarnation func(name string) uint64
 	observer    observer
@@ -108,6 +111,13 @@
 	return result
 }
 
+// delay estimates the round trip to the hosts of a place.
+func (e *entry) delay(place string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.router.Delay(place)
+}
+
 // groupOf returns the group that holds a key; the configuration was checked to
 // cover the key space.
 func groupOf(groups []settings.Group, key uint64) *settings.Group {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/platform"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/routing"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/pkg/snapshot"
@@ -75,19 +77,29 @@
 	return st
 }
 
-// markSilent tells the router which hosts have not been heard of. The caller
-// holds e.mu.
+// markSilent tells the router which hosts are not reached, or may not use their
+// shares yet. The caller holds e.mu.
 func (e *entry) markSilent(now time.Time) {
 	if e.peerState == nil || now.Sub(e.marked) < markEvery {
 		return
 	}
 	e.marked = now
-	for _, h := range e.directory.hosts().list.Hosts {
-		if h.Name != e.self.Name {
-			_, silent := e.peerState(h.Name)
-			e.router.SetSilent(h.Place, h.Ordinal, silent)
-		}
+	for _, h := range e.directory.hosts().bySeat {
+		state, silent := e.heardOf(h)
+		e.router.SetSilent(h.Place, h.Ordinal, silent || state.Waiting)
+	}
+}
+
+// heardOf returns what a host said last, and whether this host does not reach it:
+// heartbeats are missed, or the connection to it was lost.
+func (e *entry) heardOf(h platform.Host) (state membership.State, silent bool) {
+	if e.peerState != nil {
+		state, silent = e.peerState(h.Name)
+	}
+	if h.Name != e.self.Name && e.lost != nil {
+		silent = e.lost(h.Peers) || silent
 	}
+	return state, silent
 }
 
 // prepare builds the groups of a service anew.
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -112,6 +112,7 @@
 		d.entry.home.wait(ctx)
 		d.entry.home.stop(ctx)
 		d.entry.home.handOver(d.transport, d.directory, policy.TicketTTL)
+		d.leaveTargets()
 		closed <- err
 	}()
 	select {
@@ -125,6 +126,35 @@
 	}
 }
 
+// idleLimit bounds the wait of a shutdown for requests of other hosts on targets.
+const idleLimit = 500 * time.Millisecond
+
+// leaveTargets ends the use of targets and, once no request is left on them, tells
+// the other hosts.
+func (d *Daemon) leaveTargets() {
+	d.branch.targets.close()
+	ctx, cancel := context.WithTimeout(context.Background(), idleLimit)
+	defer cancel()
+	if waitFor(ctx, waitPoll, d.branch.targets.idle) == nil {
+		d.control.stopped()
+	}
+}
+
+// idle reports whether no request of this host is on a target.
+func (d *dispatcher) idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.owned {
+		t.mu.Lock()
+		sending := t.sending
+		t.mu.Unlock()
+		if sending > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // beginShutdown takes this host out of the entries answers.
 func (e *entry) beginShutdown(policy *settings.Policy) {
 	e.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -67,9 +67,10 @@
 
 // outgoing is a connection to one peer; done is closed when dialing ended.
 type outgoing struct {
-	done chan struct{}
-	conn *quic.Conn
-	err  error
+	done  chan struct{}
+	again bool // an earlier connection ended, or could not be opened
+	conn  *quic.Conn
+	err   error
 }
 
 // Listen starts a transport on an open packet connection, which it owns from
@@ -240,9 +241,33 @@
 	}
 }
 
+// Lost reports whether the connection to a peer has ended, or could not be
+// opened, and no other has been opened since. It then tries to open one. A peer
+// that goes silent is lost after maxIdle, long before heartbeats are missed.
+func (t *Transport) Lost(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := connKey{address, false}
+	out, ok := t.conns[key]
+	if !ok || t.closed {
+		return false
+	}
+	if out.dead() {
+		t.startDial(key)
+		return true
+	}
+	select {
+	case <-out.done:
+		return false
+	default:
+		return out.again
+	}
+}
+
 // startDial opens a connection in the background. The caller holds t.mu.
 func (t *Transport) startDial(key connKey) *outgoing {
-	out := &outgoing{done: make(chan struct{})}
+	_, again := t.conns[key]
+	out := &outgoing{done: make(chan struct{}), again: again}
 	t.conns[key] = out
 	t.wg.Go(func() { t.dial(key, out) })
 	return out
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -54,9 +54,12 @@
 
 // Choose returns the hosts to name, best first. Hosts of the given place come
 // before others. Within a place the order is random, weighted by free
-// capacity, so that callers which take the first address spread by load. Hosts
-// that were not heard of come last, because callers may reach what this host
-// cannot.
+// capacity, so that callers which take the first address spread by load.
+//
+// Hosts that were not heard of are left out if this host hears of most of the
+// others: they are gone or cut off, and callers keep an answer for seconds. If
+// it hears of fewer, it may be cut off itself; it names them last, because
+// callers may reach what it cannot.
 func Choose(hosts []Host, place string, rng *rand.Rand) []Host {
 	type ranked struct {
 		host  Host
@@ -65,9 +68,13 @@
 		draw  float64
 	}
 	candidates := make([]ranked, 0, len(hosts))
+	least := listed
+	if most(hosts) {
+		least = heard
+	}
 	for _, h := range hosts {
 		class := h.class()
-		if class == unusable {
+		if class > least {
 			continue
 		}
 		far := 1
@@ -86,6 +93,15 @@
 	return chosen
 }
 
+// most reports whether more than half of the usable hosts were heard of.
+func most(hosts []Host) bool {
+	n := map[usable]int{}
+	for _, h := range hosts {
+		n[h.class()]++
+	}
+	return n[heard] > n[listed]
+}
+
 // minFree keeps a host that reports full load eligible: its report may be old.
 const minFree = 0.05
 
--- a/pkg/entries/entries_test.go
+++ b/pkg/entries/entries_test.go
@@ -43,6 +43,15 @@
 		Expect(chosen[0].Name).To(Equal("b"))
 	})
 
+	// Guards against callers that go on connecting to a host which crashed, for as
+	// long as the host list names it.
+	It("leaves out hosts that were not heard of if most were", func() {
+		hosts := []entries.Host{host("a", "north", func(h *entries.Host) { h.Heard = false }), host("b", "north", nil), host("c", "south", nil)}
+		Expect(entries.Choose(hosts, "north", rng)).To(HaveLen(2))
+		hosts[2].Heard = false
+		Expect(entries.Choose(hosts, "north", rng)).To(HaveLen(3), "this host may be cut off itself")
+	})
+
 	// Guards against all callers taking the same first address.
 	It("spreads first addresses by free capacity, near hosts before far ones", func() {
 		hosts := []entries.Host{
--- a/pkg/membership/cold.go
+++ b/pkg/membership/cold.go
@@ -10,6 +10,7 @@
 	granted     time.Time // when the heartbeat was sent that the seat last answered with a promise
 	listedAs    string    // name by which a host list last named the seat's host
 	reused      bool      // the seat is known to have had several processes
+	vacancy
 }
 
 // promise decides what to answer to a heartbeat. A promise goes to one
@@ -27,8 +28,9 @@
 		return s.incarnation, false
 	}
 	s.meet(hb.Incarnation)
+	s.learnStop(now, hb)
 	if hb.From.Seat == v.self.Seat {
-		v.replaces = true
+		v.replaces, v.met = true, true
 		if hb.Incarnation > v.incarnation {
 			v.supersede()
 		}
--- a/pkg/membership/first.go
+++ b/pkg/membership/first.go
@@ -3,12 +3,16 @@
 // meet takes note of a process of the seat.
 func (s *seatState) meet(incarnation uint64) {
 	s.reused = s.reused || s.incarnation != 0 && incarnation != s.incarnation
+	if incarnation > s.incarnation {
+		s.previous = s.incarnation
+	}
 	s.incarnation = max(s.incarnation, incarnation)
 }
 
 // listed takes note of the host that a list names for the seat.
 func (s *seatState) listed(name string) {
-	s.reused = s.reused || s.listedAs != "" && name != s.listedAs
+	another := s.listedAs != "" && name != s.listedAs
+	s.reused, s.mixed = s.reused || another, s.mixed || another
 	s.listedAs = name
 }
 
@@ -29,7 +33,11 @@
 	} else if len(v.sayFirst) < SmallFleet {
 		v.sayFirst[from.Name] = true
 	}
+	if len(v.sayVacant) < SmallFleet {
+		v.sayVacant[from.Name] = ack.Vacant
+	}
 	v.judgeFirst()
+	v.judgeVacant()
 }
 
 // judgeFirst decides whether this process is the first of its seat: the host
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -10,6 +10,8 @@
 type State struct {
 	Load    uint8 `cbor:"1,keyasint,omitempty"` // fraction of its capacity in use, of 255
 	Leaving bool  `cbor:"2,keyasint,omitempty"` // it shuts down
+	Waiting bool  `cbor:"3,keyasint,omitempty"` // it may not use its shares yet
+	Stopped bool  `cbor:"4,keyasint,omitempty"` // it uses no target any more
 }
 
 // peerState is the last state of a host's newest process.
@@ -62,14 +64,16 @@
 func (v *View) Incarnation(name string) uint64 { return v.states[name].incarnation }
 
 // PeerState returns the last state of a host, and whether it is silent: a
-// contact of which nothing was heard lately. Of hosts that are not contacts
+// contact of which nothing was heard lately, or that acknowledged heartbeats and
+// no longer does, because the path to it is cut. Of hosts that are not contacts
 // nothing is expected. Of this host it returns what heartbeats say.
 func (v *View) PeerState(now time.Time, name string) (state State, silent bool) {
 	if name == v.self.Name {
 		return v.state, false
 	}
 	contact := slices.ContainsFunc(v.contacts, func(p Peer) bool { return p.Name == name })
-	return v.states[name].State, contact && !v.Heard(now, name)
+	_, acked := v.acked[name]
+	return v.states[name].State, contact && (!v.Heard(now, name) || acked && !v.Reachable(now, name))
 }
 
 // Known returns the last that was heard of a host, however old it is, and false
--- a/pkg/membership/tenure.go
+++ b/pkg/membership/tenure.go
@@ -85,7 +85,7 @@
 // documents of one version may give it to different seats, and a host that is
 // late may still apply a version from before the target was removed.
 func (v *View) MayUseShare(now time.Time, t Tenure) bool {
-	if v.superseded || now.Sub(v.started) < TakeoverWait && !v.First() {
+	if v.superseded || v.waits(now) {
 		return false
 	}
 	return t.Since.IsZero() || now.Sub(t.Since) >= TakeoverWait+SpreadLimit || v.Agreed(t.Trail)
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -34,6 +34,7 @@
 	Promise     bool   `cbor:"4,keyasint,omitempty"` // it does not take over from the sender for TakeoverWait
 	Config      uint64 `cbor:"5,keyasint,omitempty"` // configuration version in force there
 	State       State  `cbor:"7,keyasint,omitempty"`
+	Vacant      bool   `cbor:"9,keyasint,omitempty"` // every other process of the sender's seat that it knows of has stopped
 	First       bool   `cbor:"6,keyasint,omitempty"` // it knows of no other process of the sender's seat
 	Trail       uint64 `cbor:"8,keyasint,omitempty"` // of the configuration in force there and the one before
 }
@@ -53,6 +54,10 @@
 	replaces bool            // an earlier process of this seat is known
 	sayFirst map[string]bool // small fleets: peers that know of no other process of this seat
 
+	met       bool            // this host itself knows of another process of this seat
+	vacant    bool            // all earlier processes of this seat have stopped
+	sayVacant map[string]bool // small fleets: whether those that a peer knows of have
+
 	contacts []Peer
 	pinned   []string
 	nextBeat map[string]time.Time // by name of the contact
@@ -78,7 +83,7 @@
 	return &View{
 		self: self, incarnation: incarnation, started: started, rng: rng,
 		nextBeat: map[string]time.Time{}, heard: map[string]time.Time{}, acked: map[string]time.Time{},
-		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, trails: map[string]uint64{}, readiness: readiness{since: started},
+		seats: map[Seat]seatState{}, states: map[string]peerState{}, sayFirst: map[string]bool{}, sayVacant: map[string]bool{}, trails: map[string]uint64{}, readiness: readiness{since: started},
 	}
 }
 
@@ -105,8 +110,10 @@
 	v.named, v.wasNamed = named, v.wasNamed || named
 	// A list that names this host may still name the one that it replaces.
 	own := v.seats[v.self.Seat]
-	v.replaces = v.replaces || own.reused || own.listedAs != "" && own.listedAs != v.self.Name
+	v.met = v.met || own.reused || own.listedAs != "" && own.listedAs != v.self.Name
+	v.replaces = v.replaces || v.met
 	v.judgeFirst()
+	v.judgeVacant()
 	v.chooseContacts()
 }
 
@@ -219,6 +226,7 @@
 	if paused {
 		clear(v.nextBeat) // every contact is asked at once
 	}
+	v.updateWaiting(now)
 	v.rotate(now)
 	for _, p := range v.contacts {
 		if now.Before(v.nextBeat[p.Name]) {
@@ -238,6 +246,9 @@
 	ack := Ack{Incarnation: v.incarnation, State: v.state, Confirmed: v.Confirmed(now), Config: config}
 	ack.Higher, ack.Promise = v.promise(now, hb)
 	ack.First = v.knowsNoOther(hb)
+	if s := v.seats[hb.From.Seat]; hb.From.Seat != v.self.Seat {
+		ack.Vacant = s.vacantFor(now, hb)
+	}
 	if len(v.peers) < SmallFleet {
 		ack.Trail = v.trail
 	}
