Find another way for a command whose home or branch host does not answer

What stayed unknown were commands on the way through the host that was lost.

- A host says at once that it has a command.
One that does not within 100 ms and four round trips is left for another way; only if there is none, half of the time left is waited.
- An entry host that does not reach the home sends the command through one host of each place, one after the other, and then again itself.
The relay passes on the home's question whether the caller still waits.
- A branch host keeps the answers of commands that it ran for other homes, and a home whose record is unknown asks for them when a request comes again.

--- a/internal/daemon/branchclient.go
+++ b/internal/daemon/branchclient.go
@@ -23,6 +23,8 @@
 	observer  observer
 	// peerState is control.peerState, nil if every listed host counts as heard.
 	peerState func(name string) (state membership.State, silent bool)
+	// delay estimates the round trip to a place; nil if it is not known.
+	delay func(place string) time.Duration
 }
 
 // notReachedError says that a branch host did not receive the request.
@@ -155,18 +157,22 @@
 }
 
 // command forwards a command to its home, or to another host that may know what
-// became of it. It confirms, as often as the home asks, that the caller still
-// waits. With an error, the outcome is unknown.
-func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest) (reply wire.CommandReply, err error) {
+// became of it. confirm tells, as often as the home asks, whether the caller
+// still waits. A host that does not say at once that it has the request is gone
+// or cut off; patient waits longer, because no other way is left. With an error,
+// the outcome is unknown.
+func (c *branchClient) command(ctx context.Context, host platform.Host, req *wire.CommandRequest, confirm confirmation, patient bool) (reply wire.CommandReply, err error) {
 	ctx, span, parent := c.observer.message(ctx, req.Traceparent, "command message", seat{host.Place, host.Ordinal})
 	req.Traceparent = parent
 	defer func() { endWith(span, reply.Outcome) }()
-	s, err := c.transport.Open(ctx, host.Peers, wire.ExchangeCommand)
+	s, err := c.accept(ctx, host, req, patient)
 	if err == nil {
 		defer s.Reset()
-		req.TimeoutMS = remaining(ctx).Milliseconds() // dialling took a part of it
-		err = ask(ctx, s, req, &reply)
+		err = ask(ctx, s, nil, &reply)
 		for err == nil && reply.Confirm {
+			if !confirm(ctx) {
+				return gaveUpCommand(), errors.New("the sender gave up")
+			}
 			reply = wire.CommandReply{}
 			err = ask(ctx, s, &wire.CommandConfirm{}, &reply)
 		}
@@ -177,16 +183,35 @@
 	return wire.CommandReply{Outcome: outcome.Uncertain(lostReason(ctx, outcome.Unavailable), "home %s did not answer: %v", host.Name, err)}, err
 }
 
-// ask sends a message and reads its reply. The end of the context resets the
-// stream, so that the other host learns that nobody waits any more.
+// confirmation tells whether the caller of a command still waits.
+type confirmation func(ctx context.Context) bool
+
+// accept opens a stream to a host and waits until it has the command.
+func (c *branchClient) accept(ctx context.Context, host platform.Host, req *wire.CommandRequest, patient bool) (*peer.Stream, error) {
+	left := remaining(ctx)
+	ctx, cancel := context.WithTimeout(ctx, c.handOverLimit(ctx, host.Place, patient))
+	defer cancel()
+	s, err := c.transport.Open(ctx, host.Peers, wire.ExchangeCommand)
+	if err != nil {
+		return nil, err
+	}
+	req.TimeoutMS = left.Milliseconds()
+	return handedOver(ctx, s, req, &wire.CommandReply{})
+}
+
+// ask sends a message, unless it is nil, and reads the reply. The end of the
+// context resets the stream, so that the other host learns that nobody waits any
+// more.
 func ask(ctx context.Context, s *peer.Stream, message, reply any) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, s.Reset)
 	defer stop()
-	if err := s.Send(message); err != nil {
-		return err
+	if message != nil {
+		if err := s.Send(message); err != nil {
+			return err
+		}
 	}
 	return s.Receive(reply)
 }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -58,14 +58,74 @@
 	if !ok {
 		return e.askOthers(ctx, id, req, outcome.Uncertain(outcome.Unavailable, "home %s is not listed", id.Ticket.Host))
 	}
-	reply, err := e.branches.command(ctx, host, req)
-	if err != nil {
-		return e.askOthers(ctx, id, req, reply.Outcome)
+	last := wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "home %s is not reached", host.Name)}
+	if !e.unreached(host) {
+		if last, err = e.forward(ctx, host, id, req, callerWaits, false); err == nil {
+			return last
+		}
+	}
+	last = e.detour(ctx, id, req, e.askOthers(ctx, id, req, last.Outcome))
+	if last.Outcome.Kind == outcome.Unknown && ctx.Err() == nil { // the path may only have become slow
+		last, _ = e.forward(ctx, host, id, req, callerWaits, true)
+	}
+	return last
+}
+
+// callerWaits is the confirmation of a host that has the caller's connection.
+func callerWaits(ctx context.Context) bool { return ctx.Err() == nil }
+
+// forward brings a command to its home and keeps the answer.
+func (e *entry) forward(ctx context.Context, home platform.Host, id atmostonce.ID, req *wire.CommandRequest, confirm confirmation, patient bool) (wire.CommandReply, error) {
+	copied := *req
+	reply, err := e.branches.command(ctx, home, &copied, confirm, patient)
+	if err == nil {
+		e.home.note(id, req, reply)
+	}
+	return reply, err
+}
+
+// detour brings a command to a home that this host does not reach through one
+// host of each place after the other. The sends before it were given up:
+// with two in progress, one could be refused as "not run" while the other is
+// confirmed and runs.
+func (e *entry) detour(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, last wire.CommandReply) wire.CommandReply {
+	asked := map[string]bool{}
+	for _, host := range e.directory.successors(id.Ticket.Host, e.self.Name) {
+		if last.Outcome.Kind != outcome.Unknown || ctx.Err() != nil {
+			break
+		}
+		if asked[host.Place] || e.unreached(host) {
+			continue
+		}
+		asked[host.Place] = true
+		copied := *req
+		copied.Relay = true
+		if reply, err := e.branches.command(ctx, host, &copied, callerWaits, false); err == nil && reply.Outcome.Kind != outcome.Unknown {
+			last = reply
+			e.home.note(id, req, reply)
+		}
+	}
+	return last
+}
+
+// relay forwards a command for a host that does not reach its home.
+func (e *entry) relay(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirm confirmation) wire.CommandReply {
+	host, ok := e.directory.byName(id.Ticket.Host)
+	if !ok || e.unreached(host) {
+		return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Unavailable, "home %s is not reached", id.Ticket.Host)}
 	}
-	e.home.note(id, req, reply)
+	direct := *req
+	direct.Relay = false
+	reply, _ := e.forward(ctx, host, id, &direct, confirm, false)
 	return reply
 }
 
+// unreached reports whether a host is known not to be reached from here.
+func (e *entry) unreached(host platform.Host) bool {
+	_, silent := e.heardOf(host)
+	return silent
+}
+
 // byName returns a listed host. A leaving host still runs its commands.
 func (d *directory) byName(name string) (platform.Host, bool) {
 	for _, host := range d.hosts().list.Hosts {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,6 +123,7 @@
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch, peerState: d.control.peerState}
 	d.branch.peers = remote
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	remote.delay = d.entry.delay
 	d.entry.router.SetRoom(d.branch.targets.room)
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
@@ -210,7 +211,7 @@
 	case wire.ExchangeCommand:
 		d.serveCommand(ctx, s)
 	case wire.ExchangeOnce:
-		d.branch.serveOnce(ctx, s)
+		d.serveOnce(ctx, s)
 	case wire.ExchangeHandover:
 		d.serveHandover(s)
 	default:
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -63,6 +63,19 @@
 	h.gone.Note(time.Now(), id, digest(req), reply.Outcome, reply)
 }
 
+// noteRun keeps the answer of a command that this host sent to a target for its
+// home, in case the home is lost or the reply does not reach it.
+func (h *home) noteRun(req *wire.LookupRequest, reply *wire.LookupReply) {
+	id, err := atmostonce.ParseID(req.RequestID)
+	if err != nil || reply.Outcome.Kind != outcome.Answered {
+		return
+	}
+	kept := wire.CommandReply{Outcome: reply.Outcome, Found: reply.Found, Record: reply.Record, Version: reply.Version}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gone.Note(time.Now(), id, bodyDigest(req.Service, req.ID), kept.Outcome, kept)
+}
+
 // askOthers asks other hosts what became of a command that its home does not
 // answer for. The command runs nowhere else.
 func (e *entry) askOthers(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, unknown outcome.Outcome) wire.CommandReply {
@@ -79,7 +92,7 @@
 	for _, host := range others {
 		go func() {
 			copied := *req
-			reply, _ := e.branches.command(ctx, host, &copied)
+			reply, _ := e.branches.command(ctx, host, &copied, callerWaits, false)
 			replies <- reply
 		}()
 	}
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -75,7 +75,7 @@
 // do runs a command, or joins or replays an earlier run of it. The run goes on
 // when the caller gives up, so that a resend finds its answer. confirm asks the
 // sender whether its caller still waits; nil means that ctx tells.
-func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
+func (h *home) do(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirm confirmation) wire.CommandReply {
 	decision, run := h.begin(ctx, id, req, 0)
 	for decision.Action == atmostonce.Confirm {
 		if confirm != nil && !confirm(ctx) {
@@ -87,6 +87,9 @@
 	case atmostonce.Refuse:
 		return wire.CommandReply{Outcome: decision.Outcome}
 	case atmostonce.Replay:
+		if decision.Outcome.Kind == outcome.Unknown {
+			return h.recall(ctx, id, req, decision.Answer)
+		}
 		return decision.Answer
 	}
 	select {
@@ -116,6 +119,19 @@
 	return decision, run
 }
 
+// recall asks the other hosts for the answer of a command that is recorded as
+// unknown: the branch host that ran it keeps the answer if its reply was lost.
+func (h *home) recall(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, unknown wire.CommandReply) wire.CommandReply {
+	reply := h.entry.askOthers(ctx, id, req, unknown.Outcome)
+	if reply.Outcome.Kind != outcome.Answered {
+		return unknown
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.registry.Learn(id, digest(req), reply.Outcome, reply)
+	return reply
+}
+
 func gaveUpCommand() wire.CommandReply {
 	return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
 }
@@ -135,8 +151,10 @@
 }
 
 // digest identifies the body of a command.
-func digest(req *wire.CommandRequest) uint64 {
-	return xxhash.Sum64String(req.Service + "\x00" + req.ID)
+func digest(req *wire.CommandRequest) uint64 { return bodyDigest(req.Service, req.ID) }
+
+func bodyDigest(service, record string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + record)
 }
 
 // serve answers a command stream of another host.
@@ -152,6 +170,10 @@
 	defer cancel()
 	ctx, span, parent := h.entry.observer.branch(ctx, req.Traceparent, "home command", req.Service, h.entry.self)
 	req.Traceparent = parent
+	if err := s.Send(&wire.CommandReply{Accepted: true}); err != nil {
+		s.Reset()
+		return
+	}
 	reply := h.receive(ctx, &req, func(ctx context.Context) bool { return stillWanted(ctx, s) })
 	endWith(span, reply.Outcome)
 	if err := s.Send(&reply); err != nil {
@@ -185,7 +207,7 @@
 }
 
 // receive checks a forwarded command before it is run.
-func (h *home) receive(ctx context.Context, req *wire.CommandRequest, confirm func(ctx context.Context) bool) wire.CommandReply {
+func (h *home) receive(ctx context.Context, req *wire.CommandRequest, confirm confirmation) wire.CommandReply {
 	id, err := atmostonce.ParseID(req.RequestID)
 	if err != nil {
 		return wire.CommandReply{Outcome: outcome.Refused(outcome.Invalid, "%v", err)}
@@ -199,9 +221,22 @@
 	if reply, ok := h.answerForGone(id, req); ok {
 		return reply
 	}
+	if req.Relay && id.Ticket.Host != h.self.Name {
+		return h.entry.relay(ctx, id, req, confirm)
+	}
 	return h.do(ctx, id, req, confirm)
 }
 
+// serveOnce answers the stream of a command for a target of this host.
+func (d *Daemon) serveOnce(ctx context.Context, s *peer.Stream) {
+	select {
+	case <-d.wired:
+		d.branch.serveOnce(ctx, s, d.entry.home.noteRun)
+	case <-ctx.Done():
+		s.Reset()
+	}
+}
+
 // serveCommand answers a command stream as soon as the daemon is complete and
 // has a configuration.
 func (d *Daemon) serveCommand(ctx context.Context, s *peer.Stream) {
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -9,10 +9,17 @@
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 )
 
-// handOverPart is the part of the time left that a branch host has to say that
-// it is there. At a deadline of 300 ms the first has 150 ms, several round trips
-// between places, and two others can be tried after it.
-const handOverPart = 2
+const (
+	// handOverPart is the part of the time left that a branch host has at most to
+	// say that it is there. At a deadline of 300 ms the first has 150 ms, several
+	// round trips between places, and two others can be tried after it.
+	handOverPart = 2
+	// The answer comes at once, so that a host without one after handOverWait and
+	// handOverTrips round trips, which leave room for a handshake and a lost
+	// packet, is gone or cut off. At a deadline of 1 s half of it was 500 ms.
+	handOverWait  = 100 * time.Millisecond
+	handOverTrips = 4
+)
 
 // lateWait is how long the result of a command that was sent is awaited beyond
 // its deadline. Giving up earlier gains nothing, since the command may run all
@@ -47,14 +54,31 @@
 // offer opens a stream to a branch host and waits until it is ready to take the
 // lookup.
 func (c *branchClient) offer(ctx context.Context, at seat, req *wire.LookupRequest) (*peer.Stream, error) {
-	ctx, cancel := context.WithTimeout(ctx, remaining(ctx)/handOverPart)
+	ctx, cancel := context.WithTimeout(ctx, c.handOverLimit(ctx, at.place, req.Turns == 0))
 	defer cancel()
 	s, err := c.open(ctx, at, wire.ExchangeOnce)
 	if err != nil {
 		return nil, err
 	}
 	req.TimeoutMS = remaining(ctx).Milliseconds()
-	if err = ask(ctx, s, req, &wire.LookupReady{}); err == nil {
+	return handedOver(ctx, s, req, &wire.LookupReady{})
+}
+
+// handOverLimit returns how long a host of a place has to say that it is there.
+// patient is set if there is no other way: the path may only have become slow.
+func (c *branchClient) handOverLimit(ctx context.Context, place string, patient bool) time.Duration {
+	limit := remaining(ctx) / handOverPart
+	if c.delay != nil && !patient {
+		limit = min(limit, handOverWait+handOverTrips*c.delay(place))
+	}
+	return limit
+}
+
+// handedOver sends the first message of an exchange and returns the stream once
+// the other host has answered that it is there.
+func handedOver(ctx context.Context, s *peer.Stream, message, there any) (*peer.Stream, error) {
+	err := ask(ctx, s, message, there)
+	if err == nil {
 		err = ctx.Err() // the end of the context has reset the stream
 	}
 	if err != nil {
@@ -65,8 +89,8 @@
 }
 
 // serveOnce answers the stream of a lookup that may not be repeated. Nothing
-// runs before the home hands it over.
-func (b *branch) serveOnce(ctx context.Context, s *peer.Stream) {
+// runs before the home hands it over. ran is told the result before the home.
+func (b *branch) serveOnce(ctx context.Context, s *peer.Stream, ran func(*wire.LookupRequest, *wire.LookupReply)) {
 	var req wire.LookupRequest
 	var handed wire.LookupGo
 	if err := s.Receive(&req); err != nil || !req.Once {
@@ -85,6 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(handed.TimeoutMS)*time.Millisecond)
 	defer cancel()
 	reply := b.lookup(ctx, &req)
+	ran(&req, &reply)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
 	}
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -6,9 +6,9 @@
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 )
 
-// ExchangeCommand is CommandRequest, then CommandReply, with CommandConfirm
-// after each reply that asks for it. The number leaves room
-// for the exchanges of queries.
+// ExchangeCommand is CommandRequest, a CommandReply that says that the host has
+// the request, then the result, with CommandConfirm after each reply that asks
+// for it. The number leaves room for the exchanges of queries.
 const ExchangeCommand Exchange = 32
 
 // CommandRequest forwards a request that may not be repeated to the host that
@@ -20,6 +20,8 @@
 	TimeoutMS   int64  `cbor:"4,keyasint"` // time left until the deadline
 	Class       uint8  `cbor:"5,keyasint"`
 	Traceparent string `cbor:"6,keyasint,omitempty"`
+	// Relay asks a host that is not the home to forward the request to it.
+	Relay bool `cbor:"7,keyasint,omitempty"`
 }
 
 // CommandReply is the result of a command, or the refusal of its home.
@@ -31,6 +33,8 @@
 	// Confirm asks for a CommandConfirm before the result: a resend of this
 	// request was refused, and this may be an earlier send that was late.
 	Confirm bool `cbor:"5,keyasint,omitempty"`
+	// Accepted says that the host has the request; the result follows.
+	Accepted bool `cbor:"6,keyasint,omitempty"`
 }
 
 // CommandConfirm says that the caller still waits for the command.
--- a/pkg/atmostonce/registry.go
+++ b/pkg/atmostonce/registry.go
@@ -156,6 +156,17 @@
 	return true
 }
 
+// Learn gives a request whose outcome is recorded as unknown the answer that
+// another host has for it. It returns false if there is no such record.
+func (r *Registry[A]) Learn(id ID, digest uint64, o outcome.Outcome, answer A) bool {
+	rec, ok := r.records[id.String()]
+	if !ok || rec.running || rec.refused > 0 || rec.digest != digest || rec.outcome.Kind != outcome.Unknown || o.Kind != outcome.Answered {
+		return false
+	}
+	rec.outcome, rec.answer = o, answer
+	return true
+}
+
 // Len returns the number of records.
 func (r *Registry[A]) Len() int { return len(r.records) }
 
--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -68,6 +68,23 @@
 		Expect(home.Begin(start.Add(2*time.Minute), id, 1, 0).Outcome.Kind).To(Equal(outcome.Unknown))
 	})
 
+	// Guards against a request that stays unknown although the host that ran it has
+	// kept the answer, and against one that replaces anything but "unknown".
+	It("learns the answer of an unknown request, and nothing else", func() {
+		home := newHome()
+		for suffix, kind := range map[string]outcome.Kind{"a": outcome.Answered, "u": outcome.Unknown, "n": outcome.NotRun} {
+			id := request(home, suffix)
+			home.Begin(start, id, 1, 0)
+			Expect(home.Learn(id, 1, outcome.OK(), "other")).To(BeFalse(), "it runs")
+			home.Finish(start, id, outcome.Outcome{Kind: kind}, "own")
+			Expect(home.Learn(id, 2, outcome.OK(), "other")).To(BeFalse(), "another body")
+			Expect(home.Learn(id, 1, outcome.OK(), "other")).To(Equal(kind == outcome.Unknown))
+		}
+		d := home.Begin(start, request(home, "u"), 1, 0)
+		Expect(d.Outcome).To(Equal(outcome.OK()))
+		Expect(d.Answer).To(Equal("other"))
+	})
+
 	// Guards against a forged ticket that would hold a record for ever.
 	It("refuses a ticket that it cannot have issued", func() {
 		home := newHome()
