Check learned answers and the replacement of a stopped process

A spec checks that a replacement uses its share before takeover_wait if the earlier process has stopped.

--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -83,6 +83,24 @@
 		fmt.Fprintf(GinkgoWriter, "share usable %s after the first start and %s after the replacement\n", first, time.Since(started))
 	}, NodeTimeout(time.Minute))
 
+	// Guards against a planned replacement that leaves its share unused for
+	// takeover_wait although the earlier process has stopped.
+	It("do not wait for a process that has stopped", func(ctx context.Context) {
+		t := startTier(ctx, []string{service}, func(d *settings.Document) {
+			oneHost(d)
+			d.Fleet.Settings = settings.Overrides{"entries_ttl": raw(`"300ms"`)}
+		})
+		old, target := hostAt(t, place, 0), owned(t, place)[0]
+		Eventually(func() bool { return old.Daemon.MayUseShare(target.ID) }).WithTimeout(membership.TakeoverWait).Should(BeTrue())
+		Expect(t.StopHost(old, true)).To(Succeed())
+		Expect(t.Unlist(old)).To(Succeed())
+		began := time.Now()
+		replacement, err := t.AddHost(ctx, place, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return replacement.Daemon.MayUseShare(target.ID) }).WithTimeout(membership.TakeoverWait / 2).Should(BeTrue())
+		fmt.Fprintf(GinkgoWriter, "share usable %s after the start of the replacement\n", time.Since(began))
+	}, NodeTimeout(time.Minute))
+
 	// Guards against a cold target that gets no work for as long as the owner
 	// of rank 0 is gone.
 	It("pass the cold allowance to the second owner", func(ctx context.Context) {
--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -95,8 +95,9 @@
 })
 
 // Guards against a second run over any order of resends, results and clock
-// steps, against "not run" for a request that ran, and against a run after "not
-// run" by a send from before it, which does not confirm.
+// steps, against "not run" for a request that ran, against a run after "not
+// run" by a send from before it, which does not confirm, and against an answer
+// learned from another host that is lost or lets the request run.
 func TestAtMostOnceRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		if fault := drawRuns(t, false); fault != "" {
@@ -121,7 +122,7 @@
 func drawRuns(t *rapid.T, naive bool) string {
 	home, now := newHome(), start
 	latest := start
-	running, ran, refusedAt := map[string]bool{}, map[string]bool{}, map[string]time.Time{}
+	running, ran, learned, refusedAt := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]time.Time{}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		now = now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(t, "seconds")) * time.Second)
 		if now.After(latest) {
@@ -137,6 +138,9 @@
 				refusedAt[key] = latest
 			}
 			home.Finish(now, id, outcome.Outcome{Kind: kind}, "")
+			if rapid.Bool().Draw(t, "kept elsewhere") {
+				learned[key] = home.Learn(id, 1, outcome.OK(), "")
+			}
 			continue
 		}
 		at, refused := refusedAt[key]
@@ -154,6 +158,8 @@
 		case d.Action == atmostonce.Run:
 			running[key] = true
 			delete(refusedAt, key) // whoever sent it waits for this run
+		case learned[key] && d.Action == atmostonce.Replay && d.Outcome.Kind != outcome.Answered:
+			return key + " has lost the answer that it learned"
 		case d.Outcome.RanNothing() && (running[key] || ran[key]):
 			return key + " is refused as not run although it ran"
 		case d.Outcome.RanNothing() && latest.Before(id.Ticket.Expiry):
