--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -115,7 +115,8 @@
 		Expect(exchange(other, address)).To(Succeed())
 	})
 
-	// Guards against queries that hang on a connection whose other end is gone.
+	// Guards against queries that hang on a connection whose other end is gone, and
+	// against a host that counts as lost for ever.
 	It("opens a new connection after the peer was replaced", func() {
 		conf, err := authority.TLS("a")
 		Expect(err).NotTo(HaveOccurred())
@@ -125,14 +126,19 @@
 		address := conn.LocalAddr().String()
 		first, err := peer.Listen(conn, conf, echo)
 		Expect(err).NotTo(HaveOccurred())
+		Expect(client.Lost(address)).To(BeFalse(), "never connected")
 		Expect(exchange(client, address)).To(Succeed())
+		Expect(client.Lost(address)).To(BeFalse())
 		Expect(first.Close()).To(Succeed())
+		Eventually(func() bool { return client.Lost(address) }, "3s", "10ms").Should(BeTrue())
+		Consistently(func() bool { return client.Lost(address) }, "200ms", "10ms").Should(BeTrue(), "while it is dialled again")
 
 		conn, err = net.ListenPacket("udp", address)
 		Expect(err).NotTo(HaveOccurred())
 		second, err := peer.Listen(conn, conf, echo)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(second.Close)
+		Eventually(func() bool { return client.Lost(address) }, "3s", "50ms").Should(BeFalse())
 		Eventually(func() error { return exchange(client, address) }, "3s", "50ms").Should(Succeed())
 	})
 
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -243,4 +243,24 @@
 		state, silent = view.PeerState(now, "other")
 		Expect(state.Leaving || silent).To(BeFalse(), "not listed")
 	})
+
+	// Guards against work for a host whose heartbeats still arrive although this
+	// host's do not reach it.
+	It("is silent if it no longer acknowledges", func() {
+		now := time.Unix(1000, 0)
+		me, other := membership.Peer{Name: "me"}, membership.Peer{Name: "other", Seat: membership.Seat{Ordinal: 1}}
+		view := membership.NewView(me, 1, now, rand.New(rand.NewPCG(1, 2)))
+		view.SetPeers([]membership.Peer{me, other})
+		silent := func() bool {
+			view.Receive(now, membership.Heartbeat{From: other, Incarnation: 1}, 1)
+			_, silent := view.PeerState(now, "other")
+			return silent
+		}
+		Expect(silent()).To(BeFalse(), "it was not asked yet")
+		view.Acked(now, now, other, membership.Ack{Incarnation: 1})
+		now = now.Add(membership.ReachLimit)
+		Expect(silent()).To(BeFalse())
+		now = now.Add(time.Millisecond)
+		Expect(silent()).To(BeTrue())
+	})
 })
