--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -68,6 +68,23 @@
 		Expect(home.Begin(start.Add(2*time.Minute), id, 1, 0).Outcome.Kind).To(Equal(outcome.Unknown))
 	})
 
+	// Guards against a request that stays unknown although the host that ran it has
+	// kept the answer, and against one that replaces anything but "unknown".
+	It("learns the answer of an unknown request, and nothing else", func() {
+		home := newHome()
+		for suffix, kind := range map[string]outcome.Kind{"a": outcome.Answered, "u": outcome.Unknown, "n": outcome.NotRun} {
+			id := request(home, suffix)
+			home.Begin(start, id, 1, 0)
+			Expect(home.Learn(id, 1, outcome.OK(), "other")).To(BeFalse(), "it runs")
+			home.Finish(start, id, outcome.Outcome{Kind: kind}, "own")
+			Expect(home.Learn(id, 2, outcome.OK(), "other")).To(BeFalse(), "another body")
+			Expect(home.Learn(id, 1, outcome.OK(), "other")).To(Equal(kind == outcome.Unknown))
+		}
+		d := home.Begin(start, request(home, "u"), 1, 0)
+		Expect(d.Outcome).To(Equal(outcome.OK()))
+		Expect(d.Answer).To(Equal("other"))
+	})
+
 	// Guards against a forged ticket that would hold a record for ever.
 	It("refuses a ticket that it cannot have issued", func() {
 		home := newHome()
@@ -78,8 +95,9 @@
 })
 
 // Guards against a second run over any order of resends, results and clock
-// steps, against "not run" for a request that ran, and against a run after "not
-// run" by a send from before it, which does not confirm.
+// steps, against "not run" for a request that ran, against a run after "not
+// run" by a send from before it, which does not confirm, and against an answer
+// learned from another host that is lost or lets the request run.
 func TestAtMostOnceRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		if fault := drawRuns(t, false); fault != "" {
@@ -104,7 +122,7 @@
 func drawRuns(t *rapid.T, naive bool) string {
 	home, now := newHome(), start
 	latest := start
-	running, ran, refusedAt := map[string]bool{}, map[string]bool{}, map[string]time.Time{}
+	running, ran, learned, refusedAt := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]time.Time{}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		now = now.Add(time.Duration(rapid.IntRange(-60, 60).Draw(t, "seconds")) * time.Second)
 		if now.After(latest) {
@@ -120,6 +138,9 @@
 				refusedAt[key] = latest
 			}
 			home.Finish(now, id, outcome.Outcome{Kind: kind}, "")
+			if rapid.Bool().Draw(t, "kept elsewhere") {
+				learned[key] = home.Learn(id, 1, outcome.OK(), "")
+			}
 			continue
 		}
 		at, refused := refusedAt[key]
@@ -137,6 +158,8 @@
 		case d.Action == atmostonce.Run:
 			running[key] = true
 			delete(refusedAt, key) // whoever sent it waits for this run
+		case learned[key] && d.Action == atmostonce.Replay && d.Outcome.Kind != outcome.Answered:
+			return key + " has lost the answer that it learned"
 		case d.Outcome.RanNothing() && (running[key] || ran[key]):
 			return key + " is refused as not run although it ran"
 		case d.Outcome.RanNothing() && latest.Before(id.Ticket.Expiry):
