Do not refuse as "not run" a resend whose earlier send may have run

Cause: the rate limit of a caller, the checks of headers and body and the check of the service answer before the home of a command is asked. A caller whose first send ran without an answer in time and whose resend met one of them was told "not run", and could send the request under a new ticket: a second invoice.

Change: such a refusal of a request with a ticket goes through the registry of this host if it is the home (Registry.Refuse). It stays "not run" if no send has run, and is marked, so that a late first send needs a confirmation; otherwise, and on any host that is not the home, it is "unknown".

--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -16,6 +16,10 @@
 type Services interface {
 	// Service returns the kind and the settings of a service.
 	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
+	// Refused returns what may be said of a request that is refused as "not
+	// run" before it reaches the service. An earlier send of a request that may
+	// not be repeated may have run, which makes the outcome unknown.
+	Refused(requestID string, o outcome.Outcome) outcome.Outcome
 }
 
 // Body is the body of a request to a service.
@@ -36,7 +40,8 @@
 	service = mux.Vars(r)["service"]
 	kind, policy, known := services.Service(service)
 	if !known {
-		WriteJSON(w, http.StatusNotFound, Error{Outcome: outcome.NotRun, Reason: outcome.Invalid, Message: "service " + service + " does not exist"})
+		o := services.Refused(r.Header.Get(HeaderRequestID), outcome.Refused(outcome.Invalid, "service %s does not exist", service))
+		WriteJSON(w, http.StatusNotFound, Error{Outcome: o.Kind, Reason: o.Reason, Message: o.Message})
 		return service, meta, false
 	}
 	meta, err := readRequest(r, policy, body)
@@ -44,7 +49,7 @@
 		err = fmt.Errorf("service %s is a %s service, it does not %s", service, kind, method.Does)
 	}
 	if err != nil {
-		WriteOutcome(w, outcome.Refused(outcome.Invalid, "%v", err))
+		WriteOutcome(w, services.Refused(r.Header.Get(HeaderRequestID), outcome.Refused(outcome.Invalid, "%v", err)))
 		return service, meta, false
 	}
 	return service, meta, true
--- a/internal/api/limits.go
+++ b/internal/api/limits.go
@@ -22,6 +22,7 @@
 // RateLimit refuses requests of a caller address above a rate.
 type RateLimit struct {
 	limit   func() int // requests a second, 0 for no limit
+	outcome func(requestID string, o outcome.Outcome) outcome.Outcome
 	refused atomic.Int64
 
 	mu      sync.Mutex
@@ -30,9 +31,10 @@
 }
 
 // NewRateLimit returns a limit whose rate is read at each request, so that it
-// follows the configuration.
-func NewRateLimit(limit func() int) *RateLimit {
-	return &RateLimit{limit: limit, callers: map[string]*rate.Limiter{}}
+// follows the configuration. refused returns what may be said of a refused
+// request, see Services.
+func NewRateLimit(limit func() int, refused func(requestID string, o outcome.Outcome) outcome.Outcome) *RateLimit {
+	return &RateLimit{limit: limit, outcome: refused, callers: map[string]*rate.Limiter{}}
 }
 
 // Refused returns the number of requests refused so far.
@@ -45,7 +47,7 @@
 			l.refused.Add(1)
 			o := outcome.Refused(outcome.Overload, "caller exceeds %d requests a second", l.limit())
 			o.RetryAfter = time.Second
-			WriteOutcome(w, o)
+			WriteOutcome(w, l.outcome(r.Header.Get(HeaderRequestID), o))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/api/queries/queries.go
+++ b/internal/api/queries/queries.go
@@ -1,5 +1,6 @@
-// Package queries serves the requests of callers that only ask: search, the
-// lookup of services that allow repeats, and the addresses to use.
+// Package queries serves the requests of callers that only ask: searches and
+// the addresses to use. Lookups are in package commands, whichever service they
+// are for.
 package queries
 
 import (
--- a/internal/api/queries/queries_test.go
+++ b/internal/api/queries/queries_test.go
@@ -34,6 +34,8 @@
 	return kinds[name], &policy, kinds[name] != ""
 }
 
+func (b *backend) Refused(_ string, o outcome.Outcome) outcome.Outcome { return o }
+
 func request(path, body string, header ...string) *http.Request {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	for i := 0; i+1 < len(header); i += 2 {
@@ -76,7 +78,7 @@
 var _ = Describe("RateLimit", func() {
 	// Guards against one caller address that takes the whole host.
 	It("refuses one address above its rate and no other", func() {
-		limited := api.NewRateLimit(func() int { return 2 }).Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
+		limited := api.NewRateLimit(func() int { return 2 }, new(backend).Refused).Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
 		status := func(remote string) int {
 			r := httptest.NewRequest(http.MethodGet, "/v1/entries", nil)
 			r.RemoteAddr = remote
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -126,6 +126,20 @@
 	return silent
 }
 
+// Refused returns what may be said of a request that this host refuses before
+// it looks at the service. Only the home of a ticket knows whether an earlier
+// send ran; asking another host would cost more than the refusal saves.
+func (e *entry) Refused(requestID string, o outcome.Outcome) outcome.Outcome {
+	id, err := atmostonce.ParseID(requestID)
+	switch {
+	case err != nil:
+		return o // without a ticket it is no request that may not be repeated
+	case id.Ticket.Host != e.self.Name:
+		return o.Doubted("only host " + id.Ticket.Host + " knows whether an earlier send of the request ran")
+	}
+	return e.home.refuse(id, o)
+}
+
 // byName returns a listed host. A leaving host still runs its commands.
 func (d *directory) byName(name string) (platform.Host, bool) {
 	for _, host := range d.hosts().list.Hosts {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,6 @@
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), wired: make(chan struct{}), aborted: make(chan struct{}),
 		leaving: make(chan struct{})}
 	d.config = newConfig(opts.Process, d.log)
-	d.limit = api.NewRateLimit(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit })
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	guard := newGuard(opts.Process, d.config, d.directory)
@@ -128,6 +127,7 @@
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
+	d.limit = api.NewRateLimit(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit }, d.entry.Refused)
 	d.entry.peerState, d.entry.incarnation, d.entry.lost = d.control.peerState, d.control.incarnation, d.transport.Lost
 	close(d.wired)
 	return d, nil
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -132,6 +132,13 @@
 	return reply
 }
 
+// refuse returns the outcome of a request that this host refuses by itself.
+func (h *home) refuse(id atmostonce.ID, o outcome.Outcome) outcome.Outcome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registry.Refuse(time.Now(), id, o)
+}
+
 func gaveUpCommand() wire.CommandReply {
 	return wire.CommandReply{Outcome: outcome.Uncertain(outcome.Canceled, "the sender gave up")}
 }
--- a/internal/daemon/latesend_test.go
+++ b/internal/daemon/latesend_test.go
@@ -57,6 +57,37 @@
 		Entry("naive", true, NodeTimeout(time.Minute)),
 	)
 
+	// Guards against "not run" for a request that ran, because a resend is refused
+	// by its host before the home is asked: above the caller's rate, with a
+	// deadline in the past or with a faulty body.
+	It("holds for a resend that a host refuses by itself", func(ctx context.Context) {
+		t := startTier(ctx, []string{commandService}, func(*settings.Document) {})
+		home, other := t.hosts[0], t.hosts[1]
+		var ticket api.TicketResponse
+		Expect(t.post(ctx, home, "/v1/tickets", "", 0, nil, &ticket)).To(Equal(outcome.OK()))
+		send := func(host *fleet.Host, suffix string, deadline time.Duration, body any) outcome.Outcome {
+			return t.post(ctx, host, commandPath, ticket.TicketPrefix+suffix, deadline, body, new(api.LookupResponse))
+		}
+		const past = time.Nanosecond // is sent as 0 ms
+		Expect(send(home, "ran", longDeadline, body)).To(Equal(outcome.OK()))
+		for _, host := range []*fleet.Host{home, other} {
+			Expect(send(host, "ran", past, body).Kind).To(Equal(outcome.Unknown))
+			Expect(send(host, "ran", longDeadline, "no lookup").Kind).To(Equal(outcome.Unknown))
+		}
+		Expect(send(home, "new", past, body).Kind).To(Equal(outcome.NotRun), "the home knows that it did not run")
+
+		Expect(t.PublishConfig(func(d *settings.Document) { d.Fleet.Settings["caller_rate_limit"] = raw("1") })).To(Succeed())
+		for _, host := range []*fleet.Host{home, other} {
+			refused := outcome.OK()
+			Eventually(func() outcome.Reason {
+				refused = send(host, "ran", longDeadline, body)
+				return refused.Reason
+			}, "20s", "10ms").Should(Equal(outcome.Overload))
+			Expect(refused.Kind).To(Equal(outcome.Unknown), "%v", refused)
+		}
+		Expect(t.runs()[ticket.TicketPrefix+"ran"]).To(Equal(1))
+	}, NodeTimeout(time.Minute))
+
 	// Guards against a first send that is still on its way between two hosts when
 	// a resend through another host is refused, and runs after the refusal.
 	It("holds for a first send that arrives after the refusal of a resend", func(ctx context.Context) {
--- a/internal/telemetry/instrument.go
+++ b/internal/telemetry/instrument.go
@@ -6,7 +6,6 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
-	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
@@ -16,7 +15,7 @@
 type Entry interface {
 	Search(ctx context.Context, service string, meta api.Meta, req *api.SearchRequest) (*api.SearchResponse, outcome.Outcome)
 	Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome)
-	Service(name string) (settings.ServiceKind, *settings.Policy, bool)
+	api.Services
 	Entries() api.EntriesResponse
 	Ticket() api.TicketResponse
 }
--- a/pkg/atmostonce/registry.go
+++ b/pkg/atmostonce/registry.go
@@ -85,9 +85,8 @@
 func (r *Registry[A]) Begin(now time.Time, id ID, digest, confirmed uint64) Decision[A] {
 	now = r.advance(now)
 	r.forget(now)
-	if id.Ticket.Host != r.host || id.Ticket.Incarnation != r.incarnation {
-		return refuse[A](outcome.Uncertain(outcome.Unavailable,
-			"the ticket names incarnation %d of host %s, this is incarnation %d of %s", id.Ticket.Incarnation, id.Ticket.Host, r.incarnation, r.host))
+	if o, foreign := r.foreign(id); foreign {
+		return refuse[A](o)
 	}
 	key := id.String()
 	rec, ok := r.records[key]
@@ -111,6 +110,38 @@
 	return Decision[A]{Action: Run}
 }
 
+// Refuse returns the outcome of a request that the host refuses for a reason of
+// its own before Begin: o, which is "not run", unless an earlier send may have
+// run. A later send then runs only if its sender confirms, as after Finish.
+func (r *Registry[A]) Refuse(now time.Time, id ID, o outcome.Outcome) outcome.Outcome {
+	now = r.advance(now)
+	r.forget(now)
+	if unknown, foreign := r.foreign(id); foreign {
+		return unknown
+	}
+	key := id.String()
+	rec, ok := r.records[key]
+	if ok && rec.refused == 0 {
+		return o.Doubted("an earlier send of the request may have run")
+	}
+	if refusal, refused := r.checkNew(now, id.Ticket.Expiry, ok); refused {
+		return refusal
+	}
+	rec = &record[A]{id: key}
+	r.records[key] = rec
+	r.mark(now, rec)
+	return o
+}
+
+// foreign refuses a ticket that names another host or incarnation.
+func (r *Registry[A]) foreign(id ID) (outcome.Outcome, bool) {
+	if id.Ticket.Host == r.host && id.Ticket.Incarnation == r.incarnation {
+		return outcome.Outcome{}, false
+	}
+	return outcome.Uncertain(outcome.Unavailable, "the ticket names incarnation %d of host %s, this is incarnation %d of %s",
+		id.Ticket.Incarnation, id.Ticket.Host, r.incarnation, r.host), true
+}
+
 // checkNew refuses a request without a record that may not run.
 func (r *Registry[A]) checkNew(now, expiry time.Time, marked bool) (outcome.Outcome, bool) {
 	switch {
@@ -142,13 +173,7 @@
 	}
 	rec.running = false
 	if o.RanNothing() {
-		r.refusals++
-		rec.refused = r.refusals
-		// No send of it that came before is on its way for longer.
-		rec.forgetAt = now.Add(r.limits.LongestDeadline)
-		if r.marks = append(r.marks, rec); len(r.marks) > 2*r.limits.Records {
-			r.dropMark()
-		}
+		r.mark(now, rec)
 		return true
 	}
 	rec.outcome, rec.answer = o, answer
@@ -167,6 +192,17 @@
 	return true
 }
 
+// mark turns a record into the mark of a refused request.
+func (r *Registry[A]) mark(now time.Time, rec *record[A]) {
+	r.refusals++
+	rec.refused = r.refusals
+	// No send of it that came before is on its way for longer.
+	rec.forgetAt = now.Add(r.limits.LongestDeadline)
+	if r.marks = append(r.marks, rec); len(r.marks) > 2*r.limits.Records {
+		r.dropMark()
+	}
+}
+
 // Len returns the number of records.
 func (r *Registry[A]) Len() int { return len(r.records) }
 
--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -143,6 +143,15 @@
 			}
 			continue
 		}
+		if rapid.IntRange(0, 9).Draw(t, "refuse") == 0 {
+			if home.Refuse(now, id, outcome.Refused(outcome.Overload, "rate")).RanNothing() {
+				if running[key] || ran[key] {
+					return key + " is refused as not run although it ran"
+				}
+				refusedAt[key] = latest
+			}
+			continue
+		}
 		at, refused := refusedAt[key]
 		late := refused && latest.Before(at.Add(limits.LongestDeadline)) && rapid.Bool().Draw(t, "late")
 		d := home.Begin(now, id, 1, 0)
