Name file, field and reason in each message of the command line

check printed all faults of a document on one line, with paths in two forms (groups.0 and groups[0]) and syntax errors without a position. status and query looked host names up; a wrong log level, limit, deadline, priority or trace identifier was ignored, or refused only by a host with exit status 1.

Faults are now one per line with file, path and reason; syntax errors have line and column; values of flags are checked before anything is sent, with exit status 2. check of a document with 77 faults: 1 line before, 78 after.

--- a/cmd/lacewingyard/bench.go
+++ b/cmd/lacewingyard/bench.go
@@ -21,11 +21,12 @@
 
 // benchFlags are the flags of the bench command.
 type benchFlags struct {
-	dir, casesDir, caseName, caseFile, reportDir, logLevel, cpuProfile string
+	dir, casesDir, caseName, caseFile, reportDir, cpuProfile string
 
 	policies []string
 	seeds    int
 	format   *output
+	logLevel *logLevel
 	opts     bench.Options // of every run, without policy
 }
 
@@ -58,7 +59,7 @@
 	flags.Float64Var(&f.opts.Seconds, "seconds", 0, "measured time of a run; 0 takes the case's")
 	flags.Float64Var(&f.opts.Rate, "rate", 0, "queries/s over all services; 0 takes the case's load")
 	flags.StringVar(&f.reportDir, "report", "", "directory for an HTML page with plots; with several seeds, one directory inside it for each")
-	flags.StringVar(&f.logLevel, "log-level", "error", "log level of the hosts")
+	f.logLevel = logLevelFlag(cmd, "error")
 	flags.StringVar(&f.cpuProfile, "cpuprofile", "", "file for a processor profile of all runs")
 	f.format = outputFlag(cmd)
 	f.format.jsonAlias(cmd)
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(f.logLevel), Output: os.Stderr})
+	f.opts.Logger = hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*f.logLevel)), Output: os.Stderr})
 	return fleet.Load(f.dir)
 }
 
--- a/cmd/lacewingyard/check.go
+++ b/cmd/lacewingyard/check.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
@@ -21,7 +23,8 @@
 		Use:     "check FILE",
 		GroupID: "queries",
 		Short:   "Check a configuration document",
-		Long:    "Check a configuration document and list every fault with its path.",
+		Long: "Check a configuration document. Every fault goes to standard error on a line of\n" +
+			"its own, with the file and the path of the field; the exit status is then 2.",
 		Example: "  lacewingyard check examples/riga/config.json",
 		Args:    cobra.ExactArgs(1),
 	}
@@ -29,7 +32,7 @@
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		tree, err := settings.LoadDocument(args[0])
 		if err != nil {
-			return usageError{err}
+			return usageError{onePerLine(args[0], err)}
 		}
 		report := checkReport{Version: tree.Doc.Version, Places: len(tree.Doc.Places), Services: len(tree.Doc.Services)}
 		tree.Targets(func(*settings.TargetInfo) { report.Targets++ })
@@ -39,3 +42,17 @@
 	}
 	return cmd
 }
+
+// onePerLine returns an error whose text has a line for each fault of a file.
+func onePerLine(file string, err error) error {
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s is refused, faults: %d", file, len(invalid.Faults))
+	for _, fault := range invalid.Faults {
+		fmt.Fprintf(&text, "\n%s: %s", file, fault)
+	}
+	return errors.New(text.String())
+}
--- a/cmd/lacewingyard/client.go
+++ b/cmd/lacewingyard/client.go
@@ -5,16 +5,24 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/spf13/cobra"
 )
 
+// clientTimeout is above every deadline that a host accepts for a query of an
+// operator, except where deadline_max is set above it.
 const clientTimeout = 30 * time.Second
 
 // call sends a request to a host and decodes the answer. An error answer
 // becomes an error with its outcome and message.
 func call(ctx context.Context, method, address, path string, header http.Header, body io.Reader, answer any) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return usageError{fmt.Errorf("%q is not an IP address with a port, such as 127.0.0.1:8080", address)}
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
 	if err != nil {
 		return usageError{err}
@@ -32,3 +40,15 @@
 	}
 	return nil
 }
+
+// setDeadline sets the header for a --deadline flag that was given.
+func setDeadline(cmd *cobra.Command, header http.Header, deadline time.Duration) error {
+	if deadline == 0 && !cmd.Flags().Changed("deadline") {
+		return nil
+	}
+	if deadline < time.Millisecond {
+		return fmt.Errorf("--deadline must be at least 1ms, not %s", deadline)
+	}
+	header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	return nil
+}
--- a/cmd/lacewingyard/demo.go
+++ b/cmd/lacewingyard/demo.go
@@ -40,7 +40,7 @@
 }
 
 func newDemo() *cobra.Command {
-	var dir, logLevel string
+	var dir string
 	var queries int
 	hold := demo.Hold{Output: os.Stderr}
 	cmd := &cobra.Command{
@@ -61,6 +61,7 @@
 	}
 	format := outputFlag(cmd)
 	format.jsonAlias(cmd)
+	level := logLevelFlag(cmd, "warn")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		if queries < 1 {
 			return usageError{fmt.Errorf("--queries must be at least 1, not %d", queries)}
@@ -68,13 +69,16 @@
 		if hold.For < 0 || hold.For > maxHold || hold.Rate < 0 || hold.Rate > maxHoldRate {
 			return usageError{fmt.Errorf("--for must be 0 to %s and --rate 0 to %d", maxHold, maxHoldRate)}
 		}
+		if hold.Dir != "" && hold.For == 0 {
+			return usageError{fmt.Errorf("--dir has no effect without --for")}
+		}
 		deployment, err := fleet.Load(dir)
 		if err != nil {
 			return usageError{err}
 		}
 		opts := demo.Options{
 			Queries: queries, Limit: demoLimit, HTTP: http.DefaultClient,
-			Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(logLevel), Output: os.Stderr}),
+			Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*level)), Output: os.Stderr}),
 			Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
 		}
 		opts.Then = func(ctx context.Context, f *fleet.Fleet, report *demo.Report) error {
@@ -103,7 +107,6 @@
 	flags.DurationVar(&hold.For, "for", 0, "time for which the deployment goes on running")
 	flags.StringVar(&hold.Dir, "dir", "", "directory for the files of a deployment that goes on; empty for a new temporary one")
 	flags.Float64Var(&hold.Rate, "rate", 20, "searches/s over all search services while the deployment goes on; 0 for none")
-	flags.StringVar(&logLevel, "log-level", "warn", "log level of the hosts")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
--- a/cmd/lacewingyard/explain.go
+++ b/cmd/lacewingyard/explain.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -15,6 +17,8 @@
 		Use:     "explain",
 		GroupID: "queries",
 		Short:   "Show where each effective setting comes from",
+		Long: "Show for one service in one place the effective value of each setting, the level\n" +
+			"that gave it and the values of other levels that it overruled.",
 		Example: "  lacewingyard explain --config examples/riga/config.json --place riga-a --service order-desk",
 		Args:    cobra.NoArgs,
 	}
@@ -25,10 +29,10 @@
 			return usageError{err}
 		}
 		if _, ok := tree.Doc.Places[place]; !ok {
-			return usageError{fmt.Errorf("place %q does not exist", place)}
+			return usageError{fmt.Errorf("%s: no place %q, the places are %s", file, place, names(tree.Doc.Places))}
 		}
 		if _, ok := tree.Doc.Services[service]; !ok {
-			return usageError{fmt.Errorf("service %q does not exist", service)}
+			return usageError{fmt.Errorf("%s: no service %q, the services are %s", file, service, names(tree.Doc.Services))}
 		}
 		explained := tree.Explain(place, service)
 		return format.print(cmd.OutOrStdout(), explained, func(w io.Writer) {
@@ -50,3 +54,6 @@
 	}
 	return cmd
 }
+
+// names lists the keys of a map in order.
+func names[V any](m map[string]V) string { return strings.Join(slices.Sorted(maps.Keys(m)), ", ") }
--- a/cmd/lacewingyard/lookup.go
+++ b/cmd/lacewingyard/lookup.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,6 +28,14 @@
 	}
 	format := outputFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		req := api.LookupRequest{ID: id}
+		if err := req.Check(); err != nil {
+			return usageError{err}
+		}
+		header := http.Header{}
+		if err := setDeadline(cmd, header, deadline); err != nil {
+			return usageError{err}
+		}
 		if requestID == "" {
 			var ticket api.TicketResponse
 			if err := call(cmd.Context(), http.MethodPost, entry, "/v1/tickets", nil, nil, &ticket); err != nil {
@@ -37,18 +44,14 @@
 			requestID = ticket.TicketPrefix + uuid.NewString()
 		}
 		fmt.Fprintln(cmd.ErrOrStderr(), "request-id:", requestID)
-		body, err := json.Marshal(api.LookupRequest{ID: id})
+		body, err := json.Marshal(req)
 		if err != nil {
 			return err
 		}
-		header := http.Header{}
 		header.Set(api.HeaderRequestID, requestID)
 		if traced {
 			traceRequest(cmd, header)
 		}
-		if deadline > 0 {
-			header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
-		}
 		var answer api.LookupResponse
 		if err := call(cmd.Context(), http.MethodPost, entry, "/v1/services/"+service+"/lookup", header, bytes.NewReader(body), &answer); err != nil {
 			return err
--- a/cmd/lacewingyard/output.go
+++ b/cmd/lacewingyard/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 
@@ -52,3 +53,23 @@
 	rows(table)
 	return table.Flush()
 }
+
+// logLevel is the value of a --log-level flag.
+type logLevel string
+
+func (l *logLevel) String() string { return string(*l) }
+func (l *logLevel) Type() string   { return "debug|info|warn|error" }
+func (l *logLevel) Set(text string) error {
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, text) {
+		return fmt.Errorf("%q is not debug, info, warn or error", text)
+	}
+	*l = logLevel(text)
+	return nil
+}
+
+// logLevelFlag adds the --log-level flag of the hosts that a command starts.
+func logLevelFlag(cmd *cobra.Command, level string) *logLevel {
+	l := logLevel(level)
+	cmd.Flags().Var(&l, "log-level", "log level of the hosts")
+	return &l
+}
--- a/cmd/lacewingyard/query.go
+++ b/cmd/lacewingyard/query.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
 )
 
@@ -24,25 +24,36 @@
 		Use:     "query",
 		GroupID: "queries",
 		Short:   "Search a service and show the answer with its coverage",
+		Long: "Search a service for records that hold all of the given words. The answer states\n" +
+			"the coverage, the fraction of the key space that was searched, the one snapshot of\n" +
+			"all records, and for each shard group that is missing the reason. A partial answer\n" +
+			"is an answer: the exit status is 0.",
 		Example: "  lacewingyard query --entry 127.0.0.1:8080 --service tagdesk --term red --term wheel",
 		Args:    cobra.NoArgs,
 	}
 	format := outputFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		body, err := json.Marshal(api.SearchRequest{Terms: terms, Limit: limit, MinCoverage: minCoverage})
+		req := api.SearchRequest{Terms: terms, Limit: limit, MinCoverage: minCoverage}
+		if err := req.Check(); err != nil {
+			return usageError{err}
+		}
+		body, err := json.Marshal(req)
 		if err != nil {
 			return err
 		}
 		header := http.Header{}
-		if traced {
-			traceRequest(cmd, header)
-		}
-		if deadline > 0 {
-			header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+		if err := setDeadline(cmd, header, deadline); err != nil {
+			return usageError{err}
 		}
 		if priority != "" {
+			if _, err := settings.ParsePriority(priority); err != nil {
+				return usageError{err}
+			}
 			header.Set(api.HeaderPriority, priority)
 		}
+		if traced {
+			traceRequest(cmd, header)
+		}
 		var answer api.SearchResponse
 		if err := call(cmd.Context(), http.MethodPost, entry, "/v1/services/"+service+"/search", header, bytes.NewReader(body), &answer); err != nil {
 			return err
--- a/cmd/lacewingyard/trace.go
+++ b/cmd/lacewingyard/trace.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -15,6 +16,8 @@
 	"github.com/spf13/cobra"
 )
 
+var traceID = regexp.MustCompile("^[0-9a-f]{32}$")
+
 // newTraceparent starts a trace that every host samples. The parent span is
 // this command and is written nowhere.
 func newTraceparent() (header, trace string) {
@@ -48,6 +51,9 @@
 	}
 	format := outputFlag(cmd)
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if !traceID.MatchString(args[0]) {
+			return usageError{fmt.Errorf("%q is not the identifier of a trace, 32 hexadecimal digits", args[0])}
+		}
 		var spans []*telemetry.Span
 		for _, name := range files {
 			file, err := os.Open(name)
@@ -62,7 +68,7 @@
 			spans = append(spans, read...)
 		}
 		if len(spans) == 0 {
-			return fmt.Errorf("no span of trace %s is written yet", args[0])
+			return fmt.Errorf("%s: no span of trace %s; hosts write spans every 5 s", strings.Join(files, ", "), args[0])
 		}
 		slices.SortStableFunc(spans, func(a, b *telemetry.Span) int { return a.Start.Compare(b.Start) })
 		return format.print(cmd.OutOrStdout(), spans, func(w io.Writer) { printTrace(w, spans) })
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -44,6 +45,10 @@
 func decodeStrict(data []byte, schema string, out any) error {
 	var found faults
 	value, err := readValue(data)
+	var syntax *syntaxError
+	if errors.As(err, &syntax) {
+		err = syntax.locate(data)
+	}
 	if err != nil {
 		found.addf("", "%v", err)
 		return found.err()
@@ -70,14 +75,64 @@
 		}
 		return
 	}
-	path := strings.Join(e.InstanceLocation, ".")
-	if extra, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
-		for _, name := range extra.Properties {
+	path := jsonPath(e.InstanceLocation)
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
 			found.addf(strings.TrimPrefix(path+"."+name, "."), "unknown field")
 		}
-		return
+	case *kind.Required:
+		for _, name := range k.Missing {
+			found.addf(strings.TrimPrefix(path+"."+name, "."), "is missing")
+		}
+	case *kind.Minimum:
+		found.addf(path, "%s is below %s", k.Got.RatString(), k.Want.RatString())
+	case *kind.Maximum:
+		found.addf(path, "%s is above %s", k.Got.RatString(), k.Want.RatString())
+	default:
+		found.addf(path, "%s", k.LocalizedString(message.NewPrinter(language.English)))
 	}
-	found.addf(path, "%s", e.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+}
+
+// jsonPath joins the elements of a path; elements of arrays are written "[0]".
+func jsonPath(elements []string) string {
+	var path strings.Builder
+	for _, e := range elements {
+		if _, err := strconv.ParseUint(e, 10, 31); err == nil {
+			path.WriteString("[" + e + "]")
+			continue
+		}
+		if path.Len() > 0 {
+			path.WriteByte('.')
+		}
+		path.WriteString(e)
+	}
+	return path.String()
+}
+
+// syntaxError is an error of the JSON decoder, which does not say where.
+type syntaxError struct{ error }
+
+func (e *syntaxError) Unwrap() error { return e.error }
+
+// locate adds the line and column, both from 1, to the error.
+func (e *syntaxError) locate(data []byte) error {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return errors.New("not valid JSON: it is empty")
+	}
+	at := len(data) // the decoder reports no offset if the data end too early
+	var syntax *json.SyntaxError
+	if errors.As(e.error, &syntax) {
+		at = min(max(int(syntax.Offset), 0), len(data))
+	}
+	before := data[:at]
+	line := 1 + bytes.Count(before, []byte{'\n'})
+	column := at - (bytes.LastIndexByte(before, '\n') + 1) + 1
+	problem := e.Error()
+	if syntax == nil {
+		problem = "it ends too early"
+	}
+	return fmt.Errorf("not valid JSON at line %d, column %d: %s", line, column, problem)
 }
 
 // duplicateKeyError says that an object names a key twice.
@@ -117,7 +172,7 @@
 func walkValue(dec *json.Decoder) (any, error) {
 	token, err := dec.Token()
 	if err != nil {
-		return nil, fmt.Errorf("not valid JSON: %w", err)
+		return nil, &syntaxError{err}
 	}
 	switch token {
 	case json.Delim('{'):
@@ -137,8 +192,10 @@
 		}
 		array = append(array, value)
 	}
-	_, err := dec.Token()
-	return array, err
+	if _, err := dec.Token(); err != nil {
+		return nil, &syntaxError{err}
+	}
+	return array, nil
 }
 
 func walkObject(dec *json.Decoder) (map[string]any, error) {
@@ -146,7 +203,7 @@
 	for dec.More() {
 		token, err := dec.Token()
 		if err != nil {
-			return nil, fmt.Errorf("not valid JSON: %w", err)
+			return nil, &syntaxError{err}
 		}
 		key, _ := token.(string)
 		if _, ok := object[key]; ok {
@@ -156,6 +213,8 @@
 			return nil, inside(key, err)
 		}
 	}
-	_, err := dec.Token()
-	return object, err
+	if _, err := dec.Token(); err != nil {
+		return nil, &syntaxError{err}
+	}
+	return object, nil
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -48,7 +48,13 @@
 		Entry("key set twice", `"version": 1`, `"version": 1, "version": 2`, "version: set twice"),
 		Entry("key set twice in a list", `"slots": 4`, `"slots": 4, "slots": 5`, "services.tags.groups[0].targets[0].slots: set twice"),
 		Entry("trailing data", `"version": 1`, `"version": 1}{"version": 1`, "data after the JSON document"),
-		Entry("not JSON", `{"version"`, `{version`, "not valid JSON"),
+		Entry("not JSON", `{"version"`, `{version`, "not valid JSON at line 1, column 2:"),
+		Entry("comma too many", `"hosts": 2,`, `"hosts": 2,,`, "not valid JSON at line 3, column "),
+		Entry("document cut off", `]}]}}}`, `]}]}}`, "it ends too early"),
+		Entry("missing field", `"designated_level": "place",`, ``, "designated_level: is missing"),
+		Entry("missing field of a target", `"slots": 4, `, ``, "services.tags.groups[0].targets[0].slots: is missing"),
+		Entry("value below the range", `"slots": 4`, `"slots": -4`, "services.tags.groups[0].targets[0].slots: -4 is below 1"),
+		Entry("value above the range", `"hosts": 2`, `"hosts": 99999`, "places.north.hosts: 99999 is above "),
 		Entry("version zero", `"version": 1`, `"version": 0`, "version"),
 	)
 
