Answer unknown paths in the form of all errors, and keep the names of demo hosts

A wrong listener was answered with a plain 404 that a caller cannot decode and that does not say what is wrong; it now names the path and the listener. The places of a fleet were started in the order of a map, so that host names, which have a running number, differed from run to run and the commands of the walkthrough failed when copied (boston-hall-1-1 was boston-hall-1-6). status prints a dash for service times that are not known yet, not 0.0.

--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -16,6 +16,9 @@
 		Use:     "status",
 		GroupID: "queries",
 		Short:   "Show the state of one host and what it knows of the others",
+		Long: "Show the state of one host: its phase, the configuration in force, places, services\n" +
+			"with the coverage of the last minute, the other hosts by their last message, and the\n" +
+			"targets that it owns. docs/operators/observing.md explains each column.",
 		Example: "  lacewingyard status --operators 127.0.0.1:8070",
 		Args:    cobra.NoArgs,
 	}
@@ -72,7 +75,7 @@
 		if t.Suspect {
 			state += ", suspect"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%.1f\t%.1f\n", t.Target, t.Service, t.Rank, state, t.InUse, t.Slots, t.Queue, t.ServiceMS, t.UsualMS)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%s\t%s\n", t.Target, t.Service, t.Rank, state, t.InUse, t.Slots, t.Queue, estimate(t.ServiceMS), estimate(t.UsualMS))
 	}
 	if len(s.Quarantined) > 0 {
 		fmt.Fprintln(w, "\nQUERY\tSTATE\tREFUSED FOR s\tTARGETS THAT DIED")
@@ -81,3 +84,12 @@
 		fmt.Fprintf(w, "%s\t%s\t%.0f\t%s\n", q.Fingerprint, q.State, q.LeftSeconds, strings.Join(q.Targets, " "))
 	}
 }
+
+// estimate formats an estimate in milliseconds; 0 stands for one that is not
+// known yet.
+func estimate(ms float64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", ms)
+}
--- a/internal/api/queries/queries_test.go
+++ b/internal/api/queries/queries_test.go
@@ -49,6 +49,7 @@
 		b := &backend{}
 		router := mux.NewRouter()
 		queries.Register(router, b)
+		api.AnswerUnrouted(router, "callers")
 		w := httptest.NewRecorder()
 		router.ServeHTTP(w, r)
 		Expect(w.Code).To(Equal(status))
@@ -59,6 +60,8 @@
 		Expect(e.Message).To(ContainSubstring(message))
 		Expect(b.searches).To(BeZero())
 	},
+	Entry("unknown path", request("/status", `{}`), 404, "POST /status does not exist on the listener for callers"),
+	Entry("wrong method", httptest.NewRequest(http.MethodGet, "/v1/services/tags/search", nil), 405, "GET /v1/services/tags/search is not the method"),
 	Entry("unknown service", request("/v1/services/nope/search", `{"terms":["a"]}`), 404, "service nope does not exist"),
 	Entry("service of another kind", request("/v1/services/renewals/search", `{"terms":["a"]}`), 400, "does not search"),
 	Entry("not JSON", request("/v1/services/tags/search", `terms`), 400, "body is not the expected JSON"),
--- /dev/null
+++ b/internal/api/unrouted.go
@@ -0,0 +1,25 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+)
+
+// AnswerUnrouted answers paths and methods that a router does not know in the
+// form of all errors, with status 404 or 405. listener names who the router is
+// for, because its address is easily taken for that of the other listener.
+func AnswerUnrouted(router *mux.Router, listener string) {
+	refuse := func(status int, problem string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			WriteJSON(w, status, Error{
+				Outcome: outcome.NotRun, Reason: outcome.Invalid,
+				Message: fmt.Sprintf("%s %s %s on the listener for %s", r.Method, r.URL.Path, problem, listener),
+			})
+		})
+	}
+	router.NotFoundHandler = refuse(http.StatusNotFound, "does not exist")
+	router.MethodNotAllowedHandler = refuse(http.StatusMethodNotAllowed, "is not the method of this path")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,6 +182,7 @@
 	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
 	queries.Register(router, entry)
 	commands.Register(router, entry)
+	api.AnswerUnrouted(router, "callers")
 	return d.limit.Wrap(router)
 }
 
@@ -191,6 +192,7 @@
 	router.Handle("/metrics", d.opts.Metrics.Handler())
 	router.HandleFunc("/status", d.serveStatus).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", d.serveDrain).Methods(http.MethodPost)
+	api.AnswerUnrouted(router, "operators")
 	return router
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"path/filepath"
 	"slices"
@@ -172,8 +173,10 @@
 }
 
 func (f *Fleet) startHosts(ctx context.Context) error {
-	for place, p := range f.document.Places {
-		for ordinal := range p.Hosts {
+	// In order of name, so that the names of the hosts, which have a running
+	// number, are the same in each run.
+	for _, place := range slices.Sorted(maps.Keys(f.document.Places)) {
+		for ordinal := range f.document.Places[place].Hosts {
 			if _, err := f.AddHost(ctx, place, ordinal); err != nil {
 				return err
 			}
