--- a/cmd/lacewingyard/demo.go
+++ b/cmd/lacewingyard/demo.go
@@ -39,10 +39,17 @@
 	return err
 }
 
+// demoFlags are the flags of the demo command.
+type demoFlags struct {
+	dir     string
+	queries int
+	hold    demo.Hold
+	format  *output
+	level   *logLevel
+}
+
 func newDemo() *cobra.Command {
-	var dir string
-	var queries int
-	hold := demo.Hold{Output: os.Stderr}
+	f := &demoFlags{hold: demo.Hold{Output: os.Stderr}}
 	cmd := &cobra.Command{
 		Use:     "demo",
 		GroupID: "commands",
@@ -58,59 +65,67 @@
 		Example: "  lacewingyard demo --settings examples/new-england\n" +
 			"  lacewingyard demo --settings examples/new-england --for 10m --dir /tmp/lacewingyard-demo",
 		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
 	}
-	format := outputFlag(cmd)
-	format.jsonAlias(cmd)
-	level := logLevelFlag(cmd, "warn")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if queries < 1 {
-			return usageError{fmt.Errorf("--queries must be at least 1, not %d", queries)}
-		}
-		if hold.For < 0 || hold.For > maxHold || hold.Rate < 0 || hold.Rate > maxHoldRate {
-			return usageError{fmt.Errorf("--for must be 0 to %s and --rate 0 to %d", maxHold, maxHoldRate)}
-		}
-		if hold.Dir != "" && hold.For == 0 {
-			return usageError{fmt.Errorf("--dir has no effect without --for")}
-		}
-		deployment, err := fleet.Load(dir)
-		if err != nil {
-			return usageError{err}
-		}
-		opts := demo.Options{
-			Queries: queries, Limit: demoLimit, HTTP: http.DefaultClient,
-			Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*level)), Output: os.Stderr}),
-			Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
-		}
-		opts.Then = func(ctx context.Context, f *fleet.Fleet, report *demo.Report) error {
-			if err := format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printDemo(w, report) }); err != nil || hold.For == 0 {
-				return err
-			}
-			return hold.Run(ctx, f, opts)
-		}
-		if hold.For > 0 {
-			if err := prepareHold(&hold, deployment); err != nil {
-				return usageError{err}
-			}
-		}
-		report, err := demo.Run(cmd.Context(), deployment, opts)
-		if err != nil {
-			return err
-		}
-		if wrong := report.Wrong(); wrong > 0 {
-			return fmt.Errorf("%d answers were wrong", wrong)
-		}
-		return nil
-	}
+	f.format = outputFlag(cmd)
+	f.format.jsonAlias(cmd)
+	f.level = logLevelFlag(cmd, "warn")
 	flags := cmd.Flags()
-	flags.StringVar(&dir, "settings", "", "directory with config.json and model.json")
-	flags.IntVar(&queries, "queries", 50, "queries to each service")
-	flags.DurationVar(&hold.For, "for", 0, "time for which the deployment goes on running")
-	flags.StringVar(&hold.Dir, "dir", "", "directory for the files of a deployment that goes on; empty for a new temporary one")
-	flags.Float64Var(&hold.Rate, "rate", 20, "searches/s over all search services while the deployment goes on; 0 for none")
+	flags.StringVar(&f.dir, "settings", "", "directory with config.json and model.json")
+	flags.IntVar(&f.queries, "queries", 50, "queries to each service")
+	flags.DurationVar(&f.hold.For, "for", 0, "time for which the deployment goes on running, such as 10m")
+	flags.StringVar(&f.hold.Dir, "dir", "", "directory for the files of a deployment that goes on; empty for a new temporary one")
+	flags.Float64Var(&f.hold.Rate, "rate", 20, "searches/s over all search services while the deployment goes on; 0 for none")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
 
+// load checks the flags and reads the deployment.
+func (f *demoFlags) load() (*fleet.Deployment, error) {
+	switch hold := &f.hold; {
+	case f.queries < 1:
+		return nil, fmt.Errorf("--queries must be at least 1, not %d", f.queries)
+	case hold.For < 0 || hold.For > maxHold:
+		return nil, fmt.Errorf("--for must be 0 to %s, not %s", maxHold, hold.For)
+	case hold.Rate < 0 || hold.Rate > maxHoldRate:
+		return nil, fmt.Errorf("--rate must be 0 to %d, not %v", maxHoldRate, hold.Rate)
+	case hold.Dir != "" && hold.For == 0:
+		return nil, fmt.Errorf("--dir has no effect without --for")
+	}
+	deployment, err := fleet.Load(f.dir)
+	if err == nil && f.hold.For > 0 {
+		err = prepareHold(&f.hold, deployment)
+	}
+	return deployment, err
+}
+
+func (f *demoFlags) run(cmd *cobra.Command) error {
+	deployment, err := f.load()
+	if err != nil {
+		return usageError{err}
+	}
+	opts := demo.Options{
+		Queries: f.queries, Limit: demoLimit, HTTP: http.DefaultClient, Progress: os.Stderr,
+		Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*f.level)), Output: os.Stderr}),
+		Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
+	}
+	opts.Then = func(ctx context.Context, running *fleet.Fleet, report *demo.Report) error {
+		err := f.format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printDemo(w, report) })
+		if err != nil || f.hold.For == 0 {
+			return err
+		}
+		return f.hold.Run(ctx, running, opts)
+	}
+	report, err := demo.Run(cmd.Context(), deployment, opts)
+	if err != nil {
+		return err
+	}
+	if wrong := report.Wrong(); wrong > 0 {
+		return fmt.Errorf("%d answers were wrong or missing", wrong)
+	}
+	return nil
+}
+
 func printDemo(w io.Writer, report *demo.Report) {
 	fmt.Fprintf(w, "%d hosts, %d searchers\n\n", report.Hosts, report.Searchers)
 	fmt.Fprintln(w, "SERVICE\tKIND\tSENT\tEQUAL TO NAIVE\tWRONG\tREFUSED\tCOVERAGE\tSNAPSHOTS\tP50 ms\tP90 ms\tP99 ms")
--- a/cmd/lacewingyard/lookup.go
+++ b/cmd/lacewingyard/lookup.go
@@ -13,10 +13,17 @@
 	"github.com/spf13/cobra"
 )
 
+// lookupFlags are the flags of the lookup command.
+type lookupFlags struct {
+	entry, service, id, requestID string
+
+	deadline time.Duration
+	traced   bool
+	format   *output
+}
+
 func newLookup() *cobra.Command {
-	var entry, service, id, requestID string
-	var deadline time.Duration
-	var traced bool
+	f := &lookupFlags{}
 	cmd := &cobra.Command{
 		Use:     "lookup",
 		GroupID: "commands",
@@ -25,53 +32,55 @@
 			"that is sent again with --request-id does not run a second time.",
 		Example: "  lacewingyard lookup --entry 127.0.0.1:8080 --service renewals --id renewal-000007",
 		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
 	}
-	format := outputFlag(cmd)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		req := api.LookupRequest{ID: id}
-		if err := req.Check(); err != nil {
-			return usageError{err}
-		}
-		header := http.Header{}
-		if err := setDeadline(cmd, header, deadline); err != nil {
-			return usageError{err}
-		}
-		if requestID == "" {
-			var ticket api.TicketResponse
-			if err := call(cmd.Context(), http.MethodPost, entry, "/v1/tickets", nil, nil, &ticket); err != nil {
-				return err
-			}
-			requestID = ticket.TicketPrefix + uuid.NewString()
-		}
-		fmt.Fprintln(cmd.ErrOrStderr(), "request-id:", requestID)
-		body, err := json.Marshal(req)
-		if err != nil {
-			return err
-		}
-		header.Set(api.HeaderRequestID, requestID)
-		if traced {
-			traceRequest(cmd, header)
-		}
-		var answer api.LookupResponse
-		if err := call(cmd.Context(), http.MethodPost, entry, "/v1/services/"+service+"/lookup", header, bytes.NewReader(body), &answer); err != nil {
-			return err
-		}
-		return format.print(cmd.OutOrStdout(), answer, func(w io.Writer) {
-			fmt.Fprintf(w, "outcome\t%s\nfound\t%t\nsnapshot\t%d\nelapsed\t%.1f ms\n", answer.Outcome, answer.Found, answer.Snapshot, answer.ElapsedMS)
-			if answer.Record != nil {
-				fmt.Fprintf(w, "%s\t%s\n", answer.Record.ID, answer.Record.Text)
-			}
-		})
-	}
+	f.format = outputFlag(cmd)
 	flags := cmd.Flags()
-	flags.StringVar(&entry, "entry", "", "address of an entry host (IP:port)")
-	flags.StringVar(&service, "service", "", "service to ask")
-	flags.StringVar(&id, "id", "", "identifier of the record")
-	flags.StringVar(&requestID, "request-id", "", "identifier of a request that is sent again; empty for a new one")
-	flags.BoolVar(&traced, "trace", false, "trace the request and write the trace's identifier to standard error")
-	flags.DurationVar(&deadline, "deadline", 0, "time the answer may take; 0 for the service's default")
+	flags.StringVar(&f.entry, "entry", "", "address of an entry host (IP:port)")
+	flags.StringVar(&f.service, "service", "", "service to ask")
+	flags.StringVar(&f.id, "id", "", "identifier of the record")
+	flags.StringVar(&f.requestID, "request-id", "", "identifier of a request that is sent again; empty for a new one")
+	flags.BoolVar(&f.traced, "trace", false, "trace the request and write the trace's identifier to standard error")
+	flags.DurationVar(&f.deadline, "deadline", 0, "time the answer may take, such as 250ms; absent for the service's default")
 	for _, name := range []string{"entry", "service", "id"} {
 		_ = cmd.MarkFlagRequired(name)
 	}
 	return cmd
 }
+
+func (f *lookupFlags) run(cmd *cobra.Command) error {
+	req := api.LookupRequest{ID: f.id}
+	if err := req.Check(); err != nil {
+		return usageError{err}
+	}
+	header := http.Header{}
+	if err := setDeadline(cmd, header, f.deadline); err != nil {
+		return usageError{err}
+	}
+	if f.requestID == "" {
+		var ticket api.TicketResponse
+		if err := call(cmd.Context(), http.MethodPost, f.entry, "/v1/tickets", nil, nil, &ticket); err != nil {
+			return err
+		}
+		f.requestID = ticket.TicketPrefix + uuid.NewString()
+	}
+	fmt.Fprintln(cmd.ErrOrStderr(), "request-id:", f.requestID)
+	header.Set(api.HeaderRequestID, f.requestID)
+	if f.traced {
+		traceRequest(cmd, header)
+	}
+	body, err := json.Marshal(req)
+	if err != nil {
+		return err
+	}
+	var answer api.LookupResponse
+	if err := call(cmd.Context(), http.MethodPost, f.entry, "/v1/services/"+f.service+"/lookup", header, bytes.NewReader(body), &answer); err != nil {
+		return err
+	}
+	return f.format.print(cmd.OutOrStdout(), answer, func(w io.Writer) {
+		fmt.Fprintf(w, "outcome\t%s\nfound\t%t\nsnapshot\t%d\nelapsed\t%.1f ms\n", answer.Outcome, answer.Found, answer.Snapshot, answer.ElapsedMS)
+		if answer.Record != nil {
+			fmt.Fprintf(w, "%s\t%s\n", answer.Record.ID, answer.Record.Text)
+		}
+	})
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -33,6 +35,9 @@
 	Logger  hclog.Logger
 	HTTP    *http.Client
 	Rand    *rand.Rand
+	// Progress is told which part begins; nil reports no progress. The check of
+	// one service takes some seconds.
+	Progress io.Writer
 
 	// Then is called with the report before the deployment is stopped; nil does
 	// nothing.
@@ -77,6 +82,7 @@
 func Run(ctx context.Context, d *fleet.Deployment, opts Options) (*Report, error) {
 	limited, cancel := context.WithTimeout(ctx, opts.Limit)
 	defer cancel()
+	opts.progress("starting %d places with their hosts and searchers", len(d.Document.Places))
 	f, err := fleet.Start(limited, d, opts.Logger)
 	if err != nil {
 		return nil, errors.Wrap(err, "start the deployment")
@@ -89,10 +95,18 @@
 	return report, err
 }
 
+func (o *Options) progress(format string, args ...any) {
+	if o.Progress != nil {
+		fmt.Fprintf(o.Progress, format+"\n", args...)
+	}
+}
+
 // check sends queries to each service and compares the answers.
 func check(ctx context.Context, d *fleet.Deployment, f *fleet.Fleet, opts Options) (*Report, error) {
 	report := &Report{Hosts: len(f.Hosts), Searchers: len(f.Searchers), Services: map[string]*ServiceReport{}}
-	for name, service := range d.Document.Services {
+	for _, name := range slices.Sorted(maps.Keys(d.Document.Services)) {
+		service := d.Document.Services[name]
+		opts.progress("%s: sending %d requests", name, opts.Queries)
 		s := &ServiceReport{Kind: service.Kind, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
 		report.Services[name] = s
 		for range opts.Queries {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -17,10 +17,10 @@
 	restartAfter = 300 * time.Millisecond
 	// coldSlowdown multiplies the service time while a searcher is cold.
 	coldSlowdown = 4
-	// coldBears is the number of requests that a cold searcher bears at first;
+	// coldCapacity is the number of requests that a cold searcher bears at first;
 	// it bears one more after each coldStep answers until all slots are warm.
-	coldBears = 1
-	coldStep  = 4
+	coldCapacity = 1
+	coldStep     = 4
 	// stuckFor is the service time of a stuck searcher, longer than any deadline.
 	stuckFor = time.Minute
 )
@@ -60,8 +60,8 @@
 	change(&s.faults)
 }
 
-// spoil changes the text of the first record if the searcher is to answer wrong.
-func (s *Searcher) spoil(records []coverage.Record) []coverage.Record {
+// corrupt changes the text of the first record if the searcher is to answer wrong.
+func (s *Searcher) corrupt(records []coverage.Record) []coverage.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(records) > 0 && s.faults.WrongRatio > 0 && s.rng.Float64() < s.faults.WrongRatio {
@@ -152,28 +152,28 @@
 	return crash
 }
 
-// bears returns the number of requests that the searcher bears at a time. The
+// capacity returns the number of requests that the searcher bears at a time. The
 // caller holds s.mu.
-func (s *Searcher) bears() int {
+func (s *Searcher) capacity() int {
 	if !s.cold.active {
 		return s.spec.Slots
 	}
-	return coldBears + s.cold.served/coldStep
+	return coldCapacity + s.cold.served/coldStep
 }
 
-// overCold counts a request above what the cold searcher bears. Twice as much
-// as it bears makes it fall over.
+// overCold counts a request above the capacity of a cold searcher. More than
+// twice the capacity crashes it.
 func (s *Searcher) overCold() bool {
 	s.mu.Lock()
-	bears := s.bears()
+	limit := s.capacity()
 	cold := s.cold.active
 	s.mu.Unlock()
 	active := int(s.active.Load())
-	if !cold || active <= bears {
+	if !cold || active <= limit {
 		return false
 	}
 	s.counts.OverCold.Add(1)
-	if active < 2*bears+1 {
+	if active < 2*limit+1 {
 		return false
 	}
 	s.counts.FellOver.Add(1)
@@ -187,7 +187,7 @@
 	defer s.mu.Unlock()
 	if s.cold.active {
 		s.cold.served++
-		s.cold.active = s.bears() < s.spec.Slots
+		s.cold.active = s.capacity() < s.spec.Slots
 	}
 }
 
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +31,8 @@
 	Noun      string  `json:"noun"`       // what a record is, the prefix of its identifier
 }
 
-// LoadModel reads a model file strictly.
+// LoadModel reads a model file strictly. The error names the file and the path
+// of the field that is wrong.
 func LoadModel(file string) (*Model, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -40,7 +44,34 @@
 	if err := dec.Decode(m); err != nil {
 		return nil, errors.Wrapf(err, "stand-in model %s", file)
 	}
-	return m, nil
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.Newf("stand-in model %s: data after the JSON document", file)
+	}
+	return m, errors.Wrapf(m.check(), "stand-in model %s", file)
+}
+
+// check refuses values with which a stand-in cannot run. It reports the first
+// fault, in order of the services' names.
+func (m *Model) check() error {
+	switch {
+	case m.OneWayDelayMS < 0 || m.JitterMS < 0 || m.CallerDelayMS < 0:
+		return errors.New("one_way_delay_ms, jitter_ms and caller_delay_ms must not be negative")
+	case m.Loss < 0 || m.Loss >= 1:
+		return errors.Newf("loss: %v is not at least 0 and below 1", m.Loss)
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.Services)) {
+		switch s := m.Services[name]; {
+		case s.Records < 1:
+			return errors.Newf("services.%s.records: %d is below 1", name, s.Records)
+		case s.MedianMS <= 0:
+			return errors.Newf("services.%s.median_ms: %v is not above 0", name, s.MedianMS)
+		case s.ConnectMS < 0 || s.Sigma < 0:
+			return errors.Newf("services.%s: connect_ms and sigma must not be negative", name)
+		case s.Noun == "":
+			return errors.Newf("services.%s.noun: is missing", name)
+		}
+	}
+	return nil
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/standin/model_test.go
@@ -0,0 +1,26 @@
+package standin_test
+
+import (
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/internal/standin"
+)
+
+// Guards against a faulty model that ends the process with a panic while the
+// stand-ins run, or that is refused without file and field.
+var _ = DescribeTable("LoadModel refuses a faulty model",
+	func(text, message string) {
+		file := filepath.Join(GinkgoT().TempDir(), "model.json")
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		_, err := standin.LoadModel(file)
+		Expect(err).To(MatchError(And(ContainSubstring(file), ContainSubstring(message))))
+	},
+	Entry("no records", `{"services":{"tags":{"median_ms":1,"noun":"tag"}}}`, "services.tags.records: 0 is below 1"),
+	Entry("no service time", `{"services":{"tags":{"records":1,"noun":"tag"}}}`, "services.tags.median_ms: 0 is not above 0"),
+	Entry("all packets lost", `{"loss":1}`, "loss: 1 is not"),
+	Entry("trailing data", `{}{}`, "data after the JSON document"),
+)
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -235,7 +235,7 @@
 	release()
 	writeJSON(w, http.StatusOK, target.SearchAnswer{
 		TargetStatus: status, Version: version, Covered: []coverage.Covered{covered},
-		Records: s.spoil(records),
+		Records: s.corrupt(records),
 	})
 }
 
@@ -257,7 +257,7 @@
 	}
 	answer := target.LookupAnswer{TargetStatus: status, Version: version}
 	if rec, ok := shard.Lookup(version, body.ID); ok {
-		answer.Found, answer.Record = true, &s.spoil([]coverage.Record{rec})[0]
+		answer.Found, answer.Record = true, &s.corrupt([]coverage.Record{rec})[0]
 	}
 	release()
 	writeJSON(w, http.StatusOK, answer)
@@ -321,7 +321,7 @@
 		return true
 	case <-ctx.Done():
 		s.counts.Canceled.Add(1)
-		s.excuseExcess()
+		s.explainExcess()
 		return false
 	}
 }
--- a/internal/standin/slots.go
+++ b/internal/standin/slots.go
@@ -72,9 +72,9 @@
 	})
 }
 
-// excuseExcess takes a noticed cancellation as the explanation of the refusals
+// explainExcess takes a noticed cancellation as the explanation of the refusals
 // of the last cancelLag.
-func (s *Searcher) excuseExcess() {
+func (s *Searcher) explainExcess() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noticed = time.Now()
--- a/internal/standin/slots_test.go
+++ b/internal/standin/slots_test.go
@@ -47,7 +47,7 @@
 	It("do not count refusals before a cancellation that is noticed late", func() {
 		s.countExcess(time.Now())
 		s.countExcess(time.Now())
-		s.excuseExcess()
+		s.explainExcess()
 		s.countExcess(time.Now().Add(time.Nanosecond))
 		Expect(s.Counts().SlotRaces.Load()).To(BeEquivalentTo(2))
 		Eventually(func() int64 { return s.Counts().OverSlots.Load() }).Should(BeEquivalentTo(1))
--- a/pkg/configsync/watch.go
+++ b/pkg/configsync/watch.go
@@ -18,8 +18,8 @@
 }
 
 // Watches reports whether the host with an ordinal watches the service while a
-// version is in force. heard
-// says whether a host of the place with another ordinal was heard recently.
+// version is in force. heard says
+// whether a host of the place with another ordinal was heard recently.
 func Watches(place string, ordinal, ordinals int, version uint64, heard func(ordinal int) bool) bool {
 	order := Watchers(place, ordinals, version)
 	switch rank := ownership.Rank(order, ordinal); {
--- a/pkg/settings/policy.go
+++ b/pkg/settings/policy.go
@@ -22,7 +22,8 @@
 // String returns the name used in settings and headers.
 func (p Priority) String() string { return priorityNames[min(int(p), len(priorityNames)-1)] }
 
-// ParsePriority converts a class name.
+// ParsePriority converts the name of a class, as settings and headers have it.
+// The error names the classes.
 func ParsePriority(name string) (Priority, error) {
 	for i, n := range priorityNames {
 		if n == name {
@@ -42,7 +43,8 @@
 	CanaryNever  CanaryMode = "never"
 )
 
-// Policy holds the effective settings of one service in one place.
+// Policy holds the effective settings of one service in one place. Fields
+// returns the meaning, unit and range of each; ratios are fractions from 0 to 1.
 type Policy struct {
 	DeadlineDefault     time.Duration
 	DeadlineMax         time.Duration
--- a/pkg/settings/process.go
+++ b/pkg/settings/process.go
@@ -77,7 +77,8 @@
 	return p, found.err()
 }
 
-// LoadProcess reads process settings from a file.
+// LoadProcess reads process settings from a file. The error names the file; for
+// a file with faults it is an *InvalidError that names the path of each.
 func LoadProcess(file string) (*Process, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -90,7 +91,9 @@
 	return p, nil
 }
 
-// LoadDocument reads a configuration document from a file.
+// LoadDocument reads a configuration document from a file. The error names the
+// file; for a file with faults it is an *InvalidError that names the path of
+// each.
 func LoadDocument(file string) (*Tree, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/pkg/warmup/ramp.go
+++ b/pkg/warmup/ramp.go
@@ -11,8 +11,8 @@
 // States.
 const (
 	Unproven State = iota // nothing is known about the process that runs now
-	Cold
-	Warm
+	Cold                  // takes no more than the cold allowance
+	Warm                  // takes the owner's whole share
 )
 
 var stateNames = [...]string{Unproven: "unproven", Cold: "cold", Warm: "warm"}
@@ -23,12 +23,12 @@
 // Mark is a target's own statement about its state.
 type Mark uint8
 
-// Marks.
+// Marks, as the field "state" of a target's answers has them.
 const (
-	MarkNone Mark = iota
-	MarkWarm
-	MarkCold
-	MarkDraining
+	MarkNone     Mark = iota // the answer has no such field
+	MarkWarm                 // the target takes its usual load
+	MarkCold                 // it has started lately and bears a small load
+	MarkDraining             // it takes no new work
 )
 
 // Result tells how a request ended.
