--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -45,7 +45,11 @@
 	}
 	fmt.Fprintln(w, "\nPLACE\tSTATE\tORDINALS\tTAKE WORK\tHEARD\tIN USE HERE")
 	for _, p := range s.Places {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", p.Name, p.State, p.Hosts, p.Live, p.Heard, p.InUse)
+		inUse := "-" // only the hosts of a place know
+		if p.Name == s.Place {
+			inUse = fmt.Sprint(p.InUse)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", p.Name, p.State, p.Hosts, p.Live, p.Heard, inUse)
 	}
 	fmt.Fprintln(w, "\nSERVICE\tKIND\tGROUPS\tUNUSABLE\tANSWERS/MIN\tFAILED\tCOVERAGE\tLOWEST")
 	for _, v := range s.Services {
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -215,8 +215,13 @@
 	for name, service := range t.Doc.Services {
 		path := "services." + name
 		var space keyspace.Set
+		groups := make(map[string]int, len(service.Groups))
 		for i, group := range service.Groups {
 			at := path + ".groups[" + strconv.Itoa(i) + "]"
+			if other, ok := groups[group.ID]; ok {
+				found.addf(at+".id", "%q is also the identifier of %s.groups[%d]", group.ID, path, other)
+			}
+			groups[group.ID] = i
 			if !group.Range.Valid() {
 				found.addf(at+".range", "%s is empty or outside the key space [0,%d)", group.Range, keyspace.Size)
 				continue
