--- a/internal/standin/dataset.go
+++ b/internal/standin/dataset.go
@@ -42,7 +42,8 @@
 	return d
 }
 
-// NewDataset generates records from a seed.
+// NewDataset generates count records from a seed, with identifiers such as
+// "tag-000007" for the noun "tag".
 func NewDataset(noun string, count int, seed uint64) *Dataset {
 	rng := rand.New(rand.NewPCG(seed, uint64(count)))
 	records := make([]coverage.Record, count)
@@ -61,11 +62,12 @@
 // Word returns a word that records may hold.
 func Word(rng *rand.Rand) string { return vocabulary[rng.IntN(len(vocabulary))] }
 
-// ID returns the identifier of some record.
+// ID returns the identifier of a random record; there must be one.
 func (d *Dataset) ID(rng *rand.Rand) string { return d.records[rng.IntN(len(d.records))].ID }
 
 // Search is the naive search of all records that the answers of the tier are
-// compared with.
+// compared with. It returns the records that hold all terms, in order of
+// identifier, at most limit of them; a limit of 0 returns all.
 func (d *Dataset) Search(version uint64, terms []string, limit int) []coverage.Record {
 	return d.SearchRange(version, terms, limit, keyspace.Full())
 }
@@ -89,7 +91,7 @@
 	return found
 }
 
-// Lookup returns the record with an identifier.
+// Lookup returns the record with an identifier as of an index version.
 func (d *Dataset) Lookup(version uint64, id string) (coverage.Record, bool) {
 	i, ok := slices.BinarySearchFunc(d.records, id, func(r coverage.Record, id string) int { return cmp.Compare(r.ID, id) })
 	if !ok {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -31,7 +31,8 @@
 	}
 }
 
-// SetLinks changes the delay and the loss between places.
+// SetLinks changes the links between places: the delay one way in milliseconds
+// and the fraction of datagrams that are lost, 0 to 1.
 func (n *Network) SetLinks(oneWayMS, loss float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -78,8 +79,8 @@
 	}
 }
 
-// fate draws what happens to a datagram: its delay, or its loss.
-func (n *Network) fate(place, from, to string) (delay time.Duration, lost bool) {
+// transit draws the delay of a datagram, or its loss.
+func (n *Network) transit(place, from, to string) (delay time.Duration, lost bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	toPlace, known := n.places[to]
@@ -109,7 +110,7 @@
 
 // WriteTo sends a datagram after the delay of the link.
 func (c *delayedConn) WriteTo(data []byte, addr net.Addr) (int, error) {
-	delay, lost := c.network.fate(c.place, c.LocalAddr().String(), addr.String())
+	delay, lost := c.network.transit(c.place, c.LocalAddr().String(), addr.String())
 	if lost {
 		return len(data), nil
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -18,7 +18,7 @@
 // can be read and watched over HTTP; only the test that owns it publishes.
 type Platform struct {
 	server *http.Server
-	base   string
+	base   string // URL without a path
 	reads  atomic.Int64
 	down   atomic.Bool
 	plain  atomic.Bool // no content coding is offered
@@ -79,7 +79,8 @@
 // SetPlain makes the service answer without a content coding.
 func (p *Platform) SetPlain(plain bool) { p.plain.Store(plain) }
 
-// Publish sets a value.
+// Publish sets a value and wakes its watches. It takes any bytes, so that tests
+// can publish documents that hosts must refuse.
 func (p *Platform) Publish(key string, version uint64, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -70,7 +70,9 @@
 	Canceled  atomic.Int64 // requests cancelled while they ran
 }
 
-// NewSearcher starts a searcher on a loopback port.
+// NewSearcher starts a warm searcher on a loopback port that serves index
+// version 1. shard holds the records of its range r under a partition epoch. The
+// error is the one of the listener.
 func NewSearcher(spec settings.Target, service string, model ServiceModel, shard *Dataset, r keyspace.Range, epoch uint64, seed uint64) (*Searcher, error) {
 	s := &Searcher{
 		ID: spec.ID, Place: spec.Place, spec: spec, service: service, model: model, shard: shard,
@@ -152,7 +154,8 @@
 	}
 }
 
-// Restart starts a killed searcher again at its address.
+// Restart starts a killed searcher again at its address, cold and with a new
+// boot_id. It fails if another process has taken the address.
 func (s *Searcher) Restart() error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,18 +42,18 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
-		Requests: counters("requests_total", "Requests of callers by outcome.", "service", "outcome", "reason"),
+		Requests: counters("requests_total", "Requests of callers by outcome and reason.", "service", "outcome", "reason"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: namespace, Name: "request_duration_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
+			Namespace: namespace, Name: "request_duration_seconds", Help: "Seconds from a request's arrival to its answer.", Buckets: latencyBuckets,
 		}, []string{"service", "priority"}),
 		Coverage: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: namespace, Name: "request_coverage_ratio", Help: "Coverage of search answers.", Buckets: coverageBuckets,
+			Namespace: namespace, Name: "request_coverage_ratio", Help: "Coverage of search answers, 0 to 1.", Buckets: coverageBuckets,
 		}, []string{"service"}),
 		SubRequests: counters("subrequests_total", "Requests to targets planned by this entry host, by cause.", "service", "cause"),
-		Hedges:      counters("hedges_total", "Hedged sub-requests by result.", "service", "result"),
+		Hedges:      counters("hedges_total", "Hedged sub-requests by result, won or lost.", "service", "result"),
 
-		SubRequestResults: counters("subrequest_results_total", "Requests to targets that ended on this branch host, by outcome.", "service", "outcome", "reason"),
-		Borrowed:          counters("borrowed_slots_total", "Slots that this branch host asked the other owner of a target for, by result.", "service", "result"),
+		SubRequestResults: counters("subrequest_results_total", "Requests to targets that ended on this branch host, by outcome and reason.", "service", "outcome", "reason"),
+		Borrowed:          counters("borrowed_slots_total", "Slots that this branch host asked the other owner of a target for, granted or refused.", "service", "result"),
 	}
 	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.SubRequestResults, m.Borrowed,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -65,13 +65,6 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
-// GaugeWith registers a gauge with constant labels.
-func (m *Metrics) GaugeWith(name, help string, labels map[string]string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: namespace, Name: name, Help: help, ConstLabels: labels,
-	}, value))
-}
-
 // Counter registers a counter that is kept elsewhere.
 func (m *Metrics) Counter(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
