--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -217,8 +217,8 @@
 		r.board.mu.Lock()
 		row := r.board.total.row
 		r.board.mu.Unlock()
-		fmt.Fprintf(r.opts.Progress, "%s/%s: %.0f of %.0f s, %d answers, %d refused, %d unknown, %d violations\n",
-			r.opts.Case.Name, r.opts.Policy, time.Since(begin).Seconds(), length.Seconds(),
+		fmt.Fprintf(r.opts.Progress, "%s/%s seed %d: %.0f of %.0f s, %d answers, %d refused, %d unknown, %d violations\n",
+			r.opts.Case.Name, r.opts.Policy, r.opts.Seed, time.Since(begin).Seconds(), length.Seconds(),
 			row.Answered+row.Partial, row.NotRun, row.Unknown, row.Violations.Total())
 	}
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -65,6 +65,13 @@
 	Internal    Reason = "internal"     // a fault of the tier or the target
 )
 
+// Reasons returns every reason but None, in the order above.
+func Reasons() []Reason {
+	return []Reason{
+		Overload, Busy, Deadline, Draining, PlaceOut, Quarantined, VersionGone, Unavailable, ConnLost, Silent, Canceled, Invalid, Internal,
+	}
+}
+
 // Outcome is what became of a request, with the reason if it was not answered.
 type Outcome struct {
 	Kind       Kind          `json:"outcome" cbor:"1,keyasint"`
