--- a/internal/telemetry/reasons_test.go
+++ b/internal/telemetry/reasons_test.go
@@ -16,7 +16,7 @@
 	page, err := os.ReadFile("../../docs/operators/coverage.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, r := range outcome.Reasons() {
-		g.Expect(string(page)).To(MatchRegexp("(?m)^\\|[^|]*`"+string(r)+"`[^|]*\\|"))
+		g.Expect(string(page)).To(MatchRegexp("(?m)^\\|[^|]*`" + string(r) + "`[^|]*\\|"))
 		g.Expect(reasonLabel(r)).To(Equal(string(r)))
 	}
 	g.Expect(string(page)).To(ContainSubstring("`" + otherReason + "`"))
