--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,7 +20,7 @@
 	OverCoverage int `json:"over_coverage"` // answers that lack records they claim to cover
 	WrongRecord  int `json:"wrong_record"`  // answers with a record that is not the dataset's, or out of place
 	OverSlots    int `json:"over_slots"`    // requests refused by a target because every slot was in use
-	OverConns    int `json:"over_connections"`
+	OverConns    int `json:"over_connections"` // connections above a target's limit
 	OverCold     int `json:"over_cold"`   // requests above what a cold target bears
 	FellOver     int `json:"fell_over"`   // targets that crashed from load while cold
 	RunTwice     int `json:"run_twice"`   // commands that ran more than once
@@ -31,6 +32,28 @@
 	return v.TwoSnapshots + v.OverCoverage + v.WrongRecord + v.OverSlots + v.OverConns + v.OverCold + v.FellOver + v.RunTwice + v.FalseNotRun
 }
 
+// String lists the kinds that occurred with their numbers, by the names that the
+// JSON form has.
+func (v Violations) String() string {
+	var text []string
+	for _, kind := range []struct {
+		name  string
+		count int
+	}{
+		{"two_snapshots", v.TwoSnapshots}, {"over_coverage", v.OverCoverage}, {"wrong_record", v.WrongRecord},
+		{"over_slots", v.OverSlots}, {"over_connections", v.OverConns}, {"over_cold", v.OverCold}, {"fell_over", v.FellOver},
+		{"run_twice", v.RunTwice}, {"ran_not_run", v.FalseNotRun},
+	} {
+		if kind.count > 0 {
+			text = append(text, fmt.Sprintf("%s %d", kind.name, kind.count))
+		}
+	}
+	if len(text) == 0 {
+		return "none"
+	}
+	return strings.Join(text, ", ")
+}
+
 func (v *Violations) add(o Violations) {
 	v.TwoSnapshots += o.TwoSnapshots
 	v.OverCoverage += o.OverCoverage
--- a/internal/bench/page_test.go
+++ b/internal/bench/page_test.go
@@ -60,11 +60,13 @@
 	// other sites, and against plots without the lines or events of the runs.
 	It("writes a page and plots that hold the data of all policies", func() {
 		dir := filepath.Join(GinkgoT().TempDir(), "new", "report")
-		Expect(WriteReport(dir, []*Summary{scriptedRun(PolicyTier, 40*time.Millisecond), scriptedRun(PolicyNaive, 60*time.Millisecond)})).To(Succeed())
+		naive := scriptedRun(PolicyNaive, 60*time.Millisecond)
+		naive.Rows[0].Violations = Violations{OverSlots: 2, RunTwice: 1}
+		Expect(WriteReport(dir, []*Summary{scriptedRun(PolicyTier, 40*time.Millisecond), naive})).To(Succeed())
 		data, err := os.ReadFile(filepath.Join(dir, PageName))
 		Expect(err).NotTo(HaveOccurred())
 		page := string(data)
-		Expect(page).To(And(ContainSubstring("Policy tier"), ContainSubstring("Policy naive"), ContainSubstring("place_out ends"),
+		Expect(page).To(And(ContainSubstring("Policy tier"), ContainSubstring("Policy naive"), ContainSubstring("tagdesk: over_slots 2, run_twice 1</p>"), ContainSubstring("place_out ends"),
 			ContainSubstring("<td>tagdesk</td><td>400</td><td>40.0</td>"), ContainSubstring("<td>60.0</td>"), ContainSubstring("0.91250")))
 		// The histograms of seconds have two digits. The third second has refusals.
 		Expect(page).To(And(ContainSubstring(`<tr class="event"><td>1</td><td>place_out</td><td>100</td><td>40.2</td><td>1.0</td><td class="bad">0.91250</td><td>0</td><td>100</td>`),
