Make the plots of the report readable

The axis of the coverage began at 0, so that a loss of 1 % could not be seen, and seconds without an answer were drawn as coverage 0; the latency axis had one label; the legend ran over the edge. The coverage axis now begins near the lowest value and has the target as a line; latencies have labels at 1, 2 and 5 of each power of ten.

--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -16,15 +16,15 @@
 
 // Violations count what must never happen.
 type Violations struct {
-	TwoSnapshots int `json:"two_snapshots"` // answers with records of another version than theirs
-	OverCoverage int `json:"over_coverage"` // answers that lack records they claim to cover
-	WrongRecord  int `json:"wrong_record"`  // answers with a record that is not the dataset's, or out of place
-	OverSlots    int `json:"over_slots"`    // requests refused by a target because every slot was in use
+	TwoSnapshots int `json:"two_snapshots"`    // answers with records of another version than theirs
+	OverCoverage int `json:"over_coverage"`    // answers that lack records they claim to cover
+	WrongRecord  int `json:"wrong_record"`     // answers with a record that is not the dataset's, or out of place
+	OverSlots    int `json:"over_slots"`       // requests refused by a target because every slot was in use
 	OverConns    int `json:"over_connections"` // connections above a target's limit
-	OverCold     int `json:"over_cold"`   // requests above what a cold target bears
-	FellOver     int `json:"fell_over"`   // targets that crashed from load while cold
-	RunTwice     int `json:"run_twice"`   // commands that ran more than once
-	FalseNotRun  int `json:"ran_not_run"` // commands that ran although the caller was told "not run"
+	OverCold     int `json:"over_cold"`        // requests above what a cold target bears
+	FellOver     int `json:"fell_over"`        // targets that crashed from load while cold
+	RunTwice     int `json:"run_twice"`        // commands that ran more than once
+	FalseNotRun  int `json:"ran_not_run"`      // commands that ran although the caller was told "not run"
 }
 
 // Total returns the number of violations.
--- a/internal/bench/page_test.go
+++ b/internal/bench/page_test.go
@@ -81,6 +81,7 @@
 		Expect(columns(p99, lineColors[1])).To(BeNumerically(">", 400))
 		Expect(columns(coverage, lineColors[1])).To(BeNumerically(">", 400))
 		Expect(columns(p99, markColor)).To(BeNumerically(">", 0))
+		Expect(columns(coverage, targetColor)).To(BeNumerically(">", 100))
 		Expect(columns(cdf, lineColors[0])).To(BeNumerically(">", 0))
 		Expect(columns(cdf, lineColors[1])).To(BeNumerically(">", 0))
 	})
--- a/internal/bench/plots.go
+++ b/internal/bench/plots.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"path/filepath"
 	"time"
 
@@ -24,6 +25,7 @@
 	lineColors  = []color.Color{color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}, color.RGBA{R: 0xd6, G: 0x27, B: 0x28, A: 0xff}, color.RGBA{R: 0x2c, G: 0xa0, B: 0x2c, A: 0xff}}
 	oracleColor = color.RGBA{A: 0xff}
 	markColor   = color.RGBA{R: 0x99, G: 0x99, B: 0x99, A: 0xff}
+	targetColor = color.RGBA{R: 0xff, G: 0x7f, B: 0x0e, A: 0xff}
 )
 
 // figure is a plot on the page.
@@ -40,9 +42,9 @@
 		images = append(images, figure{file, p.Title.Text})
 		return errors.Wrapf(p.Save(plotWidth, plotHeight, filepath.Join(dir, file)), "plot %s", file)
 	}
-	for _, s := range series {
-		p, err := overTime(runs, s.title, s.value)
-		if err := save(p, err, s.file); err != nil {
+	for i := range series {
+		p, err := overTime(runs, i)
+		if err := save(p, err, series[i].file); err != nil {
 			return nil, err
 		}
 	}
@@ -59,22 +61,30 @@
 var series = []struct {
 	file, title string
 	value       func(Second) float64
+	// close lets the axis begin near the lowest value instead of at 0: a loss of
+	// coverage of 1 % must be seen.
+	close bool
+	floor float64 // target that is drawn as a line; 0 draws none
 }{
-	{"coverage.png", "Mean coverage", func(s Second) float64 { return s.Coverage }},
-	{"p99.png", "p99 latency (ms)", func(s Second) float64 { return s.P99 }},
-	{"refusals.png", "Refusals per second", func(s Second) float64 { return float64(s.Refused) }},
+	{"coverage.png", "Mean coverage", func(s Second) float64 { return s.Coverage }, true, coverageFloor},
+	{"p99.png", "p99 latency (ms)", func(s Second) float64 { return s.P99 }, false, 0},
+	{"refusals.png", "Refusals per second", func(s Second) float64 { return float64(s.Refused) }, false, 0},
 }
 
-// overTime plots a value of the total row for each second.
-func overTime(runs []*Summary, title string, value func(Second) float64) (*plot.Plot, error) {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title+" by second, all services", "second of the intended start", title
-	top := 0.0
+// overTime plots the i-th of the series of the total row.
+func overTime(runs []*Summary, i int) (*plot.Plot, error) {
+	what := &series[i]
+	p := newPlot(what.title+" by second, all services", "second of the intended start", what.title)
+	low, top := math.Inf(1), 0.0
 	for i, r := range runs {
 		var points plotter.XYs
 		for second, s := range r.Rows[len(r.Rows)-1].Series {
-			points = append(points, plotter.XY{X: float64(second) + 0.5, Y: value(s)})
-			top = max(top, value(s))
+			if what.close && s.Sent == s.Refused {
+				continue // no answer has a coverage
+			}
+			value := what.value(s)
+			points = append(points, plotter.XY{X: float64(second) + 0.5, Y: value})
+			low, top = min(low, value), max(top, value)
 		}
 		if err := addLine(p, string(r.Policy), points, lineColors[i%len(lineColors)]); err != nil {
 			return nil, err
@@ -84,9 +94,64 @@
 		top = 1 // a series of zeros still needs a height for the marks
 	}
 	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, runs[0].Seconds, 0, top*1.15
+	if what.close {
+		p.Y.Min = max(0, min(low, what.floor)-0.01)
+		p.Y.Max = max(top, what.floor) + 0.15*(max(top, what.floor)-p.Y.Min)
+	}
+	p.X.Tick.Marker = plot.TickerFunc(wholeSeconds)
+	if what.floor > 0 {
+		if err := addTarget(p, what.floor); err != nil {
+			return nil, err
+		}
+	}
 	return p, addMarks(p, runs[0].Events, runs[0].Seconds)
 }
 
+// newPlot returns an empty plot whose legend does not touch its edge.
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.XOffs = -vg.Points(8)
+	return p
+}
+
+// wholeSeconds ticks at most ten whole numbers.
+func wholeSeconds(low, high float64) []plot.Tick {
+	step := max(1, math.Ceil((high-low)/10))
+	var ticks []plot.Tick
+	for at := math.Ceil(low); at <= high; at += step {
+		ticks = append(ticks, plot.Tick{Value: at, Label: fmt.Sprintf("%.0f", at)})
+	}
+	return ticks
+}
+
+// latencyTicks labels 1, 2 and 5 of each power of ten.
+func latencyTicks(low, high float64) []plot.Tick {
+	var ticks []plot.Tick
+	for power := math.Pow(10, math.Floor(math.Log10(low))); power <= high; power *= 10 {
+		for digit := 1.0; digit < 10; digit++ {
+			tick := plot.Tick{Value: digit * power}
+			if digit == 1 || digit == 2 || digit == 5 {
+				tick.Label = fmt.Sprintf("%g", tick.Value)
+			}
+			ticks = append(ticks, tick)
+		}
+	}
+	return ticks
+}
+
+// addTarget draws a horizontal line at a target.
+func addTarget(p *plot.Plot, value float64) error {
+	line, err := plotter.NewLine(plotter.XYs{{X: p.X.Min, Y: value}, {X: p.X.Max, Y: value}})
+	if err != nil {
+		return err
+	}
+	line.Color, line.Width, line.Dashes = targetColor, vg.Points(1.5), []vg.Length{vg.Points(6), vg.Points(3)}
+	p.Add(line)
+	p.Legend.Add(fmt.Sprintf("target %g", value), line)
+	return nil
+}
+
 // addMarks draws a labelled vertical line at each event. Several events at one
 // time share a line, and their labels are stacked.
 func addMarks(p *plot.Plot, events []Mark, seconds float64) error {
@@ -96,13 +161,14 @@
 		if at > seconds {
 			continue
 		}
-		line, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: p.Y.Max}})
+		line, err := plotter.NewLine(plotter.XYs{{X: at, Y: p.Y.Min}, {X: at, Y: p.Y.Max}})
 		if err != nil {
 			return err
 		}
 		line.Color, line.Dashes = markColor, []vg.Length{vg.Points(3), vg.Points(3)}
+		height := 0.96 - 0.05*float64(stacked[at])
 		label, err := plotter.NewLabels(plotter.XYLabels{
-			XYs:    plotter.XYs{{X: at, Y: p.Y.Max * (0.96 - 0.05*float64(stacked[at]))}},
+			XYs:    plotter.XYs{{X: at, Y: p.Y.Min + (p.Y.Max-p.Y.Min)*height}},
 			Labels: []string{" " + e.String()},
 		})
 		if err != nil {
@@ -116,10 +182,8 @@
 
 // latencyCDF plots the latencies of one row for each policy and the oracle.
 func latencyCDF(runs []*Summary, row int) (*plot.Plot, error) {
-	p := plot.New()
-	p.Title.Text = "Latency of " + runs[0].Rows[row].Service + " (cumulative)"
-	p.X.Label.Text, p.Y.Label.Text = "latency (ms)", "fraction of requests"
-	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p := newPlot("Latency of "+runs[0].Rows[row].Service+" (cumulative)", "latency (ms)", "fraction of requests")
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.TickerFunc(latencyTicks)
 	for i, r := range runs {
 		if err := addLine(p, string(r.Policy), cdf(r.Rows[row].latencies), lineColors[i%len(lineColors)]); err != nil {
 			return nil, err
