--- a/cmd/lacewingyard/check.go
+++ b/cmd/lacewingyard/check.go
@@ -10,12 +10,14 @@
 	"github.com/spf13/cobra"
 )
 
-// checkReport is what check prints of a valid document.
+// checkReport is what check prints of a valid document, and as JSON the faults
+// of one that is not.
 type checkReport struct {
-	Version  uint64 `json:"version"`
-	Places   int    `json:"places"`
-	Services int    `json:"services"`
-	Targets  int    `json:"targets"`
+	Version  uint64           `json:"version"`
+	Places   int              `json:"places"`
+	Services int              `json:"services"`
+	Targets  int              `json:"targets"`
+	Faults   []settings.Fault `json:"faults,omitempty"`
 }
 
 func newCheck() *cobra.Command {
@@ -24,7 +26,8 @@
 		GroupID: "queries",
 		Short:   "Check a configuration document",
 		Long: "Check a configuration document. Every fault goes to standard error on a line of\n" +
-			"its own, with the file and the path of the field; the exit status is then 2.",
+			"its own, with the file and the path of the field, and with -o json to standard\n" +
+			"output as \"faults\"; the exit status is then 2.",
 		Example: "  lacewingyard check examples/riga/config.json",
 		Args:    cobra.ExactArgs(1),
 	}
@@ -32,6 +35,12 @@
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		tree, err := settings.LoadDocument(args[0])
 		if err != nil {
+			var invalid *settings.InvalidError
+			if *format == "json" && errors.As(err, &invalid) {
+				if err := format.print(cmd.OutOrStdout(), checkReport{Faults: invalid.Faults}, nil); err != nil {
+					return err
+				}
+			}
 			return usageError{onePerLine(args[0], err)}
 		}
 		report := checkReport{Version: tree.Doc.Version, Places: len(tree.Doc.Places), Services: len(tree.Doc.Services)}
--- a/cmd/lacewingyard/usage_test.go
+++ b/cmd/lacewingyard/usage_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
 // Guards against faults that an operator cannot find: many on one line, or
@@ -26,6 +29,11 @@
 	g.Expect(lines).To(HaveLen(4), stderr.String())
 	g.Expect(lines[1:]).To(ConsistOf(file+": designated_level: is missing", file+": designated_levl: unknown field",
 		MatchRegexp(`config\.json: services\..*\.groups\[\d+\]\.targets\[\d+\]\.slots: -2 is below 1`)))
+	cmd, stdout, _ = command("check", file, "-o", "json")
+	g.Expect(cmd.Run()).NotTo(Succeed())
+	var report checkReport
+	g.Expect(json.Unmarshal(stdout.Bytes(), &report)).To(Succeed())
+	g.Expect(report.Faults).To(ContainElement(settings.Fault{Path: "designated_level", Problem: "is missing"}))
 }
 
 // Guards against values of flags that are replaced or ignored in silence, and
--- a/pkg/coverage/merger.go
+++ b/pkg/coverage/merger.go
@@ -10,8 +10,8 @@
 
 // Record is one record of an answer.
 type Record struct {
-	ID   string `json:"id" cbor:"1,keyasint"`
-	Key  uint64 `json:"key" cbor:"2,keyasint"`
+	ID   string `json:"id" cbor:"1,keyasint"`  // unique in its service
+	Key  uint64 `json:"key" cbor:"2,keyasint"` // keyspace.KeyOf(ID)
 	Text string `json:"text" cbor:"3,keyasint"`
 }
 
@@ -35,6 +35,7 @@
 // VersionError reports a part from another index version than the query's.
 type VersionError struct{ Want, Got uint64 }
 
+// Error names both versions.
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("answer is from index version %d, the query uses version %d", e.Got, e.Want)
 }
@@ -43,6 +44,7 @@
 // its own ranges, so that records of these ranges are missing from it.
 type CutError struct{ Kept, Limit int }
 
+// Error names the limit and the records that are left.
 func (e *CutError) Error() string {
 	return fmt.Sprintf("answer is cut at %d records, of which only %d lie in the ranges it states", e.Limit, e.Kept)
 }
--- a/pkg/settings/errors.go
+++ b/pkg/settings/errors.go
@@ -7,10 +7,13 @@
 
 // Fault is one thing wrong with a document.
 type Fault struct {
-	Path    string // JSON path, for example "places.riga-a.settings.hedge_quantile"
-	Problem string
+	// Path is the JSON path, for example "places.riga-a.settings.hedge_quantile";
+	// empty for the document as a whole.
+	Path    string `json:"path,omitempty"`
+	Problem string `json:"problem"`
 }
 
+// String returns path and problem, such as "version: 0 is below 1".
 func (f Fault) String() string {
 	if f.Path == "" {
 		return f.Problem
@@ -21,6 +24,7 @@
 // InvalidError lists every fault that was found in a document.
 type InvalidError struct{ Faults []Fault }
 
+// Error returns all faults on one line, for log lines and status.
 func (e *InvalidError) Error() string {
 	lines := make([]string, len(e.Faults))
 	for i, f := range e.Faults {
