Log what a starting host waits for, and find an unwritable report before the runs

serve with a platform that does not answer printed nothing and opened no listener, so that neither status nor metrics could tell why; it now logs a warning each 3 s with the URLs that it reads.

--- a/cmd/lacewingyard/bench.go
+++ b/cmd/lacewingyard/bench.go
@@ -115,6 +115,11 @@
 	if f.seeds < 1 {
 		return nil, fmt.Errorf("--seeds: %d is below 1", f.seeds)
 	}
+	if f.reportDir != "" { // a directory that cannot be written would be found only after the runs
+		if err := os.MkdirAll(f.reportDir, 0o755); err != nil {
+			return nil, fmt.Errorf("--report: %w", err)
+		}
+	}
 	var err error
 	if f.caseFile != "" {
 		f.opts.Case, err = bench.LoadCase(f.caseFile)
--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -190,6 +190,21 @@
 	g.Expect(north.log.String()).To(ContainSubstring(`"open":1`))
 }
 
+// Guards against a host that waits for its configuration in silence, while
+// nothing listens that could say so.
+func TestServeSaysWhatItWaitsFor(t *testing.T) {
+	g := NewWithT(t)
+	f, err := fleet.StartStandins(smallDeployment(), hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	f.Platform.SetDown(true)
+	north := startProcess(t, f, "north", 0)
+	time.Sleep(waitWarning + time.Second)
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(north.cmd.Wait()).NotTo(Succeed())
+	g.Expect(north.log.String()).To(And(ContainSubstring("serves nothing yet"), ContainSubstring(f.Platform.URL(fleet.ConfigKey))))
+}
+
 // Guards against bad input that starts half a daemon or hides its cause.
 func TestServeRefusesBadSettings(t *testing.T) {
 	g := NewWithT(t)
--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
@@ -33,43 +35,71 @@
 			"requests in progress and exits with status 0; a second signal ends it at once.",
 		Example: "  lacewingyard serve --settings /etc/lacewingyard/host.json",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			process, err := settings.LoadProcess(file)
-			if err != nil {
-				return usageError{err}
-			}
-			keys, err := peer.LoadKeys(process.TLS)
-			if err != nil {
-				return usageError{err}
-			}
-			log := hclog.New(&hclog.LoggerOptions{
-				Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
-			})
-			tracer, err := telemetry.NewTracer(cmd.Context(), process.Traces, process.Name, process.Place)
-			if err != nil {
-				return err
-			}
-			metrics := telemetry.NewMetrics()
-			metrics.Counter("handshakes_refused_total", "Handshakes with peers that had no certificate of the authority.",
-				func() float64 { return float64(keys.Refused()) })
-			d, err := daemon.New(daemon.Options{Process: process, TLS: keys.Config(), Logger: log, Metrics: metrics, Tracer: tracer})
-			if err != nil {
-				return err
-			}
-			go keys.Watch(cmd.Context(), func(err error) {
-				if err != nil {
-					log.Error("key files were not reloaded", "error", err)
-					return
-				}
-				log.Info("key files reloaded")
-			})
-			// The first signal ends the command's context; a second one is
-			// caught here.
-			context.AfterFunc(cmd.Context(), func() { abortOnSignal(d) })
-			return errors.CombineErrors(d.Run(cmd.Context()), tracer.Close())
-		},
+		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), file) },
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "process settings file (JSON)")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
+
+// serve runs a host with the process settings of a file until the context ends.
+func serve(ctx context.Context, file string) error {
+	process, err := settings.LoadProcess(file)
+	if err != nil {
+		return usageError{err}
+	}
+	keys, err := peer.LoadKeys(process.TLS)
+	if err != nil {
+		return usageError{fmt.Errorf("%s: tls: %w", file, err)}
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
+	})
+	tracer, err := telemetry.NewTracer(ctx, process.Traces, process.Name, process.Place)
+	if err != nil {
+		return usageError{fmt.Errorf("%s: traces: %w", file, err)}
+	}
+	metrics := telemetry.NewMetrics()
+	metrics.Counter("handshakes_refused_total", "Handshakes with peers that had no certificate of the authority.",
+		func() float64 { return float64(keys.Refused()) })
+	d, err := daemon.New(daemon.Options{Process: process, TLS: keys.Config(), Logger: log, Metrics: metrics, Tracer: tracer})
+	if err != nil {
+		return err
+	}
+	go keys.Watch(ctx, func(err error) {
+		if err != nil {
+			log.Error("key files were not reloaded", "error", err)
+			return
+		}
+		log.Info("key files reloaded")
+	})
+	go warnWhileWaiting(ctx, log, d.Ready(), &process.Platform)
+	// The first signal ends the command's context; a second one is
+	// caught here.
+	context.AfterFunc(ctx, func() { abortOnSignal(d) })
+	return errors.CombineErrors(d.Run(ctx), tracer.Close())
+}
+
+// waitWarning is the time between two warnings of a host that has no
+// configuration yet.
+const waitWarning = 3 * time.Second
+
+// warnWhileWaiting says why nothing listens yet: a host that neither the
+// platform nor a peer gives a configuration opens no listener, so that status
+// and metrics cannot tell.
+func warnWhileWaiting(ctx context.Context, log hclog.Logger, ready <-chan struct{}, platform *settings.Platform) {
+	began := time.Now()
+	every := time.NewTicker(waitWarning)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			log.Warn("no configuration and host list that the platform or a peer confirms; the host serves nothing yet",
+				"waiting", time.Since(began).Round(time.Second).String(), "config_url", platform.ConfigURL, "hosts_url", platform.HostsURL)
+		case <-ready:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/cmd/lacewingyard/usage_test.go
+++ b/cmd/lacewingyard/usage_test.go
@@ -49,6 +49,7 @@
 		"--deadline must be at least 1ms":   {"lookup", "--entry", "127.0.0.1:1", "--service", "s", "--id", "x", "--deadline", "-1s"},
 		"min_coverage: 7 is outside 0 to 1": {"query", "--entry", "127.0.0.1:1", "--service", "s", "--term", "t", "--min-coverage", "7"},
 		"\"urgent\" is not one of critical": {"query", "--entry", "127.0.0.1:1", "--service", "s", "--term", "t", "--priority", "urgent"},
+		"--report: mkdir":                   {"bench", "--settings", "../../examples/riga", "--report", "/proc/nowhere"},
 		"--dir has no effect without --for": {"demo", "--settings", "x", "--dir", "y"},
 	} {
 		cmd, _, stderr := command(args...)
