Lower the admission limit for parts cut off in a queue, and judge waits by service time

Cause: at 100 and 150 % of capacity queries of the lowest class were admitted and waited until their deadline. Parts refused as busy counted as ended without a wait, parts cut off in their second queue were not counted, and the limit took 2 s from 64 to 6. The bound of a quarter of the query's time is reached by owners with one slot at 60 % of capacity (by calculation, 0.8 service times).

Change: a part refused as busy is counted with its next attempt; a part that may wait until the deadline and has no answer at the end counts as refused; the wait is compared with the service time; an unused limit is halved and returns to 64 in calm times.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/pkg/hedge"
 	"github.com/lacewingyard/lacewingyard/pkg/limit"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -22,8 +23,9 @@
 	owner   *admission
 	start   time.Time
 	waited  time.Duration // of all parts together
+	served  time.Duration // of all parts together
 	parts   int
-	refused int // parts that were refused for lack of room
+	refused int // parts that found no room in time
 }
 
 func newAdmission() *admission { return &admission{services: map[string]*limit.Admission{}} }
@@ -58,15 +60,29 @@
 	return uint8(min(1, load) * 255)
 }
 
-// part records the end of a part of the query and how long it waited for a slot.
-func (q *admitted) part(o outcome.Outcome, waited time.Duration) {
+// part records the end of a part of the query, how long it waited for a slot
+// and its time on the target. A part refused as busy is sent again and has not
+// ended; the time that it lost belongs to the wait of the next attempt.
+func (q *admitted) part(o outcome.Outcome, waited, served time.Duration) {
+	if o.RanNothing() && o.Reason == outcome.Busy {
+		return
+	}
 	q.parts++
 	q.waited += waited
-	if o.RanNothing() && o.Reason == outcome.Overload {
+	q.served += served
+	if hedge.RefusedForLoad(o) {
 		q.refused++
 	}
 }
 
+// cut records a part that was still in a queue, as far as known, when the query
+// ended.
+func (q *admitted) cut(waited time.Duration) {
+	q.parts++
+	q.refused++
+	q.waited += waited
+}
+
 // end ends the query. canceled is true if the caller gave up.
 func (q *admitted) end(canceled bool) {
 	now := time.Now()
@@ -74,7 +90,7 @@
 	if !canceled && q.parts > 0 {
 		sample = &limit.Sample{
 			Took: now.Sub(q.start), Waited: q.waited / time.Duration(q.parts),
-			Refused: float64(q.refused) / float64(q.parts),
+			Served: q.served / time.Duration(q.parts), Refused: float64(q.refused) / float64(q.parts),
 		}
 	}
 	q.owner.mu.Lock()
--- /dev/null
+++ b/internal/daemon/admission_test.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
+)
+
+var _ = Describe("admission", func() {
+	// Guards against an admission limit that stays high in an overload in which
+	// parts are refused as busy, sent again, and cut off in the second queue.
+	It("falls if parts end in a queue after a refusal as busy", func() {
+		a := newAdmission()
+		for range 30 {
+			q, _ := a.start("tagdesk", settings.Critical)
+			for range 10 {
+				q.part(outcome.Refused(outcome.Busy, "busy"), 0, 0)
+			}
+			for range 8 {
+				q.part(outcome.OK(), 0, 20*time.Millisecond)
+			}
+			q.cut(0)
+			q.cut(0)
+			time.Sleep(10 * time.Millisecond)
+			q.end(false)
+		}
+		limits := 0
+		a.each(func(_ string, limit, _ int) { limits = limit })
+		Expect(limits).To(BeNumerically("<", 64))
+	})
+})
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -76,6 +76,7 @@
 	due       time.Time // when the group is looked at again; zero for never
 	gap       bool      // an answer left a part of the range open
 	gapRounds int       // searches for the rest so far
+	busy      bool      // the first attempt was refused as busy
 	waiting   bool      // a retry waits for the extra-load budget
 	trial     bool      // the first attempt is a trial, its hedge goes out at once
 	only      string    // a canary may be sent to this target alone
@@ -125,6 +126,7 @@
 	cause    wire.Cause
 	gap      bool // searches for the rest of a range, not for the group
 	hedge    bool // paid for with a token
+	patient  bool // may wait for a slot until the deadline
 	again    bool // the target may be asked again
 }
 
@@ -287,6 +289,11 @@
 				continue
 			}
 			if !state.done {
+				// Without a bound on its wait the attempt is most likely in a
+				// queue; one with a bound runs, or would have been refused.
+				if a.patient && !a.hedge {
+					g.load.cut(time.Since(state.attempts[0].sent))
+				}
 				state.last = outcome.Uncertain(reason, "no answer within %s", time.Since(a.sent).Round(time.Millisecond))
 			}
 			g.giveUp(state, a)
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -26,7 +26,7 @@
 	state := g.byID[part.Group]
 	mayRetry := g.inspect(part)
 	g.entry.observePart(g.state, a, part, arrived)
-	g.load.part(part.Outcome, time.Duration(part.QueueUS)*time.Microsecond)
+	g.load.part(part.Outcome, state.lostToBusy(a)+time.Duration(part.QueueUS)*time.Microsecond, time.Duration(part.TargetUS)*time.Microsecond)
 	if !part.Outcome.RanNothing() {
 		g.mayRun = true
 	}
@@ -53,6 +53,15 @@
 	return g.retry(state, part.Outcome)
 }
 
+// lostToBusy returns how long before an attempt the group was first sent, if
+// the attempt follows one that was refused as busy.
+func (s *groupState) lostToBusy(a *attempt) time.Duration {
+	if !s.busy || a.hedge {
+		return 0
+	}
+	return a.sent.Sub(s.attempts[0].sent)
+}
+
 // returnToken takes back the token of a hedge that was withdrawn before its
 // target ran it, for example while its connection was being opened.
 func (g *gather) returnToken(a *attempt) {
@@ -130,6 +139,7 @@
 		return nil
 	}
 	if o.Reason == outcome.Busy && len(state.attempts) == 1 {
+		state.busy = true
 		return []*groupState{state} // nothing ran, and the next attempt may wait
 	}
 	if !g.mayRetry(state, o) {
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -137,6 +137,7 @@
 		if a.cause == wire.CauseFirst && len(state.planned.targets) > 1 {
 			part.Turns = turns
 		}
+		a.patient = part.Turns == 0 && len(state.planned.targets) > 1
 		req.Parts = append(req.Parts, part)
 	}
 	g.entry.observer.planned(req)
--- a/pkg/limit/admission.go
+++ b/pkg/limit/admission.go
@@ -9,15 +9,17 @@
 	window = 100 * time.Millisecond
 	// minSamples is the number of answers below which a window is extended.
 	minSamples = 10
-	// waitRatio is the part of a query's time that its parts may wait for slots
-	// on average. The wait is measured, not derived from a rise of the latency:
-	// stuck or slow targets raise the latency as well, and shedding load does
-	// not help against them.
-	waitRatio = 0.25
+	// waitRatio is how long the parts of queries may wait for slots on average,
+	// in service times. An owner with one slot reaches 0.8 at 60 % of capacity
+	// (Pollaczek-Khinchine, service times that vary by 0.3). The wait is
+	// measured, not derived from a rise of the latency: stuck or slow targets
+	// raise the latency as well, and shedding load does not help against them.
+	waitRatio = 1
 	// refusedRatio is the fraction of parts that may be refused for lack of
 	// room. A target that sheds a few of its requests on purpose stays below.
 	refusedRatio = 0.1
 	decrease     = 0.9
+	collapse     = 0.5 // at most, of a limit that was not used
 	increase     = 0.05
 	minLimit     = 4
 	maxLimit     = 1 << 16
@@ -35,7 +37,8 @@
 type Sample struct {
 	Took    time.Duration // the whole query
 	Waited  time.Duration // mean wait of its parts for a slot
-	Refused float64       // fraction of its parts that was refused for lack of room
+	Served  time.Duration // mean time of its parts on their targets
+	Refused float64       // fraction of its parts that found no room in time
 }
 
 // Admission bounds the queries that an entry host has in progress for one
@@ -45,10 +48,12 @@
 	limit    float64
 	inFlight int
 
+	peak    float64 // the limit that this window's queries needed
 	since   time.Time
 	count   int
 	took    time.Duration
 	waited  time.Duration
+	served  time.Duration
 	refused float64
 	held    bool          // the limit turned a query away, or nearly did
 	mean    time.Duration // time of a query in the last window
@@ -70,6 +75,7 @@
 		a.since = now
 	}
 	allowed := a.limit * classPart[class.index()]
+	a.peak = max(a.peak, min(a.limit, float64(a.inFlight+1)/classPart[class.index()]))
 	if float64(a.inFlight+1) > allowed {
 		a.held = true
 		return max(a.mean, time.Millisecond), false
@@ -89,21 +95,26 @@
 	a.count++
 	a.took += s.Took
 	a.waited += s.Waited
+	a.served += s.Served
 	a.refused += s.Refused
 	if now.Sub(a.since) >= window && a.count >= minSamples {
 		a.judge(now)
 	}
 }
 
-// judge adapts the limit to the window that ends now.
+// judge adapts the limit to the window that ends now. A limit far above what
+// was used holds nothing back and is halved: from 64 to 6 in steps of a tenth
+// takes more than 2 s, in which queries of the lowest class are admitted and
+// then wait until their deadline. A low limit returns to the first one without
+// being reached, or chance would lower it step by step in calm times.
 func (a *Admission) judge(now time.Time) {
 	switch {
 	case a.refused > refusedRatio*float64(a.count),
-		float64(a.waited) > waitRatio*float64(a.took):
-		a.limit = max(minLimit, a.limit*decrease)
-	case a.held:
+		float64(a.waited) > waitRatio*float64(a.served):
+		a.limit = max(minLimit, a.limit*collapse, a.peak*decrease)
+	case a.held || a.limit < startLimit:
 		a.limit = min(maxLimit, a.limit+max(1, a.limit*increase))
 	}
 	a.mean = a.took / time.Duration(a.count)
-	a.since, a.count, a.took, a.waited, a.refused, a.held = now, 0, 0, 0, 0, false
+	a.since, a.count, a.took, a.waited, a.served, a.refused, a.held, a.peak = now, 0, 0, 0, 0, 0, false, 0
 }
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -135,3 +135,29 @@
 		a.Done(now, &limit.Sample{Took: 10 * time.Millisecond})
 	}
 }
+
+var _ = Describe("Admission", func() {
+	const service = 40 * time.Millisecond
+	// fed returns the limit after windows of queries that all look alike.
+	fed := func(windows int, s limit.Sample) int {
+		a := limit.NewAdmission()
+		for i := range windows * 20 {
+			now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+			a.Start(now, limit.Interactive)
+			a.Done(now, &s)
+		}
+		return a.Limit()
+	}
+
+	// Guards against refusals at 60 % of capacity: owners with one slot then make
+	// their requests wait for 0.8 service times (Pollaczek-Khinchine).
+	It("keeps its limit while parts wait as long as at 60 % of one slot", func() {
+		calm := limit.Sample{Took: service * 9 / 5, Waited: service * 4 / 5, Served: service}
+		Expect(fed(30, calm)).To(BeNumerically(">=", limit.NewAdmission().Limit()))
+	})
+
+	// Guards against low classes that are admitted for seconds of an overload.
+	It("falls to what is used within half a second", func() {
+		Expect(fed(6, limit.Sample{Took: 3 * service, Waited: 2 * service, Served: service})).To(BeNumerically("<", 8))
+	})
+})
--- a/pkg/limit/overload_test.go
+++ b/pkg/limit/overload_test.go
@@ -30,6 +30,7 @@
 	host    int
 	left    int
 	waited  time.Duration
+	served  time.Duration
 	refused int
 }
 
@@ -135,6 +136,7 @@
 		}
 		q.waited += s.now.Sub(q.started) / groups
 		took := time.Duration(float64(median) * math.Exp(sigma*s.rng.NormFloat64()))
+		q.served += took / groups
 		s.after(took, func() {
 			l.Release()
 			l.Served(s.now, took)
@@ -156,7 +158,7 @@
 	took := s.now.Sub(q.started)
 	late := q.refused > 0 || took > deadline
 	if !s.naive {
-		s.gates[q.host].Done(s.now, &limit.Sample{Took: took, Waited: q.waited, Refused: float64(q.refused) / groups})
+		s.gates[q.host].Done(s.now, &limit.Sample{Took: took, Waited: q.waited, Served: q.served, Refused: float64(q.refused) / groups})
 	}
 	if q.started.Before(start.Add(warmUp)) {
 		return
