--- a/internal/api/queries/queries_test.go
+++ b/internal/api/queries/queries_test.go
@@ -34,6 +34,8 @@
 	return kinds[name], &policy, kinds[name] != ""
 }
 
+func (b *backend) Refused(_ string, o outcome.Outcome) outcome.Outcome { return o }
+
 func request(path, body string, header ...string) *http.Request {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	for i := 0; i+1 < len(header); i += 2 {
@@ -49,6 +51,7 @@
 		b := &backend{}
 		router := mux.NewRouter()
 		queries.Register(router, b)
+		api.AnswerUnrouted(router, "callers")
 		w := httptest.NewRecorder()
 		router.ServeHTTP(w, r)
 		Expect(w.Code).To(Equal(status))
@@ -59,6 +62,8 @@
 		Expect(e.Message).To(ContainSubstring(message))
 		Expect(b.searches).To(BeZero())
 	},
+	Entry("unknown path", request("/status", `{}`), 404, "POST /status does not exist on the listener for callers"),
+	Entry("wrong method", httptest.NewRequest(http.MethodGet, "/v1/services/tags/search", nil), 405, "GET /v1/services/tags/search is not the method"),
 	Entry("unknown service", request("/v1/services/nope/search", `{"terms":["a"]}`), 404, "service nope does not exist"),
 	Entry("service of another kind", request("/v1/services/renewals/search", `{"terms":["a"]}`), 400, "does not search"),
 	Entry("not JSON", request("/v1/services/tags/search", `terms`), 400, "body is not the expected JSON"),
@@ -76,7 +81,7 @@
 var _ = Describe("RateLimit", func() {
 	// Guards against one caller address that takes the whole host.
 	It("refuses one address above its rate and no other", func() {
-		limited := api.NewRateLimit(func() int { return 2 }).Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
+		limited := api.NewRateLimit(func() int { return 2 }, new(backend).Refused).Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
 		status := func(remote string) int {
 			r := httptest.NewRequest(http.MethodGet, "/v1/entries", nil)
 			r.RemoteAddr = remote
--- a/internal/bench/page_test.go
+++ b/internal/bench/page_test.go
@@ -28,7 +28,7 @@
 			r.reply.outcome = outcome.Refused(outcome.Overload, "full")
 		}
 		b.add(r)
-		b.oracle("tagdesk", latency/4)
+		b.bounds("tagdesk", bounds{oracle: latency / 4, queue: latency / 2, restart: latency / 2})
 	}
 	return &Summary{
 		Case: "place-move", Policy: policy, Seed: 7, Seconds: 4, Rows: b.rows(4, true),
@@ -60,12 +60,17 @@
 	// other sites, and against plots without the lines or events of the runs.
 	It("writes a page and plots that hold the data of all policies", func() {
 		dir := filepath.Join(GinkgoT().TempDir(), "new", "report")
-		Expect(WriteReport(dir, []*Summary{scriptedRun(PolicyTier, 40*time.Millisecond), scriptedRun(PolicyNaive, 60*time.Millisecond)})).To(Succeed())
+		naive := scriptedRun(PolicyNaive, 60*time.Millisecond)
+		naive.Rows[0].Violations = Violations{OverSlots: 2, RunTwice: 1}
+		Expect(WriteReport(dir, []*Summary{scriptedRun(PolicyTier, 40*time.Millisecond), naive})).To(Succeed())
 		data, err := os.ReadFile(filepath.Join(dir, PageName))
 		Expect(err).NotTo(HaveOccurred())
 		page := string(data)
-		Expect(page).To(And(ContainSubstring("Policy tier"), ContainSubstring("Policy naive"), ContainSubstring("place_out ends"),
+		Expect(page).To(And(ContainSubstring("Policy tier"), ContainSubstring("Policy naive"), ContainSubstring("tagdesk: over_slots 2, run_twice 1</p>"), ContainSubstring("place_out ends"),
 			ContainSubstring("<td>tagdesk</td><td>400</td><td>40.0</td>"), ContainSubstring("<td>60.0</td>"), ContainSubstring("0.91250")))
+		// The histograms of seconds have two digits. The third second has refusals.
+		Expect(page).To(And(ContainSubstring(`<tr class="event"><td>1</td><td>place_out</td><td>100</td><td>40.2</td><td>1.0</td><td class="bad">0.91250</td><td>0</td><td>100</td>`),
+			ContainSubstring(`<td>2</td><td></td>`), ContainSubstring("<td>50</td></tr>")))
 		Expect(page).NotTo(Or(ContainSubstring("<script"), ContainSubstring("http://"), ContainSubstring("https://")))
 		for _, name := range []string{"coverage.png", "p99.png", "refusals.png", "latency-total.png", "latency-tagdesk.png"} {
 			Expect(page).To(ContainSubstring(`src="` + name + `"`))
@@ -76,6 +81,7 @@
 		Expect(columns(p99, lineColors[1])).To(BeNumerically(">", 400))
 		Expect(columns(coverage, lineColors[1])).To(BeNumerically(">", 400))
 		Expect(columns(p99, markColor)).To(BeNumerically(">", 0))
+		Expect(columns(coverage, targetColor)).To(BeNumerically(">", 100))
 		Expect(columns(cdf, lineColors[0])).To(BeNumerically(">", 0))
 		Expect(columns(cdf, lineColors[1])).To(BeNumerically(">", 0))
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,6 @@
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), wired: make(chan struct{}), aborted: make(chan struct{}),
 		leaving: make(chan struct{})}
 	d.config = newConfig(opts.Process, d.log)
-	d.limit = api.NewRateLimit(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit })
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	guard := newGuard(opts.Process, d.config, d.directory)
@@ -123,11 +122,13 @@
 	remote := &branchClient{self: opts.Process, local: d.branch, directory: d.directory, transport: d.transport, observer: watch, peerState: d.control.peerState}
 	d.branch.peers = remote
 	d.entry = newEntry(opts.Process, d.config, d.directory, remote)
+	remote.delay = d.entry.delay
 	d.entry.router.SetRoom(d.branch.targets.room)
 	d.control.setLoad(d.entry.admission.load)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, watch
 	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
-	d.entry.peerState, d.entry.incarnation = d.control.peerState, d.control.incarnation
+	d.limit = api.NewRateLimit(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit }, d.entry.Refused)
+	d.entry.peerState, d.entry.incarnation, d.entry.lost = d.control.peerState, d.control.incarnation, d.transport.Lost
 	close(d.wired)
 	return d, nil
 }
@@ -182,6 +183,7 @@
 	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
 	queries.Register(router, entry)
 	commands.Register(router, entry)
+	api.AnswerUnrouted(router, "callers")
 	return d.limit.Wrap(router)
 }
 
@@ -191,6 +193,7 @@
 	router.Handle("/metrics", d.opts.Metrics.Handler())
 	router.HandleFunc("/status", d.serveStatus).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", d.serveDrain).Methods(http.MethodPost)
+	api.AnswerUnrouted(router, "operators")
 	return router
 }
 
@@ -210,7 +213,7 @@
 	case wire.ExchangeCommand:
 		d.serveCommand(ctx, s)
 	case wire.ExchangeOnce:
-		d.branch.serveOnce(ctx, s)
+		d.serveOnce(ctx, s)
 	case wire.ExchangeHandover:
 		d.serveHandover(s)
 	default:
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -65,6 +65,13 @@
 	Internal    Reason = "internal"     // a fault of the tier or the target
 )
 
+// Reasons returns every reason but None, in the order above.
+func Reasons() []Reason {
+	return []Reason{
+		Overload, Busy, Deadline, Draining, PlaceOut, Quarantined, VersionGone, Unavailable, ConnLost, Silent, Canceled, Invalid, Internal,
+	}
+}
+
 // Outcome is what became of a request, with the reason if it was not answered.
 type Outcome struct {
 	Kind       Kind          `json:"outcome" cbor:"1,keyasint"`
@@ -87,6 +94,13 @@
 	return Outcome{Kind: Unknown, Reason: reason, Message: fmt.Sprintf(format, args...)}
 }
 
+// Doubted returns the outcome as Unknown, with the reason for the doubt added to
+// its message.
+func (o Outcome) Doubted(why string) Outcome {
+	o.Kind, o.Message = Unknown, o.Message+"; "+why
+	return o
+}
+
 // RanNothing reports whether the request certainly did not run.
 func (o Outcome) RanNothing() bool { return o.Kind == NotRun }
 
