Leave the slowest group out of the wait that lowers the admission limit

Cause: parts that are cut off at the end of a query now count as waits. With one replica of a group stuck the slots left are over their capacity, so one part of every query waits until the deadline. Its wait alone, divided by ten groups, exceeded the service time and lowered the limit of the whole service.

Change: the longest wait among several parts is left out of the mean.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -23,6 +23,7 @@
 	owner   *admission
 	start   time.Time
 	waited  time.Duration // of all parts together
+	longest time.Duration // wait of one part
 	served  time.Duration // of all parts together
 	parts   int
 	refused int // parts that found no room in time
@@ -68,7 +69,7 @@
 		return
 	}
 	q.parts++
-	q.waited += waited
+	q.wait(waited)
 	q.served += served
 	if hedge.RefusedForLoad(o) {
 		q.refused++
@@ -80,7 +81,22 @@
 func (q *admitted) cut(waited time.Duration) {
 	q.parts++
 	q.refused++
+	q.wait(waited)
+}
+
+func (q *admitted) wait(waited time.Duration) {
 	q.waited += waited
+	q.longest = max(q.longest, waited)
+}
+
+// meanWait returns the mean wait of the parts. The longest of several is left
+// out: a group whose replica is stuck holds up one part of every query, and
+// refusing whole queries for it would give up the answers of all other groups.
+func (q *admitted) meanWait() time.Duration {
+	if q.parts == 1 {
+		return q.waited
+	}
+	return (q.waited - q.longest) / time.Duration(q.parts-1)
 }
 
 // end ends the query. canceled is true if the caller gave up.
@@ -89,7 +105,7 @@
 	var sample *limit.Sample
 	if !canceled && q.parts > 0 {
 		sample = &limit.Sample{
-			Took: now.Sub(q.start), Waited: q.waited / time.Duration(q.parts),
+			Took: now.Sub(q.start), Waited: q.meanWait(),
 			Served: q.served / time.Duration(q.parts), Refused: float64(q.refused) / float64(q.parts),
 		}
 	}
--- a/internal/daemon/admission_test.go
+++ b/internal/daemon/admission_test.go
@@ -32,4 +32,20 @@
 		a.each(func(_ string, limit, _ int) { limits = limit })
 		Expect(limits).To(BeNumerically("<", 64))
 	})
+
+	// Guards against whole queries that are refused because one group is slow: its
+	// part of every query waits until the deadline.
+	It("holds if one group alone keeps its parts waiting", func() {
+		a := newAdmission()
+		for range 30 {
+			q, _ := a.start("tagdesk", settings.Critical)
+			for range 9 {
+				q.part(outcome.OK(), 0, 20*time.Millisecond)
+			}
+			q.cut(600 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+			q.end(false)
+		}
+		a.each(func(_ string, limit, _ int) { Expect(limit).To(BeNumerically(">=", 64)) })
+	})
 })
