Name queue entries and canary targets by the usual terms

Cause: "place" is a data centre in this project, but named a queue entry, a canary's target and a function of the oracle; "news" stood for notices of peers.

Change: waiter, canaryTarget, schedule and notices. No behaviour changes.

--- a/internal/bench/oracle.go
+++ b/internal/bench/oracle.go
@@ -132,7 +132,7 @@
 				restarted[i] = limit + o.draw(r, r.again, q.at)
 			}
 		}
-		b.oracle = max(b.oracle, place(replicas, times, q.at))
+		b.oracle = max(b.oracle, schedule(replicas, times, q.at))
 		b.queue = max(b.queue, enqueue(replicas, func(r *replica) slots { return r.queue }, times, q.at))
 		b.restart = max(b.restart, enqueue(replicas, func(r *replica) slots { return r.restart }, restarted, q.at))
 	}
@@ -157,9 +157,9 @@
 	return *first - at
 }
 
-// place runs a sub-request on the replica that completes it first and returns
+// schedule runs a sub-request on the replica that completes it first and returns
 // its latency. times holds its service time on each replica.
-func place(replicas []*replica, times []time.Duration, at time.Duration) time.Duration {
+func schedule(replicas []*replica, times []time.Duration, at time.Duration) time.Duration {
 	var best *time.Duration
 	bestEnd := time.Duration(math.MaxInt64)
 	for i, r := range replicas {
--- a/internal/bench/oracle_test.go
+++ b/internal/bench/oracle_test.go
@@ -14,11 +14,11 @@
 		a := &replica{id: "a", free: make(slots, 1), queue: make(slots, 1)}
 		b := &replica{id: "b", free: make(slots, 1), queue: make(slots, 1)}
 		both := []*replica{a, b}
-		Expect(place(both, []time.Duration{10 * ms, 30 * ms}, 0)).To(Equal(10 * ms)) // a until 10
+		Expect(schedule(both, []time.Duration{10 * ms, 30 * ms}, 0)).To(Equal(10 * ms)) // a until 10
 		// At 4 a is busy until 10 and would end at 15; b ends at 24.
-		Expect(place(both, []time.Duration{5 * ms, 20 * ms}, 4*ms)).To(Equal(11 * ms)) // a until 15
+		Expect(schedule(both, []time.Duration{5 * ms, 20 * ms}, 4*ms)).To(Equal(11 * ms)) // a until 15
 		// At 5 a would end at 35; b ends at 25.
-		Expect(place(both, []time.Duration{20 * ms, 20 * ms}, 5*ms)).To(Equal(20 * ms)) // b until 25
+		Expect(schedule(both, []time.Duration{20 * ms, 20 * ms}, 5*ms)).To(Equal(20 * ms)) // b until 25
 		Expect(a.free[0]).To(Equal(15 * ms))
 		Expect(b.free[0]).To(Equal(25 * ms))
 	})
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -41,7 +41,7 @@
 
 	mu       sync.Mutex // guards what follows
 	terms    shareTerms
-	limiter  *limit.Limiter[*place]
+	limiter  *limit.Limiter[*waiter]
 	ramp     *warmup.Ramp
 	sending  int // requests that the target may be working on
 	probedAt time.Time
@@ -51,7 +51,7 @@
 func newOwnedTarget(id, address string, terms shareTerms, dial target.Dialer, usual *usual) *ownedTarget {
 	t := &ownedTarget{
 		id: id, address: address, usual: usual, terms: terms,
-		limiter: limit.NewLimiter[*place](terms.slots, terms.queue),
+		limiter: limit.NewLimiter[*waiter](terms.slots, terms.queue),
 		ramp:    warmup.NewRamp(terms.rampConfig()),
 	}
 	t.pool = target.NewPool(address, terms.connections, terms.ahead(), dial, target.Events{
--- a/internal/daemon/ownedqueue.go
+++ b/internal/daemon/ownedqueue.go
@@ -14,16 +14,16 @@
 // refusal the entry host still has time to ask a warm replica.
 const coldPatience = 4
 
-// place is a request's place in the queue. Exactly one value is sent: an empty
+// waiter is a request in the queue. Exactly one value is sent: an empty
 // outcome if the request has a slot, or else the refusal.
-type place struct {
+type waiter struct {
 	ready chan outcome.Outcome
 	late  outcome.Reason // why it is refused if its wait is too long
 }
 
 // wait queues the request and waits for a slot.
 func (t *ownedTarget) wait(ctx context.Context, w *work, now time.Time) outcome.Outcome {
-	p := &place{ready: make(chan outcome.Outcome, 1), late: outcome.Overload}
+	p := &waiter{ready: make(chan outcome.Outcome, 1), late: outcome.Overload}
 	if o := t.offer(ctx, p, w, now); o.Reason != outcome.None {
 		return o
 	}
@@ -33,7 +33,7 @@
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
-	waiting := t.limiter.Remove(func(other *place) bool { return other == p })
+	waiting := t.limiter.Remove(func(other *waiter) bool { return other == p })
 	t.mu.Unlock()
 	if !waiting {
 		if o := <-p.ready; o.Reason != outcome.None {
@@ -45,7 +45,7 @@
 }
 
 // offer puts the request in the queue, or returns the refusal.
-func (t *ownedTarget) offer(ctx context.Context, p *place, w *work, now time.Time) outcome.Outcome {
+func (t *ownedTarget) offer(ctx context.Context, p *waiter, w *work, now time.Time) outcome.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settle(now)
--- a/internal/daemon/quarantinebind.go
+++ b/internal/daemon/quarantinebind.go
@@ -12,12 +12,12 @@
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
-// newsWait is how long a query that this host has not cleared waits after a
+// noticeWait is how long a query that this host has not cleared waits after a
 // target refused it because it is down. The query itself may have taken the
 // target down through another host, and a sister replica would be the next one;
 // the notice of that host takes the delay of a link and the time to handle a
 // dead connection there.
-const newsWait = 50 * time.Millisecond
+const noticeWait = 50 * time.Millisecond
 
 // findBinding decides whether the query is bound: with canary always, all hosts
 // choose the same replica of each group for a query that they have not cleared,
@@ -36,7 +36,7 @@
 	return xxhash.Sum64String(strconv.FormatUint(uint64(g.canary.fp), 16) + "/" + of)
 }
 
-// placeRank returns the rank of a place; the lowest is the query's home.
+// placeRank returns the rank of a place; the lowest is asked first.
 func (g *gather) placeRank(place string) uint64 {
 	rank, ok := g.canary.ranks[place]
 	if !ok {
@@ -65,7 +65,7 @@
 		if state.only != "" || state.held || len(state.attempts) > 0 && g.merger.Coverage() > 0 && state.last.Reason != outcome.Unavailable {
 			continue
 		}
-		var best canaryPlace
+		var best canaryTarget
 		options := state.planned.options.Options
 		for i := range options {
 			if !g.usable(state, i) {
@@ -73,7 +73,7 @@
 			}
 			at := g.canaryAt(state.planned.group.ID, options[i].Target, options[i].Place)
 			at.closed = !g.entry.router.Open(now, options[i], false)
-			if best.target == "" || comparePlaces(at, best) < 0 {
+			if best.target == "" || compareTargets(at, best) < 0 {
 				best = at
 			}
 		}
@@ -87,27 +87,27 @@
 	return !g.canary.bound || g.merger.Coverage() > 0
 }
 
-// awaitNews makes a group of a bound query wait before it is sent on from a target
+// awaitNotices makes a group of a bound query wait before it is sent on from a target
 // that is down.
-func (g *gather) awaitNews(state *groupState, part *wire.PartResult) bool {
+func (g *gather) awaitNotices(state *groupState, part *wire.PartResult) bool {
 	if !g.canary.bound || g.canary.holding || !part.Outcome.RanNothing() ||
 		part.Outcome.Reason != outcome.Unavailable || part.Status.State == wire.TargetCold {
 		return false
 	}
 	now := time.Now()
-	state.waiting, state.news, state.due = true, true, now.Add(newsWait)
+	state.waiting, state.awaiting, state.due = true, true, now.Add(noticeWait)
 	g.arm(now)
 	return true
 }
 
-// stopped ends the wait for news of a group and reports whether the group must
+// stopped ends the wait for notices of a group and reports whether the group must
 // not be sent on: the query died in it elsewhere, or died in some group and was
 // answered by none.
 func (g *gather) stopped(state *groupState) bool {
-	if !state.news {
+	if !state.awaiting {
 		return false
 	}
-	state.news = false
+	state.awaiting = false
 	verdict, plan := g.decide()
 	g.canary.plan = plan
 	_, held := plan.Held[state.planned.group.ID]
@@ -127,12 +127,12 @@
 	}
 }
 
-func comparePlaces(a, b canaryPlace) int {
+func compareTargets(a, b canaryTarget) int {
 	if a.closed != b.closed {
 		if b.closed {
 			return -1
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.home, b.home), cmp.Compare(a.score, b.score))
+	return cmp.Or(cmp.Compare(a.placeRank, b.placeRank), cmp.Compare(a.score, b.score))
 }
--- a/internal/daemon/quarantinecanary.go
+++ b/internal/daemon/quarantinecanary.go
@@ -30,7 +30,7 @@
 	group      string            // the group that the canary was sent to last
 	plan       quarantine.Plan
 	known      bool // answers of single groups are recorded
-	candidates []canaryPlace
+	candidates []canaryTarget
 	slow       <-chan time.Time // a precaution holds up the others no longer
 	again      <-chan time.Time // the targets that died before are tried again
 	wait       bool             // they may be waited for
@@ -104,7 +104,7 @@
 	if g.canary.plan.Held[state.planned.group.ID].Only || !o.RanNothing() || o.Reason == outcome.Quarantined {
 		return false
 	}
-	places := g.usablePlaces(state)
+	places := g.usableTargets(state)
 	if len(places) == 0 {
 		return false
 	}
@@ -153,7 +153,7 @@
 	if state.held {
 		state.held, state.hedges = false, 0
 	}
-	state.only, state.retries, state.waiting, state.news = "", 0, false, false
+	state.only, state.retries, state.waiting, state.awaiting = "", 0, false, false
 }
 
 // refuse closes the groups that were not sent, with the reason.
--- a/internal/daemon/quarantineplaces.go
+++ b/internal/daemon/quarantinetargets.go
@@ -11,11 +11,11 @@
 // maxCanaries is how many targets a query tries to run its canary on.
 const maxCanaries = 3
 
-// canaryPlace is where a canary may run. Lower scores are tried first, and
+// canaryTarget is where a canary may run. Lower scores are tried first, and
 // targets that take no work at present last.
-type canaryPlace struct {
+type canaryTarget struct {
 	group, target string
-	home          uint64 // rank of the place
+	placeRank     uint64 // rank of its place for the query
 	score         uint64 // among those of a place
 	closed        bool
 }
@@ -23,37 +23,37 @@
 // candidates lists where the canary may run, in the order of trial. The order
 // follows from the query and the targets alone, so that hosts that get a killer
 // query at the same time lose the same target to it.
-func (g *gather) candidates(states []*groupState, plan quarantine.Plan) []canaryPlace {
-	var all []canaryPlace
+func (g *gather) candidates(states []*groupState, plan quarantine.Plan) []canaryTarget {
+	var all []canaryTarget
 	for _, id := range plan.Prefer {
 		if info, ok := g.entry.config.tree().Target(id); ok {
 			all = append(all, g.canaryAt(info.Group, id, info.Place))
 		}
 	}
-	sortPlaces(all)
+	sortTargets(all)
 	if !plan.Only {
-		var others []canaryPlace
+		var others []canaryTarget
 		for _, state := range states {
 			if slices.Contains(plan.Avoid, state.planned.group.ID) {
 				continue
 			}
-			places := g.usablePlaces(state)
+			places := g.usableTargets(state)
 			if len(states) > 1 || plan.Suspect {
 				places = places[:min(len(places), 1)]
 			}
 			others = append(others, places...)
 		}
-		sortPlaces(others)
+		sortTargets(others)
 		all = append(all, others...)
 	}
 	return all[:min(len(all), maxCanaries)]
 }
 
-// usablePlaces returns the usable targets of a group that were not asked yet, in
+// usableTargets returns the usable targets of a group that were not asked yet, in
 // the order of trial.
-func (g *gather) usablePlaces(state *groupState) []canaryPlace {
+func (g *gather) usableTargets(state *groupState) []canaryTarget {
 	p := state.planned
-	var all []canaryPlace
+	var all []canaryTarget
 	now := time.Now()
 	g.entry.mu.Lock()
 	for i, o := range p.options.Options {
@@ -64,19 +64,19 @@
 		}
 	}
 	g.entry.mu.Unlock()
-	sortPlaces(all)
+	sortTargets(all)
 	return all
 }
 
-func (g *gather) canaryAt(group, target, place string) canaryPlace {
-	at := canaryPlace{group: group, target: target, score: g.rank(target)}
+func (g *gather) canaryAt(group, target, place string) canaryTarget {
+	at := canaryTarget{group: group, target: target, score: g.rank(target)}
 	if len(g.groups) > 1 { // one group needs one target, and may have several in a place
-		at.home = g.placeRank(place)
+		at.placeRank = g.placeRank(place)
 	}
 	return at
 }
 
-func sortPlaces(all []canaryPlace) { slices.SortFunc(all, comparePlaces) }
+func sortTargets(all []canaryTarget) { slices.SortFunc(all, compareTargets) }
 
 // canaryOwners leaves a suspect's canary to the first listed owner of each
 // target, so that the canaries on a target wait for each other on one host.
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -82,7 +82,7 @@
 	trial     bool      // the first attempt is a trial, its hedge goes out at once
 	only      string    // a canary may be sent to this target alone
 	bound     string    // a bound query may be sent to this target alone
-	news      bool      // waits for notices about the query, whose target is down
+	awaiting  bool      // waits for notices about the query, whose target is down
 	died      bool      // a target's connection died under the query
 	placeOut  string    // a place that refused because it, or its target, is out
 	held      bool      // the query died in the group, which runs it as a canary
--- a/internal/daemon/searchresult.go
+++ b/internal/daemon/searchresult.go
@@ -50,7 +50,7 @@
 		g.closeIfIdle(state)
 		return nil
 	}
-	if g.awaitNews(state, part) {
+	if g.awaitNotices(state, part) {
 		return nil
 	}
 	return g.retry(state, part.Outcome)
