--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -261,4 +261,3 @@
 	case <-ctx.Done():
 	}
 }
-
--- a/pkg/gather/decide.go
+++ b/pkg/gather/decide.go
@@ -26,9 +26,9 @@
 
 // Verdicts.
 const (
-	Wait    Verdict = iota // for further parts
-	Answer                 // with the parts received
-	GiveUp                 // the least number of parts can no longer be had
+	Wait   Verdict = iota // for further parts
+	Answer                // with the parts received
+	GiveUp                // the least number of parts can no longer be had
 )
 
 // Decide says whether a fan-out is to be answered now. An answer that lacks a
