Keep the repeat budget in every window and restart split shares on a change

Change: the oldest slot and a twentieth of first sends do not earn; shares start anew with new weights. A host without a configuration waits a moment for it, and directory answers hold for 2 s in place of 1 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,9 +24,9 @@
 const (
 	// EntriesTTL is how long callers may keep a directory answer. Some keep it
 	// three times as long, which has to fit the grace period of a shutdown.
-	EntriesTTL = time.Second
+	EntriesTTL = 2 * time.Second
 	// keptEntries is how long a host that leaves still gets new connections.
-	keptEntries = 3*EntriesTTL + 400*time.Millisecond
+	keptEntries = 3500 * time.Millisecond
 	// exitReserve is the part of the grace period left for the exit itself.
 	exitReserve = 400 * time.Millisecond
 	// headerLimit bounds the time in which a caller sends a request's head.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,8 +48,10 @@
 
 // Engine runs requests. It is safe for concurrent use.
 type Engine struct {
-	cfg  Config
-	view atomic.Pointer[catalog.View]
+	cfg   Config
+	view  atomic.Pointer[catalog.View]
+	known chan struct{} // closed once a configuration is known
+	once  sync.Once
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -70,7 +72,7 @@
 // New returns an engine that knows no configuration.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, known: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
 		targets: map[string]*target{}, routes: map[string]*routeState{},
 		budgets: map[string]*hedge.Window{}, links: map[string]time.Duration{},
 	}
@@ -84,6 +86,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.view.Store(v)
+	if v.Config != nil {
+		e.once.Do(func() { close(e.known) })
+	}
 	for id, t := range e.targets {
 		if entry, ok := v.Targets[id]; !ok || !entry.SameProcess(t.entry) {
 			t.pool.Close()
@@ -139,6 +144,9 @@
 // open then end by themselves, or soon after the context is done.
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
 	v := e.view.Load()
+	if v == nil || v.Config == nil {
+		v = e.awaitConfig(ctx, r)
+	}
 	if v == nil || v.Config == nil {
 		return Answer{Outcome: e.refused(outcome.Unavailable, blindRetry, "no configuration is known yet")}
 	}
@@ -153,6 +161,24 @@
 	return a
 }
 
+// awaitConfig waits a moment for the first configuration: a host that has just
+// started reads it within some tens of milliseconds, and callers return from a
+// refusal only once.
+func (e *Engine) awaitConfig(ctx context.Context, r *Request) *catalog.View {
+	limit := blindWait
+	if r.Limit > 0 {
+		limit = min(limit, r.Limit/8)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-e.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.view.Load()
+}
+
 // refused returns a refusal that spreads the callers' return over twice the given
 // time.
 func (e *Engine) refused(reason outcome.Reason, after time.Duration, format string, args ...any) outcome.Outcome {
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -15,6 +15,9 @@
 	// repeats after a failure, which gain more.
 	hedgeReserve = 0.3
 
+	// blindWait is the longest wait for the first configuration, an eighth of the
+	// caller's time at most.
+	blindWait = 120 * time.Millisecond
 	// blindRetry is the time after which callers of a host without a configuration
 	// may return: a read of the store takes some tens of milliseconds, but a host
 	// in that state has usually just started.
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -10,9 +10,9 @@
 // routeState is what this host has learned about the requests of a route.
 type routeState struct {
 	latencies *hedge.Latencies
-	expected  time.Duration      // usual service time, without the link
-	limit     time.Duration      // longest time that callers wait, as they say
-	given     map[string]float64 // requests per part of a split, for their shares
+	expected  time.Duration // usual service time, without the link
+	limit     time.Duration // longest time that callers wait, as they say
+	split     splitter
 }
 
 const (
@@ -35,8 +35,8 @@
 	s, ok := e.routes[r.Name]
 	if !ok {
 		s = &routeState{
-			latencies: hedge.NewLatencies(), given: map[string]float64{},
-			expected: max(time.Millisecond, time.Duration(firstExpected*float64(r.Objective))),
+			latencies: hedge.NewLatencies(),
+			expected:  max(time.Millisecond, time.Duration(firstExpected*float64(r.Objective))),
 		}
 		e.routes[r.Name] = s
 	}
@@ -50,24 +50,6 @@
 	s.expected = max(s.expected, 500*time.Microsecond)
 }
 
-// part chooses the service of a split route that is furthest behind its share.
-func (s *routeState) part(split []catalog.Weight) string {
-	best, bestLag := "", 0.0
-	total, sum := 0.0, 0.0
-	for _, w := range split {
-		total += s.given[w.Service]
-		sum += w.Weight
-	}
-	for _, w := range split {
-		lag := (total+1)*w.Weight/max(sum, 1e-9) - s.given[w.Service]
-		if w.Weight > 0 && (best == "" || lag > bestLag) {
-			best, bestLag = w.Service, lag
-		}
-	}
-	s.given[best]++
-	return best
-}
-
 // started returns when the caller's first attempt began, as far as the time that
 // it still waits shows.
 func (s *routeState) started(r *Request) time.Time {
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -79,7 +79,7 @@
 	if len(services) == 0 {
 		services = []string{route.Service}
 		if len(route.Split) > 0 {
-			services[0] = state.part(route.Split)
+			services[0] = state.split.next(route.Split)
 		}
 	}
 	x.shards = make([]shard, len(services))
--- a/pkg/hedge/window.go
+++ b/pkg/hedge/window.go
@@ -5,6 +5,10 @@
 // windowSlots is the resolution of a Window.
 const windowSlots = 20
 
+// countedShare is the part of a host's first sends that surely counts for the
+// limit: probes of single hosts, a few in a hundred, may not.
+const countedShare = 0.95
+
 // Window limits the extra sends to one service in every sliding window of time:
 // at most a ratio of this host's first sends plus a fixed part of the slack that
 // all hosts share. Hosts need not talk: each counts what it sent itself, and the
@@ -41,12 +45,17 @@
 // First records the first send of a request.
 func (w *Window) First(now time.Time) { w.first[w.advance(now)]++ }
 
-// Left returns the number of extra sends that the window allows now.
+// Left returns the number of extra sends that the window allows now. The slots
+// reach up to one slot beyond the window, so the first sends of the oldest one
+// are left out, and its extra sends are counted.
 func (w *Window) Left(now time.Time, ratio, slack float64) float64 {
-	w.advance(now)
+	oldest := (w.advance(now) + 1) % len(w.first)
 	allowed := slack
 	for i := range w.first {
-		allowed += ratio*w.first[i] - w.extra[i]
+		allowed -= w.extra[i]
+		if i != oldest {
+			allowed += countedShare * ratio * w.first[i]
+		}
 	}
 	return allowed
 }
