Judge a target's speed by the logarithm of its answers and leave silent ones alone

Change: slowness is an average of logarithms, and of requests that met one pause together only the first counts; refusals have a cost; a target that gave no sign of life during a timed-out request is tried by one request at a time.

--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -6,8 +6,9 @@
 	// defaultConnections is the limit of a target whose service states none.
 	defaultConnections = 16
 	// nearShare is the fraction of a target's connections for the hosts of its
-	// place, which send most of the requests.
-	nearShare = 0.7
+	// place, which send most of the requests; the rest is for
+	// those that have to go elsewhere when targets of their own place fail.
+	nearShare = 0.5
 	// budgetShare keeps a part of the slack for hosts that were restarted within
 	// the window and forgot what they had sent.
 	budgetShare = 0.5
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -186,6 +186,8 @@
 		} else {
 			t.state.Unreachable(now)
 		}
+	case backend.TimedOut:
+		t.state.Silent(now, r.Took)
 	case backend.Canceled:
 		t.state.Abandoned(now, r.Took, x.expected)
 	default:
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// slownessGain is the weight of one answer in a target's slowness; about five
-	// answers show a change.
-	slownessGain = 0.3
+	// slownessGain is the weight of one answer in the logarithm of a target's
+	// slowness. One answer that a pause held up for ten service times then adds a
+	// third, less than the way to another place costs; a target that stays slow is
+	// left after two or three.
+	slownessGain = 0.12
 	// forgetAfter is the time constant with which a judgement fades while a target
 	// gets no work, so that it is tried again.
 	forgetAfter = 3 * time.Second
@@ -18,6 +20,8 @@
 	// failureCost is the cost of a failed attempt in expected service times: the
 	// repeat starts from the beginning and needs a token.
 	failureCost = 4.0
+	// refusalCost is the cost of a refused attempt: a round trip and a token.
+	refusalCost = 2.5
 	// stallFactor is the number of expected service times without any answer after
 	// which a target with outstanding requests counts as stalled.
 	stallFactor = 2.5
@@ -42,16 +46,19 @@
 
 	outstanding int
 	waitingFrom time.Time // since when an outstanding request has seen no answer
-	slowness    float64   // service time relative to the expected one
+	answered    time.Time // last sign of life
+	slowness    float64   // logarithm of the service time relative to the expected one
+	measured    time.Time // when slowness was last measured
 	failures    float64   // recent fraction of failed requests
 	judged      time.Time // time of the last result
 	unreachable int       // connection failures in a row
 	avoidUntil  time.Time
 	refused     time.Time // when it last refused for load
+	refusals    float64   // recent fraction of refused requests
 }
 
 // NewTarget returns the state of a target of which nothing is known.
-func NewTarget(slots int) *Target { return &Target{Slots: max(1, slots), slowness: 1} }
+func NewTarget(slots int) *Target { return &Target{Slots: max(1, slots)} }
 
 // Outstanding returns the number of requests without a result.
 func (t *Target) Outstanding() int { return t.outstanding }
@@ -73,11 +80,24 @@
 // requests of its kind.
 func (t *Target) Answered(now time.Time, took, expected time.Duration) {
 	t.ended(now)
+	t.answered = now
 	t.unreachable, t.avoidUntil = 0, time.Time{}
 	t.failures *= 1 - failureGain
-	ratio := min(maxSlowness, float64(took)/float64(max(expected, time.Millisecond)))
-	t.slowness = t.current(now) + slownessGain*(ratio-t.current(now))
-	t.judged = now
+	t.refusals *= 1 - failureGain
+	t.measure(now, took, expected)
+}
+
+// measure takes a service time into the slowness. Requests that were on their way
+// together met the same pause, so that only the first of them counts.
+func (t *Target) measure(now time.Time, took, expected time.Duration) {
+	if now.Add(-took).Before(t.measured) && took > 2*expected {
+		return
+	}
+	ratio := float64(took) / float64(max(expected, time.Millisecond))
+	sample := math.Log(min(maxSlowness, max(1/maxSlowness, ratio)))
+	current := t.slowness * t.fade(now)
+	t.slowness = current + slownessGain*(sample-current)
+	t.measured, t.judged = now, now
 }
 
 // Failed records a request that ran, or may have run, without a usable answer.
@@ -90,7 +110,20 @@
 // Refused records that the target did not run a request for lack of room.
 func (t *Target) Refused(now time.Time) {
 	t.ended(now)
+	t.answered = now
+	t.unreachable, t.avoidUntil = 0, time.Time{}
 	t.refused, t.judged = now, now
+	t.refusals += failureGain * (1 - t.refusals)
+}
+
+// Silent records a request that got no answer within the time that it waited. A
+// target that gave no sign of life all the while counts as unreachable.
+func (t *Target) Silent(now time.Time, waited time.Duration) {
+	if now.Sub(t.answered) >= waited {
+		t.Unreachable(now)
+		return
+	}
+	t.Failed(now)
 }
 
 // Unreachable records that no connection could be opened or that one ended
@@ -110,10 +143,8 @@
 	if t.outstanding > 0 {
 		t.waitingFrom = since // nothing came back
 	}
-	ratio := min(maxSlowness, float64(waited)/float64(max(expected, time.Millisecond)))
-	if ratio > t.current(now) {
-		t.slowness = t.current(now) + slownessGain*(ratio-t.current(now))
-		t.judged = now
+	if float64(waited) > t.current(now)*float64(expected) {
+		t.measure(now, waited, expected)
 	}
 }
 
@@ -122,7 +153,7 @@
 
 // current returns the slowness, faded by the time without results.
 func (t *Target) current(now time.Time) float64 {
-	return 1 + (t.slowness-1)*t.fade(now)
+	return math.Exp(t.slowness * t.fade(now))
 }
 
 func (t *Target) fade(now time.Time) float64 {
@@ -132,8 +163,11 @@
 	return math.Exp(-float64(now.Sub(t.judged)) / float64(forgetAfter))
 }
 
-// Down reports whether the target is left alone because it was not reached.
-func (t *Target) Down(now time.Time) bool { return now.Before(t.avoidUntil) }
+// Down reports whether the target is left alone because it was not reached. After
+// the pause one request at a time tries whether it answers again.
+func (t *Target) Down(now time.Time) bool {
+	return now.Before(t.avoidUntil) || t.unreachable > 0 && t.outstanding > 0
+}
 
 // Stalled reports whether requests are outstanding and nothing has come back for
 // much longer than usual.
@@ -153,7 +187,7 @@
 	load := float64(t.outstanding * max(1, sharers))
 	queue := max(0, load-float64(t.Slots)+1) / float64(t.Slots)
 	cost := service * (1 + queue + 0.05*float64(t.outstanding))
-	cost += failureCost * float64(expected) * t.failures * t.fade(now)
+	cost += float64(expected) * t.fade(now) * (failureCost*t.failures + refusalCost*t.refusals)
 	if t.Stalled(now, expected) {
 		cost += max(float64(now.Sub(t.waitingFrom)), 2*service)
 	}
