Keep connections to targets beyond the deadline of their last request

Change: the check does not depend on deadlines; totals of opened and closed connections by reason are logged each 10 s.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -42,6 +42,7 @@
 	br      *bufio.Reader
 	used    time.Time     // end of the last answer, or when it was opened
 	keepFor time.Duration // how long the target keeps it idle
+	asked   bool          // the target asked to close it
 }
 
 func newConn(nc *net.TCPConn, now time.Time) (*conn, error) {
@@ -60,10 +61,10 @@
 	}
 	var one [1]byte
 	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
+	// Control, because Read fails once the deadline of the last request has passed.
+	err := c.raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
@@ -148,7 +149,7 @@
 			clean = false
 			continue
 		}
-		c.keepFor = head.KeepFor
+		c.keepFor, c.asked = head.KeepFor, resp.Close
 		clean = clean && !resp.Close && c.br.Buffered() == 0
 		return classify(resp, head, body), clean
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,11 +24,23 @@
 
 var errBusy = errors.New("all connections of this host to the target are in use")
 
+// Counters count the connections of all pools that share them.
+type Counters struct {
+	Opened    atomic.Int64
+	Failed    atomic.Int64 // not opened
+	Asked     atomic.Int64 // closed because the target asked for it
+	Stale     atomic.Int64 // closed because they were idle for too long
+	Unproven  atomic.Int64 // closed because a request needed one proven to live
+	Disturbed atomic.Int64 // closed because something came over them while idle
+	Broken    atomic.Int64 // closed after a request that ended badly
+}
+
 // Pool holds the connections to one target. It is safe for concurrent use.
 type Pool struct {
 	address  string
 	instance string
 	codec    Codec
+	counters *Counters
 
 	mu     sync.Mutex
 	idle   []*conn // the last one used at the end
@@ -38,8 +51,8 @@
 }
 
 // NewPool returns a pool for the target with an ID at an IP and port.
-func NewPool(address, instance string, codec Codec, limit int) *Pool {
-	return &Pool{address: address, instance: instance, codec: codec, limit: max(1, limit)}
+func NewPool(address, instance string, codec Codec, counters *Counters, limit int) *Pool {
+	return &Pool{address: address, instance: instance, codec: codec, counters: counters, limit: max(1, limit)}
 }
 
 // SetLimit changes the number of connections that may be open.
@@ -92,6 +105,11 @@
 		c.used = time.Now()
 		p.give(c)
 	} else {
+		if result.Kind >= Refused && c.asked {
+			p.counters.Asked.Add(1)
+		} else {
+			p.counters.Broken.Add(1)
+		}
 		p.drop(c)
 	}
 	return result
@@ -125,7 +143,14 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
-		if c.fresh(now, limit) && c.quiet() {
+		switch {
+		case !c.fresh(now, idleLimit):
+			p.counters.Stale.Add(1)
+		case !c.fresh(now, limit):
+			p.counters.Unproven.Add(1)
+		case !c.quiet():
+			p.counters.Disturbed.Add(1)
+		default:
 			return c
 		}
 		p.drop(c)
@@ -146,10 +171,12 @@
 	if err == nil {
 		var c *conn
 		if c, err = newConn(nc.(*net.TCPConn), time.Now()); err == nil {
+			p.counters.Opened.Add(1)
 			return c, nil
 		}
 		_ = nc.Close()
 	}
+	p.counters.Failed.Add(1)
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
@@ -189,6 +216,7 @@
 	p.idle = kept
 	p.mu.Unlock()
 	for _, c := range stale {
+		p.counters.Stale.Add(1)
 		p.drop(c)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,6 +39,8 @@
 	maxHeader = 64 << 10
 	// memoryShare is the part of the memory limit that the Go runtime may use.
 	memoryShare = 0.6
+	// totalsEvery is the time between two log lines with totals.
+	totalsEvery = 10 * time.Second
 	// tick is the time between rounds of housekeeping.
 	tick = 500 * time.Millisecond
 )
@@ -208,6 +210,7 @@
 func (h *Host) housekeeping(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	reported := time.Now()
 	for {
 		h.gossip.With(func(r *roster.Roster) {
 			all, here := r.Fleet(time.Now())
@@ -216,6 +219,10 @@
 		})
 		h.follower.expire()
 		h.engine.Refresh()
+		if now := time.Now(); now.Sub(reported) >= totalsEvery {
+			reported = now
+			h.logCounters()
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -224,6 +231,15 @@
 	}
 }
 
+// logCounters writes the totals that explain the load on targets.
+func (h *Host) logCounters() {
+	c := h.engine.Connections()
+	all, here := h.Hosts()
+	h.o.Log.Info("totals", "opened", c.Opened.Load(), "not_opened", c.Failed.Load(), "closed_asked", c.Asked.Load(),
+		"closed_stale", c.Stale.Load(), "closed_unproven", c.Unproven.Load(), "closed_disturbed", c.Disturbed.Load(),
+		"closed_broken", c.Broken.Load(), "hosts", all, "hosts_here", here, "store_calls", h.follower.made())
+}
+
 // shutdown leaves the directory, serves callers that still know this host's
 // address, and closes their connections once their requests are answered.
 func (h *Host) shutdown(callers *http.Server) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -85,6 +85,13 @@
 	return f.book.Revision(), time.Since(f.confirmed)
 }
 
+// made returns the number of calls to the store.
+func (f *follower) made() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 // state returns the state for peers; nil before the first read.
 func (f *follower) state() (*catalog.View, time.Duration) {
 	f.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,8 +59,13 @@
 	routes  map[string]*routeState
 	budgets map[string]*hedge.Window // by service
 	links   map[string]time.Duration // round trip by place
+
+	connections backend.Counters
 }
 
+// Connections returns the counters of connections to targets.
+func (e *Engine) Connections() *backend.Counters { return &e.connections }
+
 // target is what this host knows of one process of a target.
 type target struct {
 	entry *catalog.Target
@@ -102,7 +107,7 @@
 		}
 		e.targets[id] = &target{
 			entry: entry, state: balance.NewTarget(entry.Slots),
-			pool: backend.NewPool(entry.Address, entry.ID, e.cfg.Codec, 1),
+			pool: backend.NewPool(entry.Address, entry.ID, e.cfg.Codec, &e.connections, 1),
 		}
 	}
 	e.setLimits(v)
