--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -4,10 +4,37 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/entries"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
 
+// enoughTargets is the fraction of services with targets in a place from which
+// callers are sent to the hosts there. Through hosts of a place without targets
+// every part of an answer would cross between places, not only the answer.
+const enoughTargets = 0.5
+
+// bestPlace returns the place with hosts that has targets for most services,
+// drawing among equals; empty if none has enough.
+func bestPlace(v *catalog.View, hosts []entries.Host) string {
+	covers := map[string]float64{}
+	for _, host := range hosts {
+		if _, ok := covers[host.Place]; !ok {
+			covers[host.Place] = v.Covers(host.Place) + tieBreak*rand.Float64()
+		}
+	}
+	best := ""
+	for place, c := range covers {
+		if c >= enoughTargets && (best == "" || c > covers[best]) {
+			best = place
+		}
+	}
+	return best
+}
+
+// tieBreak is a difference in coverage that does not matter.
+const tieBreak = 0.2
+
 // addresses returns the hosts that a caller in a place is told to use. Peers that
 // this host does not hear of are left out: they are gone, or cut off.
 func (h *Host) addresses(place string) []string {
@@ -23,6 +50,11 @@
 			}
 		}
 	})
+	if v := h.engine.View(); v != nil && v.Covers(place) < enoughTargets {
+		if best := bestPlace(v, hosts); best != "" {
+			place = best
+		}
+	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen := entries.Near(entries.Choose(hosts, place, rng), place)
 	addresses := make([]string, len(chosen))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -90,7 +91,7 @@
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
 		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Seed: seed,
 	})
-	h.follower = newFollower(o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.publish)
+	h.follower = newFollower(o.Store, gossip.NewPuller(), o.Log.Named("state"), h.isSeed(), h.readsStore, h.publish)
 	var err error
 	h.gossip, err = gossip.New(gossip.Options{
 		Address: h.gossipAddress(), Port: o.Site.GossipPort, Seeds: o.Site.Seeds, Self: h.self,
@@ -103,6 +104,9 @@
 	return net.JoinHostPort(h.o.Site.IP, strconv.Itoa(int(h.o.Site.GossipPort)))
 }
 
+// isSeed reports whether other hosts may be told to start with this one.
+func (h *Host) isSeed() bool { return slices.Contains(h.o.Site.Seeds, h.o.Site.PeerAddress) }
+
 // Hosts implements engine.Fleet.
 func (h *Host) Hosts() (all, here int) { return int(h.fleetAll.Load()), int(h.fleetHere.Load()) }
 
@@ -134,6 +138,10 @@
 		}
 		h.o.Log.Info("configuration in force", "config", version, "revision", v.Revision)
 	}
+	if old == nil {
+		h.gossip.SendAll()
+		return
+	}
 	h.gossip.Send()
 }
 
@@ -235,9 +243,11 @@
 func (h *Host) logCounters() {
 	c := h.engine.Connections()
 	all, here := h.Hosts()
+	alive := 0
+	h.gossip.With(func(r *roster.Roster) { alive = len(r.Alive(time.Now())) })
 	h.o.Log.Info("totals", "opened", c.Opened.Load(), "not_opened", c.Failed.Load(), "closed_asked", c.Asked.Load(),
 		"closed_stale", c.Stale.Load(), "closed_unproven", c.Unproven.Load(), "closed_disturbed", c.Disturbed.Load(),
-		"closed_broken", c.Broken.Load(), "hosts", all, "hosts_here", here, "store_calls", h.follower.made())
+		"closed_broken", c.Broken.Load(), "hosts", all, "hosts_here", here, "peers_alive", alive, "store_calls", h.follower.made())
 }
 
 // shutdown leaves the directory, serves callers that still know this host's
@@ -248,7 +258,7 @@
 	kept := min(keptEntries, grace*2/3)
 	phases.Begin(time.Now(), kept, grace-kept)
 	h.leaving.Store(true)
-	h.gossip.Send()
+	h.gossip.SendAll()
 	h.o.Log.Info("leaving", "open", h.open.Load(), "serves_ms", kept.Milliseconds())
 	time.Sleep(phases.Left(time.Now(), int(h.open.Load())))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-kept)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -34,8 +34,12 @@
 	// awayAfter is the time without an answer after which the store counts as
 	// having been away, so that entries may have lapsed meanwhile.
 	awayAfter = 2500 * time.Millisecond
+	// peersFirst is how long a host that has just started and is no seed waits for
+	// the state of a peer before it reads the store. Reads by all hosts at once
+	// are dear.
+	peersFirst = 250 * time.Millisecond
 	// idleCheck is how often a host that does not read looks whether it must.
-	idleCheck = 100 * time.Millisecond
+	idleCheck = 50 * time.Millisecond
 )
 
 // Store reads the published state.
@@ -62,6 +66,8 @@
 	log     hclog.Logger
 	publish func(*catalog.View)
 	reads   func(now time.Time) bool // whether this host is a reader
+	wait    time.Duration            // for peers, before the first read
+	began   time.Time
 
 	mu        sync.Mutex
 	book      *catalog.Book
@@ -73,9 +79,14 @@
 	calls     int
 }
 
-func newFollower(store Store, puller Puller, log hclog.Logger, reads func(time.Time) bool, publish func(*catalog.View)) *follower {
-	return &follower{store: store, puller: puller, log: log, reads: reads, publish: publish,
-		book: catalog.NewBook(), full: true, touch: true, answered: time.Now()}
+func newFollower(store Store, puller Puller, log hclog.Logger, seed bool, reads func(time.Time) bool, publish func(*catalog.View)) *follower {
+	now := time.Now()
+	f := &follower{store: store, puller: puller, log: log, reads: reads, publish: publish,
+		book: catalog.NewBook(), full: true, touch: true, answered: now, began: now}
+	if !seed {
+		f.wait = peersFirst
+	}
+	return f
 }
 
 // position returns the revision of the state and the age of its confirmation.
@@ -125,9 +136,12 @@
 // due reports whether this host should call the store now.
 func (f *follower) due(now time.Time) bool {
 	f.mu.Lock()
-	needed := f.full && f.book.Revision() == 0 || now.Sub(f.confirmed) > staleAfter
+	blind, stale := f.book.Revision() == 0, now.Sub(f.confirmed) > staleAfter
 	f.mu.Unlock()
-	return needed || f.reads(now)
+	if blind {
+		return now.Sub(f.began) >= f.wait
+	}
+	return stale || f.reads(now)
 }
 
 func (f *follower) call(ctx context.Context) error {
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -9,6 +9,9 @@
 	// place, which send most of the requests; the rest is for
 	// those that have to go elsewhere when targets of their own place fail.
 	nearShare = 0.5
+	// minNear is the number of connections to a target of its own place that a host
+	// needs so that a pause of one request does not send the next elsewhere.
+	minNear = 2
 	// budgetShare keeps a part of the slack for hosts that were restarted within
 	// the window and forgot what they had sent.
 	budgetShare = 0.5
@@ -50,14 +53,17 @@
 )
 
 // connectionShare returns the connections that this host may have to a target, so
-// that the sum over all hosts stays within the target's limit. Each host has at
-// least one.
+// that the sum over all hosts stays within the target's limit while every host
+// may have minNear to the targets of its own place. Hosts of other places then
+// share what is left; each may open one, which it needs for repeats only and
+// closes soon after (see spareIdle).
 func connectionShare(limit, all, here int, near bool) int {
 	if all <= here {
 		return max(1, limit/max(1, all))
 	}
+	nearly := max(int(nearShare*float64(limit))/max(1, here), min(minNear, limit/max(1, here)), 1)
 	if near {
-		return max(1, int(nearShare*float64(limit))/max(1, here))
+		return nearly
 	}
-	return max(1, int((1-nearShare)*float64(limit))/(all-here))
+	return max(1, (limit-nearly*here)/(all-here))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,12 +18,15 @@
 	// Beat is the time between two heartbeats.
 	Beat = 500 * time.Millisecond
 	// smallFleet is the number of hosts up to which each sends to all.
-	smallFleet = 16
-	// fanout is the number of hosts that get a heartbeat in a larger fleet.
-	fanout = 5
+	smallFleet = roster.LargeFleet
+	// nearFanout and farFanout are the numbers of hosts of the same place and of
+	// other places that get a heartbeat in a larger fleet. Traffic between places
+	// is dear, and news that reach a place spread in it.
+	nearFanout = 5
+	farFanout  = 1
 	// passedOn bounds the states of others in a heartbeat; one takes about 110
 	// bytes, and a datagram should fit a packet of 1,500.
-	passedOn = 9
+	passedOn = 11
 	// maxDatagram bounds what is read.
 	maxDatagram = 64 << 10
 )
@@ -48,8 +51,9 @@
 
 // Gossip exchanges heartbeats. It owns the roster.
 type Gossip struct {
-	o    Options
-	conn *net.UDPConn
+	o     Options
+	conn  *net.UDPConn
+	place string
 
 	mu       sync.Mutex
 	roster   *roster.Roster
@@ -70,7 +74,7 @@
 		return nil, errors.Wrap(err, "gossip")
 	}
 	self := o.Self()
-	g := &Gossip{o: o, conn: conn, roster: roster.New(self.Name, self.Place, time.Now()),
+	g := &Gossip{o: o, conn: conn, place: self.Place, roster: roster.New(self.Name, self.Place, time.Now()),
 		rng: rand.New(rand.NewPCG(o.Seed, ^o.Seed))}
 	for _, seed := range o.Seeds {
 		if ap, err := netip.ParseAddrPort(seed); err == nil && ap.Addr() != addr.AddrPort().Addr() {
@@ -102,12 +106,33 @@
 // Send sends a heartbeat now.
 func (g *Gossip) Send() {
 	now := time.Now()
+	g.mu.Lock()
+	to := g.receivers(now)
+	g.mu.Unlock()
+	g.sendTo(now, to)
+}
+
+// SendAll sends a heartbeat to every host that lives, for news that none should
+// wait for.
+func (g *Gossip) SendAll() {
+	now := time.Now()
+	g.mu.Lock()
+	to := append([]netip.AddrPort(nil), g.seeds...)
+	for _, h := range g.roster.Alive(now) {
+		if ap, err := netip.ParseAddrPort(h.Gossip); err == nil {
+			to = append(to, ap)
+		}
+	}
+	g.mu.Unlock()
+	g.sendTo(now, to)
+}
+
+func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort) {
 	g.mu.Lock()
 	g.roster.Forget(now)
 	g.sequence++
 	m := message{Self: g.o.Self(), Others: g.roster.Sample(now, passedOn, g.rng)}
 	m.Self.Sequence = g.sequence
-	to := g.receivers(now)
 	g.mu.Unlock()
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -124,18 +149,24 @@
 // random, and the seeds while they are not known.
 func (g *Gossip) receivers(now time.Time) []netip.AddrPort {
 	alive := g.roster.Alive(now)
-	if len(alive) > smallFleet {
-		g.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-		alive = alive[:fanout]
-	}
-	to := make([]netip.AddrPort, 0, len(alive)+len(g.seeds))
 	known := map[netip.AddrPort]bool{}
+	var near, far []netip.AddrPort
 	for _, h := range alive {
-		if ap, err := netip.ParseAddrPort(h.Gossip); err == nil {
-			to = append(to, ap)
-			known[ap] = true
+		ap, err := netip.ParseAddrPort(h.Gossip)
+		if err != nil {
+			continue // the host cannot be told, and tells by itself
+		}
+		known[ap] = true
+		if h.Place == g.place {
+			near = append(near, ap)
+		} else {
+			far = append(far, ap)
 		}
 	}
+	if len(alive) > smallFleet {
+		near, far = g.some(near, nearFanout), g.some(far, farFanout)
+	}
+	to := append(near, far...)
 	for _, seed := range g.seeds {
 		if !known[seed] {
 			to = append(to, seed)
@@ -144,6 +175,12 @@
 	return to
 }
 
+// some returns at most n of the addresses, chosen at random.
+func (g *Gossip) some(addresses []netip.AddrPort, n int) []netip.AddrPort {
+	g.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
 func (g *Gossip) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -159,7 +196,11 @@
 			g.countBad(from, err)
 			continue
 		}
-		if g.take(m) {
+		news, met := g.take(m)
+		if !met {
+			g.greet(m.Self)
+		}
+		if news {
 			g.o.OnNews(m.Self)
 		}
 	}
@@ -175,16 +216,27 @@
 	}
 }
 
-func (g *Gossip) take(m message) bool {
+// greet answers the first heartbeat of a process, which has just started and
+// knows nothing yet.
+func (g *Gossip) greet(s roster.State) {
+	if ap, err := netip.ParseAddrPort(s.Gossip); err == nil && s.Name != "" {
+		g.sendTo(time.Now(), []netip.AddrPort{ap})
+	}
+}
+
+// take reports whether a message brought news of its sender, and whether its
+// sender was known before.
+func (g *Gossip) take(m message) (news, met bool) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Self.Age = 0
-	news := g.roster.Observe(now, m.Self)
+	met = g.roster.Met(m.Self)
+	news = g.roster.Observe(now, m.Self)
 	for _, s := range m.Others {
 		g.roster.Observe(now, s)
 	}
-	return news
+	return news, met
 }
 
 // With calls f with the roster while nothing else changes it.
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -34,6 +34,9 @@
 	// refusedBackoff is the time for which a target that refused for load gets
 	// less work.
 	refusedBackoff = 60 * time.Millisecond
+	// maxSharers bounds the number of hosts whose requests are taken to be
+	// outstanding at the same time as this host's.
+	maxSharers = 3
 	// maxSlowness bounds the effect of one extreme answer.
 	maxSlowness = 30.0
 	// jitter breaks ties between equal targets, in expected service times.
@@ -184,7 +187,7 @@
 // one does.
 func (t *Target) Cost(now time.Time, expected time.Duration, sharers int) time.Duration {
 	service := float64(expected) * t.current(now)
-	load := float64(t.outstanding * max(1, sharers))
+	load := float64(t.outstanding * min(max(1, sharers), maxSharers))
 	queue := max(0, load-float64(t.Slots)+1) / float64(t.Slots)
 	cost := service * (1 + queue + 0.05*float64(t.outstanding))
 	cost += float64(expected) * t.fade(now) * (failureCost*t.failures + refusalCost*t.refusals)
--- a/pkg/catalog/view.go
+++ b/pkg/catalog/view.go
@@ -52,3 +52,18 @@
 		}
 	}
 }
+
+// Covers returns the fraction of the services that have a usable target in a
+// place, of those that some target is registered for.
+func (v *View) Covers(place string) float64 {
+	covered := 0
+	for _, targets := range v.byService {
+		for _, t := range targets {
+			if t.Place == place {
+				covered++
+				break
+			}
+		}
+	}
+	return float64(covered) / float64(max(1, len(v.byService)))
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -13,6 +13,11 @@
 	// Lost is the time without news after which a host counts as gone: five
 	// heartbeats, of which a lossy link loses one in a thousand each.
 	Lost = 2500 * time.Millisecond
+	// LostFar is the same for hosts of other places in a fleet so large that hosts
+	// hear of each other through others.
+	LostFar = 5 * time.Second
+	// LargeFleet is the number of hosts from which that holds.
+	LargeFleet = 16
 	// Remembered is how long a host that is gone still counts for the division of
 	// shared limits: it may run unheard.
 	Remembered = 30 * time.Second
@@ -57,9 +62,6 @@
 	Heard time.Time // when the state was sent, by this host's clock
 }
 
-// Alive reports whether there was news of the host lately.
-func (h *Host) Alive(now time.Time) bool { return now.Sub(h.Heard) < Lost }
-
 // Roster holds the hosts that were heard of, this one not included.
 type Roster struct {
 	self  string
@@ -94,6 +96,21 @@
 	return true
 }
 
+// alive reports whether there was news of a host lately.
+func (r *Roster) alive(now time.Time, h *Host) bool {
+	limit := Lost
+	if h.Place != r.place && len(r.hosts) > LargeFleet {
+		limit = LostFar
+	}
+	return now.Sub(h.Heard) < limit
+}
+
+// Met reports whether the process that a state describes was heard of before.
+func (r *Roster) Met(s State) bool {
+	h, ok := r.hosts[s.Name]
+	return ok && h.Incarnation >= s.Incarnation
+}
+
 // Forget drops the hosts that were gone for long.
 func (r *Roster) Forget(now time.Time) {
 	for name, h := range r.hosts {
@@ -107,7 +124,7 @@
 func (r *Roster) Alive(now time.Time) []*Host {
 	alive := make([]*Host, 0, len(r.hosts))
 	for _, h := range r.hosts {
-		if h.Alive(now) {
+		if r.alive(now, h) {
 			alive = append(alive, h)
 		}
 	}
@@ -142,12 +159,23 @@
 }
 
 // Sample returns the states to pass on with a heartbeat, at most limit, with
-// their ages.
+// their ages. Two thirds are of this host's place, whose hosts callers here are
+// sent to.
 func (r *Roster) Sample(now time.Time, limit int, rng *rand.Rand) []State {
 	alive := r.Alive(now)
 	rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	states := make([]State, 0, min(limit, len(alive)))
-	for _, h := range alive[:min(limit, len(alive))] {
+	var near, far []*Host
+	for _, h := range alive {
+		if h.Place == r.place {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
+		}
+	}
+	fromFar := min(len(far), max(limit/3, limit-len(near)))
+	chosen := append(near[:min(len(near), limit-fromFar)], far[:fromFar]...)
+	states := make([]State, 0, len(chosen))
+	for _, h := range chosen {
 		s := h.State
 		age := now.Sub(h.Heard).Milliseconds()
 		s.ConfirmedAge += age - s.Age
@@ -164,7 +192,7 @@
 	mine := xxhash.Sum64String(r.self)
 	higher := 0
 	for _, h := range r.hosts {
-		if h.Alive(now) && !h.Leaving && xxhash.Sum64String(h.Name) > mine {
+		if r.alive(now, h) && !h.Leaving && xxhash.Sum64String(h.Name) > mine {
 			higher++
 		}
 	}
