--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -37,7 +37,7 @@
 	// peersFirst is how long a host that has just started and is no seed waits for
 	// the state of a peer before it reads the store. Reads by all hosts at once
 	// are dear.
-	peersFirst = 250 * time.Millisecond
+	peersFirst = 80 * time.Millisecond
 	// idleCheck is how often a host that does not read looks whether it must.
 	idleCheck = 50 * time.Millisecond
 )
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -77,7 +77,7 @@
 	g := &Gossip{o: o, conn: conn, place: self.Place, roster: roster.New(self.Name, self.Place, time.Now()),
 		rng: rand.New(rand.NewPCG(o.Seed, ^o.Seed))}
 	for _, seed := range o.Seeds {
-		if ap, err := netip.ParseAddrPort(seed); err == nil && ap.Addr() != addr.AddrPort().Addr() {
+		if ap, err := netip.ParseAddrPort(seed); err == nil && ap.Addr().Unmap() != addr.AddrPort().Addr().Unmap() {
 			g.seeds = append(g.seeds, netip.AddrPortFrom(ap.Addr(), o.Port))
 		} else if err != nil {
 			o.Log.Warn("a seed address is not usable", "seed", seed, "error", err)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -105,8 +105,12 @@
 	return now.Sub(h.Heard) < limit
 }
 
-// Met reports whether the process that a state describes was heard of before.
+// Met reports whether the process that a state describes was heard of before, or
+// is this host itself.
 func (r *Roster) Met(s State) bool {
+	if s.Name == r.self {
+		return true
+	}
 	h, ok := r.hosts[s.Name]
 	return ok && h.Incarnation >= s.Incarnation
 }
