Send callers to the large hosts of a place and read the store less often

Cause: on the grown sites most hosts have a link of 20 Mbit/s and a small part of the callers each, so that the 36 parts of an answer queue on the link and connections, estimates and budgets are cold; all hosts read the store at start.

Change: heartbeats carry capacity and load; the directory names the large hosts of a place while they have room. Watches and the age that makes a host read by itself are parts of the bound in the settings; at the first start of the fleet hosts ask peers before they read.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -41,12 +41,14 @@
 	now := time.Now()
 	var hosts []entries.Host
 	if h.ready() {
-		hosts = append(hosts, entries.Host{Name: h.o.Site.Name, Place: h.o.Site.Place, Address: h.o.Site.CallerAddress, PlaceIn: true, Heard: true})
+		hosts = append(hosts, entries.Host{Name: h.o.Site.Name, Place: h.o.Site.Place, Address: h.o.Site.CallerAddress,
+			PlaceIn: true, Heard: true, Capacity: h.load.capacity, Load: h.load.current()})
 	}
 	h.gossip.With(func(r *roster.Roster) {
 		for _, peer := range r.Alive(now) {
 			if peer.Ready && !peer.Leaving {
-				hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.Callers, PlaceIn: true, Heard: true})
+				hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.Callers,
+					PlaceIn: true, Heard: true, Capacity: peer.Capacity, Load: peer.Load})
 			}
 		}
 	})
@@ -55,6 +57,7 @@
 			place = best
 		}
 	}
+	hosts = entries.Large(hosts)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen := entries.Near(entries.Choose(hosts, place, rng), place)
 	addresses := make([]string, len(chosen))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -72,6 +71,7 @@
 	engine      *engine.Engine
 	gossip      *gossip.Gossip
 	follower    *follower
+	load        *loadMeter
 	leaving     atomic.Bool
 	open        atomic.Int64 // requests of callers in progress
 	fleetAll    atomic.Int64
@@ -80,7 +80,7 @@
 
 // New prepares a host. Nothing listens yet but the heartbeat socket.
 func New(o Options) (*Host, error) {
-	h := &Host{o: o, incarnation: time.Now().UnixNano()}
+	h := &Host{o: o, incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
 	h.fleetAll.Store(roster.UnknownFleet)
 	h.fleetHere.Store(roster.UnknownFleet / 4)
 	if o.Site.MemoryBytes > 0 {
@@ -89,9 +89,9 @@
 	seed := uint64(h.incarnation)
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
-		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Seed: seed,
+		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Seed: seed, OnSend: h.load.count,
 	})
-	h.follower = newFollower(o.Store, gossip.NewPuller(), o.Log.Named("state"), h.isSeed(), h.readsStore, h.publish)
+	h.follower = newFollower(&h.o.Site, o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.publish)
 	var err error
 	h.gossip, err = gossip.New(gossip.Options{
 		Address: h.gossipAddress(), Port: o.Site.GossipPort, Seeds: o.Site.Seeds, Self: h.self,
@@ -104,9 +104,6 @@
 	return net.JoinHostPort(h.o.Site.IP, strconv.Itoa(int(h.o.Site.GossipPort)))
 }
 
-// isSeed reports whether other hosts may be told to start with this one.
-func (h *Host) isSeed() bool { return slices.Contains(h.o.Site.Seeds, h.o.Site.PeerAddress) }
-
 // Hosts implements engine.Fleet.
 func (h *Host) Hosts() (all, here int) { return int(h.fleetAll.Load()), int(h.fleetHere.Load()) }
 
@@ -117,6 +114,7 @@
 		Ready: h.ready(), Leaving: h.leaving.Load(),
 	}
 	revision, age := h.follower.position()
+	s.Capacity, s.Load = h.load.capacity, h.load.current()
 	s.Revision, s.ConfirmedAge = revision, min(age, time.Hour).Milliseconds()
 	return s
 }
@@ -227,6 +225,7 @@
 		})
 		h.follower.expire()
 		h.engine.Refresh()
+		h.load.round(time.Now())
 		if now := time.Now(); now.Sub(reported) >= totalsEvery {
 			reported = now
 			h.logCounters()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -15,17 +17,20 @@
 	// Readers is the number of hosts that read the store for all. Calls are priced;
 	// with two, the loss of one leaves no gap.
 	Readers = 2
-	// watchWait is the longest time of one watch. A silent connection is noticed
-	// after it and answerLimit.
-	watchWait = time.Second
+	// watchShare is the longest time of one watch, as a part of the time within
+	// which changes must be in force. A silent connection is noticed after it and
+	// answerLimit.
+	watchShare = 1.0 / 3
+	// staleShare is the age of the last confirmation from which a host reads the
+	// store itself, whoever else does, as a part of the same time.
+	staleShare = 0.6
+	// defaultBound is that time if the settings have none.
+	defaultBound = 3 * time.Second
 	// answerLimit is the time beyond the wait for which an answer is awaited.
 	answerLimit = 700 * time.Millisecond
 	// readLimit bounds a complete read, whose pages take a few milliseconds each
 	// and fifty times as long while the store is slow.
 	readLimit = 3 * time.Second
-	// staleAfter is the age of the last confirmation from which a host reads the
-	// store itself, whoever else does: it leaves a second of the shortest bound.
-	staleAfter = 1800 * time.Millisecond
 	// callGap is the least time between two calls.
 	callGap = 250 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed call.
@@ -34,6 +39,9 @@
 	// awayAfter is the time without an answer after which the store counts as
 	// having been away, so that entries may have lapsed meanwhile.
 	awayAfter = 2500 * time.Millisecond
+	// firstStart is the same when the whole fleet starts for the first time, before
+	// callers come.
+	firstStart = time.Second
 	// peersFirst is how long a host that has just started and is no seed waits for
 	// the state of a peer before it reads the store. Reads by all hosts at once
 	// are dear.
@@ -67,6 +75,7 @@
 	publish func(*catalog.View)
 	reads   func(now time.Time) bool // whether this host is a reader
 	wait    time.Duration            // for peers, before the first read
+	bound   time.Duration            // within which changes must be in force
 	began   time.Time
 
 	mu        sync.Mutex
@@ -79,16 +88,25 @@
 	calls     int
 }
 
-func newFollower(store Store, puller Puller, log hclog.Logger, seed bool, reads func(time.Time) bool, publish func(*catalog.View)) *follower {
+func newFollower(s *site.Settings, store Store, puller Puller, log hclog.Logger, reads func(time.Time) bool, publish func(*catalog.View)) *follower {
 	now := time.Now()
 	f := &follower{store: store, puller: puller, log: log, reads: reads, publish: publish,
-		book: catalog.NewBook(), full: true, touch: true, answered: now, began: now}
-	if !seed {
+		bound: defaultBound, book: catalog.NewBook(), full: true, touch: true, answered: now, began: now}
+	if s.DrainBound > 0 && s.ConfigBound > 0 {
+		f.bound = min(s.DrainBound, s.ConfigBound)
+	}
+	switch {
+	case slices.Contains(s.Seeds, s.PeerAddress):
+	case s.FirstStart:
+		f.wait = firstStart
+	default:
 		f.wait = peersFirst
 	}
 	return f
 }
 
+func (f *follower) watchWait() time.Duration { return time.Duration(watchShare * float64(f.bound)) }
+
 // position returns the revision of the state and the age of its confirmation.
 func (f *follower) position() (uint64, time.Duration) {
 	f.mu.Lock()
@@ -136,7 +154,7 @@
 // due reports whether this host should call the store now.
 func (f *follower) due(now time.Time) bool {
 	f.mu.Lock()
-	blind, stale := f.book.Revision() == 0, now.Sub(f.confirmed) > staleAfter
+	blind, stale := f.book.Revision() == 0, now.Sub(f.confirmed) > time.Duration(staleShare*float64(f.bound))
 	f.mu.Unlock()
 	if blind {
 		return now.Sub(f.began) >= f.wait
@@ -152,9 +170,9 @@
 	if full {
 		return f.read(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, watchWait+answerLimit)
+	limited, cancel := context.WithTimeout(ctx, f.watchWait()+answerLimit)
 	defer cancel()
-	items, revision, err := f.store.Watch(limited, after, watchWait)
+	items, revision, err := f.store.Watch(limited, after, f.watchWait())
 	if err != nil {
 		return err
 	}
--- a/internal/edge/site/site.go
+++ b/internal/edge/site/site.go
@@ -18,11 +18,14 @@
 	StoreAddress     string // the platform's metadata store
 	GossipPort       uint16 // UDP port of heartbeats, the same on all hosts
 
+	// FirstStart is set when the whole fleet starts for the first time.
+	FirstStart bool
 	// Seeds are peer addresses of some hosts. They may be stale.
 	Seeds []string
 
 	MemoryBytes int64   // limit of the process
-	CPUShare    float64 // fraction of a core
+	CPUShare    float64 // cores, with fractions
+	LinkBytes   float64 // bytes per second of the host's link; 0 if not stated
 
 	Grace         time.Duration // from SIGTERM to SIGKILL
 	DrainBound    time.Duration // within which a leaving target gets nothing more
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,6 +36,7 @@
 	Fleet       Fleet
 	Log         hclog.Logger
 	Observer    Observer
+	OnSend      func() // called for each send to a target; it must not block
 	Seed        uint64
 }
 
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -155,6 +155,7 @@
 
 // send carries a send out and records its result.
 func (x *execution) send(i int, t *target, extra bool) {
+	x.e.cfg.OnSend()
 	result := t.pool.Send(x.sends, &x.r.Request, x.until, !x.route.Repeatable)
 	x.e.record(x, t, &result)
 	x.e.cfg.Observer.Sent(t.entry.Service, &result, extra)
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -30,6 +30,9 @@
 	PlaceIn bool    // its place is in service
 	Heard   bool    // it answered a heartbeat lately
 	Load    float64 // fraction of its capacity in use; 0 if not known
+	// Capacity is what the host can carry, in any unit that is the same for all; 0
+	// if not known.
+	Capacity float64
 }
 
 // usable is a preference class of hosts; lower is better.
@@ -130,3 +133,39 @@
 	}
 	return chosen[:near]
 }
+
+const (
+	// largeRatio is the fraction of the largest capacity in a place from which a
+	// host counts as large.
+	largeRatio = 0.5
+	// largeBusy is the mean load of the large hosts from which the others take
+	// callers too.
+	largeBusy = 0.4
+)
+
+// Large drops the small hosts of each place that has enough large ones with room.
+// A fan-out through a host with a slow link waits for the link, and the more
+// hosts share the callers, the colder are the connections and the estimates of
+// each. The small hosts stay in reserve.
+func Large(hosts []Host) []Host {
+	largest := map[string]float64{}
+	for _, h := range hosts {
+		largest[h.Place] = max(largest[h.Place], h.Capacity)
+	}
+	large := func(h Host) bool { return h.Capacity >= largeRatio*largest[h.Place] }
+	count, load := map[string]int{}, map[string]float64{}
+	for _, h := range hosts {
+		if large(h) {
+			count[h.Place]++
+			load[h.Place] += h.Load
+		}
+	}
+	kept := make([]Host, 0, len(hosts))
+	for _, h := range hosts {
+		n := count[h.Place]
+		if large(h) || n < nearEnough || load[h.Place]/float64(n) > largeBusy {
+			kept = append(kept, h)
+		}
+	}
+	return kept
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -43,6 +43,10 @@
 	// ConfirmedAge is how long before sending the store confirmed that nothing is
 	// newer, in milliseconds.
 	ConfirmedAge int64 `cbor:"11,keyasint"`
+	// Capacity is what the host can carry, in sends to targets per second, and Load
+	// the fraction of it in use.
+	Capacity float64 `cbor:"13,keyasint"`
+	Load     float64 `cbor:"14,keyasint"`
 	// Age is how long before sending this state was heard, in milliseconds; 0 for
 	// the sender's own.
 	Age int64 `cbor:"12,keyasint"`
