--- /dev/null
+++ b/pkg/balance/suite_test.go
@@ -0,0 +1,13 @@
+package balance_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Balance")
+}
--- /dev/null
+++ b/pkg/gather/gather_test.go
@@ -0,0 +1,69 @@
+package gather_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/gather"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Top", func() {
+	It("agrees with sorting all records, equal ones and odd lengths included", func() {
+		for seed := range uint64(300) {
+			rng := rand.New(rand.NewPCG(seed, 2))
+			var parts [][]byte
+			var all [][]byte
+			for range rng.IntN(6) {
+				part := make([]byte, rng.IntN(200))
+				for i := range part {
+					part[i] = byte(rng.IntN(3))
+				}
+				parts = append(parts, part)
+				for r := part; len(r) >= gather.RecordBytes; r = r[gather.RecordBytes:] {
+					all = append(all, r[:gather.RecordBytes])
+				}
+			}
+			slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+			limit := rng.IntN(12)
+			want := bytes.Join(all[:min(limit, len(all))], nil)
+			Expect(gather.Top(parts, limit)).To(BeEquivalentTo(append([]byte{}, want...)), "seed %d", seed)
+		}
+	})
+})
+
+var _ = Describe("Decide", func() {
+	by := time.Unix(1000, 0)
+	early, late := by.Add(-time.Millisecond), by
+
+	DescribeTable("waits for all parts until the objective, and then for no more than are needed",
+		func(in, pending int, now time.Time, want gather.Verdict) {
+			Expect(gather.Decide(gather.Progress{Shards: 10, In: in, Pending: pending, MinRatio: 0.9}, now, by)).To(Equal(want))
+		},
+		Entry("all parts", 10, 0, early, gather.Answer),
+		Entry("one may still come", 9, 1, early, gather.Wait),
+		Entry("one may still come, at the objective", 9, 1, late, gather.Answer),
+		Entry("too few at the objective", 8, 2, late, gather.Wait),
+		Entry("one lost, the rest in", 9, 0, early, gather.Answer),
+		Entry("two lost", 8, 0, early, gather.GiveUp),
+		Entry("two lost, others on their way", 1, 7, early, gather.GiveUp),
+	)
+
+	It("names at least one part even if the route asks for none", func() {
+		Expect(gather.Decide(gather.Progress{Shards: 3, Pending: 0}, late, by)).To(Equal(gather.GiveUp))
+	})
+
+	It("takes a ratio of whole shards as it is meant", func() {
+		for shards := 1; shards <= 60; shards++ {
+			for need := 1; need <= shards; need++ {
+				p := gather.Progress{Shards: shards, In: need, Pending: shards - need, MinRatio: float64(need) / float64(shards)}
+				Expect(gather.Decide(p, late, by)).To(Equal(gather.Answer))
+				p.In, p.Pending = need-1, 0
+				Expect(gather.Decide(p, late, by)).To(Equal(gather.GiveUp))
+			}
+		}
+	})
+})
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,121 @@
+package roster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Roster", func() {
+	start := time.Unix(1000, 0)
+	state := func(name string, incarnation int64, sequence uint64) roster.State {
+		return roster.State{Name: name, Incarnation: incarnation, Sequence: sequence, Place: "a"}
+	}
+
+	It("drops a host that nobody hears of, by whatever way its old news arrive", func() {
+		r := roster.New("me", "a", start)
+		Expect(r.Observe(start, state("x", 1, 5))).To(BeTrue())
+		Expect(r.Alive(start)).To(HaveLen(1))
+		old := state("x", 1, 5)
+		old.Age = 1000
+		later := start.Add(time.Second)
+		Expect(r.Observe(later, old)).To(BeFalse(), "the same message through another host is no news")
+		Expect(r.Alive(start.Add(roster.Lost))).To(BeEmpty())
+	})
+
+	It("takes a restarted host for a new one and not for its former self", func() {
+		r := roster.New("me", "a", start)
+		r.Observe(start, state("x", 2, 1))
+		Expect(r.Observe(start, state("x", 1, 99))).To(BeFalse())
+		Expect(r.Met(state("x", 3, 1))).To(BeFalse())
+		Expect(r.Met(state("x", 2, 1))).To(BeTrue())
+		Expect(r.Met(state("me", 1, 1))).To(BeTrue(), "a host that greets itself never stops")
+	})
+
+	It("divides limits by no fewer hosts than may run", func() {
+		r := roster.New("me", "a", start)
+		all, _ := r.Fleet(start)
+		Expect(all).To(Equal(roster.UnknownFleet), "a host that has just started does not know the others")
+		for i := range 6 {
+			r.Observe(start, state(fmt.Sprint(i), 1, 1))
+		}
+		now := start.Add(roster.Settled + roster.Lost)
+		all, here := r.Fleet(now)
+		Expect(r.Alive(now)).To(BeEmpty())
+		Expect([]int{all, here}).To(Equal([]int{7, 7}), "silent hosts may run unheard")
+		r.Forget(start.Add(roster.Remembered + time.Second))
+		all, _ = r.Fleet(now)
+		Expect(all).To(Equal(1))
+	})
+
+	It("lets the same few hosts read the store, on every host that sees the same fleet", func() {
+		readers := 0
+		for me := range 20 {
+			r := roster.New(fmt.Sprint(me), "a", start)
+			for i := range 20 {
+				r.Observe(start, state(fmt.Sprint(i), 1, 1))
+			}
+			if r.ReadsStore(start, 2) {
+				readers++
+			}
+		}
+		Expect(readers).To(Equal(2))
+	})
+
+	// Virtual time: sixty hosts in three places, as many messages a beat as the
+	// gossip sends. A false loss takes a host out of the directory.
+	It("hears of every living host of its place in a large fleet with lost datagrams", func() {
+		const hosts, beat = 60, 500 * time.Millisecond
+		rng := rand.New(rand.NewPCG(3, 3))
+		place := func(i int) string { return fmt.Sprint("p", i%3) }
+		rosters := make([]*roster.Roster, hosts)
+		own := make([]roster.State, hosts)
+		for i := range rosters {
+			rosters[i] = roster.New(fmt.Sprint(i), place(i), start)
+			own[i] = roster.State{Name: fmt.Sprint(i), Incarnation: 1, Place: place(i)}
+		}
+		for i := range rosters { // all know all once
+			for j := range own {
+				s := own[j]
+				rosters[i].Observe(start, s)
+			}
+		}
+		missing := 0
+		for round := 1; round <= 60; round++ {
+			now := start.Add(time.Duration(round) * beat)
+			for i := range rosters {
+				own[i].Sequence++
+				others := rosters[i].Sample(now, 11, rng)
+				sent := map[bool]int{}
+				for _, j := range rng.Perm(hosts) {
+					near := place(j) == place(i)
+					if j == i || sent[near] >= map[bool]int{true: 5, false: 1}[near] || rng.IntN(100) == 0 {
+						continue
+					}
+					sent[near]++
+					rosters[j].Observe(now, own[i])
+					for _, s := range others {
+						rosters[j].Observe(now, s)
+					}
+				}
+			}
+			if round < 10 {
+				continue
+			}
+			for i, r := range rosters {
+				here := 0
+				for _, h := range r.Alive(now) {
+					if h.Place == place(i) {
+						here++
+					}
+				}
+				missing += hosts/3 - 1 - here
+			}
+		}
+		Expect(missing).To(BeNumerically("<=", 60*51/100), "in one of a hundred views at most a host is missing")
+	})
+})
