Refuse what cannot be served before anything is sent; test whole hosts on loopback

Cause: a search for which too few shards have a target was sent to the others and then failed as perhaps run; the race detector found targets' entries read without the lock.

Change: the engine counts the shards that can be reached first; what a send needs of a target does not change. Specs run hosts of the edge against stand-ins.

--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,272 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/platform"
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var shards = []string{"s1", "s2", "s3", "s4"}
+
+// fixture is a site on loopback: three hosts, two targets a shard, two for
+// requests that may not be repeated.
+type fixture struct {
+	store   *platformtest.Store
+	targets []*platformtest.Target
+	log     *platformtest.Log
+	hosts   []*running
+	client  *http.Client
+	next    atomic.Int64
+}
+
+type running struct {
+	platformtest.HostSettings
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newFixture(hosts int) *fixture {
+	f := &fixture{log: &platformtest.Log{}, client: &http.Client{Transport: &http.Transport{}}}
+	var err error
+	f.store, err = platformtest.NewStore("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.store.Close)
+	DeferCleanup(f.client.CloseIdleConnections)
+	for _, service := range append([]string{platformtest.OnceService}, shards...) {
+		for i := range 2 {
+			f.addTarget(fmt.Sprintf("%s-%d", service, i), service, fmt.Sprint("p", i))
+		}
+	}
+	f.store.Put("op/config", platformtest.Config(1, shards, 2*time.Second))
+	ports, err := platformtest.FreePorts("127.0.0.1")
+	Expect(err).NotTo(HaveOccurred())
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.start(platformtest.HostSettings{
+			Name: fmt.Sprint("host-", i), IP: fmt.Sprint("127.0.0.", 2+i), Place: fmt.Sprint("p", i%2), Ports: ports,
+			Store: f.store.Address, Seeds: []string{"127.0.0.2", "127.0.0.3"}, Grace: 3 * time.Second,
+		}))
+	}
+	for _, h := range f.hosts {
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+	}
+	return f
+}
+
+func (f *fixture) addTarget(id, service, place string) {
+	t, err := platformtest.NewTarget("127.0.0.1:0", id, service, place, 5*time.Millisecond, f.log)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(t.Close)
+	f.targets = append(f.targets, t)
+	f.store.Put(t.Key(), t.Entry("ready"))
+}
+
+func (f *fixture) start(h platformtest.HostSettings) *running {
+	s, err := platform.ParseSettings([]byte(h.Settings()))
+	Expect(err).NotTo(HaveOccurred())
+	host, err := edge.New(edge.Options{
+		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: platform.Codec{}, Observer: edge.NewMetrics(),
+		Log:      hclog.NewNullLogger(),
+		Handlers: edge.Handlers{Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{HostSettings: h, stop: cancel, ended: make(chan error, 1)}
+	go func() { r.ended <- host.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(r.ended, 10*time.Second).Should(Receive(BeNil()))
+		r.ended <- nil
+	})
+	return r
+}
+
+func (f *fixture) ready(h *running) func() bool {
+	return func() bool { return platformtest.Ready(context.Background(), f.client, h.Address(h.Ports.Ready)) }
+}
+
+func (f *fixture) call(h *running, method, prefix string, body []byte) (platformtest.Reply, string, string) {
+	id := fmt.Sprintf("id%06d", f.next.Add(1))
+	uri := prefix + id + "?q=1"
+	return platformtest.Call(context.Background(), f.client, h.Address(h.Ports.Callers), method, uri, id, body, 2*time.Second), id, uri
+}
+
+func (f *fixture) runs(id string) (n int) {
+	for _, r := range f.log.Runs() {
+		if r.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Host", func() {
+	It("answers a search with the greatest records of the parts that it names", func() {
+		f := newFixture(3)
+		for i := range 30 {
+			r, id, uri := f.call(f.hosts[i%3], "GET", platformtest.SearchPrefix, nil)
+			Expect(r.Status).To(Equal(200), "%v", r.Err)
+			Expect(platformtest.CheckSearch(&r, id, uri, [][]string{shards})).To(BeEmpty())
+			Expect(r.Missing).To(BeZero())
+		}
+	})
+
+	It("leaves out a shard that nobody serves and refuses when too few are left", func() {
+		f := newFixture(1)
+		for _, t := range f.targets {
+			if t.Service == "s1" {
+				f.store.Delete(t.Key())
+			}
+		}
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "GET", platformtest.SearchPrefix, nil); return r.Missing }, 3*time.Second).Should(Equal(1))
+		for _, t := range f.targets {
+			if t.Service == "s2" {
+				f.store.Delete(t.Key())
+			}
+		}
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "GET", platformtest.SearchPrefix, nil); return r.Status }, 3*time.Second).Should(Equal(503))
+	})
+
+	It("sends a request that may not be repeated once, with its body unchanged, and says what became of it", func() {
+		f := newFixture(1)
+		r, id, uri := f.call(f.hosts[0], "POST", platformtest.OncePrefix, []byte("body"))
+		Expect(r.Status).To(Equal(200))
+		Expect(r.Proof).To(Equal(platformtest.Stamp(platformtest.OnceService, id)))
+		run := f.log.Runs()[0]
+		Expect([]string{run.Method, run.URI, run.Body}).To(Equal([]string{"POST", uri, "body"}))
+
+		for _, t := range f.targets {
+			t.SetLose(1) // every answer is lost after the run
+		}
+		r, id, _ = f.call(f.hosts[0], "POST", platformtest.OncePrefix, nil)
+		Expect(r.Status).To(Equal(502), "it may have run, so nothing is promised")
+		Expect(f.runs(id)).To(Equal(1))
+
+		for _, t := range f.targets {
+			t.SetLose(0)
+			t.SetRefuse(true)
+		}
+		r, id, _ = f.call(f.hosts[0], "POST", platformtest.OncePrefix, nil)
+		Expect(r.Promised()).To(BeTrue(), "status %d", r.Status)
+		Expect(f.runs(id)).To(BeZero())
+	})
+
+	It("tells a caller at the route's timeout", func() {
+		f := newFixture(1)
+		f.store.Put("op/config", platformtest.Config(2, shards, 300*time.Millisecond))
+		for _, t := range f.targets {
+			t.SetWork(time.Second)
+		}
+		Eventually(func() int {
+			r, _, _ := f.call(f.hosts[0], "POST", platformtest.OncePrefix, nil)
+			if r.Took > time.Second {
+				return 0
+			}
+			return r.Status
+		}, 6*time.Second).Should(Equal(504))
+	})
+
+	It("sends nothing to a target that drains, on any host", func() {
+		f := newFixture(3)
+		for _, t := range f.targets {
+			if t.ID == "s1-0" {
+				f.store.Put(t.Key(), t.Entry("draining"))
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		since := time.Now()
+		for i := range 60 {
+			f.call(f.hosts[i%3], "GET", platformtest.SearchPrefix, nil)
+		}
+		for _, r := range f.log.Runs() {
+			Expect(r.Target == "s1-0" && r.At.After(since)).To(BeFalse())
+		}
+	})
+
+	It("follows changes through a dropped history and an outage of the store", func() {
+		f := newFixture(2)
+		f.store.SetMode(platformtest.Busy)
+		f.store.Put("op/config", platformtest.Config(5, shards[:2], 2*time.Second))
+		f.store.Compact()
+		time.Sleep(500 * time.Millisecond)
+		r, id, uri := f.call(f.hosts[0], "GET", platformtest.SearchPrefix, nil)
+		Expect(platformtest.CheckSearch(&r, id, uri, [][]string{shards})).To(BeEmpty(), "it serves with what it knows")
+		f.store.SetMode(platformtest.Sound)
+		for _, h := range f.hosts {
+			Eventually(func() int { r, _, _ := f.call(h, "GET", platformtest.SearchPrefix, nil); return len(r.Parts) }, 4*time.Second).Should(Equal(2))
+		}
+	})
+
+	It("learns of a change from a peer when the store turns it away", func() {
+		f := newFixture(2)
+		away, err := platformtest.NewStore("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(away.Close)
+		away.SetMode(platformtest.Busy)
+		third := f.start(platformtest.HostSettings{Name: "host-9", IP: "127.0.0.9", Place: "p0", Ports: f.hosts[0].Ports,
+			Store: away.Address, Seeds: []string{"127.0.0.2"}, Grace: 3 * time.Second})
+		Eventually(f.ready(third), 5*time.Second).Should(BeTrue())
+		f.store.Put("op/config", platformtest.Config(2, shards[:2], 2*time.Second))
+		Eventually(func() int { r, _, _ := f.call(third, "GET", platformtest.SearchPrefix, nil); return len(r.Parts) }, 3*time.Second).Should(Equal(2))
+	})
+
+	It("is not ready and refuses as not run while it knows no configuration", func() {
+		f := newFixture(1)
+		dark, err := platformtest.NewStore("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(dark.Close)
+		dark.SetMode(platformtest.Busy)
+		blind := f.start(platformtest.HostSettings{Name: "blind", IP: "127.0.0.8", Place: "p0", Ports: f.hosts[0].Ports,
+			Store: dark.Address, Seeds: []string{"127.0.0.8"}, Grace: 3 * time.Second})
+		Eventually(func() int { r, _, _ := f.call(blind, "GET", platformtest.SearchPrefix, nil); return r.Status }, 3*time.Second).Should(Equal(503))
+		Expect(f.ready(blind)()).To(BeFalse())
+	})
+
+	It("cuts no request when it ends, and leaves the directory at once", func() {
+		f := newFixture(3)
+		var wg sync.WaitGroup
+		stop := make(chan struct{})
+		var cut atomic.Int64
+		leaving := f.hosts[0]
+		for range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					r, id, _ := f.call(leaving, "POST", platformtest.OncePrefix, nil)
+					if r.Status == 0 && f.runs(id) > 0 {
+						cut.Add(1)
+					}
+					time.Sleep(2 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		leaving.stop()
+		Eventually(f.ready(leaving)).Should(BeFalse())
+		Eventually(func() ([]string, error) {
+			return platformtest.Resolve(context.Background(), f.client, f.hosts[1].Address(f.hosts[1].Ports.Directory), "p0")
+		}, 2*time.Second).ShouldNot(ContainElement(leaving.Address(leaving.Ports.Callers)))
+		var err error
+		Eventually(leaving.ended, 5*time.Second).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		leaving.ended <- nil
+		close(stop)
+		wg.Wait()
+		Expect(cut.Load()).To(BeZero())
+	})
+})
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -48,7 +48,7 @@
 		crashed := len(t.broken) > 0 && now.Sub(t.broken[len(t.broken)-1].at) < togetherLimit
 		t.broken = append(t.broken, brokenSend{at: now, crash: quarantine.Crash{
 			Fingerprint: fingerprint(x.r), Attempt: xxhash.Sum64String(x.r.ID),
-			Target: xxhash.Sum64String(t.entry.ID) + uint64(t.entry.Started),
+			Target: xxhash.Sum64String(t.id) + uint64(t.entry.Started),
 		}})
 		if crashed {
 			e.confirmCrash(t, now)
@@ -70,7 +70,7 @@
 			continue
 		}
 		if e.tally.Refuse(now, b.crash.Fingerprint) {
-			e.cfg.Log.Warn("a request crashes its targets and is refused from now on", "fingerprint", uint64(b.crash.Fingerprint), "target", t.entry.ID)
+			e.cfg.Log.Warn("a request crashes its targets and is refused from now on", "fingerprint", uint64(b.crash.Fingerprint), "target", t.id)
 		}
 	}
 	t.broken = nil
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,11 +71,12 @@
 
 // target is what this host knows of one process of a target.
 type target struct {
-	entry  *catalog.Target
-	state  *balance.Target
-	pool   *backend.Pool
-	wrong  bool         // another target answered at its address
-	broken []brokenSend // since the last answer
+	id, service, place string
+	entry              *catalog.Target // guarded by the engine's lock
+	state              *balance.Target
+	pool               *backend.Pool
+	wrong              bool         // another target answered at its address
+	broken             []brokenSend // since the last answer
 }
 
 // New returns an engine that knows no configuration.
@@ -110,7 +111,7 @@
 			continue
 		}
 		e.targets[id] = &target{
-			entry: entry, state: balance.NewTarget(entry.Slots),
+			id: id, service: entry.Service, place: entry.Place, entry: entry, state: balance.NewTarget(entry.Slots),
 			pool: backend.NewPool(entry.Address, entry.ID, e.cfg.Codec, &e.connections, 1),
 		}
 	}
@@ -123,11 +124,11 @@
 	for _, t := range e.targets {
 		limit := defaultConnections
 		if v.Config != nil {
-			if s, ok := v.Config.Services[t.entry.Service]; ok && s.MaxConnections > 0 {
+			if s, ok := v.Config.Services[t.service]; ok && s.MaxConnections > 0 {
 				limit = s.MaxConnections
 			}
 		}
-		t.pool.SetLimit(connectionShare(limit, all, here, t.entry.Place == e.cfg.Place))
+		t.pool.SetLimit(connectionShare(limit, all, here, t.place == e.cfg.Place))
 	}
 }
 
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -18,7 +18,7 @@
 			missing++
 			why := string(s.reason)
 			if len(s.open) > 0 {
-				why = "open:" + s.open[0].target.entry.ID
+				why = "open:" + s.open[0].target.id
 			}
 			lacking = append(lacking, s.service+"="+why)
 		}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -93,6 +93,9 @@
 
 // run carries the request out.
 func (x *execution) run(ctx context.Context) Answer {
+	if !x.attainable(time.Now()) {
+		return Answer{Outcome: x.e.refused(outcome.Unavailable, outageRetry, "too few services have a target that can be reached")}
+	}
 	for i := range x.shards {
 		x.try(i, time.Now())
 	}
@@ -117,6 +120,24 @@
 	}
 }
 
+// attainable reports whether enough shards have a target that may be tried now.
+// A request that cannot be served is refused before anything is sent.
+func (x *execution) attainable(now time.Time) bool {
+	p := x.progress()
+	reached := 0
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
+	for i := range x.shards {
+		for _, entry := range x.view.Usable(x.shards[i].service) {
+			if t := x.e.targets[entry.ID]; t != nil && !t.wrong && !t.state.Down(now) {
+				reached++
+				break
+			}
+		}
+	}
+	return reached >= p.Required()
+}
+
 // release lets the open sends end by themselves.
 func (x *execution) release() {
 	open := 0
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -135,7 +135,7 @@
 	if s.tried == nil {
 		s.tried = map[string]bool{}
 	}
-	s.tried[t.entry.ID] = true
+	s.tried[t.id] = true
 	s.sends++
 	x.sent++
 	if extra {
@@ -158,7 +158,7 @@
 	x.e.cfg.OnSend()
 	result := t.pool.Send(x.sends, &x.r.Request, x.until, !x.route.Repeatable)
 	x.e.record(x, t, &result)
-	x.e.cfg.Observer.Sent(t.entry.Service, &result, extra)
+	x.e.cfg.Observer.Sent(t.service, &result, extra)
 	x.results <- ended{shard: i, target: t, result: result}
 }
 
@@ -168,10 +168,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.Dialed > 0 && r.Kind != backend.NotSent {
-		e.observeLink(t.entry.Place, r.Dialed)
+		e.observeLink(t.place, r.Dialed)
 	}
 	e.observeCrash(x, t, r, now)
-	link := e.link(t.entry.Place)
+	link := e.link(t.place)
 	switch r.Kind {
 	case backend.Success:
 		state := e.route(x.route)
