Divide shared limits by the capacity of hosts

Change: three quarters of a shared limit go to the large hosts, the rest to those in reserve; hosts that know the same fleet never use more than the whole.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,6 +76,7 @@
 	open        atomic.Int64 // requests of callers in progress
 	fleetAll    atomic.Int64
 	fleetHere   atomic.Int64
+	shares      atomic.Pointer[shares]
 }
 
 // New prepares a host. Nothing listens yet but the heartbeat socket.
@@ -83,6 +84,7 @@
 	h := &Host{o: o, incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
 	h.fleetAll.Store(roster.UnknownFleet)
 	h.fleetHere.Store(roster.UnknownFleet / 4)
+	h.shares.Store(&shares{fleet: 1.0 / roster.UnknownFleet, place: 4.0 / roster.UnknownFleet})
 	if o.Site.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(o.Site.MemoryBytes)))
 	}
@@ -104,6 +106,15 @@
 	return net.JoinHostPort(h.o.Site.IP, strconv.Itoa(int(h.o.Site.GossipPort)))
 }
 
+// shares are this host's parts of limits that hosts share.
+type shares struct{ fleet, place float64 }
+
+// Shares implements engine.Fleet.
+func (h *Host) Shares() (fleet, place float64) {
+	s := h.shares.Load()
+	return s.fleet, s.place
+}
+
 // Hosts implements engine.Fleet.
 func (h *Host) Hosts() (all, here int) { return int(h.fleetAll.Load()), int(h.fleetHere.Load()) }
 
@@ -222,6 +233,8 @@
 			all, here := r.Fleet(time.Now())
 			h.fleetAll.Store(int64(all))
 			h.fleetHere.Store(int64(here))
+			fleet, place := r.Shares(time.Now(), h.load.capacity)
+			h.shares.Store(&shares{fleet, place})
 		})
 		h.follower.expire()
 		h.engine.Refresh()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,6 +22,9 @@
 	// Hosts returns the largest number of hosts that may be running, and how many
 	// of them are in this host's place.
 	Hosts() (all, here int)
+	// Shares returns the parts of limits of all hosts, and of those of this place,
+	// that this host may use.
+	Shares() (fleet, place float64)
 }
 
 // Config of an Engine.
@@ -120,7 +123,7 @@
 
 // setLimits divides the connections of each target among the hosts.
 func (e *Engine) setLimits(v *catalog.View) {
-	all, here := e.cfg.Fleet.Hosts()
+	fleet, place := e.cfg.Fleet.Shares()
 	for _, t := range e.targets {
 		limit := defaultConnections
 		if v.Config != nil {
@@ -128,7 +131,7 @@
 				limit = s.MaxConnections
 			}
 		}
-		t.pool.SetLimit(connectionShare(limit, all, here, t.place == e.cfg.Place))
+		t.pool.SetLimit(connectionShare(limit, fleet, place, t.place == e.cfg.Place))
 	}
 }
 
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -53,17 +53,15 @@
 )
 
 // connectionShare returns the connections that this host may have to a target, so
-// that the sum over all hosts stays within the target's limit while every host
-// may have minNear to the targets of its own place. Hosts of other places then
-// share what is left; each may open one, which it needs for repeats only and
-// closes soon after (see spareIdle).
-func connectionShare(limit, all, here int, near bool) int {
-	if all <= here {
-		return max(1, limit/max(1, all))
-	}
-	nearly := max(int(nearShare*float64(limit))/max(1, here), min(minNear, limit/max(1, here)), 1)
+// that the sum over the hosts that callers are sent to stays within the target's
+// limit. fleet and place are this host's parts of all hosts and of those of its
+// place. Each host may have minNear to targets of its place and one to others,
+// which hosts in reserve seldom use.
+func connectionShare(limit int, fleet, place float64, near bool) int {
 	if near {
-		return nearly
+		return max(minNear, int(nearShare*float64(limit)*place))
 	}
-	return max(1, (limit-nearly*here)/(all-here))
+	// The hosts of the target's own place do not take part; a fleet has three places
+	// or more, or the far hosts are few.
+	return max(1, int((1-nearShare)*float64(limit)*min(1, 1.5*fleet)))
 }
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -76,6 +76,6 @@
 
 // slack returns this host's part of the slack of a budget.
 func (e *Engine) slack() float64 {
-	all, _ := e.cfg.Fleet.Hosts()
-	return budgetShare * e.cfg.RetrySlack / float64(max(1, all))
+	fleet, _ := e.cfg.Fleet.Shares()
+	return budgetShare * e.cfg.RetrySlack * fleet
 }
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -14,6 +14,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
 
 // Max is the number of addresses in an answer. Eight names all hosts of today;
@@ -134,14 +136,9 @@
 	return chosen[:near]
 }
 
-const (
-	// largeRatio is the fraction of the largest capacity in a place from which a
-	// host counts as large.
-	largeRatio = 0.5
-	// largeBusy is the mean load of the large hosts from which the others take
-	// callers too.
-	largeBusy = 0.4
-)
+// largeBusy is the mean load of the large hosts from which the others take callers
+// too.
+const largeBusy = 0.4
 
 // Large drops the small hosts of each place that has enough large ones with room.
 // A fan-out through a host with a slow link waits for the link, and the more
@@ -152,7 +149,7 @@
 	for _, h := range hosts {
 		largest[h.Place] = max(largest[h.Place], h.Capacity)
 	}
-	large := func(h Host) bool { return h.Capacity >= largeRatio*largest[h.Place] }
+	large := func(h Host) bool { return h.Capacity >= roster.LargeRatio*largest[h.Place] }
 	count, load := map[string]int{}, map[string]float64{}
 	for _, h := range hosts {
 		if large(h) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -166,6 +166,60 @@
 	return all, here
 }
 
+// Shares returns the parts of limits that all hosts share which this host, with
+// the given capacity, may use: of limits of the fleet, and of those of its place.
+// Hosts that know the same fleet use no more than the whole. Large hosts, to which
+// callers are sent, get most.
+func (r *Roster) Shares(now time.Time, capacity float64) (fleet, place float64) {
+	largest := map[string]float64{r.place: capacity}
+	for _, h := range r.hosts {
+		largest[h.Place] = max(largest[h.Place], h.Capacity)
+	}
+	isLarge := func(in string, c float64) bool { return c >= LargeRatio*largest[in] }
+	var all, here [2]int // large and small hosts
+	count := func(in string, c float64) {
+		kind := 1
+		if isLarge(in, c) {
+			kind = 0
+		}
+		all[kind]++
+		if in == r.place {
+			here[kind]++
+		}
+	}
+	count(r.place, capacity)
+	for _, h := range r.hosts {
+		count(h.Place, h.Capacity)
+	}
+	if missing := UnknownFleet - all[0] - all[1]; now.Sub(r.began) < Settled && missing > 0 {
+		all[0] += missing
+		here[0] += missing
+	}
+	large := isLarge(r.place, capacity)
+	return part(large, all), part(large, here)
+}
+
+// LargeRatio is the fraction of the largest capacity in a place from which a host
+// counts as large.
+const LargeRatio = 0.5
+
+// largePart is the part of a limit that the large hosts get if there are small
+// ones.
+const largePart = 0.75
+
+// part returns the share of one host among the given numbers of large and small
+// ones.
+func part(large bool, counts [2]int) float64 {
+	switch {
+	case counts[1] == 0:
+		return 1 / float64(counts[0])
+	case large:
+		return largePart / float64(counts[0])
+	default:
+		return (1 - largePart) / float64(counts[1])
+	}
+}
+
 // Sample returns the states to pass on with a heartbeat, at most limit, with
 // their ages. Two thirds are of this host's place, whose hosts callers here are
 // sent to.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -119,3 +119,43 @@
 		Expect(missing).To(BeNumerically("<=", 60*51/100), "in one of a hundred views at most a host is missing")
 	})
 })
+
+var _ = Describe("Shares", func() {
+	start := time.Unix(1000, 0)
+
+	// On a grown day six large hosts carried all callers with a tenth of the repeat
+	// budget, which a place of targets that refuse used up: 709 failures.
+	It("gives most of shared limits to the hosts that callers are sent to, and never more than all", func() {
+		type member struct {
+			place    string
+			capacity float64
+		}
+		var fleet []member
+		for i := range 60 {
+			capacity := 1.0
+			if i < 6 {
+				capacity = 10
+			}
+			fleet = append(fleet, member{fmt.Sprint("p", i%3), capacity})
+		}
+		sum, places := 0.0, map[string]float64{}
+		for i, m := range fleet {
+			r := roster.New(fmt.Sprint(i), m.place, start)
+			for j, other := range fleet {
+				r.Observe(start, roster.State{Name: fmt.Sprint(j), Incarnation: 1, Place: other.place, Capacity: other.capacity})
+			}
+			all, place := r.Shares(start.Add(roster.Settled), m.capacity)
+			if i < 6 {
+				Expect(all).To(BeNumerically("~", 0.125, 1e-9))
+			}
+			early, _ := r.Shares(start, m.capacity)
+			Expect(early).To(BeNumerically("<=", all), "a host that has just started may not know all")
+			sum += all
+			places[m.place] += place
+		}
+		Expect(sum).To(BeNumerically("~", 1, 1e-9))
+		for _, s := range places {
+			Expect(s).To(BeNumerically("~", 1, 1e-9))
+		}
+	})
+})
