--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -31,6 +31,13 @@
 	if len(lacking) > 0 {
 		fields = append(fields, "lacking", lacking)
 	}
+	if len(x.shards) == 1 && x.shards[0].failure != nil {
+		f := x.shards[0].failure
+		fields = append(fields, "target", x.shards[0].last, "result", f.Kind.String(), "status", f.Status, "dialed_ms", f.Dialed.Milliseconds(), "took_ms", f.Took.Milliseconds())
+		if f.Err != nil {
+			fields = append(fields, "error", f.Err.Error())
+		}
+	}
 	if a.Outcome.Kind == outcome.Answered {
 		x.e.cfg.Log.Debug("request finished", fields...)
 		return
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -41,6 +41,7 @@
 	wait    time.Duration
 	part    *backend.Result // the answer
 	failure *backend.Result // a target's own failure, or the last result
+	last    string          // the target that failed last
 	lost    bool            // cannot be answered any more
 	reason  outcome.Reason
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -232,7 +232,7 @@
 		return
 	}
 	if s.failure == nil || s.failure.Kind != backend.Failure {
-		s.failure = r
+		s.failure, s.last = r, end.target.id
 	}
 	s.reason = reasonOf(r)
 	if len(s.open) > 0 && !r.Kind.RanNothing() {
