--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+)
+
+// Call is a request of a caller with what it got.
+type Call struct {
+	ID, Method, URI, Body string
+	Sent                  time.Time
+	Reply                 platformtest.Reply
+}
+
+// Checker compares what callers got with what targets ran. It is safe for
+// concurrent use.
+type Checker struct {
+	mu     sync.Mutex
+	calls  map[string]*Call
+	sets   [][]string           // sets of shards that were configured
+	closed map[string]time.Time // targets that drain, with the latest time of a run
+	broken []string
+}
+
+// NewChecker returns a checker.
+func NewChecker() *Checker {
+	return &Checker{calls: map[string]*Call{}, closed: map[string]time.Time{}}
+}
+
+// Configured records a set of shards before it is published.
+func (c *Checker) Configured(set []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sets = append(c.sets, set)
+}
+
+// Closed records that a target may run nothing after a time.
+func (c *Checker) Closed(target string, after time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed[target] = after
+}
+
+// Sends records a call before it is sent.
+func (c *Checker) Sends(call Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[call.ID] = &call
+}
+
+// Got records the reply to a call and checks what it says by itself.
+func (c *Checker) Got(id string, r platformtest.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[id]
+	call.Reply = r
+	if r.Status != 200 {
+		return
+	}
+	if call.Method == "POST" {
+		if r.Proof != platformtest.Stamp(platformtest.OnceService, id) {
+			c.fail("call %s got the answer with digest %q", id, r.Proof)
+		}
+		return
+	}
+	if wrong := platformtest.CheckSearch(&r, id, call.URI, c.sets); wrong != "" {
+		c.fail("call %s: %s", id, wrong)
+	}
+}
+
+func (c *Checker) fail(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+// Finish checks the runs of the targets and returns the broken promises.
+func (c *Checker) Finish(runs []platformtest.Run) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := map[string]int{}
+	for _, run := range runs {
+		call := c.calls[run.ID]
+		if call == nil || call.Method != run.Method || call.URI != run.URI || call.Body != run.Body {
+			c.fail("target %s ran %s %s (%s), which no caller sent", run.Target, run.Method, run.URI, run.ID)
+			continue
+		}
+		count[run.ID]++
+		if after, ok := c.closed[run.Target]; ok && run.At.After(after) {
+			c.fail("target %s ran %s %v after it was to get nothing more", run.Target, run.ID, run.At.Sub(after))
+		}
+	}
+	for id, call := range c.calls {
+		if call.Method != "POST" {
+			continue
+		}
+		if count[id] > 1 {
+			c.fail("call %s ran %d times", id, count[id])
+		}
+		if count[id] > 0 && call.Reply.Promised() {
+			c.fail("call %s was told with status %d that it has not run, and it has", id, call.Reply.Status)
+		}
+	}
+	return c.broken
+}
+
+// Served returns the number of calls sent after a time and how many of them got a
+// success.
+func (c *Checker) Served(since time.Time) (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.calls {
+		if call.Sent.After(since) {
+			sent++
+			if call.Reply.Status == 200 {
+				served++
+			}
+		}
+	}
+	return sent, served
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,67 @@
+package soak_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/soak"
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Soak")
+}
+
+// Each spec breaks one promise on purpose; a checker that finds nothing would make
+// the soak worthless.
+var _ = Describe("Checker", func() {
+	now := time.Unix(1000, 0)
+	set := []string{"s1", "s2"}
+	var c *soak.Checker
+	BeforeEach(func() {
+		c = soak.NewChecker()
+		c.Configured(set)
+		c.Sends(soak.Call{ID: "p", Method: "POST", URI: "/once/p", Sent: now})
+		c.Sends(soak.Call{ID: "g", Method: "GET", URI: "/search/g", Sent: now})
+	})
+	run := func(id, method, uri string) platformtest.Run {
+		return platformtest.Run{Target: "t", ID: id, Method: method, URI: uri, At: now}
+	}
+	search := func(parts ...string) platformtest.Reply {
+		return platformtest.Reply{Status: 200, Parts: parts, Missing: len(set) - len(parts)}
+	}
+
+	It("finds nothing where all promises are kept", func() {
+		c.Got("p", platformtest.Reply{Status: 200, Proof: platformtest.Stamp(platformtest.OnceService, "p")})
+		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p")})).To(BeEmpty())
+	})
+	It("finds a request that ran twice", func() {
+		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p"), run("p", "POST", "/once/p")})).To(HaveLen(1))
+	})
+	It("finds a false promise, also of a run that came later", func() {
+		c.Got("p", platformtest.Reply{Status: 503})
+		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p")})).To(HaveLen(1))
+	})
+	It("finds a run that nobody asked for, or that was changed", func() {
+		Expect(c.Finish([]platformtest.Run{run("x", "GET", "/")})).To(HaveLen(1))
+		Expect(c.Finish([]platformtest.Run{run("g", "GET", "/search/other")})).To(HaveLen(2))
+	})
+	It("finds the answer to another request", func() {
+		c.Got("p", platformtest.Reply{Status: 200, Proof: platformtest.Stamp(platformtest.OnceService, "q")})
+		Expect(c.Finish(nil)).To(HaveLen(1))
+	})
+	It("finds parts of other requests, parts named twice, foreign sets and wrong records", func() {
+		c.Got("g", search("s1.other"))
+		c.Got("g", search("s1.g", "s1.g"))
+		c.Got("g", platformtest.Reply{Status: 200, Parts: []string{"s9.g"}, Missing: 1})
+		c.Got("g", search("s1.g"))
+		Expect(c.Finish(nil)).To(HaveLen(4))
+	})
+	It("finds a run at a target that was to get nothing more", func() {
+		c.Closed("t", now.Add(-time.Second))
+		Expect(c.Finish([]platformtest.Run{run("g", "GET", "/search/g")})).To(HaveLen(1))
+	})
+})
