Read the store again beside reads that hang; explain a request from the log

The log did not show the sends of a request.

Change: a host that knows nothing starts a read each 400 ms and takes the first answer.

--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/logsink"
 	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/spf13/cobra"
@@ -22,6 +24,7 @@
 func newEdge() *cobra.Command {
 	var file, level string
 	var metricsPort uint16
+	var check bool
 	cmd := &cobra.Command{
 		Use:     "edge",
 		GroupID: "commands",
@@ -32,24 +35,44 @@
 			"status 0.",
 		Example: "  " + platform.SettingsVariable + "=/etc/lacewingyard/boot.yaml lacewingyard edge",
 		Args:    cobra.NoArgs,
-		RunE:    func(cmd *cobra.Command, _ []string) error { return runEdge(cmd.Context(), file, level, metricsPort) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if check {
+				s, err := loadEdgeSettings(file)
+				if err == nil {
+					fmt.Fprintf(cmd.OutOrStdout(), "settings of %s in %s are valid\n", s.Name, s.Place)
+				}
+				return err
+			}
+			return runEdge(cmd.Context(), file, level, metricsPort)
+		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "the platform's settings file (YAML); default: the path in "+platform.SettingsVariable)
 	cmd.Flags().StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
 	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "TCP port of the metrics on the host's address; 0: none")
 	return cmd
 }
 
-func runEdge(ctx context.Context, file, level string, metricsPort uint16) error {
+// loadEdgeSettings reads the settings file, by default the one that the platform
+// names in the environment.
+func loadEdgeSettings(file string) (site.Settings, error) {
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
 	}
 	if file == "" {
-		return usageError{errors.Newf("no settings file: set --settings or %s", platform.SettingsVariable)}
+		return site.Settings{}, usageError{errors.Newf("no settings file: set --settings or %s", platform.SettingsVariable)}
+	}
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return s, usageError{err}
 	}
-	settings, err := platform.LoadSettings(file)
+	return s, nil
+}
+
+func runEdge(ctx context.Context, file, level string, metricsPort uint16) error {
+	settings, err := loadEdgeSettings(file)
 	if err != nil {
-		return usageError{err}
+		return err
 	}
 	if hclog.LevelFromString(level) == hclog.NoLevel {
 		return usageError{errors.Newf("--log-level: %q is no level", level)}
@@ -73,5 +96,6 @@
 	if err != nil {
 		return err
 	}
+	metrics.Follow(host)
 	return host.Run(ctx)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -231,6 +231,19 @@
 		Expect(f.ready(blind)()).To(BeFalse())
 	})
 
+	// After a restart of all hosts while the store was silent, none served for two
+	// seconds after its return: each waited for a read that got no answer.
+	It("serves soon after a silent store returns, though its first reads hang", func() {
+		f := newFixture(1)
+		f.store.SetMode(platformtest.Silent)
+		blind := f.start(platformtest.HostSettings{Name: "blind", IP: "127.0.0.8", Place: "p0", Ports: f.hosts[0].Ports,
+			Store: f.store.Address, Seeds: []string{"127.0.0.8"}, Grace: 3 * time.Second})
+		f.hosts[0].stop() // no peer tells it
+		time.Sleep(700 * time.Millisecond)
+		f.store.SetMode(platformtest.Sound)
+		Eventually(f.ready(blind), 1500*time.Millisecond).Should(BeTrue())
+	})
+
 	It("cuts no request when it ends, and leaves the directory at once", func() {
 		f := newFixture(3)
 		var wg sync.WaitGroup
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -46,6 +46,10 @@
 	// the state of a peer before it reads the store. Reads by all hosts at once
 	// are dear.
 	peersFirst = 80 * time.Millisecond
+	// blindEvery is the time between two reads of a host that knows nothing. They
+	// overlap: one that waits for a store that is down does not notice its return,
+	// and one that is given up early never ends while the store is slow.
+	blindEvery = 400 * time.Millisecond
 	// idleCheck is how often a host that does not read looks whether it must.
 	idleCheck = 50 * time.Millisecond
 )
@@ -139,6 +143,11 @@
 			sleep(ctx, idleCheck)
 			continue
 		}
+		if f.blind() {
+			f.readAside(ctx)
+			sleep(ctx, blindEvery)
+			continue
+		}
 		began := time.Now()
 		if err := f.call(ctx); err != nil {
 			f.failed(err)
@@ -151,6 +160,25 @@
 	}
 }
 
+// blind reports whether nothing was read yet from the store or a peer.
+func (f *follower) blind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Revision() == 0
+}
+
+// readAside reads the whole state beside earlier reads that have not ended.
+func (f *follower) readAside(ctx context.Context) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	go func() {
+		if err := f.read(ctx); err != nil {
+			f.failed(err)
+		}
+	}()
+}
+
 // due reports whether this host should call the store now.
 func (f *follower) due(now time.Time) bool {
 	f.mu.Lock()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -39,6 +39,34 @@
 	return m
 }
 
+// Follow serves figures of a host: connections, peers and the age of its state.
+func (m *Metrics) Follow(h *Host) {
+	counter := func(name, help string, value func() int64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	c := h.engine.Connections()
+	counter("lacewingyard_connections_opened_total", "Connections opened to targets.", c.Opened.Load)
+	counter("lacewingyard_connections_failed_total", "Connections to targets that could not be opened.", c.Failed.Load)
+	counter("lacewingyard_connections_broken_total", "Connections to targets closed after a request that ended badly.", c.Broken.Load)
+	counter("lacewingyard_store_calls_total", "Calls to the platform's store.", func() int64 { return int64(h.follower.made()) })
+	counter("lacewingyard_heartbeats_unreadable_total", "Heartbeats that could not be read.", func() int64 { return int64(h.gossip.Bad()) })
+	gauge("lacewingyard_state_age_seconds", "Time since the store confirmed the state in use.", func() float64 {
+		_, age := h.follower.position()
+		return age.Seconds()
+	})
+	gauge("lacewingyard_config_version", "Version of the configuration in force; 0 if none.", func() float64 {
+		if v := h.engine.View(); v != nil && v.Config != nil {
+			return float64(v.Config.Version)
+		}
+		return 0
+	})
+	gauge("lacewingyard_hosts", "Hosts that may be running, this one included.", func() float64 { return float64(h.fleetAll.Load()) })
+	gauge("lacewingyard_requests_open", "Requests of callers in progress.", func() float64 { return float64(h.open.Load()) })
+}
+
 // Sent implements engine.Observer.
 func (m *Metrics) Sent(_ string, r *backend.Result, extra bool) {
 	kind := "false"
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -24,8 +24,7 @@
 	sends    context.Context // of the sends, which may outlive the answer
 	cancel   context.CancelFunc
 	expected time.Duration
-	sent     int // sends so far, for the log line
-	extra    int
+	tries    []try // sends so far, for the log line
 }
 
 // shard is the part of an execution that one service answers.
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -137,10 +137,7 @@
 	}
 	s.tried[t.id] = true
 	s.sends++
-	x.sent++
-	if extra {
-		x.extra++
-	}
+	x.tries = append(x.tries, try{shard: i, target: t.id, began: now, extra: extra})
 	s.open = append(s.open, send{target: t, began: now})
 	t.state.Sent(now)
 	if x.route.Repeatable && x.route.Attempts > 1 {
@@ -167,6 +164,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer e.logReach(t, r, t.state.Reachable())
 	if r.Dialed > 0 && r.Kind != backend.NotSent {
 		e.observeLink(t.place, r.Dialed)
 	}
@@ -218,6 +216,7 @@
 		}
 	}
 	r := &end.result
+	x.ended(end)
 	if r.Kind != backend.NotSent {
 		s.arrived++
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -172,6 +172,9 @@
 	return now.Before(t.avoidUntil) || t.unreachable > 0 && t.outstanding > 0
 }
 
+// Reachable reports whether the last attempt reached the target.
+func (t *Target) Reachable() bool { return t.unreachable == 0 }
+
 // Stalled reports whether requests are outstanding and nothing has come back for
 // much longer than usual.
 func (t *Target) Stalled(now time.Time, expected time.Duration) bool {
