Reload settings at SIGHUP and when the file changes; name a host elsewhere

Change: seeds and repeat bounds are reloaded, other changes logged; directory answers name one host of another place.

--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,12 +56,18 @@
 	return cmd
 }
 
-// loadEdgeSettings reads the settings file, by default the one that the platform
-// names in the environment.
-func loadEdgeSettings(file string) (site.Settings, error) {
+// settingsFile returns the path of the settings file, by default the one that the
+// platform names in the environment.
+func settingsFile(file string) string {
 	if file == "" {
-		file = os.Getenv(platform.SettingsVariable)
+		return os.Getenv(platform.SettingsVariable)
 	}
+	return file
+}
+
+// loadEdgeSettings reads the settings file.
+func loadEdgeSettings(file string) (site.Settings, error) {
+	file = settingsFile(file)
 	if file == "" {
 		return site.Settings{}, usageError{errors.Newf("no settings file: set --settings or %s", platform.SettingsVariable)}
 	}
@@ -70,6 +79,9 @@
 }
 
 func runEdge(ctx context.Context, file, level string, metricsPort uint16) error {
+	// From here on the signal no longer ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	settings, err := loadEdgeSettings(file)
 	if err != nil {
 		return err
@@ -97,5 +109,37 @@
 		return err
 	}
 	metrics.Follow(host)
+	go followSettings(ctx, hup, settingsFile(file), log, host.Reload)
 	return host.Run(ctx)
 }
+
+// settingsEvery is how often the settings file is looked at: it may change without
+// a signal.
+const settingsEvery = 2 * time.Second
+
+// followSettings reloads the settings file at SIGHUP and when it has changed. A
+// file that cannot be used changes nothing.
+func followSettings(ctx context.Context, hup <-chan os.Signal, file string, log hclog.Logger, reload func(site.Settings)) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(file) // it was read a moment ago
+	for {
+		select {
+		case <-hup:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		data, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		settings, err := platform.ParseSettings(data)
+		if err != nil {
+			log.Error("the settings file was not reloaded", "file", file, "error", err)
+			continue
+		}
+		reload(settings)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,8 @@
 	gossip      *gossip.Gossip
 	follower    *follower
 	load        *loadMeter
+	reloading   sync.Mutex
+	applied     site.Settings // those in force; guarded by reloading
 	leaving     atomic.Bool
 	open        atomic.Int64 // requests of callers in progress
 	fleetAll    atomic.Int64
@@ -81,7 +84,7 @@
 
 // New prepares a host. Nothing listens yet but the heartbeat socket.
 func New(o Options) (*Host, error) {
-	h := &Host{o: o, incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
+	h := &Host{o: o, applied: o.Site, incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
 	h.fleetAll.Store(roster.UnknownFleet)
 	h.fleetHere.Store(roster.UnknownFleet / 4)
 	h.shares.Store(&shares{fleet: 1.0 / roster.UnknownFleet, place: 4.0 / roster.UnknownFleet})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// SetBudget changes the bounds of extra sends. The window stays.
+func (e *Engine) SetBudget(ratio, slack float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cfg.RetryRatio, e.cfg.RetrySlack = ratio, slack
+}
+
 // View returns the published state in use, nil before the first.
 func (e *Engine) View() *catalog.View { return e.view.Load() }
 
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -47,14 +47,14 @@
 	fields := []any{
 		"request", x.r.ID, "route", x.route.Name, "config", x.view.Config.Version, "revision", x.view.Revision,
 		"outcome", a.Outcome.Kind.String(), "reason", string(a.Outcome.Reason), "ms", time.Since(x.r.Received).Milliseconds(),
-		"limit_ms", x.until.Sub(x.r.Received).Milliseconds(), "objective_ms", x.answerBy.Sub(x.r.Received).Milliseconds(),
+		"limit_ms", x.until.Sub(x.r.Received).Milliseconds(), "answer_by_ms", x.answerBy.Sub(x.r.Received).Milliseconds(),
 		"sends", len(x.tries), "extra", extra, "shards", len(x.shards), "missing", missing,
 	}
 	if missing > 0 {
 		fields = append(fields, "lacking", lacking)
 	}
-	if extra > 0 || a.Outcome.Kind != outcome.Answered {
-		fields = append(fields, "tries", x.story())
+	if told := x.story(); len(told) > 0 && (extra > 0 || a.Outcome.Kind != outcome.Answered) {
+		fields = append(fields, "tries", told)
 	}
 	if len(x.shards) == 1 && x.shards[0].failure != nil {
 		f := x.shards[0].failure
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -82,14 +82,26 @@
 	self := o.Self()
 	g := &Gossip{o: o, conn: conn, place: self.Place, roster: roster.New(self.Name, self.Place, time.Now()),
 		rng: rand.New(rand.NewPCG(o.Seed, ^o.Seed))}
-	for _, seed := range o.Seeds {
-		if ap, err := netip.ParseAddrPort(seed); err == nil && ap.Addr().Unmap() != addr.AddrPort().Addr().Unmap() {
-			g.seeds = append(g.seeds, netip.AddrPortFrom(ap.Addr(), o.Port))
-		} else if err != nil {
-			o.Log.Warn("a seed address is not usable", "seed", seed, "error", err)
+	g.SetSeeds(o.Seeds)
+	return g, nil
+}
+
+// SetSeeds replaces the seeds. Those that cannot be read are left out.
+func (g *Gossip) SetSeeds(addresses []string) {
+	own := g.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr().Unmap()
+	var seeds []netip.AddrPort
+	for _, address := range addresses {
+		ap, err := netip.ParseAddrPort(address)
+		switch {
+		case err != nil:
+			g.o.Log.Warn("a seed address is not usable", "seed", address, "error", err)
+		case ap.Addr().Unmap() != own:
+			seeds = append(seeds, netip.AddrPortFrom(ap.Addr(), g.o.Port))
 		}
 	}
-	return g, nil
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = seeds
 }
 
 // Run sends and receives until the context ends.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,7 +49,7 @@
 
 func (f *storm) one(ctx context.Context) {
 	length := time.Duration(500+f.rng.IntN(3500)) * time.Millisecond
-	switch f.rng.IntN(10) {
+	switch f.rng.IntN(11) {
 	case 0:
 		f.process(ctx, "pause", length, func(h *host) { h.signal(syscall.SIGSTOP) }, func(h *host) { h.signal(syscall.SIGCONT) })
 	case 1:
@@ -66,6 +66,10 @@
 		f.answers(ctx, f.target(), length)
 	case 8:
 		f.drain(ctx, f.target())
+	case 9:
+		h := f.site.hosts[f.rng.IntN(len(f.site.hosts))]
+		f.say("reload %s", h.Name)
+		h.signal(syscall.SIGHUP)
 	default:
 		f.reconfigure()
 	}
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -121,8 +121,13 @@
 // hosts elsewhere: one can fail.
 const nearEnough = 2
 
-// Near drops the hosts of other places from a choice if the given place has
-// enough. It is for callers that take any of the addresses at random.
+// spareElsewhere is the number of hosts of other places that are named beside those
+// of the caller's place. If the place is lost, so are the hosts that its callers
+// could ask again; without a spare they would keep an answer of dead addresses.
+const spareElsewhere = 1
+
+// Near drops the hosts of other places but a spare one from a choice if the given
+// place has enough. It is for callers that take any of the addresses at random.
 func Near(chosen []Host, place string) []Host {
 	near := 0
 	for _, h := range chosen {
@@ -133,7 +138,7 @@
 	if near < nearEnough {
 		return chosen
 	}
-	return chosen[:near]
+	return chosen[:min(len(chosen), near+spareElsewhere)]
 }
 
 // largeBusy is the mean load of the large hosts from which the others take callers
