Share the rate of a cold target among two hosts of its place

Cause: a configuration may state the rate that cold targets bear; all hosts together must keep it, and nothing did (the sites of today state none).

Change: two hosts of a target's place, by rendezvous hashing, send at a third of the rate each while its entry or its answers say that it is cold; a host that has just started sends nothing there.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,7 @@
 type Host struct {
 	o           Options
 	incarnation int64
+	started     time.Time
 	engine      *engine.Engine
 	gossip      *gossip.Gossip
 	follower    *follower
@@ -84,7 +85,7 @@
 
 // New prepares a host. Nothing listens yet but the heartbeat socket.
 func New(o Options) (*Host, error) {
-	h := &Host{o: o, applied: o.Site, incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
+	h := &Host{o: o, applied: o.Site, started: time.Now(), incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUShare, o.Site.LinkBytes)}
 	h.fleetAll.Store(roster.UnknownFleet)
 	h.fleetHere.Store(roster.UnknownFleet / 4)
 	h.shares.Store(&shares{fleet: 1.0 / roster.UnknownFleet, place: 4.0 / roster.UnknownFleet})
@@ -118,6 +119,16 @@
 	return s.fleet, s.place
 }
 
+// Owns implements engine.Fleet. A host that has just started may not know the
+// others, and owns nothing.
+func (h *Host) Owns(target, place string, owners int) (owns bool) {
+	if time.Since(h.started) < roster.Settled {
+		return false
+	}
+	h.gossip.With(func(r *roster.Roster) { owns = r.Owns(target, place, owners) })
+	return owns
+}
+
 // Hosts implements engine.Fleet.
 func (h *Host) Hosts() (all, here int) { return int(h.fleetAll.Load()), int(h.fleetHere.Load()) }
 
@@ -188,7 +199,7 @@
 	}{
 		{h.o.Site.CallerAddress, callers},
 		{h.o.Site.ReadyAddress, small(h.o.Handlers.Ready(h.ready))},
-		{h.o.Site.DirectoryAddress, small(h.o.Handlers.Directory(h.addresses, EntriesTTL))},
+		{h.o.Site.DirectoryAddress, small(h.o.Handlers.Directory(h.addresses, min(EntriesTTL, h.o.Site.EntriesTTLMax)))},
 		{h.o.Site.PeerAddress, small(gossip.StateHandler(h.follower.state))},
 	}
 	if h.o.Metrics != "" && h.o.Handlers.Metrics != nil {
--- /dev/null
+++ b/internal/engine/cold_test.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// fleetOf is a host's view of the fleet.
+type fleetOf struct{ *roster.Roster }
+
+func (fleetOf) Hosts() (all, here int)         { return 60, 20 }
+func (fleetOf) Shares() (fleet, place float64) { return 1.0 / 60, 1.0 / 20 }
+
+var _ = Describe("A cold target", func() {
+	start := time.Unix(1000, 0)
+
+	// A target that has just started fails under its usual load; sixty hosts that each
+	// send a little are too much.
+	It("gets no more than its rate from all hosts together, some of which do not see each other", func() {
+		const hosts, rate = 60, 4.0
+		entry := &catalog.Target{ID: "t", Service: "s", Place: "p0", Cold: 5 * time.Second, SeenAt: start}
+		config := catalog.NewBook()
+		config.Changes(start, 1, []catalog.Item{
+			{Kind: catalog.KindConfig, Config: &catalog.Config{Version: 1, Services: map[string]catalog.Service{"s": {Name: "s", WarmupRate: rate}}}},
+			{Kind: catalog.KindTarget, Name: "t", Target: entry},
+		})
+		var engines []*Engine
+		for i := range hosts {
+			r := roster.New(fmt.Sprint(i), fmt.Sprint("p", i%3), start)
+			for j := range hosts {
+				if (i+j)%10 > 0 { // each misses a tenth of the others
+					r.Observe(start, roster.State{Name: fmt.Sprint(j), Incarnation: 1, Place: fmt.Sprint("p", j%3)})
+				}
+			}
+			e := New(Config{Place: fmt.Sprint("p", i%3), RetryWindow: 10 * time.Second, Fleet: fleetOf{r}, Log: hclog.NewNullLogger()})
+			e.SetView(config.View())
+			engines = append(engines, e)
+		}
+		var sent []time.Duration
+		for at := time.Duration(0); at < 5*time.Second; at += 10 * time.Millisecond {
+			for _, e := range engines {
+				if t := e.targets["t"]; e.coldAllows(t, start.Add(at)) {
+					t.coldSent = start.Add(at)
+					sent = append(sent, at)
+				}
+			}
+		}
+		Expect(sent).NotTo(BeEmpty(), "someone warms it up")
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+time.Second {
+					n++
+				}
+			}
+			Expect(float64(n)).To(BeNumerically("<=", rate*1.5+5), "in the second from %v", from)
+		}
+		Expect(engines[1].coldAllows(engines[1].targets["t"], start.Add(5*time.Second))).To(BeTrue(), "all may send once it is warm")
+	})
+})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,9 @@
 	// Shares returns the parts of limits of all hosts, and of those of this place,
 	// that this host may use.
 	Shares() (fleet, place float64)
+	// Owns reports whether this host is one of a number of hosts of a place that
+	// are responsible for a target.
+	Owns(target, place string, owners int) bool
 }
 
 // Config of an Engine.
@@ -80,6 +83,8 @@
 	pool               *backend.Pool
 	wrong              bool         // another target answered at its address
 	broken             []brokenSend // since the last answer
+	coldSaid           time.Time    // until when its answers say that it is cold
+	coldSent           time.Time    // last send while it was cold
 }
 
 // New returns an engine that knows no configuration.
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -129,7 +129,7 @@
 	defer x.e.mu.Unlock()
 	for i := range x.shards {
 		for _, entry := range x.view.Usable(x.shards[i].service) {
-			if t := x.e.targets[entry.ID]; t != nil && !t.wrong && !t.state.Down(now) {
+			if t := x.e.targets[entry.ID]; t != nil && !t.wrong && !t.state.Down(now) && x.e.coldAllows(t, now) {
 				reached++
 				break
 			}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -100,6 +100,9 @@
 		if hedging && t.state.Stalled(now, x.expected) {
 			continue
 		}
+		if !e.coldAllows(t, now) {
+			continue
+		}
 		if !t.pool.Room() {
 			busy = true
 			continue
@@ -140,6 +143,9 @@
 	x.tries = append(x.tries, try{shard: i, target: t.id, began: now, extra: extra})
 	s.open = append(s.open, send{target: t, began: now})
 	t.state.Sent(now)
+	if now.Before(t.coldUntil()) {
+		t.coldSent = now
+	}
 	if x.route.Repeatable && x.route.Attempts > 1 {
 		state := x.e.route(x.route)
 		rule := hedge.Rule{Quantile: hedgeQuantile, MinDelay: hedgeFloor}
@@ -169,6 +175,9 @@
 		e.observeLink(t.place, r.Dialed)
 	}
 	e.observeCrash(x, t, r, now)
+	if r.Head.Cold > 0 {
+		t.coldSaid = now.Add(r.Head.Cold)
+	}
 	link := e.link(t.place)
 	switch r.Kind {
 	case backend.Success:
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -199,6 +199,27 @@
 	return part(large, all), part(large, here)
 }
 
+// Owns reports whether this host is one of the given number of hosts of a place,
+// or of all hosts if the place has none, that are responsible for a target: those
+// whose names and the target's have the highest hashes together.
+func (r *Roster) Owns(target, place string, owners int) bool {
+	inPlace := r.place == place
+	for _, h := range r.hosts {
+		inPlace = inPlace || h.Place == place
+	}
+	if inPlace && r.place != place {
+		return false
+	}
+	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + target) }
+	mine, higher := rank(r.self), 0
+	for _, h := range r.hosts {
+		if (!inPlace || h.Place == place) && rank(h.Name) > mine {
+			higher++
+		}
+	}
+	return higher < owners
+}
+
 // LargeRatio is the fraction of the largest capacity in a place from which a host
 // counts as large.
 const LargeRatio = 0.5
