--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -196,7 +196,7 @@
 		case s.part != nil:
 			p.In++
 		case !s.lost:
-			p.Pending++
+			p.Open++
 		}
 	}
 	return p
--- a/pkg/gather/decide.go
+++ b/pkg/gather/decide.go
@@ -9,7 +9,7 @@
 type Progress struct {
 	Shards   int     // of the route
 	In       int     // parts received
-	Pending  int     // shards that may still answer
+	Open  int     // shards that may still answer
 	MinRatio float64 // least fraction of the shards in an answer
 }
 
@@ -37,9 +37,9 @@
 // with what it has. After that it leaves as soon as it has enough.
 func Decide(p Progress, now, answerBy time.Time) Verdict {
 	switch {
-	case p.Pending == 0 && p.enough(p.In):
+	case p.Open == 0 && p.enough(p.In):
 		return Answer
-	case !p.enough(p.In + p.Pending):
+	case !p.enough(p.In + p.Open):
 		return GiveUp
 	case !now.Before(answerBy) && p.enough(p.In):
 		return Answer
