--- a/pkg/gather/decide.go
+++ b/pkg/gather/decide.go
@@ -9,7 +9,7 @@
 type Progress struct {
 	Shards   int     // of the route
 	In       int     // parts received
-	Open  int     // shards that may still answer
+	Open     int     // shards that may still answer
 	MinRatio float64 // least fraction of the shards in an answer
 }
 
