Refuse a single request that finds no free connection after a fourth of its objective

Cause: such a request waited in steps of 3 ms until its time limit and was refused then, when its caller could no longer ask another host.

Change: it is refused as not run after a fourth of the objective; a shard of a fan-out still waits until its answer leaves. Settings that nothing reads are gone.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -160,6 +160,32 @@
 		Expect(f.runs(id)).To(BeZero())
 	})
 
+	// All connections of the host to the targets are in use: waiting until the time
+	// limit would keep the caller from asking another host.
+	It("refuses a single request that finds no free connection, well before its time limit", func() {
+		f := newFixture(1)
+		for _, t := range f.targets {
+			t.SetWork(1500 * time.Millisecond)
+		}
+		var refused, slow atomic.Int64
+		var wg sync.WaitGroup
+		for range 60 {
+			wg.Go(func() {
+				r, id, _ := f.call(f.hosts[0], "POST", platformtest.OncePrefix, nil)
+				if !r.Promised() {
+					return
+				}
+				refused.Add(1)
+				if r.Took > time.Second || f.runs(id) > 0 {
+					slow.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(refused.Load()).To(BeNumerically(">", 0))
+		Expect(slow.Load()).To(BeZero())
+	})
+
 	It("tells a caller at the route's timeout", func() {
 		f := newFixture(1)
 		f.store.Put("op/config", platformtest.Config(2, shards, 300*time.Millisecond))
--- a/internal/edge/site/site.go
+++ b/internal/edge/site/site.go
@@ -30,7 +30,6 @@
 	Grace         time.Duration // from SIGTERM to SIGKILL
 	DrainBound    time.Duration // within which a leaving target gets nothing more
 	ConfigBound   time.Duration // within which a configuration is in force
-	Contact       time.Duration // after which a host counts as in touch with the store
 	EntriesTTLMax time.Duration // longest time that callers keep a directory answer
 
 	// RetryRatio, RetrySlack and RetryWindow bound the extra sends to a service
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -45,6 +45,10 @@
 	// busyRetry is the time after which a send is tried again if all connections
 	// of this host were in use.
 	busyRetry = 3 * time.Millisecond
+	// busyPatience is the part of the objective for which a single request waits for
+	// a connection of this host: one fourth. A caller that is refused then may still
+	// be served elsewhere in time. A shard of a fan-out waits until its answer leaves.
+	busyPatience = 4
 	// refusedRetry is the time after which a send is tried again if all targets
 	// refused; it doubles.
 	refusedRetry = 15 * time.Millisecond
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -42,6 +42,8 @@
 // noTarget plans another try, or gives the shard up if no target is left.
 func (x *execution) noTarget(s *shard, now time.Time, busy bool) {
 	switch {
+	case busy && len(x.shards) == 1 && s.sends == 0 && now.After(x.r.Received.Add(x.route.Objective/busyPatience)):
+		s.lost, s.reason = true, outcome.Overload
 	case busy:
 		s.retryAt = now.Add(busyRetry)
 	case s.wait > 0 && len(s.tried) > 0: // refused by all: they may have room soon
