Leave out change notices that an adopted state holds already

Cause: reading the change: a watch that waits while a peer's newer state is adopted brings older notices; one of a target that left since brought it back for good.

Change: Book.Changes ignores notices up to its revision.

Measured: the new spec fails without it; the replay in drawn orders, which now has watches that began earlier, does not.

--- a/pkg/catalog/book.go
+++ b/pkg/catalog/book.go
@@ -94,9 +94,13 @@
 }
 
 // Changes applies change notices that complete the knowledge up to a revision.
+// Those that the book holds already, because it adopted a newer state meanwhile,
+// are left out: a target that is gone since would come back.
 func (b *Book) Changes(now time.Time, revision uint64, items []Item) {
 	for _, it := range items {
-		b.apply(now, it)
+		if it.Revision == 0 || it.Revision > b.revision {
+			b.apply(now, it)
+		}
 	}
 	b.revision = max(b.revision, revision)
 }
--- a/pkg/catalog/book_test.go
+++ b/pkg/catalog/book_test.go
@@ -85,6 +85,18 @@
 		Expect(usable(peer)).To(BeEmpty(), "a host that learned from a peer forgets them too")
 	})
 
+	// A watch that waits while a peer's newer state is adopted brings notices that
+	// the state already holds; one of a target that is gone since brought it back.
+	It("ignores notices of changes that it knows already", func() {
+		b, peer := catalog.NewBook(), catalog.NewBook()
+		b.Read(now, 10, nil)
+		peer.Changes(now, 12, []catalog.Item{target("x", 11, false), gone("x", 12)})
+		b.Adopt(now, peer.View())
+		b.Changes(now, 11, []catalog.Item{target("x", 11, false)})
+		Expect(usable(b)).To(BeEmpty())
+		Expect(b.Revision()).To(BeEquivalentTo(12))
+	})
+
 	It("agrees with a plain replay of all changes, whatever the order of reads, watches and peers", func() {
 		for seed := range uint64(200) {
 			rng := rand.New(rand.NewPCG(seed, 1))
@@ -117,7 +129,8 @@
 				case 0:
 					b.Read(now, next, at(next))
 				case 1:
-					b.Changes(now, next, history[b.Revision():next])
+					from := b.Revision() - min(b.Revision(), uint64(rng.IntN(5))) // a watch that began earlier
+					b.Changes(now, next, history[from:next])
 				default:
 					if peer.Revision() < next {
 						peer.Changes(now, next, history[peer.Revision():next])
