Pass on what changed since a revision instead of the whole state

Cause: a host that heard of a newer revision pulled the whole published state from the peer that had it.

The whole state is passed on only if the book may have missed a deletion (after a complete read) or the patch does not fit.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
+	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -68,7 +69,7 @@
 
 // Puller reads the state of a peer.
 type Puller interface {
-	Pull(ctx context.Context, address string) (*catalog.View, time.Duration, error)
+	Pull(ctx context.Context, address string, known gossip.Known) (gossip.State, error)
 }
 
 // follower keeps the published state up to date, from the store or from peers.
@@ -87,6 +88,7 @@
 	confirmed time.Time // when the store last confirmed the state, directly or not
 	answered  time.Time // last answer of the store to this host
 	pulling   bool
+	whole     bool // the next pull asks for the whole state
 	full      bool // a complete read is needed
 	touch     bool // the store answered the last call
 	calls     int
@@ -125,14 +127,19 @@
 	return f.calls
 }
 
-// state returns the state for peers; nil before the first read.
-func (f *follower) state() (*catalog.View, time.Duration) {
+// state returns what a peer lacks; false before the first read.
+func (f *follower) state(known gossip.Known) (gossip.State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.book.Revision() == 0 {
-		return nil, 0
+	s := gossip.State{Revision: f.book.Revision(), ConfirmedAge: time.Since(f.confirmed)}
+	if s.Revision == 0 {
+		return s, false
 	}
-	return f.book.View(), time.Since(f.confirmed)
+	var ok bool
+	if s.Changes, ok = f.book.Since(known.Revision, known.Config); !ok {
+		s.View = f.book.View()
+	}
+	return s, true
 }
 
 // run follows the store until the context ends.
@@ -204,8 +211,8 @@
 	if err != nil {
 		return err
 	}
-	f.take(func(now time.Time) { f.book.Changes(now, revision, items) }, len(items) > 0)
-	return nil
+	f.take(func(now time.Time) { err = f.book.Changes(now, revision, items) }, len(items) > 0)
+	return err
 }
 
 func (f *follower) read(ctx context.Context) error {
@@ -278,30 +285,50 @@
 	}
 }
 
+// pull completes the state from a peer that knows more.
 func (f *follower) pull(ctx context.Context, peer roster.State) {
-	view, age, err := f.puller.Pull(ctx, peer.Peers)
-	now := time.Now()
+	f.mu.Lock()
+	known := gossip.Known{}
+	if !f.whole {
+		known = gossip.Known{Revision: f.book.Revision(), Config: f.book.ConfigVersion()}
+	}
+	f.mu.Unlock()
+	state, err := f.puller.Pull(ctx, peer.Peers, known)
 	f.mu.Lock()
 	f.pulling = false
+	var changed *catalog.View
+	if err == nil {
+		changed, err = f.learn(time.Now(), state)
+		f.whole = err != nil
+	}
+	f.mu.Unlock()
 	if err != nil {
-		f.mu.Unlock()
-		f.log.Debug("the state of a peer was not read", "peer", peer.Name, "error", err)
-		return
+		f.log.Debug("the state of a peer was not taken", "peer", peer.Name, "known", known.Revision, "error", err)
 	}
-	var changed *catalog.View
-	if f.book.Adopt(now, view) {
-		f.full = false
-		changed = f.book.View()
+	if changed != nil {
+		f.publish(changed)
+	}
+}
+
+// learn takes the state of a peer and returns the view if it is new. The lock must
+// be held.
+func (f *follower) learn(now time.Time, state gossip.State) (*catalog.View, error) {
+	before := f.book.Revision()
+	if state.View != nil {
+		f.book.Adopt(now, state.View)
+	} else if err := f.book.Changes(now, state.Revision, state.Changes); err != nil {
+		return nil, err
 	}
-	if view.Revision == f.book.Revision() {
-		if confirmed := now.Add(-age); confirmed.After(f.confirmed) {
+	if state.Revision == f.book.Revision() {
+		if confirmed := now.Add(-state.ConfirmedAge); confirmed.After(f.confirmed) {
 			f.confirmed = confirmed
 		}
 	}
-	f.mu.Unlock()
-	if changed != nil {
-		f.publish(changed)
+	if f.book.Revision() == before {
+		return nil, nil
 	}
+	f.full = false
+	return f.book.View(), nil
 }
 
 // expire drops targets that did not come back after the store was away.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
@@ -64,26 +66,70 @@
 		Expect(alive()).To(Equal(2))
 	})
 
-	It("hands the whole state on, and refuses one that is not whole", func() {
-		book := catalog.NewBook()
-		book.Changes(time.Now(), 5, []catalog.Item{
-			{Kind: catalog.KindConfig, Config: &catalog.Config{Version: 3, Routes: []catalog.Route{{Name: "r", Hostname: "h", Prefix: "/"}}}},
-			{Kind: catalog.KindTarget, Name: "t", Target: &catalog.Target{ID: "t", Service: "s", Cold: time.Minute, SeenAt: time.Now()}},
-		})
-		server := httptest.NewServer(gossip.StateHandler(func() (*catalog.View, time.Duration) { return book.View(), time.Second }))
+	It("hands the whole state on, then what changed, and refuses one that is not whole", func() {
+		now := time.Now()
+		book, mine := catalog.NewBook(), catalog.NewBook()
+		entry := func(id string, revision uint64) catalog.Item {
+			return catalog.Item{Kind: catalog.KindTarget, Name: id, Revision: revision,
+				Target: &catalog.Target{ID: id, Service: "s", Cold: time.Minute, SeenAt: now}}
+		}
+		config := func(version, revision uint64, attempts int) catalog.Item {
+			return catalog.Item{Kind: catalog.KindConfig, Revision: revision, Config: &catalog.Config{Version: version,
+				Routes: []catalog.Route{{Name: "r", Hostname: "h", Prefix: "/", Attempts: attempts}, {Name: "q", Hostname: "h", Prefix: "/q/"}}}}
+		}
+		book.Read(now, 5, []catalog.Item{config(3, 4, 1), entry("t", 5)})
+		server := httptest.NewServer(gossip.StateHandler(func(k gossip.Known) (gossip.State, bool) {
+			s := gossip.State{Revision: book.Revision(), ConfirmedAge: time.Second}
+			var ok bool
+			if s.Changes, ok = book.Since(k.Revision, k.Config); !ok {
+				s.View = book.View()
+			}
+			return s, book.Revision() > 0
+		}))
 		DeferCleanup(server.Close)
-		view, age, err := gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(server.URL, "http://"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(age).To(Equal(time.Second))
-		mine := catalog.NewBook()
-		Expect(mine.Adopt(time.Now(), view)).To(BeTrue())
+		pull := func() gossip.State {
+			s, err := gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(server.URL, "http://"),
+				gossip.Known{Revision: mine.Revision(), Config: mine.ConfigVersion()})
+			Expect(err).NotTo(HaveOccurred())
+			return s
+		}
+		first := pull()
+		Expect(first.ConfirmedAge).To(Equal(time.Second))
+		Expect(mine.Adopt(now, first.View)).To(BeTrue())
 		Expect(mine.View().Config.Route("h", "/x").Name).To(Equal("r"))
 		Expect(mine.View().Usable("s")[0].ColdAt(time.Now().Add(30 * time.Second))).To(BeTrue())
 		Expect(mine.View().Usable("s")[0].ColdAt(time.Now().Add(2 * time.Minute))).To(BeFalse())
 
-		empty := httptest.NewServer(gossip.StateHandler(func() (*catalog.View, time.Duration) { return nil, 0 }))
+		book.Changes(now, 8, []catalog.Item{entry("u", 6), {Kind: catalog.KindTarget, Name: "t", Revision: 7, Deleted: true}, config(4, 8, 2)})
+		second := pull()
+		Expect(second.View).To(BeNil())
+		Expect(second.Changes).To(HaveLen(3))
+		Expect(second.Changes[0].Patch.Routes).To(HaveLen(1), "the route that changed")
+		Expect(mine.Changes(now, second.Revision, second.Changes)).To(Succeed())
+		Expect(mine.View().Usable("s")).To(HaveLen(1))
+		Expect(mine.View().Config.Route("h", "/x").Attempts).To(Equal(2))
+		Expect(mine.View().Config.Version).To(BeEquivalentTo(4))
+
+		empty := httptest.NewServer(gossip.StateHandler(func(gossip.Known) (gossip.State, bool) { return gossip.State{}, false }))
 		DeferCleanup(empty.Close)
-		_, _, err = gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(empty.URL, "http://"))
+		_, err := gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(empty.URL, "http://"), gossip.Known{})
 		Expect(err).To(MatchError(ContainSubstring("503")))
 	})
+
+	// A state that lacks its revision would be taken for news of nothing; an empty
+	// target ended the process.
+	DescribeTable("refuses a state that makes no sense", func(document map[int]any) {
+		data, err := cbor.Marshal(document)
+		Expect(err).NotTo(HaveOccurred())
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) }))
+		DeferCleanup(server.Close)
+		_, err = gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(server.URL, "http://"), gossip.Known{})
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("without a revision", map[int]any{2: 1}),
+		Entry("of a negative age", map[int]any{2: -1, 4: 9}),
+		Entry("with an empty target", map[int]any{1: map[string]any{"Revision": 9, "Targets": map[string]any{"t": nil}}, 4: 9}),
+		Entry("of two revisions", map[int]any{1: map[string]any{"Revision": 8}, 4: 9}),
+		Entry("that is no state", map[int]any{1: "x", 4: 9}),
+	)
 })
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,44 +22,92 @@
 	pullLimit = 600 * time.Millisecond
 )
 
-// stateDocument is the published state as hosts pass it on.
+// Known is what a host that asks a peer for its state has already.
+type Known struct {
+	Revision uint64 // of the store; 0: nothing
+	Config   uint64 // version of the configuration
+}
+
+// State is what a peer tells of the published state.
+type State struct {
+	// View is the whole state; nil if Changes complete what the other host knows.
+	View     *catalog.View
+	Changes  []catalog.Item
+	Revision uint64
+	// ConfirmedAge is how long ago the store confirmed it.
+	ConfirmedAge time.Duration
+}
+
+// stateDocument is a State as hosts pass it on.
 type stateDocument struct {
-	View *catalog.View `cbor:"1,keyasint"`
-	// ConfirmedAge is how long before sending the store confirmed it, in
-	// milliseconds.
-	ConfirmedAge int64 `cbor:"2,keyasint"`
+	View *catalog.View `cbor:"1,keyasint,omitempty"`
+	// ConfirmedAge is in milliseconds before sending.
+	ConfirmedAge int64          `cbor:"2,keyasint"`
+	Changes      []catalog.Item `cbor:"3,keyasint,omitempty"`
+	Revision     uint64         `cbor:"4,keyasint"`
 }
 
-// StateHandler serves the state to peers.
-func StateHandler(current func() (view *catalog.View, confirmedAge time.Duration)) http.Handler {
+// Query parameters of a pull.
+const (
+	afterParam  = "after"  // revision
+	configParam = "config" // version
+)
+
+// StateHandler serves the state to peers. current returns what a host lacks, false
+// if nothing is known yet.
+func StateHandler(current func(Known) (State, bool)) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
-		view, age := current()
-		if view == nil {
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		var known Known
+		for name, to := range map[string]*uint64{afterParam: &known.Revision, configParam: &known.Config} {
+			var err error
+			if *to, err = strconv.ParseUint(r.URL.Query().Get(name), 10, 64); err != nil {
+				http.Error(w, name+" is no number", http.StatusBadRequest)
+				return
+			}
+		}
+		state, ok := current(known)
+		if !ok {
 			http.Error(w, "no state yet", http.StatusServiceUnavailable)
 			return
 		}
-		data, err := cbor.Marshal(stateDocument{View: relative(view, time.Now()), ConfirmedAge: age.Milliseconds()})
+		data, err := cbor.Marshal(state.document(time.Now()))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		// An error means that the peer left.
 		_, _ = w.Write(data)
 	})
 	return mux
 }
 
-// relative returns the view with times that do not depend on this host's clock.
-func relative(v *catalog.View, now time.Time) *catalog.View {
-	out := *v
-	out.Targets = make(map[string]*catalog.Target, len(v.Targets))
-	for id, t := range v.Targets {
-		copied := *t
-		copied.Cold = max(0, t.Cold-now.Sub(t.SeenAt))
-		copied.SeenAt = time.Time{}
-		out.Targets[id] = &copied
+// document returns the state with times that do not depend on this host's clock.
+func (s *State) document(now time.Time) stateDocument {
+	d := stateDocument{ConfirmedAge: s.ConfirmedAge.Milliseconds(), Revision: s.Revision}
+	if s.View != nil {
+		view := *s.View
+		view.Targets = make(map[string]*catalog.Target, len(s.View.Targets))
+		for id, t := range s.View.Targets {
+			view.Targets[id] = relative(t, now)
+		}
+		d.View = &view
+	}
+	for _, it := range s.Changes {
+		it.Target = relative(it.Target, now)
+		d.Changes = append(d.Changes, it)
+	}
+	return d
+}
+
+func relative(t *catalog.Target, now time.Time) *catalog.Target {
+	if t == nil {
+		return nil
 	}
-	return &out
+	copied := *t
+	copied.Cold = max(0, t.Cold-now.Sub(t.SeenAt))
+	copied.SeenAt = time.Time{}
+	return &copied
 }
 
 // Puller reads the state of peers.
@@ -70,35 +120,52 @@
 	}}}
 }
 
-// Pull reads the state of the peer at an address, and how long ago the store
-// confirmed it.
-func (p *Puller) Pull(ctx context.Context, address string) (*catalog.View, time.Duration, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, nil)
+// Pull reads what a host lacks from the peer at an address.
+func (p *Puller) Pull(ctx context.Context, address string, known Known) (State, error) {
+	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, statePath, afterParam, known.Revision, configParam, known.Config)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, 0, err
+		return State{}, err
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return nil, 0, err
+		return State{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, 0, errors.Newf("peer %s answered %d", address, resp.StatusCode)
+		return State{}, errors.Newf("peer %s answered %d", address, resp.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxState))
 	if err != nil {
-		return nil, 0, err
+		return State{}, err
 	}
+	s, err := decodeState(data, time.Now())
+	return s, errors.Wrapf(err, "state of peer %s", address)
+}
+
+// decodeState decodes a state that arrived now.
+func decodeState(data []byte, now time.Time) (State, error) {
 	var d stateDocument
 	if err := cbor.Unmarshal(data, &d); err != nil {
-		return nil, 0, errors.Wrapf(err, "state of peer %s", address)
+		return State{}, err
+	}
+	if d.ConfirmedAge < 0 || d.Revision == 0 || d.View != nil && d.View.Revision != d.Revision {
+		return State{}, errors.New("it is incomplete")
 	}
-	if d.View == nil || d.ConfirmedAge < 0 {
-		return nil, 0, errors.Newf("state of peer %s: it is incomplete", address)
+	if d.View != nil {
+		for id, t := range d.View.Targets {
+			if t == nil {
+				return State{}, errors.Newf("target %s is empty", id)
+			}
+			t.SeenAt = now
+		}
 	}
-	now := time.Now()
-	for _, t := range d.View.Targets {
-		t.SeenAt = now
+	for _, it := range d.Changes {
+		if it.Target != nil {
+			it.Target.SeenAt = now
+		}
 	}
-	return d.View, time.Duration(d.ConfirmedAge) * time.Millisecond, nil
+	return State{
+		View: d.View, Changes: d.Changes, Revision: d.Revision, ConfirmedAge: time.Duration(d.ConfirmedAge) * time.Millisecond,
+	}, nil
 }
--- a/pkg/catalog/book.go
+++ b/pkg/catalog/book.go
@@ -1,8 +1,9 @@
 package catalog
 
 import (
-	"maps"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // LapseHold is how long a target whose entry is missing stays in use after the
@@ -28,16 +29,23 @@
 	Revision uint64
 	Deleted  bool
 	Config   *Config // for KindConfig
+	Patch    *Patch  // for KindConfig, in place of Config
 	Target   *Target // for KindTarget; nil if the entry is not to be used
+	// Held is set if the entry of the target is missing since the store was away
+	// and the target is still in use; see LapseHold.
+	Held bool
 }
 
 // Book merges what was read from the store. The zero value is not ready for
 // use; call NewBook.
 type Book struct {
 	revision  uint64
+	floor     uint64 // deletions up to this revision may be forgotten
 	config    *Config
+	recent    []*Config // earlier configurations, the latest last
 	targets   map[string]*entry
-	evacuated map[string]uint64 // place to revision
+	gone      int // entries without a target
+	evacuated map[string]evacuation
 
 	views     uint64    // taken so far
 	awayUntil time.Time // entries that vanish before this moment are held
@@ -49,15 +57,28 @@
 	missing  time.Time // when it was found missing; zero if it is there
 }
 
+type evacuation struct {
+	revision uint64
+	over     bool
+}
+
 // NewBook returns a book that knows nothing.
 func NewBook() *Book {
-	return &Book{targets: map[string]*entry{}, evacuated: map[string]uint64{}}
+	return &Book{targets: map[string]*entry{}, evacuated: map[string]evacuation{}}
 }
 
 // Revision returns the highest revision of the store up to which the book knows
 // all changes.
 func (b *Book) Revision() uint64 { return b.revision }
 
+// ConfigVersion returns the version of the configuration, 0 if there is none.
+func (b *Book) ConfigVersion() uint64 {
+	if b.config == nil {
+		return 0
+	}
+	return b.config.Version
+}
+
 // Returned records that the store answers again after it was away. Targets
 // that are missing are kept for LapseHold.
 func (b *Book) Returned(now time.Time) { b.awayUntil = now.Add(LapseHold) }
@@ -85,24 +106,35 @@
 			b.remove(now, name, revision)
 		}
 	}
-	for place := range b.evacuated {
-		if !places[place] {
-			delete(b.evacuated, place)
+	for place, e := range b.evacuated {
+		if !places[place] && !e.over {
+			b.evacuated[place] = evacuation{revision: revision, over: true}
 		}
 	}
-	b.revision = revision
+	// What was created and deleted unseen before the read is not known.
+	b.revision, b.floor = revision, revision
+	b.dropGone()
 }
 
 // Changes applies change notices that complete the knowledge up to a revision.
 // Those that the book holds already, because it adopted a newer state meanwhile,
-// are left out: a target that is gone since would come back.
-func (b *Book) Changes(now time.Time, revision uint64, items []Item) {
+// are left out: a target that is gone since would come back. It returns an error,
+// and changes nothing, if a notice has a patch for a configuration that the book
+// does not have.
+func (b *Book) Changes(now time.Time, revision uint64, items []Item) error {
+	for i := range items {
+		if p := items[i].Patch; p != nil && !b.fits(p) {
+			return errors.Newf("a change of configuration %d cannot be applied to the one that is known", p.Base)
+		}
+	}
 	for _, it := range items {
 		if it.Revision == 0 || it.Revision > b.revision {
 			b.apply(now, it)
 		}
 	}
 	b.revision = max(b.revision, revision)
+	b.prune()
+	return nil
 }
 
 // Adopt takes over the knowledge of another host if it is newer.
@@ -111,9 +143,9 @@
 	if v.Revision <= b.revision {
 		return false
 	}
-	b.revision = v.Revision
+	b.revision, b.floor = v.Revision, v.Revision
 	old := b.targets
-	b.targets = make(map[string]*entry, len(v.Targets))
+	b.targets, b.gone = make(map[string]*entry, len(v.Targets)), 0
 	for id, t := range v.Targets {
 		b.targets[id] = &entry{target: t, revision: v.Revision}
 		if v.Held[id] {
@@ -126,26 +158,37 @@
 			b.remove(now, id, v.Revision)
 		}
 	}
-	b.evacuated = make(map[string]uint64, len(v.Evacuated))
+	b.evacuated = make(map[string]evacuation, len(v.Evacuated))
 	for place := range v.Evacuated {
-		b.evacuated[place] = v.Revision
+		b.evacuated[place] = evacuation{revision: v.Revision}
 	}
 	return true
 }
 
 func (b *Book) adoptConfig(c *Config) {
-	if c != nil && (b.config == nil || c.Version > b.config.Version) {
-		if c.byHost == nil {
-			c.index()
-		}
-		b.config = c
+	if c == nil || b.config != nil && c.Version <= b.config.Version {
+		return
+	}
+	if c.byHost == nil {
+		c.index()
+	}
+	if b.config != nil {
+		b.recent = append(b.recent, b.config)
+		b.recent = b.recent[max(0, len(b.recent)-maxRecent):]
 	}
+	b.config = c
 }
 
 func (b *Book) apply(now time.Time, it Item) {
 	switch it.Kind {
 	case KindConfig:
-		if !it.Deleted {
+		switch {
+		case it.Deleted:
+		case it.Patch != nil:
+			if it.Patch.Base == b.config.Version {
+				b.adoptConfig(b.config.patched(it.Patch))
+			}
+		default:
 			b.adoptConfig(it.Config)
 		}
 	case KindTarget:
@@ -163,35 +206,43 @@
 		b.remove(now, it.Name, it.Revision)
 		return
 	}
-	b.targets[it.Name] = &entry{target: it.Target, revision: it.Revision}
+	e := &entry{target: it.Target, revision: it.Revision}
+	if it.Held {
+		e.missing = now
+	}
+	b.put(it.Name, e)
 }
 
-func (b *Book) applyEvacuation(it Item) {
-	if known, ok := b.evacuated[it.Name]; ok && it.Revision < known {
-		return
+// put replaces an entry.
+func (b *Book) put(name string, e *entry) {
+	if old, ok := b.targets[name]; ok && old.target == nil {
+		b.gone--
 	}
-	if it.Deleted {
-		delete(b.evacuated, it.Name)
+	if e.target == nil {
+		b.gone++
+	}
+	b.targets[name] = e
+}
+
+func (b *Book) applyEvacuation(it Item) {
+	if known, ok := b.evacuated[it.Name]; ok && it.Revision < known.revision {
 		return
 	}
-	b.evacuated[it.Name] = it.Revision
+	b.evacuated[it.Name] = evacuation{revision: it.Revision, over: it.Deleted}
 }
 
-// remove forgets a target, or holds it for a while if the store was away.
+// remove forgets a target, or holds it for a while if the store was away. The
+// entry stays without its target, to tell peers and to recognise late notices.
 func (b *Book) remove(now time.Time, name string, revision uint64) {
 	e, ok := b.targets[name]
-	if !ok || e.target == nil {
-		delete(b.targets, name)
-		return
-	}
-	e.revision = revision
-	if now.Before(b.awayUntil) && !e.target.Draining {
+	if ok && e.target != nil && now.Before(b.awayUntil) && !e.target.Draining {
+		e.revision = revision
 		if e.missing.IsZero() {
 			e.missing = now
 		}
 		return
 	}
-	delete(b.targets, name)
+	b.put(name, &entry{revision: revision})
 }
 
 // Expire removes the targets that stayed missing for LapseHold and reports
@@ -200,7 +251,7 @@
 	changed := false
 	for name, e := range b.targets {
 		if !e.missing.IsZero() && now.Sub(e.missing) >= LapseHold {
-			delete(b.targets, name)
+			b.put(name, &entry{revision: e.revision})
 			changed = true
 		}
 	}
@@ -223,8 +274,10 @@
 			}
 		}
 	}
-	for place := range maps.Keys(b.evacuated) {
-		v.Evacuated[place] = true
+	for place, e := range b.evacuated {
+		if !e.over {
+			v.Evacuated[place] = true
+		}
 	}
 	v.index()
 	return v
--- a/pkg/catalog/book_test.go
+++ b/pkg/catalog/book_test.go
@@ -125,17 +125,30 @@
 			b, peer := catalog.NewBook(), catalog.NewBook()
 			for b.Revision() < 60 {
 				next := min(60, b.Revision()+uint64(1+rng.IntN(9)))
-				switch rng.IntN(3) {
+				switch rng.IntN(4) {
 				case 0:
 					b.Read(now, next, at(next))
 				case 1:
 					from := b.Revision() - min(b.Revision(), uint64(rng.IntN(5))) // a watch that began earlier
 					b.Changes(now, next, history[from:next])
-				default:
+				case 2:
 					if peer.Revision() < next {
 						peer.Changes(now, next, history[peer.Revision():next])
 					}
 					b.Adopt(now, peer.View())
+				default:
+					switch {
+					case peer.Revision() >= next:
+					case rng.IntN(2) == 0:
+						peer.Read(now, next, at(next))
+					default:
+						peer.Changes(now, next, history[peer.Revision():next])
+					}
+					if items, ok := peer.Since(b.Revision(), b.ConfigVersion()); ok {
+						Expect(b.Changes(now, peer.Revision(), items)).To(Succeed())
+					} else {
+						b.Adopt(now, peer.View())
+					}
 				}
 			}
 			want := catalog.NewBook()
