Tell changes in heartbeats; short names in peers' messages

Field names of targets and routes took half of each message.

Change: a heartbeat carries the changes of the last 1.5 s, at most 660 bytes, those that go back furthest first. A host that has the state on which they follow takes them at once and tells them on; others pull as before, and pull the whole state if a patch does not fit. Messages number the fields of catalog types.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,7 +101,8 @@
 	var err error
 	h.gossip, err = gossip.New(gossip.Options{
 		Address: h.gossipAddress(), Port: o.Site.GossipPort, Seeds: o.Site.Seeds, Self: h.self,
-		Log: o.Log.Named("gossip"), Seed: seed, Crashes: h.engine.Crashes, OnCrashes: h.engine.LearnCrashes, OnNews: func(from roster.State) { h.follower.heard(context.Background(), from) },
+		Log: o.Log.Named("gossip"), Seed: seed, Crashes: h.engine.Crashes, OnCrashes: h.engine.LearnCrashes, News: h.follower.news,
+		OnNews: func(from roster.State, news *gossip.State) { h.follower.heard(context.Background(), from, news) },
 	})
 	return h, err
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,7 +11,6 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
-	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
 
 const (
@@ -89,6 +88,7 @@
 	answered  time.Time // last answer of the store to this host
 	pulling   bool
 	whole     bool // the next pull asks for the whole state
+	recent    positions
 	full      bool // a complete read is needed
 	touch     bool // the store answered the last call
 	calls     int
@@ -127,21 +127,6 @@
 	return f.calls
 }
 
-// state returns what a peer lacks; false before the first read.
-func (f *follower) state(known gossip.Known) (gossip.State, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := gossip.State{Revision: f.book.Revision(), ConfirmedAge: time.Since(f.confirmed)}
-	if s.Revision == 0 {
-		return s, false
-	}
-	var ok bool
-	if s.Changes, ok = f.book.Since(known.Revision, known.Config); !ok {
-		s.View = f.book.View()
-	}
-	return s, true
-}
-
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
 	backoff := firstBackoff
@@ -245,6 +230,7 @@
 	var view *catalog.View
 	if changed {
 		view = f.book.View()
+		f.recent.add(now, f.known())
 	}
 	f.mu.Unlock()
 	if view != nil {
@@ -268,69 +254,6 @@
 	}
 }
 
-// heard takes what a peer says about its knowledge of the store.
-func (f *follower) heard(ctx context.Context, peer roster.State) {
-	now := time.Now()
-	confirmed := now.Add(-time.Duration(peer.ConfirmedAge) * time.Millisecond)
-	f.mu.Lock()
-	mine := f.book.Revision()
-	if peer.Revision == mine && mine > 0 && confirmed.After(f.confirmed) {
-		f.confirmed = confirmed
-	}
-	pull := peer.Revision > mine && !f.pulling
-	f.pulling = f.pulling || pull
-	f.mu.Unlock()
-	if pull {
-		go f.pull(ctx, peer)
-	}
-}
-
-// pull completes the state from a peer that knows more.
-func (f *follower) pull(ctx context.Context, peer roster.State) {
-	f.mu.Lock()
-	known := gossip.Known{}
-	if !f.whole {
-		known = gossip.Known{Revision: f.book.Revision(), Config: f.book.ConfigVersion()}
-	}
-	f.mu.Unlock()
-	state, err := f.puller.Pull(ctx, peer.Peers, known)
-	f.mu.Lock()
-	f.pulling = false
-	var changed *catalog.View
-	if err == nil {
-		changed, err = f.learn(time.Now(), state)
-		f.whole = err != nil
-	}
-	f.mu.Unlock()
-	if err != nil {
-		f.log.Debug("the state of a peer was not taken", "peer", peer.Name, "known", known.Revision, "error", err)
-	}
-	if changed != nil {
-		f.publish(changed)
-	}
-}
-
-// learn takes the state of a peer and returns the view if it is new. The lock must
-// be held.
-func (f *follower) learn(now time.Time, state gossip.State) (*catalog.View, error) {
-	before := f.book.Revision()
-	if state.View != nil {
-		f.book.Adopt(now, state.View)
-	} else if err := f.book.Changes(now, state.Revision, state.Changes); err != nil {
-		return nil, err
-	}
-	if state.Revision == f.book.Revision() {
-		if confirmed := now.Add(-state.ConfirmedAge); confirmed.After(f.confirmed) {
-			f.confirmed = confirmed
-		}
-	}
-	if f.book.Revision() == before {
-		return nil, nil
-	}
-	f.full = false
-	return f.book.View(), nil
-}
-
 // expire drops targets that did not come back after the store was away.
 func (f *follower) expire() {
 	f.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -25,9 +25,14 @@
 	// is dear, and news that reach a place spread in it.
 	nearFanout = 5
 	farFanout  = 1
-	// passedOn bounds the states of others in a heartbeat; one takes about 110
-	// bytes, and a datagram should fit a packet of 1,500.
+	// passedOn bounds the states of others in a heartbeat; one takes about
+	// stateBytes, and a datagram should fit a packet of 1,500.
 	passedOn = 11
+	// stateBytes is the usual size of a host's state.
+	stateBytes = 110
+	// maxNews bounds the changes in a heartbeat: some targets or routes. They take
+	// the place of states of others.
+	maxNews = 660
 	// maxDatagram bounds what is read.
 	maxDatagram = 64 << 10
 )
@@ -37,6 +42,9 @@
 	Others []roster.State `cbor:"2,keyasint"`
 	// Crashes are targets that crashed under a request lately.
 	Crashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
+	// News is a stateDocument with the latest changes; they spread without a pull
+	// by each host.
+	News []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Options of a Gossip.
@@ -47,8 +55,11 @@
 	Self    func() roster.State
 	Log     hclog.Logger
 	// OnNews is called after a message from a host brought something new, with the
-	// sender's own state.
-	OnNews func(from roster.State)
+	// sender's own state and the changes that it told, nil if none.
+	OnNews func(from roster.State, news *State)
+	// News returns the latest changes of the published state, those that go back
+	// furthest first. The first that is short enough is told.
+	News func() []State
 	// Crashes returns the crashes to tell, OnCrashes takes those that were told.
 	Crashes   func() []quarantine.Crash
 	OnCrashes func([]quarantine.Crash)
@@ -146,13 +157,14 @@
 }
 
 func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort) {
+	m := message{News: g.news(now), Crashes: g.o.Crashes()}
+	others := passedOn - (len(m.News)+stateBytes-1)/stateBytes
 	g.mu.Lock()
 	g.roster.Forget(now)
 	g.sequence++
-	m := message{Self: g.o.Self(), Others: g.roster.Sample(now, passedOn, g.rng)}
+	m.Self, m.Others = g.o.Self(), g.roster.Sample(now, others, g.rng)
 	m.Self.Sequence = g.sequence
 	g.mu.Unlock()
-	m.Crashes = g.o.Crashes()
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		g.o.Log.Error("a heartbeat was not encoded", "error", err)
@@ -164,6 +176,21 @@
 	}
 }
 
+// news returns the latest changes, encoded; nil if there are none or too many.
+func (g *Gossip) news(now time.Time) []byte {
+	for _, state := range g.o.News() {
+		data, err := state.encode(now)
+		if err != nil {
+			g.o.Log.Error("changes were not encoded", "error", err)
+			return nil
+		}
+		if len(data) <= maxNews {
+			return data
+		}
+	}
+	return nil
+}
+
 // receivers returns the hosts that get the next heartbeat: all, or some at
 // random, and the seeds while they are not known.
 func (g *Gossip) receivers(now time.Time) []netip.AddrPort {
@@ -223,11 +250,24 @@
 			g.greet(m.Self)
 		}
 		if news {
-			g.o.OnNews(m.Self)
+			g.o.OnNews(m.Self, g.told(from, m.News))
 		}
 	}
 }
 
+// told decodes the changes in a heartbeat. Without them the host asks its sender.
+func (g *Gossip) told(from netip.AddrPort, data []byte) *State {
+	if len(data) == 0 {
+		return nil
+	}
+	state, err := decodeState(data, time.Now())
+	if err != nil {
+		g.countBad(from, err)
+		return nil
+	}
+	return &state
+}
+
 func (g *Gossip) countBad(from netip.AddrPort, err error) {
 	g.mu.Lock()
 	g.bad++
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
@@ -24,18 +24,17 @@
 	RunSpecs(t, "Gossip")
 }
 
-func start(name, ip, seed string, port uint16, crashes []quarantine.Crash, told chan []quarantine.Crash) *gossip.Gossip {
+// start runs the gossip of a host at an IP, port 17946, until the spec ends.
+func start(name, ip, seed string, port uint16, change func(*gossip.Options)) *gossip.Gossip {
 	address := net.JoinHostPort(ip, "17946")
-	g, err := gossip.New(gossip.Options{
-		Address: address, Port: port, Seeds: []string{seed}, Log: hclog.NewNullLogger(), OnNews: func(roster.State) {},
+	o := gossip.Options{
+		Address: address, Port: port, Seeds: []string{seed}, Log: hclog.NewNullLogger(),
 		Self:    func() roster.State { return roster.State{Name: name, Incarnation: 1, Place: "p", Gossip: address} },
-		Crashes: func() []quarantine.Crash { return crashes }, OnCrashes: func(c []quarantine.Crash) {
-			select {
-			case told <- c:
-			default:
-			}
-		},
-	})
+		Crashes: func() []quarantine.Crash { return nil }, OnCrashes: func([]quarantine.Crash) {},
+		News: func() []gossip.State { return nil }, OnNews: func(roster.State, *gossip.State) {},
+	}
+	change(&o)
+	g, err := gossip.New(o)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
@@ -46,9 +45,18 @@
 var _ = Describe("Gossip", func() {
 	It("finds hosts through a seed, tells crashes, and survives datagrams that it cannot read", func() {
 		told := make(chan []quarantine.Crash, 1)
-		a := start("a", "127.0.3.1", "127.0.3.1:1", 17946, nil, told)
-		start("b", "127.0.3.2", "127.0.3.1:1", 17946, []quarantine.Crash{{Fingerprint: 7}}, nil)
-		start("c", "127.0.3.3", "127.0.3.1:1", 17946, nil, nil)
+		a := start("a", "127.0.3.1", "127.0.3.1:1", 17946, func(o *gossip.Options) {
+			o.OnCrashes = func(c []quarantine.Crash) {
+				select {
+				case told <- c:
+				default:
+				}
+			}
+		})
+		start("b", "127.0.3.2", "127.0.3.1:1", 17946, func(o *gossip.Options) {
+			o.Crashes = func() []quarantine.Crash { return []quarantine.Crash{{Fingerprint: 7}} }
+		})
+		start("c", "127.0.3.3", "127.0.3.1:1", 17946, func(*gossip.Options) {})
 		alive := func() (n int) {
 			a.With(func(r *roster.Roster) { n = len(r.Alive(time.Now())) })
 			return n
@@ -66,6 +74,27 @@
 		Expect(alive()).To(Equal(2))
 	})
 
+	// A heartbeat that does not fit a packet is lost as a whole if one fragment is.
+	It("tells the changes that go back furthest, of those that fit a packet", func() {
+		told := make(chan *gossip.State, 1000)
+		start("a", "127.0.3.5", "127.0.3.5:1", 17946, func(o *gossip.Options) {
+			o.OnNews = func(_ roster.State, news *gossip.State) { told <- news }
+		})
+		many := make([]catalog.Item, 40)
+		for i := range many {
+			many[i] = catalog.Item{Kind: catalog.KindTarget, Name: strings.Repeat("x", i+1), Revision: uint64(i + 1), Deleted: true}
+		}
+		start("b", "127.0.3.6", "127.0.3.5:1", 17946, func(o *gossip.Options) {
+			o.News = func() []gossip.State {
+				return []gossip.State{{Revision: 40, Changes: many}, {After: 37, Revision: 40, Changes: many[37:]}, {After: 39, Revision: 40, Changes: many[39:]}}
+			}
+		})
+		var news *gossip.State
+		Eventually(told, 5*time.Second).Should(Receive(&news))
+		Expect(news.After).To(BeEquivalentTo(37))
+		Expect(news.Changes).To(Equal(many[37:]))
+	})
+
 	It("hands the whole state on, then what changed, and refuses one that is not whole", func() {
 		now := time.Now()
 		book, mine := catalog.NewBook(), catalog.NewBook()
@@ -128,8 +157,8 @@
 	},
 		Entry("without a revision", map[int]any{2: 1}),
 		Entry("of a negative age", map[int]any{2: -1, 4: 9}),
-		Entry("with an empty target", map[int]any{1: map[string]any{"Revision": 9, "Targets": map[string]any{"t": nil}}, 4: 9}),
-		Entry("of two revisions", map[int]any{1: map[string]any{"Revision": 8}, 4: 9}),
+		Entry("with an empty target", map[int]any{1: map[int]any{2: 9, 4: map[string]any{"t": nil}}, 4: 9}),
+		Entry("of two revisions", map[int]any{1: map[int]any{2: 8}, 4: 9}),
 		Entry("that is no state", map[int]any{1: "x", 4: 9}),
 	)
 })
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -31,8 +31,10 @@
 // State is what a peer tells of the published state.
 type State struct {
 	// View is the whole state; nil if Changes complete what the other host knows.
-	View     *catalog.View
+	View *catalog.View
+	// Changes complete the knowledge of a host that has all up to After.
 	Changes  []catalog.Item
+	After    uint64
 	Revision uint64
 	// ConfirmedAge is how long ago the store confirmed it.
 	ConfirmedAge time.Duration
@@ -45,6 +47,7 @@
 	ConfirmedAge int64          `cbor:"2,keyasint"`
 	Changes      []catalog.Item `cbor:"3,keyasint,omitempty"`
 	Revision     uint64         `cbor:"4,keyasint"`
+	After        uint64         `cbor:"5,keyasint,omitempty"`
 }
 
 // Query parameters of a pull.
@@ -71,7 +74,7 @@
 			http.Error(w, "no state yet", http.StatusServiceUnavailable)
 			return
 		}
-		data, err := cbor.Marshal(state.document(time.Now()))
+		data, err := state.encode(time.Now())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -82,9 +85,9 @@
 	return mux
 }
 
-// document returns the state with times that do not depend on this host's clock.
-func (s *State) document(now time.Time) stateDocument {
-	d := stateDocument{ConfirmedAge: s.ConfirmedAge.Milliseconds(), Revision: s.Revision}
+// encode returns the state with times that do not depend on this host's clock.
+func (s *State) encode(now time.Time) ([]byte, error) {
+	d := stateDocument{ConfirmedAge: s.ConfirmedAge.Milliseconds(), Revision: s.Revision, After: s.After}
 	if s.View != nil {
 		view := *s.View
 		view.Targets = make(map[string]*catalog.Target, len(s.View.Targets))
@@ -97,7 +100,7 @@
 		it.Target = relative(it.Target, now)
 		d.Changes = append(d.Changes, it)
 	}
-	return d
+	return cbor.Marshal(d)
 }
 
 func relative(t *catalog.Target, now time.Time) *catalog.Target {
@@ -106,7 +109,6 @@
 	}
 	copied := *t
 	copied.Cold = max(0, t.Cold-now.Sub(t.SeenAt))
-	copied.SeenAt = time.Time{}
 	return &copied
 }
 
@@ -166,6 +168,7 @@
 		}
 	}
 	return State{
-		View: d.View, Changes: d.Changes, Revision: d.Revision, ConfirmedAge: time.Duration(d.ConfirmedAge) * time.Millisecond,
+		View: d.View, Changes: d.Changes, After: d.After, Revision: d.Revision,
+		ConfirmedAge: time.Duration(d.ConfirmedAge) * time.Millisecond,
 	}, nil
 }
--- a/pkg/catalog/book.go
+++ b/pkg/catalog/book.go
@@ -24,16 +24,16 @@
 
 // Item is one item of the store, decoded.
 type Item struct {
-	Kind     Kind
-	Name     string // of the target or the place
-	Revision uint64
-	Deleted  bool
-	Config   *Config // for KindConfig
-	Patch    *Patch  // for KindConfig, in place of Config
-	Target   *Target // for KindTarget; nil if the entry is not to be used
+	Kind     Kind    `cbor:"1,keyasint,omitempty"`
+	Name     string  `cbor:"2,keyasint,omitempty"` // of the target or the place
+	Revision uint64  `cbor:"3,keyasint,omitempty"`
+	Deleted  bool    `cbor:"4,keyasint,omitempty"`
+	Config   *Config `cbor:"5,keyasint,omitempty"` // for KindConfig
+	Patch    *Patch  `cbor:"6,keyasint,omitempty"` // for KindConfig, in place of Config
+	Target   *Target `cbor:"7,keyasint,omitempty"` // for KindTarget; nil if the entry is not to be used
 	// Held is set if the entry of the target is missing since the store was away
 	// and the target is still in use; see LapseHold.
-	Held bool
+	Held bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Book merges what was read from the store. The zero value is not ready for
--- a/pkg/catalog/config.go
+++ b/pkg/catalog/config.go
@@ -8,60 +8,60 @@
 
 // Config is one version of the operator's configuration.
 type Config struct {
-	Version  uint64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
+	Version  uint64             `cbor:"1,keyasint,omitempty"`
+	Routes   []Route            `cbor:"2,keyasint,omitempty"`
+	Services map[string]Service `cbor:"3,keyasint,omitempty"`
+	Limits   Limits             `cbor:"4,keyasint,omitempty"`
 
 	byHost map[string][]*Route // longest prefix first
 }
 
 // Route says where the requests of a host name and path prefix go.
 type Route struct {
-	Name     string
-	Hostname string
-	Prefix   string
+	Name     string `cbor:"1,keyasint,omitempty"`
+	Hostname string `cbor:"2,keyasint,omitempty"`
+	Prefix   string `cbor:"3,keyasint,omitempty"`
 	// Repeatable requests may run more than once.
-	Repeatable bool
+	Repeatable bool `cbor:"4,keyasint,omitempty"`
 	// Timeout is the longest time that a caller is kept waiting.
-	Timeout time.Duration
+	Timeout time.Duration `cbor:"5,keyasint,omitempty"`
 	// Objective is the time within which an answer has its full worth.
-	Objective time.Duration
+	Objective time.Duration `cbor:"6,keyasint,omitempty"`
 	// Attempts is the largest number of targets that may run one request, per
 	// shard.
-	Attempts int
+	Attempts int `cbor:"7,keyasint,omitempty"`
 	// Priority ranks kinds of requests, 0 first.
-	Priority int
+	Priority int `cbor:"8,keyasint,omitempty"`
 
-	Service string   // the only service, if Split and Shards are empty
-	Split   []Weight // services that share the requests by weight
-	Shards  []string // services that each hold a part of the answer
+	Service string   `cbor:"9,keyasint,omitempty"`  // the only service, if Split and Shards are empty
+	Split   []Weight `cbor:"10,keyasint,omitempty"` // services that share the requests by weight
+	Shards  []string `cbor:"11,keyasint,omitempty"` // services that each hold a part of the answer
 
-	TopK          int     // records in a merged answer
-	MinShardRatio float64 // least fraction of the shards in a merged answer
+	TopK          int     `cbor:"12,keyasint,omitempty"` // records in a merged answer
+	MinShardRatio float64 `cbor:"13,keyasint,omitempty"` // least fraction of the shards in a merged answer
 }
 
 // Weight is the share of a service in a split route.
 type Weight struct {
-	Service string
-	Weight  float64
+	Service string  `cbor:"1,keyasint,omitempty"`
+	Weight  float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Service has the properties that the targets of a service share.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int           // of one target, from all hosts together
-	Warmup         time.Duration // how long a target is cold after its start
-	WarmupRate     float64       // requests per second that a cold target bears; 0 if it bears all
+	Name           string        `cbor:"1,keyasint,omitempty"`
+	HealthPath     string        `cbor:"2,keyasint,omitempty"`
+	MaxConnections int           `cbor:"3,keyasint,omitempty"` // of one target, from all hosts together
+	Warmup         time.Duration `cbor:"4,keyasint,omitempty"` // how long a target is cold after its start
+	WarmupRate     float64       `cbor:"5,keyasint,omitempty"` // requests per second that a cold target bears; 0 if it bears all
 }
 
 // Limits bound what a caller may send. Zero values mean no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `cbor:"1,keyasint,omitempty"`
+	BodyBytes     int64         `cbor:"2,keyasint,omitempty"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Services returns the services to which the route may send requests.
--- a/pkg/catalog/patch.go
+++ b/pkg/catalog/patch.go
@@ -8,14 +8,14 @@
 // Patch is the difference between two configurations. A change touches a few of
 // up to some thousand routes, so a patch is much shorter than the whole.
 type Patch struct {
-	Base    uint64 // version to which it applies
-	Version uint64 // of the result
+	Base    uint64 `cbor:"1,keyasint,omitempty"` // version to which it applies
+	Version uint64 `cbor:"2,keyasint,omitempty"` // of the result
 
-	Routes      []Route  // added or changed, by name
-	GoneRoutes  []string // names
-	Services    []Service
-	GoneServices []string
-	Limits      Limits
+	Routes       []Route   `cbor:"3,keyasint,omitempty"` // added or changed, by name
+	GoneRoutes   []string  `cbor:"4,keyasint,omitempty"` // names
+	Services     []Service `cbor:"5,keyasint,omitempty"`
+	GoneServices []string  `cbor:"6,keyasint,omitempty"`
+	Limits       Limits    `cbor:"7,keyasint,omitempty"`
 }
 
 // Diff returns the patch that makes another configuration of this one, nil if
--- a/pkg/catalog/view.go
+++ b/pkg/catalog/view.go
@@ -4,19 +4,20 @@
 
 // Target is a back end as it registered itself.
 type Target struct {
-	ID      string
-	Service string
-	Address string // IP and port
-	Place   string
-	Slots   int
+	ID      string `cbor:"1,keyasint,omitempty"`
+	Service string `cbor:"2,keyasint,omitempty"`
+	Address string `cbor:"3,keyasint,omitempty"` // IP and port
+	Place   string `cbor:"4,keyasint,omitempty"`
+	Slots   int    `cbor:"5,keyasint,omitempty"`
 	// Draining targets take no new requests.
-	Draining bool
+	Draining bool `cbor:"6,keyasint,omitempty"`
 	// Started is the target's own statement of its start, in Unix milliseconds;
 	// it tells two processes with one ID apart.
-	Started int64
-	// Cold is how long the target stays cold, counted from SeenAt.
-	Cold   time.Duration
-	SeenAt time.Time
+	Started int64 `cbor:"7,keyasint,omitempty"`
+	// Cold is how long the target stays cold, counted from SeenAt, which depends on
+	// the clock of the host that has the entry.
+	Cold   time.Duration `cbor:"8,keyasint,omitempty"`
+	SeenAt time.Time     `cbor:"-"`
 }
 
 // SameProcess reports whether two entries describe the same process.
@@ -31,14 +32,14 @@
 type View struct {
 	// Sequence grows with each view of one book, so that two of them can be told
 	// apart however late one arrives.
-	Sequence  uint64
-	Revision  uint64  // of the store
-	Config    *Config // nil while none is known
-	Targets   map[string]*Target
-	Evacuated map[string]bool // places whose targets get nothing
+	Sequence  uint64             `cbor:"1,keyasint,omitempty"`
+	Revision  uint64             `cbor:"2,keyasint,omitempty"` // of the store
+	Config    *Config            `cbor:"3,keyasint,omitempty"` // nil while none is known
+	Targets   map[string]*Target `cbor:"4,keyasint,omitempty"`
+	Evacuated map[string]bool    `cbor:"5,keyasint,omitempty"` // places whose targets get nothing
 	// Held are targets whose entries are missing since the store was away. They
 	// are dropped after LapseHold if they do not come back.
-	Held map[string]bool
+	Held map[string]bool `cbor:"6,keyasint,omitempty"`
 
 	byService map[string][]*Target
 }
