Pass on signs of life in place of whole states in large fleets

What goes to all hosts tells of the sender only; a host that has the published state is not greeted.

A sign of life that came another way does not make an older state look newer.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,20 +16,13 @@
 )
 
 const (
-	// Beat is the time between two heartbeats.
-	Beat = 500 * time.Millisecond
-	// smallFleet is the number of hosts up to which each sends to all.
-	smallFleet = roster.LargeFleet
-	// nearFanout and farFanout are the numbers of hosts of the same place and of
-	// other places that get a heartbeat in a larger fleet. Traffic between places
-	// is dear, and news that reach a place spread in it.
-	nearFanout = 5
-	farFanout  = 1
-	// passedOn bounds the states of others in a heartbeat; one takes about
-	// stateBytes, and a datagram should fit a packet of 1,500.
-	passedOn = 11
+	// packet is what a heartbeat may take so that it is not sent in fragments.
+	packet = 1400
 	// stateBytes is the usual size of a host's state.
 	stateBytes = 110
+	// pulseBytes and crashBytes are the same of a sign of life and a crash.
+	pulseBytes = 13
+	crashBytes = 30
 	// maxNews bounds the changes in a heartbeat: some targets or routes. They take
 	// the place of states of others.
 	maxNews = 660
@@ -39,7 +32,9 @@
 
 type message struct {
 	Self   roster.State   `cbor:"1,keyasint"`
-	Others []roster.State `cbor:"2,keyasint"`
+	Others []roster.State `cbor:"2,keyasint,omitempty"`
+	// Pulses are signs of life of others.
+	Pulses []roster.Pulse `cbor:"5,keyasint,omitempty"`
 	// Crashes are targets that crashed under a request lately.
 	Crashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
 	// News is a stateDocument with the latest changes; they spread without a pull
@@ -68,14 +63,14 @@
 
 // Gossip exchanges heartbeats. It owns the roster.
 type Gossip struct {
-	o     Options
-	conn  *net.UDPConn
-	place string
+	o    Options
+	conn *net.UDPConn
 
 	mu       sync.Mutex
 	roster   *roster.Roster
 	rng      *rand.Rand
 	sequence uint64
+	beats    uint64
 	seeds    []netip.AddrPort
 	bad      int // messages that could not be read
 }
@@ -91,7 +86,7 @@
 		return nil, errors.Wrap(err, "gossip")
 	}
 	self := o.Self()
-	g := &Gossip{o: o, conn: conn, place: self.Place, roster: roster.New(self.Name, self.Place, time.Now()),
+	g := &Gossip{o: o, conn: conn, roster: roster.New(self.Name, self.Place, time.Now()),
 		rng: rand.New(rand.NewPCG(o.Seed, ^o.Seed))}
 	g.SetSeeds(o.Seeds)
 	return g, nil
@@ -118,13 +113,13 @@
 // Run sends and receives until the context ends.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.receive()
-	ticker := time.NewTicker(Beat)
-	defer ticker.Stop()
-	g.Send()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 			g.Send()
+			timer.Reset(g.pace().Beat)
 		case <-ctx.Done():
 			_ = g.conn.Close()
 			return
@@ -132,38 +127,50 @@
 	}
 }
 
+// pace returns the pace of the fleet.
+func (g *Gossip) pace() roster.Pace {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Pace()
+}
+
 // Send sends a heartbeat now.
 func (g *Gossip) Send() {
 	now := time.Now()
 	g.mu.Lock()
 	to := g.receivers(now)
 	g.mu.Unlock()
-	g.sendTo(now, to)
+	g.sendTo(now, to, true)
 }
 
 // SendAll sends a heartbeat to every host that lives, for news that none should
-// wait for.
+// wait for. In a large fleet it tells of this host only: when all hosts start at
+// once, each tells all.
 func (g *Gossip) SendAll() {
 	now := time.Now()
 	g.mu.Lock()
 	to := append([]netip.AddrPort(nil), g.seeds...)
-	for _, h := range g.roster.Alive(now) {
+	alive := g.roster.Alive(now)
+	for _, h := range alive {
 		if ap, err := netip.ParseAddrPort(h.Gossip); err == nil {
 			to = append(to, ap)
 		}
 	}
 	g.mu.Unlock()
-	g.sendTo(now, to)
+	g.sendTo(now, to, len(alive) <= roster.LargeFleet)
 }
 
-func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort) {
+// sendTo sends a heartbeat, with what is known of other hosts or without.
+func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, others bool) {
 	m := message{News: g.news(now), Crashes: g.o.Crashes()}
-	others := passedOn - (len(m.News)+stateBytes-1)/stateBytes
 	g.mu.Lock()
 	g.roster.Forget(now)
 	g.sequence++
-	m.Self, m.Others = g.o.Self(), g.roster.Sample(now, others, g.rng)
+	m.Self = g.o.Self()
 	m.Self.Sequence = g.sequence
+	if others {
+		m.Others, m.Pulses = g.passedOn(now, packet-stateBytes-len(m.News)-crashBytes*len(m.Crashes))
+	}
 	g.mu.Unlock()
 	data, err := cbor.Marshal(m)
 	if err != nil {
@@ -176,6 +183,17 @@
 	}
 }
 
+// passedOn returns what a heartbeat with some room left tells of other hosts. The
+// lock must be held.
+func (g *Gossip) passedOn(now time.Time, room int) ([]roster.State, []roster.Pulse) {
+	pace := g.roster.Pace()
+	states := max(0, min(pace.States, room/stateBytes))
+	room -= states * stateBytes
+	near := max(0, min(pace.NearPulses, room/pulseBytes))
+	room -= near * pulseBytes
+	return g.roster.Sample(now, states, near, max(0, min(pace.FarPulses, room/pulseBytes)), g.rng)
+}
+
 // news returns the latest changes, encoded; nil if there are none or too many.
 func (g *Gossip) news(now time.Time) []byte {
 	for _, state := range g.o.News() {
@@ -191,28 +209,23 @@
 	return nil
 }
 
-// receivers returns the hosts that get the next heartbeat: all, or some at
-// random, and the seeds while they are not known.
+// receivers returns the addresses that get the next heartbeat: those of all hosts
+// or of some, and the seeds while they are not known.
 func (g *Gossip) receivers(now time.Time) []netip.AddrPort {
-	alive := g.roster.Alive(now)
 	known := map[netip.AddrPort]bool{}
-	var near, far []netip.AddrPort
-	for _, h := range alive {
-		ap, err := netip.ParseAddrPort(h.Gossip)
-		if err != nil {
-			continue // the host cannot be told, and tells by itself
-		}
-		known[ap] = true
-		if h.Place == g.place {
-			near = append(near, ap)
-		} else {
-			far = append(far, ap)
+	for _, h := range g.roster.Alive(now) {
+		if ap, err := netip.ParseAddrPort(h.Gossip); err == nil {
+			known[ap] = true
 		}
 	}
-	if len(alive) > smallFleet {
-		near, far = g.some(near, nearFanout), g.some(far, farFanout)
+	var to []netip.AddrPort
+	g.beats++
+	for _, h := range g.roster.Receivers(now, g.beats, g.rng) {
+		// A host whose address cannot be read is not told, and tells by itself.
+		if ap, err := netip.ParseAddrPort(h.Gossip); err == nil {
+			to = append(to, ap)
+		}
 	}
-	to := append(near, far...)
 	for _, seed := range g.seeds {
 		if !known[seed] {
 			to = append(to, seed)
@@ -221,12 +234,6 @@
 	return to
 }
 
-// some returns at most n of the addresses, chosen at random.
-func (g *Gossip) some(addresses []netip.AddrPort, n int) []netip.AddrPort {
-	g.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(n, len(addresses))]
-}
-
 func (g *Gossip) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -246,7 +253,7 @@
 		if len(m.Crashes) > 0 {
 			g.o.OnCrashes(m.Crashes)
 		}
-		if !met {
+		if !met && g.awaitsGreeting(m.Self) {
 			g.greet(m.Self)
 		}
 		if news {
@@ -278,18 +285,34 @@
 	}
 }
 
+// awaitsGreeting reports whether a host that was not heard of before needs an
+// answer. In a large fleet one that has the published state hears of others soon
+// enough; when all hosts start at once, each would greet all.
+func (g *Gossip) awaitsGreeting(s roster.State) bool {
+	if s.Revision == 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Pace().Near == 0
+}
+
 // greet answers the first heartbeat of a process, which has just started and
 // knows nothing yet.
 func (g *Gossip) greet(s roster.State) {
 	if ap, err := netip.ParseAddrPort(s.Gossip); err == nil && s.Name != "" {
-		g.sendTo(time.Now(), []netip.AddrPort{ap})
+		g.sendTo(time.Now(), []netip.AddrPort{ap}, true)
 	}
 }
 
 // take reports whether a message brought news of its sender, and whether its
 // sender was known before.
 func (g *Gossip) take(m message) (news, met bool) {
-	now := time.Now()
+	return g.takeAt(time.Now(), m)
+}
+
+// takeAt is take at a time.
+func (g *Gossip) takeAt(now time.Time, m message) (news, met bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Self.Age = 0
@@ -298,6 +321,9 @@
 	for _, s := range m.Others {
 		g.roster.Observe(now, s)
 	}
+	for _, p := range m.Pulses {
+		g.roster.Pulse(now, p)
+	}
 	return news, met
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,14 +11,6 @@
 )
 
 const (
-	// Lost is the time without news after which a host counts as gone: five
-	// heartbeats, of which a lossy link loses one in a thousand each.
-	Lost = 2500 * time.Millisecond
-	// LostFar is the same for hosts of other places in a fleet so large that hosts
-	// hear of each other through others.
-	LostFar = 5 * time.Second
-	// LargeFleet is the number of hosts from which that holds.
-	LargeFleet = 16
 	// Remembered is how long a host that is gone still counts for the division of
 	// shared limits: it may run unheard.
 	Remembered = 30 * time.Second
@@ -63,7 +56,28 @@
 // Host is what is known of a host.
 type Host struct {
 	State
-	Heard time.Time // when the state was sent, by this host's clock
+	StateAt time.Time // when the state was sent, by this host's clock
+	Heard   time.Time // last sign of life
+	last    uint64    // sequence of that
+}
+
+// Pulse is a sign of life of a host whose state the receiver has.
+type Pulse struct {
+	_ struct{} `cbor:",toarray"`
+	// Key stands for the name and the start of the host. Two of 1,300 hosts have the
+	// same in two fleets of ten thousand; the one then seems to live as long as the
+	// other does.
+	Key      uint32
+	Sequence uint64
+	Age      int64 // since it was sent, in milliseconds
+}
+
+// key returns the key of a process of a host.
+func key(name string, incarnation int64) uint32 {
+	h := xxhash.New()
+	_, _ = h.WriteString(name) // a hash never fails
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(incarnation)))
+	return uint32(h.Sum64())
 }
 
 // Roster holds the hosts that were heard of, this one not included.
@@ -72,11 +86,12 @@
 	place string
 	began time.Time
 	hosts map[string]*Host
+	keys  map[uint32]*Host
 }
 
 // New returns a roster of the host with a name in a place.
 func New(self, place string, now time.Time) *Roster {
-	return &Roster{self: self, place: place, began: now, hosts: map[string]*Host{}}
+	return &Roster{self: self, place: place, began: now, hosts: map[string]*Host{}, keys: map[uint32]*Host{}}
 }
 
 // Observe takes a state that arrived now. It returns true if it is news.
@@ -88,25 +103,43 @@
 	h, ok := r.hosts[s.Name]
 	switch {
 	case !ok:
-		r.hosts[s.Name] = &Host{State: s, Heard: heard}
-	case s.newer(&h.State):
-		h.State = s
-		if heard.After(h.Heard) {
-			h.Heard = heard
-		}
-	default:
+		h = &Host{}
+		r.hosts[s.Name] = h
+	case !s.newer(&h.State):
 		return false
+	case s.Incarnation != h.Incarnation:
+		delete(r.keys, key(h.Name, h.Incarnation))
+		h.last = 0
 	}
+	h.State, h.StateAt = s, heard
+	r.keys[key(s.Name, s.Incarnation)] = h
+	h.sign(s.Sequence, heard)
 	return true
 }
 
+// sign records a sign of life.
+func (h *Host) sign(sequence uint64, at time.Time) {
+	h.last = max(h.last, sequence)
+	if at.After(h.Heard) {
+		h.Heard = at
+	}
+}
+
+// Pulse takes a sign of life that arrived now. One of a host that is not known is
+// ignored.
+func (r *Roster) Pulse(now time.Time, p Pulse) {
+	if h, ok := r.keys[p.Key]; ok && p.Age >= 0 && p.Sequence > h.last {
+		h.sign(p.Sequence, now.Add(-time.Duration(p.Age)*time.Millisecond))
+	}
+}
+
 // alive reports whether there was news of a host lately.
 func (r *Roster) alive(now time.Time, h *Host) bool {
-	limit := Lost
-	if h.Place != r.place && len(r.hosts) > LargeFleet {
-		limit = LostFar
+	pace := r.Pace()
+	if h.Place == r.place {
+		return now.Sub(h.Heard) < pace.Lost
 	}
-	return now.Sub(h.Heard) < limit
+	return now.Sub(h.Heard) < pace.LostFar
 }
 
 // Met reports whether the process that a state describes was heard of before, or
@@ -124,6 +157,7 @@
 	for name, h := range r.hosts {
 		if now.Sub(h.Heard) > Remembered {
 			delete(r.hosts, name)
+			delete(r.keys, key(h.Name, h.Incarnation))
 		}
 	}
 }
@@ -241,13 +275,33 @@
 	}
 }
 
-// Sample returns the states to pass on with a heartbeat, at most limit, with
-// their ages. Two thirds are of this host's place, whose hosts callers here are
-// sent to.
-func (r *Roster) Sample(now time.Time, limit int, rng *rand.Rand) []State {
+// Sample returns the states to pass on with a heartbeat, at most states of them,
+// and signs of life of at most the given numbers of hosts of this place and of
+// others, all with their ages. Two thirds of the states are of this place, whose
+// hosts callers here are sent to.
+func (r *Roster) Sample(now time.Time, states, nearPulses, farPulses int, rng *rand.Rand) ([]State, []Pulse) {
+	near, far := r.shuffled(now, rng)
+	fromFar := min(len(far), max(states/3, states-len(near)))
+	var passed []State
+	for _, h := range slices.Concat(near[:min(len(near), states-fromFar)], far[:fromFar]) {
+		s := h.State
+		age := now.Sub(h.StateAt).Milliseconds()
+		s.ConfirmedAge += age - s.Age
+		s.Age = age
+		passed = append(passed, s)
+	}
+	var pulses []Pulse
+	for _, h := range slices.Concat(near[:min(len(near), nearPulses)], far[:min(len(far), farPulses)]) {
+		pulses = append(pulses, Pulse{Key: key(h.Name, h.Incarnation), Sequence: h.last, Age: now.Sub(h.Heard).Milliseconds()})
+	}
+	return passed, pulses
+}
+
+// shuffled returns the hosts heard of lately, of this place and of others, in a
+// random order.
+func (r *Roster) shuffled(now time.Time, rng *rand.Rand) (near, far []*Host) {
 	alive := r.Alive(now)
 	rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	var near, far []*Host
 	for _, h := range alive {
 		if h.Place == r.place {
 			near = append(near, h)
@@ -255,17 +309,7 @@
 			far = append(far, h)
 		}
 	}
-	fromFar := min(len(far), max(limit/3, limit-len(near)))
-	chosen := append(near[:min(len(near), limit-fromFar)], far[:fromFar]...)
-	states := make([]State, 0, len(chosen))
-	for _, h := range chosen {
-		s := h.State
-		age := now.Sub(h.Heard).Milliseconds()
-		s.ConfirmedAge += age - s.Age
-		s.Age = age
-		states = append(states, s)
-	}
-	return states
+	return near, far
 }
 
 // ReadsStore reports whether this host is one of the given number that read the
