--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -16,6 +16,8 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge"
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/logsink"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/spf13/cobra"
 )
@@ -25,8 +27,7 @@
 const storeConnect = 1500 * time.Millisecond
 
 func newEdge() *cobra.Command {
-	var file, level string
-	var metricsPort uint16
+	var flags edgeFlags
 	var check bool
 	cmd := &cobra.Command{
 		Use:     "edge",
@@ -40,22 +41,46 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if check {
-				s, err := loadEdgeSettings(file)
+				s, err := loadEdgeSettings(flags.file)
 				if err == nil {
 					fmt.Fprintf(cmd.OutOrStdout(), "settings of %s in %s are valid\n", s.Name, s.Place)
 				}
 				return err
 			}
-			return runEdge(cmd.Context(), file, level, metricsPort)
+			return runEdge(cmd.Context(), flags)
 		},
 	}
-	cmd.Flags().StringVar(&file, "settings", "", "the platform's settings file (YAML); default: the path in "+platform.SettingsVariable)
-	cmd.Flags().StringVar(&level, "log-level", "info", "trace, debug, info, warn or error")
+	cmd.Flags().StringVar(&flags.file, "settings", "", "the platform's settings file (YAML); default: the path in "+platform.SettingsVariable)
+	cmd.Flags().StringVar(&flags.level, "log-level", "info", "trace, debug, info, warn or error")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
-	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "TCP port of the metrics on the host's address; 0: none")
+	cmd.Flags().Uint16Var(&flags.port, "metrics-port", 0, "TCP port of metrics and status on the host's address; 0: none")
+	cmd.Flags().StringVar(&flags.traces.Endpoint, "trace-endpoint", "", "URL to which spans are sent by OTLP over HTTP; empty: none are")
+	cmd.Flags().StringVar(&flags.traces.File, "trace-file", "", "file to which spans are written instead")
+	cmd.Flags().Float64Var(&flags.traces.SampleRatio, "trace-sample", 0.001, "fraction of the requests that are traced; those that a caller traces always are")
 	return cmd
 }
 
+// edgeFlags are the settings of a host that the platform's file does not have.
+type edgeFlags struct {
+	file, level string
+	port        uint16 // of metrics and status
+	traces      settings.Traces
+}
+
+// check reports values that make no sense.
+func (f *edgeFlags) check() error {
+	switch {
+	case hclog.LevelFromString(f.level) == hclog.NoLevel:
+		return usageError{errors.Newf("--log-level: %q is no level", f.level)}
+	case f.traces.Endpoint != "" && f.traces.File != "":
+		return usageError{errors.New("--trace-endpoint and --trace-file: one of them at most")}
+	case f.traces.SampleRatio < 0 || f.traces.SampleRatio > 1:
+		return usageError{errors.Newf("--trace-sample: %g is outside 0 to 1", f.traces.SampleRatio)}
+	default:
+		return nil
+	}
+}
+
 // settingsFile returns the path of the settings file, by default the one that the
 // platform names in the environment.
 func settingsFile(file string) string {
@@ -78,39 +103,43 @@
 	return s, nil
 }
 
-func runEdge(ctx context.Context, file, level string, metricsPort uint16) error {
+func runEdge(ctx context.Context, flags edgeFlags) error {
 	// From here on the signal no longer ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	settings, err := loadEdgeSettings(file)
+	if err := flags.check(); err != nil {
+		return err
+	}
+	host, err := loadEdgeSettings(flags.file)
 	if err != nil {
 		return err
 	}
-	if hclog.LevelFromString(level) == hclog.NoLevel {
-		return usageError{errors.Newf("--log-level: %q is no level", level)}
+	tracer, err := telemetry.NewTracer(ctx, flags.traces, host.Name, host.Place)
+	if err != nil {
+		return usageError{err}
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
-	log := hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(level), Output: sink, JSONFormat: true})
-	store := platform.NewStore(settings.StoreAddress, storeConnect)
+	log := hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(flags.level), Output: sink, JSONFormat: true})
+	store := platform.NewStore(host.StoreAddress, storeConnect)
 	store.OnBad = func(err error) { log.Warn("an item of the store cannot be read and names nothing", "error", err) }
 	metrics := edge.NewMetrics()
 	options := edge.Options{
-		Site: settings, Store: store, Codec: platform.Codec{}, Observer: metrics, Log: log,
+		Site: host, Store: store, Codec: platform.Codec{}, Observer: metrics, Tracer: tracer, Log: log,
 		Handlers: edge.Handlers{
 			Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler, Metrics: metrics.Handler(),
 		},
 	}
-	if metricsPort != 0 {
-		options.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(int(metricsPort)))
+	if flags.port != 0 {
+		options.Operators = net.JoinHostPort(host.IP, strconv.Itoa(int(flags.port)))
 	}
-	host, err := edge.New(options)
+	process, err := edge.New(options)
 	if err != nil {
 		return err
 	}
-	metrics.Follow(host)
-	go followSettings(ctx, hup, settingsFile(file), log, host.Reload)
-	return host.Run(ctx)
+	metrics.Follow(process)
+	go followSettings(ctx, hup, settingsFile(flags.file), log, process.Reload)
+	return errors.CombineErrors(process.Run(ctx), tracer.Close())
 }
 
 // settingsEvery is how often the settings file is looked at: it may change without
@@ -135,11 +164,11 @@
 			continue
 		}
 		last = data
-		settings, err := platform.ParseSettings(data)
+		changed, err := platform.ParseSettings(data)
 		if err != nil {
 			log.Error("the settings file was not reloaded", "file", file, "error", err)
 			continue
 		}
-		reload(settings)
+		reload(changed)
 	}
 }
--- /dev/null
+++ b/cmd/lacewingyard/edgestatus.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/spf13/cobra"
+)
+
+func newEdgeStatus() *cobra.Command {
+	var operator string
+	cmd := &cobra.Command{
+		Use:     "edge-status",
+		GroupID: "queries",
+		Short:   "Show the state of one host on the users' platform",
+		Long: "Show the state of one host on the users' platform: the published state that it\n" +
+			"has, the other hosts, the targets as it judges them, and the extra sends that are\n" +
+			"left. docs/OPERATIONS.md explains each column.",
+		Example: "  lacewingyard edge-status --operators 10.1.0.39:9464",
+		Args:    cobra.NoArgs,
+	}
+	format := outputFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		var status edge.Status
+		if err := call(cmd.Context(), http.MethodGet, operator, edge.StatusPath, nil, nil, &status); err != nil {
+			return err
+		}
+		return format.print(cmd.OutOrStdout(), status, func(w io.Writer) { printEdgeStatus(w, &status) })
+	}
+	operatorFlag(cmd, &operator)
+	return cmd
+}
+
+// operatorFlag adds the flag that names a host of the platform.
+func operatorFlag(cmd *cobra.Command, operator *string) {
+	cmd.Flags().StringVar(operator, "operators", "", "IP:port at which the host serves metrics and status")
+	_ = cmd.MarkFlagRequired("operators")
+}
+
+func printEdgeStatus(w io.Writer, s *edge.Status) {
+	fmt.Fprintf(w, "host\t%s\nplace\t%s\nstarted\t%s\nready\t%t\nleaving\t%t\nopen requests\t%d\nload\t%.2f of %.0f sends/s\n",
+		s.Host, s.Place, s.Started.Format(time.RFC3339), s.Ready, s.Leaving, s.Open, s.Load, s.Capacity)
+	fmt.Fprintf(w, "configuration\t%d\nrevision\t%d, confirmed %d ms ago\nstore calls\t%d\nreads the store for all\t%t\nhosts assumed\t%d\n",
+		s.State.Config, s.State.Revision, s.State.ConfirmedMS, s.State.StoreCalls, s.State.ReadsForAll, s.State.FleetAssumed)
+	fmt.Fprintln(w, "\nHOST\tPLACE\tHEARD\tALIVE\tREADY\tLEAVING\tREVISION\tLOAD")
+	for _, p := range s.Peers {
+		fmt.Fprintf(w, "%s\t%s\t%d ms ago\t%t\t%t\t%t\t%d\t%.2f\n", p.Host, p.Place, p.HeardMS, p.Alive, p.Ready, p.Leaving, p.Revision, p.Load)
+	}
+	printTargets(w, s.Targets)
+	if len(s.Budgets) > 0 {
+		fmt.Fprintln(w, "\nSERVICE\tEXTRA SENDS LEFT")
+	}
+	for _, b := range s.Budgets {
+		fmt.Fprintf(w, "%s\t%.1f\n", b.Service, b.Left)
+	}
+}
+
+func printTargets(w io.Writer, targets []engine.TargetReport) {
+	fmt.Fprintln(w, "\nTARGET\tSERVICE\tPLACE\tSTATE\tSLOWNESS\tFAILURES\tREFUSALS\tOPEN\tCONNECTIONS")
+	for _, t := range targets {
+		state := string(t.State)
+		if t.Held {
+			state += ", entry missing"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%d\t%d of %d\n",
+			t.Target, t.Service, t.Place, state, t.Slowness, t.Failures, t.Refusals, t.Outstanding, t.Connections, t.Limit)
+	}
+}
--- /dev/null
+++ b/cmd/lacewingyard/edgestatus_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	. "github.com/onsi/gomega"
+)
+
+// run executes a command line and returns what it printed.
+func run(args ...string) (string, error) {
+	var out strings.Builder
+	root := newRoot()
+	root.SetOut(&out)
+	root.SetErr(&out)
+	root.SetArgs(args)
+	err := root.Execute()
+	return out.String(), err
+}
+
+// An operator who cannot see why a target gets nothing guesses.
+func TestEdgeStatusNamesTheStateOfEachTarget(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case edge.StatusPath:
+			api.WriteJSON(w, http.StatusOK, edge.Status{Host: "host-1", State: edge.StateStatus{Config: 7},
+				Targets: []engine.TargetReport{{Target: "t1", Service: "s", State: engine.TargetDown, Held: true, Limit: 3}},
+				Budgets: []engine.BudgetReport{{Service: "s", Left: 4.5}}})
+		case edge.ExplainPath:
+			if r.URL.Query().Get(edge.PathParam) != "/a/b" {
+				api.WriteOutcome(w, outcome.Refused(engine.NoRoute, "configuration 7 has no route"))
+				return
+			}
+			api.WriteJSON(w, http.StatusOK, engine.Explanation{Config: 7, Route: "r", Services: []engine.ServiceForecast{
+				{Service: "s", Weight: 0.25, Targets: []engine.TargetReport{{Target: "t1", State: engine.TargetCold}}}}})
+		}
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	out, err := run("edge-status", "--operators", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(MatchRegexp(`t1 +s +down, entry missing .* 0 of 3`))
+	g.Expect(out).To(MatchRegexp(`(?m)^s +4\.5$`))
+
+	out, err = run("edge-explain", "--operators", address, "h.example", "/a/b")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(MatchRegexp(`(?m)^s +0\.25 +none$`))
+	g.Expect(out).To(MatchRegexp(`t1 .*cold`))
+
+	_, err = run("edge-explain", "--operators", address, "h.example", "/other")
+	g.Expect(err).To(MatchError(ContainSubstring("configuration 7 has no route")))
+	_, err = run("edge-status", "--operators", "no address")
+	g.Expect(err).To(MatchError(ContainSubstring("not an IP address")))
+}
--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -77,7 +77,7 @@
 		&cobra.Group{ID: "queries", Title: "Queries (ask something):"},
 	)
 	root.AddCommand(
-		newServe(), newEdge(), newSoak(), newStory(), newDrain(), newDemo(), newBench(), newLookup(),
+		newServe(), newEdge(), newEdgeStatus(), newEdgeExplain(), newSoak(), newStory(), newDrain(), newDemo(), newBench(), newLookup(),
 		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newTrace(), newVersion(),
 	)
 	for _, cmd := range root.Commands() {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -62,6 +62,13 @@
 	p.limit = max(1, limit)
 }
 
+// Limit returns the number of connections that may be open.
+func (p *Pool) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
 // Room reports whether a request would find or could open a connection.
 func (p *Pool) Room() bool {
 	p.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
@@ -61,8 +62,11 @@
 	Codec    backend.Codec
 	Handlers Handlers
 	Observer engine.Observer
-	Metrics  string // address of the metrics listener; empty: none
-	Log      hclog.Logger
+	// Operators is the address at which operators read metrics and status; empty:
+	// none.
+	Operators string
+	Tracer    *telemetry.Tracer // nil makes no spans
+	Log       hclog.Logger
 }
 
 // Host is one running host.
@@ -95,7 +99,7 @@
 	seed := uint64(h.incarnation)
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
-		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Seed: seed, OnSend: h.load.count,
+		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Tracer: o.Tracer, Seed: seed, OnSend: h.load.count,
 	})
 	h.follower = newFollower(&h.o.Site, o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.publish)
 	var err error
@@ -203,11 +207,11 @@
 		{h.o.Site.DirectoryAddress, small(h.o.Handlers.Directory(h.addresses, min(EntriesTTL, h.o.Site.EntriesTTLMax)))},
 		{h.o.Site.PeerAddress, small(gossip.StateHandler(h.follower.state))},
 	}
-	if h.o.Metrics != "" && h.o.Handlers.Metrics != nil {
+	if h.o.Operators != "" {
 		servers = append(servers, struct {
 			address string
 			server  *http.Server
-		}{h.o.Metrics, small(h.o.Handlers.Metrics)})
+		}{h.o.Operators, small(h.operators())})
 	}
 	var group errgroup.Group
 	for _, s := range servers {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,14 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +27,9 @@
 
 var shards = []string{"s1", "s2", "s3", "s4"}
 
+// operatorsPort is below those of outgoing connections; each host has its own IP.
+const operatorsPort = "9464"
+
 // fixture is a site on loopback: three hosts, two targets a shard, two for
 // requests that may not be repeated.
 type fixture struct {
@@ -27,6 +39,7 @@
 	hosts   []*running
 	client  *http.Client
 	next    atomic.Int64
+	tracer  *telemetry.Tracer // of the hosts that are started from now on
 }
 
 type running struct {
@@ -74,8 +87,8 @@
 	s, err := platform.ParseSettings([]byte(h.Settings()))
 	Expect(err).NotTo(HaveOccurred())
 	host, err := edge.New(edge.Options{
-		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: platform.Codec{}, Observer: edge.NewMetrics(),
-		Log:      hclog.NewNullLogger(),
+		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: platform.Codec{}, Observer: edge.NewMetrics(), Tracer: f.tracer,
+		Log: hclog.NewNullLogger(), Operators: net.JoinHostPort(h.IP, operatorsPort),
 		Handlers: edge.Handlers{Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -270,6 +283,87 @@
 		Eventually(f.ready(blind), 1500*time.Millisecond).Should(BeTrue())
 	})
 
+	It("tells operators what it knows and where it would send a request", func() {
+		f := newFixture(3)
+		read := func(path string, answer any) int {
+			resp, err := f.client.Get("http://" + net.JoinHostPort(f.hosts[0].IP, operatorsPort) + path)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			Expect(json.NewDecoder(resp.Body).Decode(answer)).To(Succeed())
+			return resp.StatusCode
+		}
+		f.call(f.hosts[0], "GET", platformtest.SearchPrefix, nil)
+		var status edge.Status
+		Eventually(func() int {
+			Expect(read(edge.StatusPath, &status)).To(Equal(http.StatusOK))
+			return len(status.Peers)
+		}, 5*time.Second).Should(Equal(2))
+		Expect(status.Host).To(Equal("host-0"))
+		Expect(status.Ready).To(BeTrue())
+		Expect(status.State.Config).To(BeEquivalentTo(1))
+		Expect(status.Targets).To(HaveLen(2 * (len(shards) + 1)))
+		Expect(status.Budgets).To(HaveLen(len(shards)))
+
+		draining := f.targets[2] // of the first shard
+		f.store.Put(draining.Key(), draining.Entry("draining"))
+		explain := edge.ExplainPath + "?" + url.Values{edge.HostParam: {platformtest.HostName}, edge.PathParam: {platformtest.SearchPrefix + "x"}}.Encode()
+		var x engine.Explanation
+		Eventually(func() engine.TargetState {
+			Expect(read(explain, &x)).To(Equal(http.StatusOK))
+			return x.Services[0].Targets[0].State
+		}, 5*time.Second).Should(Equal(engine.TargetDraining))
+		Expect(x.Services).To(HaveLen(len(shards)))
+		Expect(x.Services[0].Choice).To(Equal(x.Services[0].Targets[1].Target))
+		var refusal api.Error
+		Expect(read(edge.ExplainPath+"?"+url.Values{edge.HostParam: {"other.example"}, edge.PathParam: {"/"}}.Encode(), &refusal)).NotTo(Equal(http.StatusOK))
+		Expect(refusal.Reason).To(Equal(engine.NoRoute))
+		Expect(read(edge.ExplainPath, &refusal)).To(Equal(http.StatusBadRequest))
+	})
+
+	It("traces a request that its caller traces, with a span for each send", func() {
+		f := newFixture(1)
+		file := filepath.Join(GinkgoT().TempDir(), "spans")
+		var err error
+		f.tracer, err = telemetry.NewTracer(context.Background(), settings.Traces{File: file}, "host-9", "p0")
+		Expect(err).NotTo(HaveOccurred())
+		h := f.start(platformtest.HostSettings{
+			Name: "host-9", IP: "127.0.0.9", Place: "p0", Ports: f.hosts[0].Ports, Store: f.store.Address, Seeds: []string{"127.0.0.2"}, Grace: time.Second,
+		})
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		get := func(id, traceparent string) {
+			r, err := platformtest.NewRequest(context.Background(), h.Address(h.Ports.Callers), http.MethodGet, platformtest.SearchPrefix+id, id, nil, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			if traceparent != "" {
+				r.Header.Set("Traceparent", traceparent)
+			}
+			resp, err := f.client.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		}
+		const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+		get("id-untraced", "")
+		get("id-traced", "00-"+trace+"-00f067aa0ba902b7-01")
+		Expect(f.tracer.Close()).To(Succeed())
+		written, err := os.Open(file)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(written.Close)
+		spans, err := telemetry.ReadSpans(written, "")
+		Expect(err).NotTo(HaveOccurred())
+		sends := map[any]bool{}
+		for _, s := range spans {
+			Expect(s.Trace).To(Equal(trace), "others are sampled by the ratio, which is 0")
+			if s.Name == "request" {
+				Expect(s.Parent).To(Equal("00f067aa0ba902b7"))
+				Expect(s.Attributes).To(HaveKeyWithValue("request.id", "id-traced"))
+				continue
+			}
+			sends[s.Attributes["service"]] = true
+			Expect(s.Attributes).To(HaveKeyWithValue("result", "success"))
+		}
+		Expect(sends).To(HaveLen(len(shards)))
+	})
+
 	It("cuts no request when it ends, and leaves the directory at once", func() {
 		f := newFixture(3)
 		var wg sync.WaitGroup
--- /dev/null
+++ b/internal/edge/operators.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
+)
+
+// Paths for operators.
+const (
+	MetricsPath = "/metrics"
+	StatusPath  = "/status"
+	ExplainPath = "/explain"
+)
+
+// Query parameters of ExplainPath.
+const (
+	HostParam = "host"
+	PathParam = "path"
+)
+
+// Status is the state of a host and what it knows of the others.
+type Status struct {
+	Host     string                `json:"host"`
+	Place    string                `json:"place"`
+	Started  time.Time             `json:"started"`
+	Ready    bool                  `json:"ready"`
+	Leaving  bool                  `json:"leaving"`
+	Open     int64                 `json:"open_requests"`
+	Load     float64               `json:"load"` // fraction of its capacity in use
+	Capacity float64               `json:"capacity_sends_per_s"`
+	State    StateStatus           `json:"state"`
+	Peers    []PeerStatus          `json:"peers"`
+	Targets  []engine.TargetReport `json:"targets"`
+	// Budgets are the extra sends that are left, of services in use.
+	Budgets []engine.BudgetReport `json:"budgets"`
+}
+
+// StateStatus says how recent the published state is.
+type StateStatus struct {
+	Config       uint64 `json:"config"` // version in force; 0: none
+	Revision     uint64 `json:"revision"`
+	ConfirmedMS  int64  `json:"confirmed_ms_ago"`
+	StoreCalls   int    `json:"store_calls"`
+	ReadsForAll  bool   `json:"reads_store_for_all"`
+	FleetAssumed int    `json:"hosts_assumed"` // that share limits
+}
+
+// PeerStatus is what the host knows of another.
+type PeerStatus struct {
+	Host     string  `json:"host"`
+	Place    string  `json:"place"`
+	HeardMS  int64   `json:"heard_ms_ago"`
+	Alive    bool    `json:"alive"`
+	Ready    bool    `json:"ready"`
+	Leaving  bool    `json:"leaving"`
+	Revision uint64  `json:"revision"`
+	Load     float64 `json:"load"`
+}
+
+// operators serves metrics, status and explanations.
+func (h *Host) operators() http.Handler {
+	r := mux.NewRouter()
+	if h.o.Handlers.Metrics != nil {
+		r.Handle(MetricsPath, h.o.Handlers.Metrics).Methods(http.MethodGet)
+	}
+	r.HandleFunc(StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		api.WriteJSON(w, http.StatusOK, h.status(time.Now()))
+	}).Methods(http.MethodGet)
+	r.HandleFunc(ExplainPath, h.explain).Methods(http.MethodGet)
+	return r
+}
+
+func (h *Host) explain(w http.ResponseWriter, r *http.Request) {
+	host, path := r.URL.Query().Get(HostParam), r.URL.Query().Get(PathParam)
+	if host == "" || path == "" {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "%s and %s are needed", HostParam, PathParam))
+		return
+	}
+	x, ok := h.engine.Explain(host, path)
+	if !ok {
+		api.WriteOutcome(w, outcome.Refused(engine.NoRoute, "configuration %d has no route for %s%s", x.Config, host, path))
+		return
+	}
+	api.WriteJSON(w, http.StatusOK, x)
+}
+
+// status returns the state of the host.
+func (h *Host) status(now time.Time) Status {
+	revision, age := h.follower.position()
+	s := Status{
+		Host: h.o.Site.Name, Place: h.o.Site.Place, Started: h.started, Ready: h.ready(), Leaving: h.leaving.Load(),
+		Open: h.open.Load(), Load: h.load.current(), Capacity: h.load.capacity,
+		State: StateStatus{
+			Revision: revision, ConfirmedMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.made(),
+			ReadsForAll: h.readsStore(now), FleetAssumed: int(h.fleetAll.Load()),
+		},
+		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(),
+	}
+	if v := h.engine.View(); v != nil && v.Config != nil {
+		s.State.Config = v.Config.Version
+	}
+	return s
+}
+
+func (h *Host) peers(now time.Time) []PeerStatus {
+	var peers []PeerStatus
+	h.gossip.With(func(r *roster.Roster) {
+		alive := map[string]bool{}
+		for _, p := range r.Alive(now) {
+			alive[p.Name] = true
+		}
+		for _, p := range r.Known() {
+			peers = append(peers, PeerStatus{
+				Host: p.Name, Place: p.Place, HeardMS: now.Sub(p.Heard).Milliseconds(), Alive: alive[p.Name],
+				Ready: p.Ready, Leaving: p.Leaving, Revision: p.Revision, Load: p.Load,
+			})
+		}
+	})
+	return peers
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/balance"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
@@ -42,7 +43,8 @@
 	Fleet       Fleet
 	Log         hclog.Logger
 	Observer    Observer
-	OnSend      func() // called for each send to a target; it must not block
+	Tracer      *telemetry.Tracer // nil makes no spans
+	OnSend      func()            // called for each send to a target; it must not block
 	Seed        uint64
 }
 
@@ -172,6 +174,13 @@
 // Do runs a request. It returns when the answer is decided; sends that are still
 // open then end by themselves, or soon after the context is done.
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
+	ctx, span := e.startSpan(ctx, r)
+	a := e.do(ctx, r)
+	endSpan(span, &a)
+	return a
+}
+
+func (e *Engine) do(ctx context.Context, r *Request) Answer {
 	v := e.view.Load()
 	if v == nil || v.Config == nil {
 		v = e.awaitConfig(ctx, r)
--- /dev/null
+++ b/internal/engine/report.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/balance"
+	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+)
+
+// TargetState says whether a target may get requests of this host now, and if not,
+// why.
+type TargetState string
+
+// States of targets.
+const (
+	TargetUsable    TargetState = "usable"
+	TargetDraining  TargetState = "draining"  // it says that it leaves
+	TargetEvacuated TargetState = "evacuated" // its place is
+	TargetMisplaced TargetState = "misplaced" // another target answered at its address
+	TargetDown      TargetState = "down"      // it was not reached and is left alone
+	TargetCold      TargetState = "cold"      // it has just started and other hosts send it the little that it bears
+	TargetFull      TargetState = "full"      // all connections of this host to it are in use
+)
+
+// TargetReport is what this host knows of a target.
+type TargetReport struct {
+	Target  string      `json:"target"`
+	Service string      `json:"service"`
+	Place   string      `json:"place"`
+	State   TargetState `json:"state"`
+	// Held is set if its entry is missing since the store was away.
+	Held        bool    `json:"held,omitempty"`
+	Slowness    float64 `json:"slowness"` // 1 is usual
+	Failures    float64 `json:"failures"`
+	Refusals    float64 `json:"refusals"`
+	Outstanding int     `json:"outstanding"`
+	Connections int     `json:"connections"`
+	Idle        int     `json:"idle"`
+	Limit       int     `json:"limit"` // of this host's connections to it
+}
+
+// BudgetReport is what is left of the extra sends to a service.
+type BudgetReport struct {
+	Service string  `json:"service"`
+	Left    float64 `json:"left"` // extra sends that this host may make now
+}
+
+// Targets returns what this host knows of all targets, by service and name.
+func (e *Engine) Targets() []TargetReport {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.view.Load()
+	reports := make([]TargetReport, 0, len(e.targets))
+	for _, t := range e.targets {
+		reports = append(reports, e.targetReport(t, v, now))
+	}
+	slices.SortFunc(reports, func(a, b TargetReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	return reports
+}
+
+// Budgets returns what is left of the extra sends to each service in use.
+func (e *Engine) Budgets() []BudgetReport {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var reports []BudgetReport
+	for service, w := range e.budgets {
+		reports = append(reports, BudgetReport{Service: service, Left: w.Left(now, e.cfg.RetryRatio, e.slack())})
+	}
+	slices.SortFunc(reports, func(a, b BudgetReport) int { return cmp.Compare(a.Service, b.Service) })
+	return reports
+}
+
+// targetReport returns what this host knows of a target. The lock must be held.
+func (e *Engine) targetReport(t *target, v *catalog.View, now time.Time) TargetReport {
+	j := t.state.Judgement(now)
+	open, idle, _ := t.pool.Stats()
+	return TargetReport{
+		Target: t.id, Service: t.service, Place: t.place, State: e.targetState(t, v, now), Held: v.Held[t.id],
+		Slowness: j.Slowness, Failures: j.Failures, Refusals: j.Refusals, Outstanding: j.Outstanding,
+		Connections: open, Idle: idle, Limit: t.pool.Limit(),
+	}
+}
+
+func (e *Engine) targetState(t *target, v *catalog.View, now time.Time) TargetState {
+	switch {
+	case t.entry.Draining:
+		return TargetDraining
+	case v.Evacuated[t.place]:
+		return TargetEvacuated
+	case t.wrong:
+		return TargetMisplaced
+	case t.state.Down(now):
+		return TargetDown
+	case !e.coldAllows(t, now):
+		return TargetCold
+	case !t.pool.Room():
+		return TargetFull
+	default:
+		return TargetUsable
+	}
+}
+
+// Explanation says where a request would be sent now.
+type Explanation struct {
+	Config   uint64            `json:"config"`
+	Revision uint64            `json:"revision"`
+	Route    string            `json:"route"`
+	Prefix   string            `json:"prefix"`
+	Attempts int               `json:"attempts"`
+	Repeat   bool              `json:"repeatable"`
+	Services []ServiceForecast `json:"services"`
+}
+
+// ServiceForecast says which target of a service would get a request.
+type ServiceForecast struct {
+	Service string         `json:"service"`
+	Weight  float64        `json:"weight,omitempty"` // of a split route
+	Choice  string         `json:"choice"`           // empty if none may get it
+	Targets []TargetReport `json:"targets"`
+}
+
+// Explain returns where a request with a host name and a path would be sent, false
+// if the configuration has no route for it or none is known.
+func (e *Engine) Explain(host, path string) (Explanation, bool) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.view.Load()
+	if v == nil || v.Config == nil {
+		return Explanation{}, false
+	}
+	route := v.Config.Route(host, path)
+	if route == nil {
+		return Explanation{Config: v.Config.Version, Revision: v.Revision}, false
+	}
+	x := Explanation{
+		Config: v.Config.Version, Revision: v.Revision, Route: route.Name, Prefix: route.Prefix,
+		Attempts: route.Attempts, Repeat: route.Repeatable,
+	}
+	for i, service := range route.Services() {
+		f := e.forecast(route, service, v, now)
+		if len(route.Split) > 0 {
+			f.Weight = route.Split[i].Weight
+		}
+		x.Services = append(x.Services, f)
+	}
+	return x, true
+}
+
+// forecast returns which target of a service would get a request. The lock must
+// be held.
+func (e *Engine) forecast(route *catalog.Route, service string, v *catalog.View, now time.Time) ServiceForecast {
+	f := ServiceForecast{Service: service}
+	var candidates []balance.Candidate
+	var names []string
+	for _, t := range e.targets {
+		if t.service != service {
+			continue
+		}
+		r := e.targetReport(t, v, now)
+		f.Targets = append(f.Targets, r)
+		if r.State == TargetUsable {
+			candidates = append(candidates, balance.Candidate{Target: t.state, Link: e.link(t.place)})
+			names = append(names, t.id)
+		}
+	}
+	slices.SortFunc(f.Targets, func(a, b TargetReport) int { return cmp.Compare(a.Target, b.Target) })
+	_, here := e.cfg.Fleet.Hosts()
+	// A source of its own: asking must not change what requests draw.
+	rng := rand.New(rand.NewPCG(1, 1))
+	if i := balance.Choose(now, candidates, e.route(route).expected, here, rng); i >= 0 {
+		f.Choice = names[i]
+	}
+	return f
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -21,6 +21,7 @@
 	answerBy time.Time // shortly before the objective
 	until    time.Time // the caller or the operator waits no longer
 	results  chan ended
+	traced   context.Context // holds the span of the request
 	sends    context.Context // of the sends, which may outlive the answer
 	cancel   context.CancelFunc
 	expected time.Duration
@@ -93,6 +94,7 @@
 
 // run carries the request out.
 func (x *execution) run(ctx context.Context) Answer {
+	x.traced = ctx
 	if !x.attainable(time.Now()) {
 		return Answer{Outcome: x.e.refused(outcome.Unavailable, outageRetry, "too few services have a target that can be reached")}
 	}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -161,7 +161,9 @@
 // send carries a send out and records its result.
 func (x *execution) send(i int, t *target, extra bool) {
 	x.e.cfg.OnSend()
-	result := t.pool.Send(x.sends, &x.r.Request, x.until, !x.route.Repeatable)
+	request, span := x.startSend(t, extra)
+	result := t.pool.Send(x.sends, request, x.until, !x.route.Repeatable)
+	endSend(span, &result)
 	x.e.record(x, t, &result)
 	x.e.cfg.Observer.Sent(t.service, &result, extra)
 	x.results <- ended{shard: i, target: t, result: result}
