--- a/internal/bench/page.go
+++ b/internal/bench/page.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,11 +21,15 @@
 //go:embed page.html
 var pageText string
 
-var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
-	"ms":       func(v float64) string { return fmt.Sprintf("%.1f", v) },
-	"fraction": func(v float64) string { return fmt.Sprintf("%.5f", v) },
-	"seconds":  func(d Duration) string { return fmt.Sprintf("%.1f", time.Duration(d).Seconds()) },
-}).Parse(pageText))
+// pageTemplate is parsed at its first use: a host that starts on a small machine has
+// callers waiting.
+var pageTemplate = sync.OnceValue(func() *template.Template {
+	return template.Must(template.New("page").Funcs(template.FuncMap{
+		"ms":       func(v float64) string { return fmt.Sprintf("%.1f", v) },
+		"fraction": func(v float64) string { return fmt.Sprintf("%.5f", v) },
+		"seconds":  func(d Duration) string { return fmt.Sprintf("%.1f", time.Duration(d).Seconds()) },
+	}).Parse(pageText))
+})
 
 // Mark is one event of a case in the time of a run.
 type Mark struct {
@@ -74,7 +79,7 @@
 		return errors.Wrap(err, "report")
 	}
 	calm := calmP99s(runs)
-	err = pageTemplate.Execute(file, struct {
+	err = pageTemplate().Execute(file, struct {
 		Runs          []*Summary
 		First         *Summary
 		Images        []figure
--- a/internal/daemon/statuspage.go
+++ b/internal/daemon/statuspage.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
@@ -14,9 +15,12 @@
 //go:embed status.html
 var statusHTML string
 
-var statusPage = template.Must(template.New("status").Funcs(template.FuncMap{
-	"ago": ago, "percent": percent, "join": strings.Join,
-}).Parse(statusHTML))
+// statusPage is parsed at its first use, not at the start of the process.
+var statusPage = sync.OnceValue(func() *template.Template {
+	return template.Must(template.New("status").Funcs(template.FuncMap{
+		"ago": ago, "percent": percent, "join": strings.Join,
+	}).Parse(statusHTML))
+})
 
 // ago describes the age of a message in seconds; nil means that none came.
 func ago(seconds *float64) string {
@@ -43,7 +47,7 @@
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	// The page has a style sheet of its own and loads nothing.
 	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'")
-	if err := statusPage.Execute(w, &status); err != nil {
+	if err := statusPage().Execute(w, &status); err != nil {
 		d.log.Debug("status page was not sent", "error", err)
 	}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -42,16 +42,21 @@
 	// firstStart is the same when the whole fleet starts for the first time, before
 	// callers come.
 	firstStart = time.Second
-	// peersFirst is how long a host that has just started and is no seed waits for
-	// the state of a peer before it reads the store. Reads by all hosts at once
-	// are dear.
-	peersFirst = 80 * time.Millisecond
+	// peersFirst is how long a host that has just started waits to hear of a peer
+	// that has the state before it reads the store: a round trip between places and
+	// some processor time. If all hosts have just started, nobody answers, and each
+	// moment that they wait is lost to callers.
+	peersFirst = 25 * time.Millisecond
+	// peerPatience is how long it waits for the state of such a peer.
+	peerPatience = 250 * time.Millisecond
 	// blindEvery is the time between two reads of a host that knows nothing. They
 	// overlap: one that waits for a store that is down does not notice its return,
 	// and one that is given up early never ends while the store is slow.
 	blindEvery = 400 * time.Millisecond
 	// idleCheck is how often a host that does not read looks whether it must.
 	idleCheck = 50 * time.Millisecond
+	// blindCheck is the same of a host that knows nothing.
+	blindCheck = 5 * time.Millisecond
 )
 
 // Store reads the published state.
@@ -132,7 +137,7 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if !f.due(time.Now()) {
-			sleep(ctx, idleCheck)
+			sleep(ctx, f.checkEvery())
 			continue
 		}
 		if f.blind() {
@@ -159,6 +164,14 @@
 	return f.book.Revision() == 0
 }
 
+// checkEvery returns how often a host that does not call looks whether it must.
+func (f *follower) checkEvery() time.Duration {
+	if f.blind() {
+		return blindCheck
+	}
+	return idleCheck
+}
+
 // readAside reads the whole state beside earlier reads that have not ended.
 func (f *follower) readAside(ctx context.Context) {
 	f.mu.Lock()
@@ -175,9 +188,13 @@
 func (f *follower) due(now time.Time) bool {
 	f.mu.Lock()
 	blind, stale := f.book.Revision() == 0, now.Sub(f.confirmed) > time.Duration(staleShare*float64(f.bound))
+	wait := f.wait
+	if f.pulling {
+		wait = max(wait, peerPatience)
+	}
 	f.mu.Unlock()
 	if blind {
-		return now.Sub(f.began) >= f.wait
+		return now.Sub(f.began) >= wait
 	}
 	return stale || f.reads(now)
 }
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -93,4 +93,19 @@
 		Eventually(published).Should(Receive(&v))
 		Expect(v.Config.Version).To(BeEquivalentTo(4))
 	})
+
+	// After a loss of all hosts nobody answers; waiting for peers and the way to a
+	// second range of keys kept callers out for 100 of 220 ms.
+	It("reads the store soon after its start unless a peer has the state", func() {
+		blind := newFollower(&site.Settings{}, nil, peer, hclog.NewNullLogger(), func(time.Time) bool { return false }, func(*catalog.View) {})
+		const roundTrip = 8 * time.Millisecond // between places
+		Expect(blind.due(blind.began.Add(roundTrip))).To(BeFalse())
+		Expect(blind.due(blind.began.Add(4 * roundTrip))).To(BeTrue())
+		blind.pulling = true
+		Expect(blind.due(blind.began.Add(4 * roundTrip))).To(BeFalse())
+		Expect(blind.due(blind.began.Add(time.Second))).To(BeTrue(), "a peer that does not answer")
+
+		first := newFollower(&site.Settings{FirstStart: true}, nil, peer, hclog.NewNullLogger(), func(time.Time) bool { return false }, func(*catalog.View) {})
+		Expect(first.due(first.began.Add(4*roundTrip))).To(BeFalse(), "no callers yet")
+	})
 })
