Send callers to large hosts elsewhere while those of their place restart

Cause: a place whose two large hosts restarted in turn sent its callers to all its hosts, of which thirteen or more have a fifth of a core and a tenth of the link.

Change: hosts that cannot be named now still count for what a place had; if it has too few large ones left and four or more elsewhere have room, its callers are named those. A place with one host to name adds two elsewhere in place of all. A host that has just started lets callers keep its answer for 0.5 s. The soak's callers keep answers for as long as they are told, one in four three times as long.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -35,29 +35,40 @@
 // tieBreak is a difference in coverage that does not matter.
 const tieBreak = 0.2
 
-// addresses returns the hosts that a caller in a place is told to use. Peers that
-// this host does not hear of are left out: they are gone, or cut off.
-func (h *Host) addresses(place string) []string {
+// resolve returns the hosts that a caller in a place is told to use, and for how
+// long it may keep the answer.
+func (h *Host) resolve(place string) (addresses []string, keep time.Duration) {
 	now := time.Now()
+	keep = EntriesTTL
+	if now.Sub(h.started) < roster.Settled {
+		keep = EarlyTTL
+	}
+	if most := h.o.Site.EntriesTTLMax; most > 0 {
+		keep = min(keep, most)
+	}
+	return h.addresses(now, place), keep
+}
+
+// addresses returns the hosts to name to callers of a place. Peers that this host
+// does not hear of are left out: they are gone, or cut off.
+func (h *Host) addresses(now time.Time, place string) []string {
 	var hosts []entries.Host
 	if h.ready() {
 		hosts = append(hosts, entries.Host{Name: h.o.Site.Name, Place: h.o.Site.Place, Address: h.o.Site.CallerAddress,
 			PlaceIn: true, Heard: true, Capacity: h.load.capacity, Load: h.load.current()})
 	}
 	h.gossip.With(func(r *roster.Roster) {
-		for _, peer := range r.Alive(now) {
-			if peer.Ready && !peer.Leaving {
-				hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.Callers,
-					PlaceIn: true, Heard: true, Capacity: peer.Capacity, Load: peer.Load})
-			}
+		for _, peer := range r.Known() {
+			hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.Callers,
+				PlaceIn: true, Heard: r.Lives(now, peer), Leaving: peer.Leaving || !peer.Ready, Capacity: peer.Capacity, Load: peer.Load})
 		}
 	})
+	hosts = entries.Named(entries.Large(hosts))
 	if v := h.engine.View(); v != nil && v.Covers(place) < enoughTargets {
 		if best := bestPlace(v, hosts); best != "" {
 			place = best
 		}
 	}
-	hosts = entries.Large(hosts)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen := entries.Near(entries.Choose(hosts, place, rng), place)
 	addresses := make([]string, len(chosen))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,10 @@
 	// EntriesTTL is how long callers may keep a directory answer. Some keep it
 	// three times as long, which has to fit the grace period of a shutdown.
 	EntriesTTL = 2 * time.Second
+	// EarlyTTL is the same for a host that has just started and may not know the
+	// others yet: after a loss of all hosts, callers would stay with the few that
+	// started first.
+	EarlyTTL = 500 * time.Millisecond
 	// keptEntries is how long a host that leaves still gets new connections.
 	keptEntries = 3500 * time.Millisecond
 	// exitReserve is the part of the grace period left for the exit itself.
@@ -50,7 +54,7 @@
 // Handlers translate between HTTP and the host.
 type Handlers struct {
 	Callers   func(do func(context.Context, *engine.Request) engine.Answer, limits func() catalog.Limits) http.Handler
-	Directory func(addresses func(place string) []string, ttl time.Duration) http.Handler
+	Directory func(resolve func(place string) (addresses []string, keep time.Duration)) http.Handler
 	Ready     func(ready func() bool) http.Handler
 	Metrics   http.Handler // nil: none
 }
@@ -204,7 +208,7 @@
 	}{
 		{h.o.Site.CallerAddress, callers},
 		{h.o.Site.ReadyAddress, small(h.o.Handlers.Ready(h.ready))},
-		{h.o.Site.DirectoryAddress, small(h.o.Handlers.Directory(h.addresses, min(EntriesTTL, h.o.Site.EntriesTTLMax)))},
+		{h.o.Site.DirectoryAddress, small(h.o.Handlers.Directory(h.resolve))},
 		{h.o.Site.PeerAddress, small(gossip.StateHandler(h.follower.state))},
 	}
 	if h.o.Operators != "" {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
@@ -283,6 +284,22 @@
 		Eventually(f.ready(blind), 1500*time.Millisecond).Should(BeTrue())
 	})
 
+	// After a loss of all hosts, callers stayed with the hosts that came up first, the
+	// smallest ones, for as long as they keep an answer.
+	It("lets callers ask again soon while it may not know the other hosts", func() {
+		f := newFixture(1)
+		h := f.start(platformtest.HostSettings{
+			Name: "host-8", IP: "127.0.0.8", Place: "p0", Ports: f.hosts[0].Ports, Store: f.store.Address, Seeds: []string{"127.0.0.2"}, Grace: time.Second,
+		})
+		keep := func() (float64, error) {
+			answer, err := platformtest.Resolve(context.Background(), f.client, h.Address(h.Ports.Directory), "p0")
+			return answer.Keep, err
+		}
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		Expect(keep()).To(BeNumerically("==", edge.EarlyTTL.Seconds()))
+		Eventually(keep, roster.Settled+3*time.Second).Should(BeNumerically("==", edge.EntriesTTL.Seconds()))
+	})
+
 	It("tells operators what it knows and where it would send a request", func() {
 		f := newFixture(3)
 		read := func(path string, answer any) int {
@@ -392,7 +409,8 @@
 		leaving.stop()
 		Eventually(f.ready(leaving)).Should(BeFalse())
 		Eventually(func() ([]string, error) {
-			return platformtest.Resolve(context.Background(), f.client, f.hosts[1].Address(f.hosts[1].Ports.Directory), "p0")
+			answer, err := platformtest.Resolve(context.Background(), f.client, f.hosts[1].Address(f.hosts[1].Ports.Directory), "p0")
+			return answer.Addresses, err
 		}, 2*time.Second).ShouldNot(ContainElement(leaving.Address(leaving.Ports.Callers)))
 		var err error
 		Eventually(leaving.ended, 5*time.Second).Should(Receive(&err))
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// keepAnswer is how long callers keep an answer of the directory.
-	keepAnswer = 2 * time.Second
+	// patientCallers is the number of callers of which one keeps answers of the
+	// directory three times as long as it is told.
+	patientCallers = 4
 	// between is the mean pause between two requests of a caller.
 	between = 15 * time.Millisecond
 	// callLimit is the time that callers wait.
@@ -30,13 +31,17 @@
 	next   *atomic.Int64
 
 	addresses []string
-	asked     time.Time
+	kept      time.Time // until when the addresses are
 }
 
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
+	patience := 1.0
+	if c.rng.IntN(patientCallers) == 0 {
+		patience = 3
+	}
 	for ctx.Err() == nil {
-		c.resolve(ctx)
+		c.resolve(ctx, patience)
 		if len(c.addresses) > 0 {
 			c.call(c.addresses[c.rng.IntN(len(c.addresses))])
 		}
@@ -45,16 +50,16 @@
 }
 
 // resolve asks a host where to connect, and keeps the old answer if none tells.
-func (c *caller) resolve(ctx context.Context) {
-	if time.Since(c.asked) < keepAnswer {
+func (c *caller) resolve(ctx context.Context, patience float64) {
+	if time.Now().Before(c.kept) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
 	h := c.site.hosts[c.rng.IntN(len(c.site.hosts))]
-	addresses, err := platformtest.Resolve(ctx, c.site.client, h.Address(h.Ports.Directory), c.place)
-	if err == nil && len(addresses) > 0 {
-		c.addresses, c.asked = addresses, time.Now()
+	answer, err := platformtest.Resolve(ctx, c.site.client, h.Address(h.Ports.Directory), c.place)
+	if err == nil && len(answer.Addresses) > 0 {
+		c.addresses, c.kept = answer.Addresses, time.Now().Add(time.Duration(patience*answer.Keep*float64(time.Second)))
 	}
 }
 
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -126,8 +126,9 @@
 // could ask again; without a spare they would keep an answer of dead addresses.
 const spareElsewhere = 1
 
-// Near drops the hosts of other places but a spare one from a choice if the given
-// place has enough. It is for callers that take any of the addresses at random.
+// Near drops hosts of other places from a choice but for a spare one, or for as many
+// as a place with a single host needs. It is for callers that take any of the
+// addresses at random. A place without hosts keeps them all.
 func Near(chosen []Host, place string) []Host {
 	near := 0
 	for _, h := range chosen {
@@ -135,37 +136,74 @@
 			near++
 		}
 	}
-	if near < nearEnough {
+	if near == 0 {
 		return chosen
 	}
-	return chosen[:min(len(chosen), near+spareElsewhere)]
+	return chosen[:min(len(chosen), max(near, nearEnough)+spareElsewhere)]
 }
 
-// largeBusy is the mean load of the large hosts from which the others take callers
-// too.
+// Named drops the hosts that no caller may be told of now: those that leave, are
+// out of service or were not heard of.
+func Named(hosts []Host) []Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.class() != heard })
+}
+
+// largeBusy is the mean load of the large hosts of a place from which its other
+// hosts take callers too.
 const largeBusy = 0.4
 
-// Large drops the small hosts of each place that has enough large ones with room.
-// A fan-out through a host with a slow link waits for the link, and the more
-// hosts share the callers, the colder are the connections and the estimates of
-// each. The small hosts stay in reserve.
+// largeElsewhere is the number of large hosts, and largeSpare their highest mean
+// load, with which they take the callers of a place that has lost its own.
+const (
+	largeElsewhere = 4
+	largeSpare     = 0.3
+)
+
+// tally counts hosts and their load.
+type tally struct {
+	hosts int
+	load  float64
+}
+
+func (t *tally) add(load float64) {
+	t.hosts++
+	t.load += load
+}
+
+func (t *tally) mean() float64 { return t.load / float64(max(1, t.hosts)) }
+
+// Large drops the small hosts of each place that has enough large ones with room,
+// or had them while the large ones elsewhere have room: the way to another place
+// takes less than a fan-out through a host with a slow link and little processor
+// time, and the more hosts share the callers, the colder are the connections and
+// the estimates of each. The small hosts stay in reserve. Hosts that cannot be
+// named now count for what a place had.
 func Large(hosts []Host) []Host {
 	largest := map[string]float64{}
 	for _, h := range hosts {
 		largest[h.Place] = max(largest[h.Place], h.Capacity)
 	}
 	large := func(h Host) bool { return h.Capacity >= roster.LargeRatio*largest[h.Place] }
-	count, load := map[string]int{}, map[string]float64{}
+	places := map[string]*tally{}
+	var fleet tally
 	for _, h := range hosts {
-		if large(h) {
-			count[h.Place]++
-			load[h.Place] += h.Load
+		if places[h.Place] == nil {
+			places[h.Place] = &tally{}
+		}
+		if large(h) && h.class() == heard {
+			places[h.Place].add(h.Load)
+			fleet.add(h.Load)
+		}
+	}
+	enough := func(t *tally) bool {
+		if t.hosts >= nearEnough {
+			return t.mean() <= largeBusy
 		}
+		return fleet.hosts >= largeElsewhere && fleet.mean() <= largeSpare
 	}
 	kept := make([]Host, 0, len(hosts))
 	for _, h := range hosts {
-		n := count[h.Place]
-		if large(h) || n < nearEnough || load[h.Place]/float64(n) > largeBusy {
+		if large(h) || !enough(places[h.Place]) {
 			kept = append(kept, h)
 		}
 	}
--- a/pkg/entries/large_test.go
+++ b/pkg/entries/large_test.go
@@ -28,6 +28,30 @@
 		Expect(names([]entries.Host{host("a1", "a", 10, 0), host("a3", "a", 1, 0)})).To(HaveLen(2))
 	})
 
+	// A day on which the two large hosts of each place were restarted in turn: their
+	// callers went to hosts with a tenth of the link for ten seconds.
+	It("sends callers to large hosts elsewhere while those of their place restart", func() {
+		gone := host("a1", "a", 10, 0.1)
+		gone.Leaving = true
+		dead := host("a2", "a", 10, 0.1)
+		dead.Heard = false
+		fleet := []entries.Host{gone, dead, host("a3", "a", 1, 0),
+			host("b1", "b", 10, 0.1), host("b2", "b", 10, 0.2), host("c1", "c", 10, 0.1), host("c2", "c", 10, 0.1)}
+		named := func(hosts []entries.Host) (out []string) {
+			for _, h := range entries.Named(entries.Large(hosts)) {
+				out = append(out, h.Name)
+			}
+			return out
+		}
+		Expect(named(fleet)).To(Equal([]string{"b1", "b2", "c1", "c2"}))
+		fleet[1].Heard = true
+		Expect(named(fleet)).To(Equal([]string{"a2", "b1", "b2", "c1", "c2"}))
+		for i := range fleet[3:] {
+			fleet[3+i].Load = 0.4
+		}
+		Expect(named(fleet)).To(ContainElement("a3"), "they have no room")
+		Expect(named(fleet[:4])).To(ContainElement("a3"), "they are few")
+	})
 	It("keeps all hosts if none states its capacity", func() {
 		Expect(names([]entries.Host{host("a1", "a", 0, 0), host("a2", "a", 0, 0)})).To(HaveLen(2))
 	})
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// alive reports whether there was news of a host lately.
-func (r *Roster) alive(now time.Time, h *Host) bool {
+// Lives reports whether there was news of a host lately.
+func (r *Roster) Lives(now time.Time, h *Host) bool {
 	pace := r.Pace()
 	if h.Place == r.place {
 		return now.Sub(h.Heard) < pace.Lost
@@ -166,7 +166,7 @@
 func (r *Roster) Alive(now time.Time) []*Host {
 	alive := make([]*Host, 0, len(r.hosts))
 	for _, h := range r.hosts {
-		if r.alive(now, h) {
+		if r.Lives(now, h) {
 			alive = append(alive, h)
 		}
 	}
@@ -319,7 +319,7 @@
 	mine := xxhash.Sum64String(r.self)
 	higher := 0
 	for _, h := range r.hosts {
-		if r.alive(now, h) && !h.Leaving && xxhash.Sum64String(h.Name) > mine {
+		if r.Lives(now, h) && !h.Leaving && xxhash.Sum64String(h.Name) > mine {
 			higher++
 		}
 	}
