Judge changes in the soak while nothing else goes wrong; kill all hosts; evacuate

Faults came each half second, and a change is judged only if no fault kept hosts from knowing, so that a drain was hardly ever judged. The soak now has calm spans with planned changes only and says how many were judged. New: evacuations of a place, answers from a set of shards that a newer configuration replaced, and the end of all hosts at once.

--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -42,7 +42,7 @@
 				if err != nil {
 					return errors.Wrapf(err, "seed %d (output of the hosts in %s)", seed+i, dir)
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d promises broken\n", seed+i, report.Calls, report.Served, report.Runs, len(report.Broken))
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d changes judged, %d promises broken\n", seed+i, report.Calls, report.Served, report.Runs, report.Judged, len(report.Broken))
 				for _, broken := range report.Broken {
 					fmt.Fprintln(cmd.OutOrStdout(), " ", broken)
 				}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,14 +21,22 @@
 type Checker struct {
 	mu     sync.Mutex
 	calls  map[string]*Call
-	sets   [][]string           // sets of shards that were configured
-	closed map[string]time.Time // targets that drain, with the latest time of a run
+	sets   [][]string        // sets of shards that were configured
+	closed map[string][]span // when targets may run nothing
+	stale  map[string]time.Time
 	broken []string
 }
 
+// span is a time; without an end if until is zero.
+type span struct{ from, until time.Time }
+
+func (s span) holds(t time.Time) bool {
+	return t.After(s.from) && (s.until.IsZero() || t.Before(s.until))
+}
+
 // NewChecker returns a checker.
 func NewChecker() *Checker {
-	return &Checker{calls: map[string]*Call{}, closed: map[string]time.Time{}}
+	return &Checker{calls: map[string]*Call{}, closed: map[string][]span{}, stale: map[string]time.Time{}}
 }
 
 // Configured records a set of shards before it is published.
@@ -37,11 +46,22 @@
 	c.sets = append(c.sets, set)
 }
 
-// Closed records that a target may run nothing after a time.
-func (c *Checker) Closed(target string, after time.Time) {
+// Closed records that a target may run nothing from a time, until another or, if
+// that is zero, any more.
+func (c *Checker) Closed(target string, from, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed[target] = after
+	c.closed[target] = append(c.closed[target], span{from, until})
+}
+
+// Superseded records that calls sent after a time may not be answered from a set
+// of shards any more.
+func (c *Checker) Superseded(set []string, after time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, service := range set {
+		c.stale[service] = after
+	}
 }
 
 // Sends records a call before it is sent.
@@ -87,12 +107,15 @@
 			continue
 		}
 		count[run.ID]++
-		if after, ok := c.closed[run.Target]; ok && run.At.After(after) {
-			c.fail("target %s ran %s %v after it was to get nothing more", run.Target, run.ID, run.At.Sub(after))
+		for _, closed := range c.closed[run.Target] {
+			if closed.holds(run.At) {
+				c.fail("target %s ran %s %v after it was to get nothing more", run.Target, run.ID, run.At.Sub(closed.from))
+			}
 		}
 	}
 	for id, call := range c.calls {
 		if call.Method != "POST" {
+			c.checkSet(id, call)
 			continue
 		}
 		if count[id] > 1 {
@@ -105,6 +128,17 @@
 	return c.broken
 }
 
+// checkSet finds an answer from a set of shards that was superseded before the call.
+func (c *Checker) checkSet(id string, call *Call) {
+	for _, part := range call.Reply.Parts {
+		service, _, _ := strings.Cut(part, ".")
+		if after, ok := c.stale[service]; ok && call.Sent.After(after) {
+			c.fail("call %s was answered by %s, %v after that was to be in use no more", id, service, call.Sent.Sub(after))
+			return
+		}
+	}
+}
+
 // Served returns the number of calls sent after a time and how many of them got a
 // success.
 func (c *Checker) Served(since time.Time) (sent, served int) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -61,7 +61,20 @@
 		Expect(c.Finish(nil)).To(HaveLen(4))
 	})
 	It("finds a run at a target that was to get nothing more", func() {
-		c.Closed("t", now.Add(-time.Second))
+		c.Closed("t", now.Add(-time.Second), time.Time{})
 		Expect(c.Finish([]platformtest.Run{run("g", "GET", "/search/g")})).To(HaveLen(1))
 	})
+	It("finds a run at a target of an evacuated place, and none after that", func() {
+		c.Closed("t", now.Add(-2*time.Second), now.Add(-time.Second))
+		Expect(c.Finish([]platformtest.Run{run("g", "GET", "/search/g")})).To(BeEmpty())
+		c.Closed("t", now.Add(-time.Second), now.Add(time.Second))
+		Expect(c.Finish([]platformtest.Run{run("g", "GET", "/search/g")})).To(HaveLen(1))
+	})
+	It("finds an answer from shards of an older configuration", func() {
+		c.Got("g", platformtest.Reply{Status: 200, Parts: []string{"s1.g", "s2.g"}})
+		c.Superseded(set, now.Add(time.Second))
+		before := len(c.Finish(nil))
+		c.Superseded(set, now.Add(-time.Second))
+		Expect(c.Finish(nil)).To(HaveLen(before + 1))
+	})
 })
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,21 @@
 // with many processes adds.
 const drainAllowed = 3*time.Second + 500*time.Millisecond
 
+// evacuateAllowed is the same for an evacuation, and applyAllowed for a
+// configuration.
+const (
+	evacuateAllowed = 5*time.Second + 500*time.Millisecond
+	applyAllowed    = drainAllowed
+)
+
+const (
+	// contact is the time after a fault from which hosts are held to what they must
+	// do in time.
+	contact = 4 * time.Second
+	// calmSpan is how long there are planned changes only.
+	calmSpan = 12 * time.Second
+)
+
 // storm injects faults until it is stopped.
 type storm struct {
 	site *site
@@ -28,18 +43,37 @@
 	harmed  time.Time       // until when drains are not judged
 	drained map[string]bool // services of which a target drains
 	sets    int
+	emptied string // the place that is evacuated
+	judged  int    // changes of which it was checked that they were in force in time
 }
 
 // run starts faults one after the other, which last and overlap, until the context
-// ends, and returns once all are over.
+// ends, and returns once all are over. After some seconds of faults there are some
+// of planned changes only: what hosts must do in time is judged if nothing kept
+// them from it.
 func (f *storm) run(ctx context.Context) {
+	calm := time.Now().Add(f.between(4*time.Second, 8*time.Second))
 	for ctx.Err() == nil {
-		f.one(ctx)
-		pause(ctx, time.Duration(100+f.rng.IntN(900))*time.Millisecond)
+		if time.Now().Before(calm) {
+			f.fault(ctx)
+		} else {
+			pause(ctx, contact)
+			for until := time.Now().Add(calmSpan); time.Now().Before(until) && ctx.Err() == nil; {
+				f.change(ctx)
+				pause(ctx, f.between(500*time.Millisecond, 2*time.Second))
+			}
+			calm = time.Now().Add(f.between(4*time.Second, 8*time.Second))
+		}
+		pause(ctx, f.between(100*time.Millisecond, time.Second))
 	}
 	f.wg.Wait()
 }
 
+// between draws a time.
+func (f *storm) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.rng.Int64N(int64(most-least)))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -47,9 +81,10 @@
 	}
 }
 
-func (f *storm) one(ctx context.Context) {
-	length := time.Duration(500+f.rng.IntN(3500)) * time.Millisecond
-	switch f.rng.IntN(11) {
+// fault starts one fault or change.
+func (f *storm) fault(ctx context.Context) {
+	length := f.between(500*time.Millisecond, 4*time.Second)
+	switch f.rng.IntN(13) {
 	case 0:
 		f.process(ctx, "pause", length, func(h *host) { h.signal(syscall.SIGSTOP) }, func(h *host) { h.signal(syscall.SIGCONT) })
 	case 1:
@@ -65,13 +100,25 @@
 	case 7:
 		f.answers(ctx, f.target(), length)
 	case 8:
+		f.killAll(ctx)
+	default:
+		f.change(ctx)
+	}
+}
+
+// change makes one planned change.
+func (f *storm) change(ctx context.Context) {
+	switch f.rng.IntN(4) {
+	case 0:
 		f.drain(ctx, f.target())
-	case 9:
+	case 1:
 		h := f.site.hosts[f.rng.IntN(len(f.site.hosts))]
 		f.say("reload %s", h.Name)
 		h.signal(syscall.SIGHUP)
+	case 2:
+		f.evacuate(ctx)
 	default:
-		f.reconfigure()
+		f.reconfigure(ctx)
 	}
 }
 
@@ -90,7 +137,6 @@
 func (f *storm) harm(length time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	const contact = 4 * time.Second
 	if until := time.Now().Add(length + contact); until.After(f.harmed) {
 		f.harmed = until
 	}
@@ -186,17 +232,79 @@
 	f.wg.Go(func() {
 		f.site.store.Put(t.Key(), t.Entry("draining"))
 		since := time.Now()
-		pause(ctx, drainAllowed+2*time.Second)
+		if f.unharmed(ctx, since, drainAllowed+2*time.Second) {
+			f.site.check.Closed(t.ID, since.Add(drainAllowed), time.Time{})
+		}
+	})
+}
+
+// unharmed waits for a while and reports whether no fault since a time could keep
+// hosts from knowing.
+func (f *storm) unharmed(ctx context.Context, since time.Time, wait time.Duration) bool {
+	pause(ctx, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.harmed.After(since) || ctx.Err() != nil {
+		return false
+	}
+	f.judged++
+	return true
+}
+
+// evacuate takes a place out of service for a while, one at a time.
+func (f *storm) evacuate(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.emptied != "" {
+		return
+	}
+	place := fmt.Sprint("p", f.rng.IntN(places))
+	f.emptied = place
+	f.say("%s is evacuated", place)
+	f.wg.Go(func() {
+		f.site.store.Put(platformtest.EvacuateKey(place), struct{}{})
+		since := time.Now()
+		judged := f.unharmed(ctx, since, evacuateAllowed+2*time.Second)
+		until := time.Now()
+		f.site.store.Delete(platformtest.EvacuateKey(place))
 		f.mu.Lock()
-		harmed := f.harmed.After(since)
-		f.mu.Unlock()
-		if !harmed {
-			f.site.check.Closed(t.ID, since.Add(drainAllowed))
+		defer f.mu.Unlock()
+		f.emptied = ""
+		for _, t := range f.site.targets {
+			if judged && t.Place == place {
+				f.site.check.Closed(t.ID, since.Add(evacuateAllowed), until)
+			}
 		}
 	})
 }
 
-func (f *storm) reconfigure() {
+// killAll ends all hosts at once, unless one is harmed already.
+func (f *storm) killAll(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.busy) > 0 {
+		return
+	}
+	for _, h := range f.site.hosts {
+		f.busy[h] = true
+	}
+	f.say("all hosts are killed")
+	f.wg.Go(func() {
+		f.harm(grace)
+		for _, h := range f.site.hosts {
+			h.kill()
+		}
+		pause(ctx, 300*time.Millisecond)
+		for _, h := range f.site.hosts {
+			f.restart(h)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		clear(f.busy)
+	})
+}
+
+func (f *storm) reconfigure(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.rng.IntN(3) > 0 || f.sets >= 3 {
@@ -206,7 +314,15 @@
 	}
 	f.sets++
 	f.say("a new set of shards")
+	old := f.site.shards
 	if err := f.site.newSet(fmt.Sprint("set", f.sets, "-")); err != nil {
 		f.say("no new set: %v", err)
+		return
 	}
+	since := time.Now()
+	f.wg.Go(func() {
+		if f.unharmed(ctx, since, applyAllowed+2*time.Second) {
+			f.site.check.Superseded(old, since.Add(applyAllowed))
+		}
+	})
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -109,7 +109,7 @@
 }
 
 // newSet starts the targets of a new set of shards and publishes a configuration
-// that names it. The set before it drains once that is due everywhere.
+// that names it.
 func (s *site) newSet(name string) error {
 	var set []string
 	for i := range shardsOfSet {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,7 @@
 // Report is the result of a run.
 type Report struct {
 	Calls, Served, Runs int
+	Judged              int // changes of which it was checked that they were in force in time
 	Broken              []string
 }
 
@@ -72,7 +73,9 @@
 	pause(ctx, measured)
 	stopCalling()
 	callers.Wait()
-	return s.report(recovered), nil
+	r := s.report(recovered)
+	r.Judged = storm.judged
+	return r, nil
 }
 
 func (s *site) awaitReady(ctx context.Context) error {
