Let the soak wait until no fault excuses anything before it judges changes

The calm now starts when the last one does not any more, and lasts until the last change was judged.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -27,8 +27,10 @@
 	// contact is the time after a fault from which hosts are held to what they must
 	// do in time.
 	contact = 4 * time.Second
-	// calmSpan is how long there are planned changes only.
-	calmSpan = 12 * time.Second
+	// changeSpan is how long there are planned changes only, and judgeSpan how long
+	// the last of them takes to be judged.
+	changeSpan = 5 * time.Second
+	judgeSpan  = evacuateAllowed + 3*time.Second
 )
 
 // storm injects faults until it is stopped.
@@ -57,11 +59,7 @@
 		if time.Now().Before(calm) {
 			f.fault(ctx)
 		} else {
-			pause(ctx, contact)
-			for until := time.Now().Add(calmSpan); time.Now().Before(until) && ctx.Err() == nil; {
-				f.change(ctx)
-				pause(ctx, f.between(500*time.Millisecond, 2*time.Second))
-			}
+			f.calm(ctx)
 			calm = time.Now().Add(f.between(4*time.Second, 8*time.Second))
 		}
 		pause(ctx, f.between(100*time.Millisecond, time.Second))
@@ -69,6 +67,21 @@
 	f.wg.Wait()
 }
 
+// calm waits until no fault excuses anything, makes planned changes, and waits until
+// they were judged.
+func (f *storm) calm(ctx context.Context) {
+	f.mu.Lock()
+	harmed := f.harmed
+	f.mu.Unlock()
+	pause(ctx, time.Until(harmed))
+	f.say("calm")
+	for until := time.Now().Add(changeSpan); time.Now().Before(until) && ctx.Err() == nil; {
+		f.change(ctx)
+		pause(ctx, f.between(300*time.Millisecond, 1500*time.Millisecond))
+	}
+	pause(ctx, judgeSpan)
+}
+
 // between draws a time.
 func (f *storm) between(least, most time.Duration) time.Duration {
 	return least + time.Duration(f.rng.Int64N(int64(most-least)))
