Keep explanations from creating route state; copy headers of traced sends safely

Asking where a request would go created the state of a route that no request had used; a traced send would have ended the process if a front passed no headers.

--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -8,5 +8,6 @@
 // their state, calls them at the right moment and carries out what they say.
 //
 // What a front adds is decoding and encoding: the engine knows no header names
-// and no status codes but the class of a target's own answer.
+// but that of the trace context and no status codes but the class of a target's own
+// answer.
 package engine
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -172,10 +172,14 @@
 		}
 	}
 	slices.SortFunc(f.Targets, func(a, b TargetReport) int { return cmp.Compare(a.Target, b.Target) })
+	expected := firstGuess(route)
+	if s, ok := e.routes[route.Name]; ok {
+		expected = s.expected
+	}
 	_, here := e.cfg.Fleet.Hosts()
 	// A source of its own: asking must not change what requests draw.
 	rng := rand.New(rand.NewPCG(1, 1))
-	if i := balance.Choose(now, candidates, e.route(route).expected, here, rng); i >= 0 {
+	if i := balance.Choose(now, candidates, expected, here, rng); i >= 0 {
 		f.Choice = names[i]
 	}
 	return f
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -34,15 +34,17 @@
 func (e *Engine) route(r *catalog.Route) *routeState {
 	s, ok := e.routes[r.Name]
 	if !ok {
-		s = &routeState{
-			latencies: hedge.NewLatencies(),
-			expected:  max(time.Millisecond, time.Duration(firstExpected*float64(r.Objective))),
-		}
+		s = &routeState{latencies: hedge.NewLatencies(), expected: firstGuess(r)}
 		e.routes[r.Name] = s
 	}
 	return s
 }
 
+// firstGuess returns the usual service time before any answer was seen.
+func firstGuess(r *catalog.Route) time.Duration {
+	return max(time.Millisecond, time.Duration(firstExpected*float64(r.Objective)))
+}
+
 func (s *routeState) observe(took, link time.Duration) {
 	s.latencies.Observe("", took)
 	service := float64(min(max(0, took-link), clipExpected*s.expected))
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
@@ -41,7 +42,8 @@
 	}
 	span.SetAttributes(attribute.String("target", t.id), attribute.String("service", t.service), attribute.String("place", t.place), attribute.Bool("extra", extra))
 	request := x.r.Request
-	request.Header = maps.Clone(request.Header)
+	request.Header = make(http.Header, len(x.r.Header)+1)
+	maps.Copy(request.Header, x.r.Header)
 	request.Header.Set(api.HeaderTrace, parent)
 	return &request, span
 }
