--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -115,7 +115,11 @@
 func (e *Engine) logReach(t *target, r *backend.Result, before bool) {
 	switch after := t.state.Reachable(); {
 	case before && !after:
-		e.cfg.Log.Info("target is not reached; left alone for a while", "target", t.id, "service", t.service, "result", r.Kind.String())
+		fields := []any{"target", t.id, "service", t.service, "result", r.Kind.String()}
+		if r.Err != nil {
+			fields = append(fields, "error", r.Err.Error())
+		}
+		e.cfg.Log.Info("target is not reached; left alone for a while", fields...)
 	case !before && after:
 		e.cfg.Log.Info("target is reached again", "target", t.id, "service", t.service)
 	}
