--- a/internal/gossip/pace_test.go
+++ b/internal/gossip/pace_test.go
@@ -29,13 +29,19 @@
 		control = 4096 // bytes per second that a host may send for control
 		// toldGone is the time after which callers must not be told of a lost host.
 		toldGone = 8 * time.Second
+		// A host whose state was confirmed longer ago than stale, 0.6 of the time
+		// until a change is in force, reads the store itself.
+		stale   = 3600 * time.Millisecond
+		readers = 2
+		settled = 6 // rounds
 	)
 	start := time.Unix(1000, 0)
 	It("stay within the bytes for control, show all living hosts of a place and the loss of one", func() {
 		rng := rand.New(rand.NewPCG(7, 7))
 		rosters := make([]*roster.Roster, hosts)
 		states := make([]roster.State, hosts)
-		phase := make([]uint64, hosts) // heartbeats before the first round
+		phase := make([]uint64, hosts)        // heartbeats before the first round
+		confirmed := make([]time.Time, hosts) // when the store confirmed the state of each host
 		index := map[string]int{}
 		for i := range hosts {
 			states[i] = fleetMember(i, places, start)
@@ -51,13 +57,16 @@
 		pace := rosters[0].Pace()
 		Expect(pace.Near).To(BeNumerically(">", 0))
 		const killed, killedAt, rounds = 0, 15, 30
-		sent, missing := 0, 0
+		sent, missing, late := 0, 0, 0
 		for round := 1; round <= rounds; round++ {
 			now := start.Add(time.Duration(round) * pace.Beat)
 			for i := range rosters {
 				if i == killed && round >= killedAt {
 					continue
 				}
+				if rosters[i].ReadsStore(now, readers) {
+					confirmed[i] = now
+				}
 				g := Gossip{roster: rosters[i], rng: rng}
 				states[i].Sequence++
 				m := message{Self: states[i]}
@@ -68,8 +77,12 @@
 				for _, h := range rosters[i].Receivers(now, uint64(round)+phase[i], rng) {
 					sent += len(data)
 					if rng.IntN(100) > 0 {
-						to := Gossip{roster: rosters[index[h.Name]]}
+						j := index[h.Name]
+						to := Gossip{roster: rosters[j]}
 						to.takeAt(now, m)
+						if confirmed[i].After(confirmed[j]) {
+							confirmed[j] = confirmed[i]
+						}
 					}
 				}
 			}
@@ -86,10 +99,14 @@
 				if round < killedAt {
 					missing += hosts/places - 1 - here
 				}
+				if round > settled && now.Sub(confirmed[i]) > stale {
+					late++
+				}
 			}
 		}
 		span := time.Duration(rounds) * pace.Beat
 		Expect(float64(sent)/hosts/span.Seconds()).To(BeNumerically("<=", 0.7*control), "the rest is for the published state")
+		Expect(late).To(BeNumerically("<=", (rounds-settled)*hosts/100), "one host in a hundred at most reads the store beside the readers")
 		Expect(missing).To(BeNumerically("<=", killedAt*hosts/100), "in one of a hundred views at most a living host is missing")
 	})
 })
