--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -111,13 +111,9 @@
 func (h *Host) peers(now time.Time) []PeerStatus {
 	var peers []PeerStatus
 	h.gossip.With(func(r *roster.Roster) {
-		alive := map[string]bool{}
-		for _, p := range r.Alive(now) {
-			alive[p.Name] = true
-		}
 		for _, p := range r.Known() {
 			peers = append(peers, PeerStatus{
-				Host: p.Name, Place: p.Place, HeardMS: now.Sub(p.Heard).Milliseconds(), Alive: alive[p.Name],
+				Host: p.Name, Place: p.Place, HeardMS: now.Sub(p.Heard).Milliseconds(), Alive: r.Lives(now, p),
 				Ready: p.Ready, Leaving: p.Leaving, Revision: p.Revision, Load: p.Load,
 			})
 		}
