Bound the heads and bodies that targets, peers, the store and callers send

Cause: http.ReadResponse has no bound on the head of an answer, and the body of each send was bounded by 8 MB on its own, which was allocated as soon as it was announced.

Change: package headlimit bounds a head to 32 KB on both fronts. A body grows as bytes arrive; beyond 64 KB it takes room of limit.Bytes, one for the host, which gives up the largest unfinished answer when memory runs short. A part of a fan-out is shortened to its greatest records while it arrives. The first such answer of a target is logged, all are counted, and they count as failures of the target. Heads of the store and of peers, the pages of the store, and slow callers are bounded, too.

--- a/internal/backend/bench_test.go
+++ b/internal/backend/bench_test.go
@@ -26,7 +26,7 @@
 		s := &scriptedTarget{}
 		s.serve(c, func(_ int, id string, _ net.Conn) string { return answer(id, "0123456789abcdef") })
 	}()
-	p := backend.NewPool(l.Addr().String(), "t", codec{}, &backend.Counters{}, 1)
+	p := backend.NewPool(l.Addr().String(), "t", &backend.Shared{Codec: codec{}, Bodies: backend.NewBodies(0)}, 1)
 	defer p.Close()
 	r := &backend.Request{ID: "1", Method: "GET", URI: "/a", Host: "h"}
 	b.ReportAllocs()
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,20 +3,18 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/headlimit"
 )
 
 const (
 	// readBufferSize, in bytes, holds the head and body of a typical answer.
 	readBufferSize = 4 << 10
-	// maxBodyBytes bounds the body of an answer.
-	maxBodyBytes = 8 << 20
 	// maxResponses bounds the responses read for one request, including interim (1xx)
 	// responses and answers to other requests.
 	maxResponses = 4
@@ -30,7 +28,6 @@
 
 var (
 	errMismatched         = errors.New("received answers to other requests only")
-	errBodyTooLarge       = errors.New("answer body exceeds the size limit")
 	errUnexpectedEncoding = errors.New("answer has a content encoding that was not requested")
 	errNoDigest           = errors.New("answer has no digest")
 )
@@ -39,10 +36,11 @@
 type conn struct {
 	nc             *net.TCPConn
 	raw            syscall.RawConn
-	br             *bufio.Reader
-	lastUsed       time.Time     // end of the last answer, or when the connection was opened
-	idleTimeout    time.Duration // how long the target keeps the connection open while idle; 0 if not stated
-	closeRequested bool          // the target requested the close of the connection
+	in             *headlimit.Reader // reads from nc
+	br             *bufio.Reader     // reads from in
+	lastUsed       time.Time         // end of the last answer, or when the connection was opened
+	idleTimeout    time.Duration     // how long the target keeps the connection open while idle; 0 if not stated
+	closeRequested bool              // the target requested the close of the connection
 }
 
 // newConn returns the conn of a TCP connection opened at now.
@@ -51,7 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{nc: nc, raw: raw, br: bufio.NewReaderSize(nc, readBufferSize), lastUsed: now}, nil
+	in := headlimit.NewReader(nc)
+	return &conn{nc: nc, raw: raw, in: in, br: bufio.NewReaderSize(in, readBufferSize), lastUsed: now}, nil
 }
 
 // isIntact reports whether the connection is open and received no bytes while it was
@@ -82,7 +81,7 @@
 
 // roundTrip sends a request and reads its answer. It also reports whether the connection
 // may carry another request.
-func (c *conn) roundTrip(ctx context.Context, codec Codec, head, body []byte, method, id string, deadline time.Time) (Result, bool) {
+func (c *conn) roundTrip(ctx context.Context, shared *Shared, head []byte, r *Request, deadline time.Time) (Result, bool) {
 	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -91,12 +90,12 @@
 		return Result{Kind: NotSent, Err: ctx.Err()}, false
 	}
 	written := make(chan error, 1)
-	if len(body) > asyncBodyBytes {
-		go func() { written <- c.write(head, body) }()
+	if len(r.Body) > asyncBodyBytes {
+		go func() { written <- c.write(head, r.Body) }()
 	} else {
-		written <- c.write(head, body)
+		written <- c.write(head, r.Body)
 	}
-	result, reusable := c.readAnswer(codec, method, id)
+	result, reusable := c.readAnswer(shared, r)
 	result.Duration = time.Since(started)
 	select {
 	case err := <-written:
@@ -104,7 +103,7 @@
 	default:
 		reusable = false // the target answered before it had read the body
 	}
-	if result.Kind == Broken {
+	if result.Kind == Broken && !result.LocalCause {
 		result.Kind = c.kindOfError(ctx, result.Err)
 	}
 	return result, reusable && stop()
@@ -123,6 +122,9 @@
 	}
 }
 
+// abortRead ends the read of an answer.
+func (c *conn) abortRead() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
+
 // write writes the head and the body of a request.
 func (c *conn) write(head, body []byte) error {
 	buffers := net.Buffers{head, body}
@@ -136,63 +138,50 @@
 // readAnswer reads the answer to the request with the given ID and skips answers to
 // other requests. Without a valid answer, the result is Broken and has an error. It also
 // reports whether the connection may carry another request.
-func (c *conn) readAnswer(codec Codec, method, id string) (Result, bool) {
+func (c *conn) readAnswer(shared *Shared, r *Request) (Result, bool) {
 	reusable := true
 	for range maxResponses {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if err != nil {
+		c.in.Begin()
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		if err := c.in.End(err); err != nil {
 			return Result{Err: err}, false
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp)
-		if err != nil {
-			return Result{Err: err}, false
+		body := bodyReader{conn: c, resp: resp, bodies: shared.Bodies, compact: r.Compact}
+		if err := body.read(); err != nil {
+			body.hold.release()
+			return Result{Err: err, LocalCause: errors.Is(err, errNoMemory)}, false
 		}
-		head := codec.Decode(resp)
-		if head.ID != "" && head.ID != id {
+		head := shared.Codec.Decode(resp)
+		if head.ID != "" && head.ID != r.ID {
+			body.hold.release()
 			reusable = false
 			continue
 		}
 		c.idleTimeout, c.closeRequested = head.IdleTimeout, resp.Close
 		reusable = reusable && !resp.Close && c.br.Buffered() == 0
-		return resultOf(resp, head, body), reusable
+		return resultOf(resp, head, body.bytes, body.hold), reusable
 	}
 	return Result{Err: errMismatched}, false
 }
 
-// readBody reads a body. It returns an error if the body ends early or exceeds
-// maxBodyBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if len(body) > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	return body, err
-}
-
 // resultOf classifies a complete answer. Unless the target did not run the request, the
 // result is Broken for an encoding that was not requested and for a 2xx answer without
 // a digest.
-func resultOf(resp *http.Response, head Head, body []byte) Result {
-	r := Result{Kind: Failure, Status: resp.StatusCode, Header: resp.Header, Head: head, Body: body}
+func resultOf(resp *http.Response, head Head, body []byte, hold *Hold) Result {
+	r := Result{Kind: Failure, Status: resp.StatusCode, Header: resp.Header, Head: head, Body: body, Hold: hold}
 	switch {
 	case head.WrongTarget:
 		r.Kind = WrongTarget
 	case head.NotRun:
 		r.Kind = Refused
 	case head.UnexpectedEncoding:
+		r.Release()
 		return Result{Err: errUnexpectedEncoding}
 	case resp.StatusCode/100 == 2 && head.Digest == "":
+		r.Release()
 		return Result{Err: errNoDigest}
 	case resp.StatusCode/100 == 2:
 		r.Kind = Success
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -34,14 +34,22 @@
 	NotRecent      atomic.Int64 // closed because a request needed one used within the last second
 	UnexpectedData atomic.Int64 // closed because they received bytes, or an end, while idle
 	Broken         atomic.Int64 // closed after a request that left them unusable
+	Oversized      atomic.Int64 // of these, closed because the answer was longer than any valid one
+	NoMemory       atomic.Int64 // of these, closed because this host had no memory left for the answer
+}
+
+// Shared is what the pools of a host have in common. It is safe for concurrent use.
+type Shared struct {
+	Codec    Codec
+	Counters Counters
+	Bodies   *Bodies
 }
 
 // Pool holds the connections to one target. It is safe for concurrent use.
 type Pool struct {
 	address  string
 	instance string
-	codec    Codec
-	counters *Counters
+	shared   *Shared
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -53,8 +61,8 @@
 
 // NewPool returns a pool of at most limit connections to the target with the ID
 // instance at address, an IP address and port. limit is at least 1.
-func NewPool(address, instance string, codec Codec, counters *Counters, limit int) *Pool {
-	return &Pool{address: address, instance: instance, codec: codec, counters: counters, limit: max(1, limit)}
+func NewPool(address, instance string, shared *Shared, limit int) *Pool {
+	return &Pool{address: address, instance: instance, shared: shared, limit: max(1, limit)}
 }
 
 // SetLimit sets the number of connections that may be open, at least 1. Connections
@@ -110,23 +118,34 @@
 		p.put(c)
 		return Result{Kind: NotSent, Err: context.DeadlineExceeded, LocalCause: true}
 	}
-	head := p.codec.AppendRequest(make([]byte, 0, 512), r, left, p.instance)
-	result, reusable := c.roundTrip(ctx, p.codec, head, r.Body, r.Method, r.ID, deadline)
+	head := p.shared.Codec.AppendRequest(make([]byte, 0, 512), r, left, p.instance)
+	result, reusable := c.roundTrip(ctx, p.shared, head, r, deadline)
 	result.DialTime = dialed
 	if reusable {
 		c.lastUsed = time.Now()
 		p.put(c)
 	} else {
 		if result.Kind >= Refused && c.closeRequested {
-			p.counters.ClosedByTarget.Add(1)
+			p.shared.Counters.ClosedByTarget.Add(1)
 		} else {
-			p.counters.Broken.Add(1)
+			p.shared.Counters.Broken.Add(1)
 		}
+		p.countTooLarge(&result)
 		p.discard(c)
 	}
 	return result
 }
 
+// countTooLarge counts answers that were too large, or for which there was no memory.
+func (p *Pool) countTooLarge(r *Result) {
+	switch {
+	case r.Oversized():
+		p.shared.Counters.Oversized.Add(1)
+	case errors.Is(r.Err, errNoMemory), errors.Is(r.Err, errGivenUp):
+		p.shared.Counters.NoMemory.Add(1)
+	}
+}
+
 // Preconnect opens a connection if none is open or being opened. It returns the error if
 // that fails.
 func (p *Pool) Preconnect(ctx context.Context) error {
@@ -159,11 +178,11 @@
 		p.mu.Unlock()
 		switch {
 		case !c.isFresh(now, maxIdle):
-			p.counters.Stale.Add(1)
+			p.shared.Counters.Stale.Add(1)
 		case !c.isFresh(now, limit):
-			p.counters.NotRecent.Add(1)
+			p.shared.Counters.NotRecent.Add(1)
 		case !c.isIntact():
-			p.counters.UnexpectedData.Add(1)
+			p.shared.Counters.UnexpectedData.Add(1)
 		default:
 			return c
 		}
@@ -187,12 +206,12 @@
 	if err == nil {
 		var c *conn
 		if c, err = newConn(nc.(*net.TCPConn), time.Now()); err == nil {
-			p.counters.Opened.Add(1)
+			p.shared.Counters.Opened.Add(1)
 			return c, nil
 		}
 		_ = nc.Close()
 	}
-	p.counters.DialFailed.Add(1)
+	p.shared.Counters.DialFailed.Add(1)
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
@@ -234,7 +253,7 @@
 	p.idle = fresh
 	p.mu.Unlock()
 	for _, c := range stale {
-		p.counters.Stale.Add(1)
+		p.shared.Counters.Stale.Add(1)
 		p.discard(c)
 	}
 }
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -77,10 +77,10 @@
 }
 
 var _ = Describe("Pool", func() {
-	var counters backend.Counters
+	var shared *backend.Shared
 	pool := func(s *scriptedTarget, limit int) *backend.Pool {
-		counters = backend.Counters{}
-		p := backend.NewPool(s.Addr().String(), "t-1", codec{}, &counters, limit)
+		shared = &backend.Shared{Codec: codec{}, Bodies: backend.NewBodies(0)}
+		p := backend.NewPool(s.Addr().String(), "t-1", shared, limit)
 		DeferCleanup(p.Close)
 		return p
 	}
@@ -127,7 +127,7 @@
 		Expect(send(p, "1", time.Second).Kind).To(Equal(backend.Success))
 		time.Sleep(50 * time.Millisecond)
 		Expect(string(send(p, "2", time.Second).Body)).To(Equal("x"))
-		Expect(counters.UnexpectedData.Load()).To(BeEquivalentTo(1))
+		Expect(shared.Counters.UnexpectedData.Load()).To(BeEquivalentTo(1))
 	})
 
 	// Guards against an incomplete or invalid answer passed on as a success, and against a
@@ -164,7 +164,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		address := l.Addr().String()
 		Expect(l.Close()).To(Succeed())
-		r := send(backend.NewPool(address, "t", codec{}, &counters, 1), "1", time.Second)
+		r := send(backend.NewPool(address, "t", &backend.Shared{Codec: codec{}, Bodies: backend.NewBodies(0)}, 1), "1", time.Second)
 		Expect(r.Kind).To(Equal(backend.NotSent))
 		Expect(r.LocalCause).To(BeFalse())
 
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/headlimit"
 )
 
 // Request is a caller's request as a target receives it.
@@ -14,6 +17,10 @@
 	Header  http.Header // without connection-specific headers
 	Body    []byte
 	HasBody bool // the caller sent a body, so its length is stated
+	// Compact shortens what has been read of a large answer to the part that is needed,
+	// so that an answer of any length needs little memory. More of the answer is
+	// appended to the result. It is nil if the whole answer is needed.
+	Compact func(body []byte) []byte
 }
 
 // Codec encodes requests and decodes answers in the platform's protocol. Its methods
@@ -72,8 +79,20 @@
 	Err      error         // set for kinds without a valid answer
 	Duration time.Duration // from the start of the write to the end of the answer; 0 for NotSent
 	DialTime time.Duration // time to open the connection; 0 if an open one was used, none could be opened or too little time was left
-	// LocalCause is set for NotSent if the pool has no free connection or is closed, or
+	// Hold is the room of a large body in the memory of this host, nil for most answers.
+	// Whoever uses Body last must call Release.
+	Hold *Hold
+	// LocalCause is set for Broken if this host had no memory left for the answer. It is set for NotSent if the pool has no free connection or is closed, or
 	// if a connection was available but less than a millisecond was left until the
 	// deadline. None of these is evidence against the target.
 	LocalCause bool
 }
+
+// Release frees the room of the body. The Result must not be used after it.
+func (r *Result) Release() { r.Hold.release() }
+
+// Oversized reports whether the target sent more than any valid answer has: an endless
+// head or body, for example.
+func (r *Result) Oversized() bool {
+	return errors.Is(r.Err, headlimit.ErrTooLarge) || errors.Is(r.Err, errBodyTooLarge)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,6 +105,7 @@
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
 		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Tracer: o.Tracer, Seed: seed, OnSend: h.load.count,
+		MemoryBytes: o.Site.MemoryLimitBytes,
 	})
 	h.follower = newFollower(&h.opts.Site, o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.activate)
 	var err error
@@ -217,7 +218,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers := &http.Server{
-		Handler: h.opts.Handlers.Callers(h.handle, h.limits), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	servers := []struct {
 		address string
@@ -262,7 +263,9 @@
 // newSmallServer returns a server for readiness checks, directory queries and other
 // short requests.
 func newSmallServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler: handler, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout + callerAnswerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
 // housekeeping periodically updates the size of the fleet, the shares and the load,
@@ -305,7 +308,7 @@
 	h.gossip.WithRoster(func(r *roster.Roster) { alive = len(r.Alive(time.Now())) })
 	h.opts.Log.Info("totals", "opened", c.Opened.Load(), "not_opened", c.DialFailed.Load(), "closed_asked", c.ClosedByTarget.Load(),
 		"closed_stale", c.Stale.Load(), "closed_unproven", c.NotRecent.Load(), "closed_disturbed", c.UnexpectedData.Load(),
-		"closed_broken", c.Broken.Load(), "hosts", all, "hosts_here", here, "peers_alive", alive, "store_calls", h.follower.callCount())
+		"closed_broken", c.Broken.Load(), "oversized", c.Oversized.Load(), "no_memory", c.NoMemory.Load(), "hosts", all, "hosts_here", here, "peers_alive", alive, "store_calls", h.follower.callCount())
 }
 
 // shutdown leaves the directory, serves callers that still have this host's address
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -44,6 +44,7 @@
 	Observer    Observer
 	Tracer      *telemetry.Tracer // nil creates no spans
 	OnSend      func()            // called for each send to a target; it must not block
+	MemoryBytes int64             // memory limit of the process; 0 if there is none
 	Seed        uint64
 }
 
@@ -74,11 +75,11 @@
 	rtts    map[string]time.Duration       // round-trip time by place
 
 	crashCounter *quarantine.CrashCounter
-	connections  backend.Counters
+	backends     *backend.Shared
 }
 
 // Connections returns the counters of connections to targets.
-func (e *Engine) Connections() *backend.Counters { return &e.connections }
+func (e *Engine) Connections() *backend.Counters { return &e.backends.Counters }
 
 // target is this host's state of one process of a target.
 type target struct {
@@ -90,6 +91,7 @@
 	brokenSends        []brokenSend // since the last successful answer or confirmed crash
 	coldReported       time.Time    // end of the warm-up according to the target's answers
 	lastColdSend       time.Time    // last send during the warm-up
+	oversized          bool         // an answer of it was longer than any valid one
 }
 
 // New returns an engine without a configuration.
@@ -98,6 +100,7 @@
 		cfg: cfg, configured: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
 		targets: map[string]*target{}, routes: map[string]*routeState{},
 		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, crashCounter: quarantine.NewCrashCounter(),
+		backends: &backend.Shared{Codec: cfg.Codec, Bodies: backend.NewBodies(cfg.MemoryBytes)},
 	}
 }
 
@@ -137,7 +140,7 @@
 		}
 		e.targets[id] = &target{
 			id: id, service: entry.Service, place: entry.Place, entry: entry, state: balance.NewTarget(entry.Slots),
-			pool: backend.NewPool(entry.Address, entry.ID, e.cfg.Codec, &e.connections, 1),
+			pool: backend.NewPool(entry.Address, entry.ID, e.backends, 1),
 		}
 	}
 	e.setLimits(v)
@@ -176,8 +179,8 @@
 	}
 }
 
-// Do executes a request. It returns when the answer is decided; sends still open at that
-// time run to their own end. If ctx is done first, Do returns at once, and the open sends
+// Do executes a request. The caller must release the answer once it has been sent. Do
+// returns when the answer is decided; sends still open at that time run to their own end. If ctx is done first, Do returns at once, and the open sends
 // are canceled after cancelGrace.
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
 	ctx, span := e.startRequestSpan(ctx, r)
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -126,3 +126,13 @@
 		e.cfg.Log.Info("target is reached again", "target", t.id, "service", t.service)
 	}
 }
+
+// logOversized logs the first answer of a target that was longer than any valid one. The
+// engine's lock must be held.
+func (e *Engine) logOversized(t *target, r *backend.Result) {
+	if t.oversized || !r.Oversized() {
+		return
+	}
+	t.oversized = true
+	e.cfg.Log.Warn("a target sent an answer without an end; such answers are cut off and count as failed", "target", t.id, "service", t.service, "error", r.Err.Error())
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
@@ -27,6 +28,9 @@
 	cancel   context.CancelFunc
 	expected time.Duration // expected service time of the route
 	history  []sendRecord  // sends so far, for the log line
+
+	mu       sync.Mutex
+	answered bool // later results are not used
 }
 
 // shard is the state of the sub-request of an execution to one service: the sends to the
@@ -89,14 +93,50 @@
 	for i, s := range services {
 		x.shards[i].service = s
 	}
+	if len(route.Shards) > 0 {
+		r.Compact = func(part []byte) []byte { return gather.Compact(part, route.TopK) }
+	}
 	x.results = make(chan sendResult, maxSends*len(services))
 	x.sendCtx, x.cancel = context.WithDeadline(context.Background(), x.deadline.Add(time.Second))
 	return x
 }
 
-// run sends the request and returns its answer.
+// run sends the request and returns its answer. It frees the memory of all results but
+// the answer's own.
 func (x *execution) run(ctx context.Context) Answer {
 	x.traceCtx = ctx
+	a := x.answer(ctx)
+	x.mu.Lock()
+	x.answered = true
+	x.mu.Unlock()
+	for len(x.results) > 0 {
+		result := <-x.results
+		result.result.Release()
+	}
+	for i := range x.shards {
+		for _, r := range []*backend.Result{x.shards[i].part, x.shards[i].failure} {
+			if r != nil && r != a.Forwarded {
+				r.Release()
+			}
+		}
+	}
+	return a
+}
+
+// deliver passes a result to answer, or frees its memory if the request has been
+// answered.
+func (x *execution) deliver(r sendResult) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.answered {
+		r.result.Release()
+		return
+	}
+	x.results <- r // never blocks: the channel has room for all sends
+}
+
+// answer sends the request and returns its answer.
+func (x *execution) answer(ctx context.Context) Answer {
 	if !x.canSucceed(time.Now()) {
 		return Answer{Outcome: x.e.refusal(outcome.Unavailable, outageRetryAfter, "too few services have a target that can be reached")}
 	}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -176,7 +176,7 @@
 	endSendSpan(span, &result)
 	x.e.record(x, t, &result)
 	x.e.cfg.Observer.Sent(t.service, &result, extra)
-	x.results <- sendResult{shard: i, target: t, result: result}
+	x.deliver(sendResult{shard: i, target: t, result: result})
 }
 
 // record updates the state of a target and of the route with the result of a send.
@@ -211,6 +211,13 @@
 		}
 	case backend.TimedOut:
 		t.state.TimedOut(now, r.Duration)
+	case backend.Broken:
+		e.logOversized(t, r)
+		if r.LocalCause {
+			t.state.Inconclusive(now)
+		} else {
+			t.state.Failed(now)
+		}
 	case backend.Canceled:
 		t.state.Canceled(now, r.Duration, x.expected)
 	default:
@@ -249,13 +256,19 @@
 	}
 	switch {
 	case s.part != nil:
+		r.Release()
 		return
 	case r.Kind == backend.Success:
 		s.part = r
 		return
 	}
 	if s.failure == nil || s.failure.Kind != backend.Failure {
+		if s.failure != nil {
+			s.failure.Release()
+		}
 		s.failure, s.failedTarget = r, result.target.id
+	} else {
+		r.Release()
 	}
 	s.reason = reasonOf(r)
 	if len(s.open) > 0 && !r.Kind.NotRun() {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -26,6 +26,13 @@
 	Merged    *Merged
 }
 
+// Release frees the memory of the answer, which must not be used after it.
+func (a *Answer) Release() {
+	if a.Forwarded != nil {
+		a.Forwarded.Release()
+	}
+}
+
 // Merged is the answer to a fan-out.
 type Merged struct {
 	Digests []string // the targets' digests of the parts, in the order of the shards
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -18,6 +18,8 @@
 	// maxUpdateBytes bounds the response to a pull, enough for a configuration of 1 MB
 	// and 10,000 targets.
 	maxUpdateBytes = 8 << 20
+	// maxHeadBytes bounds the head of the response to a pull.
+	maxHeadBytes = 16 << 10
 	// pullTimeout bounds a pull, so that another peer can be asked in time.
 	pullTimeout = 600 * time.Millisecond
 )
@@ -125,7 +127,7 @@
 // NewPuller returns a Puller that opens a connection for each pull.
 func NewPuller() *Puller {
 	return &Puller{client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
-		DisableKeepAlives: true, DisableCompression: true,
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/headlimit"
 )
 
 // releaseTimeout is how long an abandoned connection waits for the target to close it.
@@ -37,7 +38,8 @@
 // conn is one connection to a target. It carries at most one request at a time.
 type conn struct {
 	nc               net.Conn
-	br               *bufio.Reader
+	in               *headlimit.Reader // reads from nc
+	br               *bufio.Reader     // reads from in
 	bw               *bufio.Writer
 	replies          chan reply
 	ended            chan struct{} // closed when the connection has ended
@@ -56,8 +58,9 @@
 }
 
 func newConn(nc net.Conn, onEnd func(*conn)) *conn {
+	in := headlimit.NewReader(nc)
 	c := &conn{
-		nc: nc, br: bufio.NewReader(nc), bw: bufio.NewWriter(nc), onEnd: onEnd,
+		nc: nc, in: in, br: bufio.NewReader(in), bw: bufio.NewWriter(nc), onEnd: onEnd,
 		replies: make(chan reply, 1), ended: make(chan struct{}),
 	}
 	go c.read()
@@ -89,7 +92,7 @@
 		if req == nil {
 			return errUnsolicited
 		}
-		resp, err := readAnswer(c.br, req)
+		resp, err := c.readAnswer(req)
 		if err != nil {
 			return err
 		}
@@ -103,12 +106,13 @@
 }
 
 // readAnswer reads one answer with its body and skips interim (1xx) responses.
-func readAnswer(br *bufio.Reader, req *http.Request) (*http.Response, error) {
-	resp, err := http.ReadResponse(br, req)
+func (c *conn) readAnswer(req *http.Request) (*http.Response, error) {
+	c.in.Begin()
+	resp, err := http.ReadResponse(c.br, req)
 	for err == nil && resp.StatusCode < http.StatusOK {
-		resp, err = http.ReadResponse(br, req)
+		resp, err = http.ReadResponse(c.br, req)
 	}
-	if err != nil {
+	if err := c.in.End(err); err != nil {
 		return nil, err
 	}
 	data, err := readBody(resp)
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -37,6 +37,28 @@
 	})
 })
 
+var _ = Describe("Compact", func() {
+	// Guards against a record that is lost or cut where a long part was shortened.
+	It("leaves the greatest records of a part unchanged wherever the part is compacted", func() {
+		for seed := range uint64(300) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			part := make([]byte, rng.IntN(2000))
+			for i := range part {
+				part[i] = byte(rng.IntN(256))
+			}
+			limit := rng.IntN(12)
+			var read []byte
+			for rest := part; len(rest) > 0; {
+				n := 1 + rng.IntN(len(rest))
+				read, rest = append(read, rest[:n]...), rest[n:]
+				read = append(read[:0], gather.Compact(read, limit)...)
+				Expect(len(read)).To(BeNumerically("<", (limit+1)*gather.RecordBytes))
+			}
+			Expect(gather.TopRecords([][]byte{read}, limit)).To(BeEquivalentTo(gather.TopRecords([][]byte{part}, limit)), "seed %d", seed)
+		}
+	})
+})
+
 var _ = Describe("Decide", func() {
 	answerBy := time.Unix(1000, 0)
 	early, late := answerBy.Add(-time.Millisecond), answerBy
--- a/pkg/gather/merge.go
+++ b/pkg/gather/merge.go
@@ -29,6 +29,13 @@
 	return out
 }
 
+// Compact returns the records of a part of which the rest has not arrived that may still
+// be among the greatest, up to limit, and the bytes after the last whole record.
+func Compact(part []byte, limit int) []byte {
+	whole := len(part) / RecordBytes * RecordBytes
+	return append(TopRecords([][]byte{part[:whole]}, limit), part[whole:]...)
+}
+
 // recordHeap is a min-heap of records.
 type recordHeap [][]byte
 
