backend: accept only answers that name their request

Cause: an answer without the ID of its request was taken as the answer to the request that waited on the connection.

Change: an answer without the ID is skipped like that to another request. After a refusal of a request that may not be repeated, its connection is closed, because a copy of the refusal has the ID of the next try.

Also: a connection may be idle until a second before the timeout that its target states, in place of three quarters of it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -71,12 +71,13 @@
 }
 
 // isFresh reports whether a connection has been idle for less than limit and for less
-// than three quarters of the idle timeout that the target stated.
+// than the target keeps it open.
 func (c *conn) isFresh(now time.Time, limit time.Duration) bool {
+	kept := maxIdleUnstated
 	if c.idleTimeout > 0 {
-		limit = min(limit, c.idleTimeout-c.idleTimeout/4)
+		kept = c.idleTimeout - min(c.idleTimeout/4, idleReserve)
 	}
-	return now.Sub(c.lastUsed) < limit
+	return now.Sub(c.lastUsed) < min(limit, kept)
 }
 
 // roundTrip sends a request and reads its answer. It also reports whether the connection
@@ -155,7 +156,7 @@
 			return Result{Err: err, LocalCause: errors.Is(err, errNoMemory)}, false
 		}
 		head := shared.Codec.Decode(resp)
-		if head.ID != "" && head.ID != r.ID {
+		if head.ID != r.ID {
 			body.hold.release()
 			reusable = false
 			continue
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,8 +14,13 @@
 	// dialTimeout bounds the time to open a connection. It is five round trips between
 	// places; waiting longer gains little, as a lost SYN is resent only after a second.
 	dialTimeout = 300 * time.Millisecond
-	// maxIdle is how long a connection may be idle if the target states no idle timeout.
-	maxIdle = 8 * time.Second
+	// maxIdle is how long a connection may be idle at most, and maxIdleUnstated if the
+	// target states no idle timeout.
+	maxIdle         = 30 * time.Second
+	maxIdleUnstated = 8 * time.Second
+	// idleReserve is how long before the idle timeout that the target states a connection
+	// is no longer used, at most a quarter of the timeout.
+	idleReserve = time.Second
 	// maxIdleNonRepeatable is how long a connection may be idle before a request that
 	// may not be repeated: on a connection that failed silently while idle, the request
 	// would be lost.
@@ -96,8 +101,8 @@
 }
 
 // Send sends a request at most once and returns the result. The answer is useless after
-// deadline. With recentOnly, the connection is new or was opened or carried an answer
-// within the last second.
+// deadline. recentOnly is for a request that may not be repeated: the connection is new or
+// was opened or carried an answer within the last second.
 func (p *Pool) Send(ctx context.Context, r *Request, deadline time.Time, recentOnly bool) Result {
 	limit := maxIdle
 	if recentOnly {
@@ -121,6 +126,11 @@
 	head := p.shared.Codec.AppendRequest(make([]byte, 0, 512), r, left, p.instance)
 	result, reusable := c.roundTrip(ctx, p.shared, head, r, deadline)
 	result.DialTime = dialed
+	if recentOnly && result.Kind == Refused {
+		// A second copy of the refusal would be taken for the answer to the next send of
+		// the request.
+		reusable = false
+	}
 	if reusable {
 		c.lastUsed = time.Now()
 		p.put(c)
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -36,7 +36,7 @@
 
 // Head holds the fields of the head of an answer.
 type Head struct {
-	ID                 string        // ID of the answered request; empty if not stated
+	ID                 string        // ID of the answered request; an answer without it belongs to no request
 	Digest             string        // the target's digest of the answer
 	NotRun             bool          // the target did not run the request
 	WrongTarget        bool          // another target answers at the address; the request did not run
