Send answers of fan-outs in time on slow hosts and with little traffic

The log line was formatted and the request counted before the answer was flushed. Hedges were sent to all shards at once because the host itself was slow: 65 of 90 in the traces.

Change: the objective runs from all time that is missing from the caller's timeout. gather.Margin learns the time until an answer is written. The request is logged after the flush. hedge.FanOut holds hedges while most shards are unanswered and answers keep arriving.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// Do executes a request. The caller must release the answer once it has been sent. Do
-// returns when the answer is decided; sends still open at that time run to their own end. If ctx is done first, Do returns at once, and the open sends
+// Do executes a request. The front must call Done on the answer once it has been
+// written. Do returns when the answer is decided; sends still open at that time run to their own end. If ctx is done first, Do returns at once, and the open sends
 // are canceled after cancelGrace.
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
 	ctx, span := e.startRequestSpan(ctx, r)
@@ -207,7 +207,7 @@
 	}
 	x := e.plan(r, route, v)
 	a := x.run(ctx)
-	x.log(&a)
+	a.execution = x
 	e.cfg.Observer.Finished(route.Name, &a, time.Since(r.Received))
 	return a
 }
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -32,13 +32,6 @@
 	// is reachable: the shortest backoff of an unreachable target.
 	outageRetryAfter = 100 * time.Millisecond
 
-	// answerMargin is how long before the end of the route's latency objective an
-	// answer is sent, at most a quarter of the objective. It covers the round trip to
-	// the caller and the processing time of this host.
-	answerMargin = 12 * time.Millisecond
-	// resendThreshold is the least reduction of the caller's timeout by which a request
-	// counts as resent. Its objective runs from the caller's first attempt.
-	resendThreshold = 20 * time.Millisecond
 	// defaultTimeout applies if neither the request nor its route has a timeout.
 	defaultTimeout = 10 * time.Second
 	// cancelGrace is how long sends continue after the caller has disconnected. Most end
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -46,7 +46,7 @@
 	reasons, missing := x.missingShards()
 	fields := []any{
 		"request", x.r.ID, "route", x.route.Name, "config", x.view.Config.Version, "revision", x.view.Revision,
-		"outcome", a.Outcome.Kind.String(), "reason", string(a.Outcome.Reason), "ms", time.Since(x.r.Received).Milliseconds(),
+		"outcome", a.Outcome.Kind.String(), "reason", string(a.Outcome.Reason), "ms", x.decided.Sub(x.r.Received).Milliseconds(), "written_ms", time.Since(x.r.Received).Milliseconds(),
 		"limit_ms", x.deadline.Sub(x.r.Received).Milliseconds(), "answer_by_ms", x.answerBy.Sub(x.r.Received).Milliseconds(),
 		"sends", len(x.history), "extra", extra, "shards", len(x.shards), "missing", missing,
 	}
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/gather"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
 )
 
@@ -14,6 +15,7 @@
 	expected   time.Duration // expected service time, without the round trip
 	maxTimeout time.Duration // longest timeout that callers stated
 	split      splitter
+	margin     gather.Margin
 }
 
 const (
@@ -57,18 +59,16 @@
 	s.expected = max(s.expected, 500*time.Microsecond)
 }
 
-// firstAttempt estimates when the caller's first attempt began. A resent request states
-// a shorter timeout than the longest one of its route; the difference is the time
-// already spent. Up to resendThreshold, the request counts as a first attempt.
+// firstAttempt estimates when the caller began, from which its objective runs: before it
+// sends the request, a caller may look up the directory, open a connection or have
+// another host fail. A caller states how long it still waits, so what is missing from the
+// longest timeout of the route has been used already.
 func (s *routeState) firstAttempt(r *Request) time.Time {
 	if r.Timeout <= 0 {
 		return r.Received
 	}
 	s.maxTimeout = max(s.maxTimeout, r.Timeout)
-	if used := s.maxTimeout - r.Timeout; used > resendThreshold {
-		return r.Received.Add(-used)
-	}
-	return r.Received
+	return r.Received.Add(r.Timeout - s.maxTimeout)
 }
 
 // budget returns the budget of extra sends to a service. The engine's lock must be
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -20,7 +20,7 @@
 	route    *catalog.Route
 	view     *catalog.View
 	shards   []shard
-	answerBy time.Time // answerMargin before the objective
+	answerBy time.Time // the margin of the route before the objective
 	deadline time.Time // end of the caller's or the route's timeout, the earlier one
 	results  chan sendResult
 	traceCtx context.Context // carries the span of the request
@@ -29,6 +29,10 @@
 	expected time.Duration // expected service time of the route
 	history  []sendRecord  // sends so far, for the log line
 
+	lastPart time.Time // when the latest part arrived, or the first send began
+	enoughAt time.Time // when the parts became enough for an answer; zero before
+	decided  time.Time // when the answer was decided
+
 	mu       sync.Mutex
 	answered bool // later results are not used
 }
@@ -80,8 +84,7 @@
 	defer e.mu.Unlock()
 	state := e.stateOf(route)
 	x.expected = state.expected
-	margin := min(answerMargin, route.Objective/4)
-	x.answerBy = state.firstAttempt(r).Add(route.Objective - margin)
+	x.answerBy = state.firstAttempt(r).Add(route.Objective - state.margin.Before(route.Objective))
 	services := route.Shards
 	if len(services) == 0 {
 		services = []string{route.Service}
@@ -106,6 +109,7 @@
 func (x *execution) run(ctx context.Context) Answer {
 	x.traceCtx = ctx
 	a := x.answer(ctx)
+	x.decided = time.Now()
 	x.mu.Lock()
 	x.answered = true
 	x.mu.Unlock()
@@ -140,6 +144,7 @@
 	if !x.canSucceed(time.Now()) {
 		return Answer{Outcome: x.e.refusal(outcome.Unavailable, outageRetryAfter, "too few services have a target that can be reached")}
 	}
+	x.lastPart = time.Now()
 	for i := range x.shards {
 		x.trySend(i, time.Now())
 	}
@@ -249,6 +254,31 @@
 	return p
 }
 
+// recordPart records the arrival of a part.
+func (x *execution) recordPart(now time.Time) {
+	x.lastPart = now
+	if x.enoughAt.IsZero() {
+		if p := x.progress(); p.Received >= p.Required() {
+			x.enoughAt = now
+		}
+	}
+}
+
+// delivered records that the answer has been written. It logs the request only now, so
+// that the caller does not wait for the log.
+func (x *execution) delivered(a *Answer) {
+	if a.Merged != nil && a.Merged.Missing > 0 {
+		due := x.answerBy
+		if x.enoughAt.After(due) {
+			due = x.enoughAt
+		}
+		x.e.mu.Lock()
+		x.e.stateOf(x.route).margin.Observe(max(0, time.Since(due)))
+		x.e.mu.Unlock()
+	}
+	x.log(a)
+}
+
 // decide returns the answer and true if the request ends now, and false if it still waits
 // for results.
 func (x *execution) decide(now time.Time) (Answer, bool) {
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -67,6 +67,10 @@
 	if !x.route.Repeatable || !x.attemptsLeft(s) || len(s.open) == 0 {
 		return
 	}
+	if p := x.progress(); (hedge.FanOut{Shards: p.Shards, Unanswered: p.Shards - p.Received, SinceLast: now.Sub(x.lastPart), Expected: x.expected}).Holds() {
+		s.hedgeAt = now.Add(max(minHedgeDelay, x.expected/2))
+		return
+	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	t, _ := x.e.chooseTarget(x, s, now, true)
@@ -260,6 +264,7 @@
 		return
 	case r.Kind == backend.Success:
 		s.part = r
+		x.recordPart(time.Now())
 		return
 	}
 	if s.failure == nil || s.failure.Kind != backend.Failure {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -24,10 +24,15 @@
 	Outcome   outcome.Outcome
 	Forwarded *backend.Result
 	Merged    *Merged
+	execution *execution // nil for a request that was refused before its execution
 }
 
-// Release frees the memory of the answer, which must not be used after it.
-func (a *Answer) Release() {
+// Done logs the request and frees the memory of the answer, which must not be used after
+// it.
+func (a *Answer) Done() {
+	if a.execution != nil {
+		a.execution.delivered(a)
+	}
 	if a.Forwarded != nil {
 		a.Forwarded.Release()
 	}
