--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -123,6 +123,12 @@
 		p.put(c)
 		return Result{Kind: NotSent, Err: context.DeadlineExceeded, LocalCause: true}
 	}
+	finished := false
+	defer func() {
+		if !finished { // a panic
+			p.discard(c)
+		}
+	}()
 	head := p.shared.Codec.AppendRequest(make([]byte, 0, 512), r, left, p.instance)
 	result, reusable := c.roundTrip(ctx, p.shared, head, r, deadline)
 	result.DialTime = dialed
@@ -131,6 +137,7 @@
 		// the request.
 		reusable = false
 	}
+	finished = true
 	if reusable {
 		c.lastUsed = time.Now()
 		p.put(c)
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -210,3 +210,21 @@
 		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
 	})
 })
+
+// brokenCodec panics while it decodes an answer.
+type brokenCodec struct{ codec }
+
+func (brokenCodec) Decode(*http.Response) backend.Head { panic("no such field") }
+
+var _ = Describe("Pool with a codec that panics", func() {
+	// Guards against connections that count as open for ever after an unexpected error.
+	It("closes the connection", func() {
+		s := newScriptedTarget(func(_ int, id string, _ net.Conn) string { return answer(id, "x") })
+		p := backend.NewPool(s.Addr().String(), "t", &backend.Shared{Codec: brokenCodec{}, Bodies: backend.NewBodies(0)}, 1)
+		DeferCleanup(p.Close)
+		r := &backend.Request{ID: "1", Method: "GET", URI: "/a", Host: "h"}
+		Expect(func() { p.Send(context.Background(), r, time.Now().Add(time.Second), false) }).To(Panic())
+		open, _, _ := p.Stats()
+		Expect(open).To(BeZero())
+	})
+})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,9 +16,11 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 	"golang.org/x/sync/errgroup"
 )
@@ -208,7 +210,9 @@
 func (h *Host) handle(ctx context.Context, r *engine.Request) engine.Answer {
 	h.openRequests.Add(1)
 	defer h.openRequests.Add(-1)
-	return h.engine.Do(ctx, r)
+	answer := engine.Answer{Outcome: outcome.Uncertain(outcome.Internal, "unexpected error")}
+	guard.Run(h.opts.Log, "request", func() { answer = h.engine.Do(ctx, r) })
+	return answer
 }
 
 // Run serves until the context ends, and then shuts down within the grace period.
@@ -276,16 +280,7 @@
 	defer ticker.Stop()
 	lastTotals := time.Now()
 	for {
-		h.gossip.WithRoster(func(r *roster.Roster) {
-			all, here := r.FleetSize(time.Now())
-			h.fleetHosts.Store(int64(all))
-			h.placeHosts.Store(int64(here))
-			fleet, place := r.Shares(time.Now(), h.load.capacity)
-			h.shares.Store(&shares{fleet, place})
-		})
-		h.follower.expire()
-		h.engine.Refresh()
-		h.load.update(time.Now())
+		guard.Run(h.opts.Log, "housekeeping", h.refresh)
 		if now := time.Now(); now.Sub(lastTotals) >= totalsInterval {
 			lastTotals = now
 			h.logTotals()
@@ -298,6 +293,20 @@
 	}
 }
 
+// refresh does the periodic work of housekeeping.
+func (h *Host) refresh() {
+	h.gossip.WithRoster(func(r *roster.Roster) {
+		all, here := r.FleetSize(time.Now())
+		h.fleetHosts.Store(int64(all))
+		h.placeHosts.Store(int64(here))
+		fleet, place := r.Shares(time.Now(), h.load.capacity)
+		h.shares.Store(&shares{fleet, place})
+	})
+	h.follower.expire()
+	h.engine.Refresh()
+	h.load.update(time.Now())
+}
+
 // logTotals logs the connections to targets that were opened, could not be opened and
 // were closed, by reason, and the store calls, all since the start, with the current
 // numbers of hosts. They help to explain the load on targets.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/backend"
 	"github.com/lacewingyard/lacewingyard/internal/edge"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
@@ -41,6 +42,7 @@
 	hosts   []*running
 	client  *http.Client
 	next    atomic.Int64
+	codec   backend.Codec
 	tracer  *telemetry.Tracer // for the hosts started after it is set
 }
 
@@ -51,8 +53,11 @@
 	ended chan error
 }
 
-func newFixture(hosts int) *fixture {
-	f := &fixture{log: &platformtest.RunLog{}, client: &http.Client{Transport: &http.Transport{}}}
+func newFixture(hosts int) *fixture { return newFixtureWith(hosts, platform.Codec{}) }
+
+// newFixtureWith is newFixture with hosts that use another codec.
+func newFixtureWith(hosts int, codec backend.Codec) *fixture {
+	f := &fixture{codec: codec, log: &platformtest.RunLog{}, client: &http.Client{Transport: &http.Transport{}}}
 	var err error
 	f.store, err = platformtest.NewStore("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -92,7 +97,7 @@
 	s, err := platform.ParseSettings([]byte(h.Settings()))
 	Expect(err).NotTo(HaveOccurred())
 	host, err := edge.New(edge.Options{
-		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: platform.Codec{}, Observer: edge.NewMetrics(), Tracer: f.tracer,
+		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: f.codec, Observer: edge.NewMetrics(), Tracer: f.tracer,
 		Log: hclog.NewNullLogger(), OperatorsAddress: net.JoinHostPort(h.IP, operatorsPort),
 		Handlers: edge.Handlers{Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
 	})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,9 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 )
 
@@ -65,6 +67,9 @@
 	emptyCheckInterval = 5 * time.Millisecond
 )
 
+// errPanicked stands for the error of a call of the store that panicked.
+var errPanicked = errors.New("unexpected error")
+
 // Store reads the published state from the platform's metadata store. It must be
 // safe for concurrent use.
 type Store interface {
@@ -163,7 +168,9 @@
 			continue
 		}
 		began := time.Now()
-		if err := f.call(ctx); err != nil {
+		err := errPanicked
+		guard.Run(f.log, "call of the store", func() { err = f.call(ctx) })
+		if err != nil {
 			f.handleFailure(err)
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
@@ -195,11 +202,11 @@
 	f.mu.Lock()
 	f.storeCalls++
 	f.mu.Unlock()
-	go func() {
+	go guard.Run(f.log, "read of the store", func() {
 		if err := f.readAll(ctx); err != nil {
 			f.handleFailure(err)
 		}
-	}()
+	})
 }
 
 // shouldCall reports whether this host should call the store now: without a state, once
@@ -256,8 +263,16 @@
 
 // applyAnswer applies an answer of the store and publishes the state if it changed.
 func (f *follower) applyAnswer(apply func(now time.Time), changed bool) {
-	now := time.Now()
+	if view := f.applied(time.Now(), apply, changed); view != nil {
+		f.publish(view)
+	}
+}
+
+// applied applies an answer of the store and returns the new view, or nil if the state
+// did not change.
+func (f *follower) applied(now time.Time, apply func(now time.Time), changed bool) *catalog.View {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if now.Sub(f.lastAnswer) > outageAfter && now.Sub(f.confirmed) > outageAfter {
 		f.catalog.StoreRecovered(now)
 		f.log.Info("the store answers again", "away_ms", now.Sub(f.lastAnswer).Milliseconds(), "revision", f.catalog.Revision())
@@ -265,15 +280,11 @@
 	f.storeAnswers = true
 	apply(now)
 	f.lastAnswer, f.confirmed = now, now
-	var view *catalog.View
-	if changed {
-		view = f.catalog.View()
-		f.recent.advance(now, f.position())
-	}
-	f.mu.Unlock()
-	if view != nil {
-		f.publish(view)
+	if !changed {
+		return nil
 	}
+	f.recent.advance(now, f.position())
+	return f.catalog.View()
 }
 
 // handleFailure resets the store's connections after a failed call and logs the
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -57,6 +58,7 @@
 	counter("lacewingyard_connections_broken_total", "Connections to targets closed after a request that ended badly.", c.Broken.Load)
 	counter("lacewingyard_answers_oversized_total", "Answers of targets cut off because they were longer than any valid one.", c.Oversized.Load)
 	counter("lacewingyard_answers_no_memory_total", "Large answers of targets given up because memory for them was short.", c.NoMemory.Load)
+	counter("lacewingyard_panics_total", "Requests, sends, heartbeats and reads given up because of an unexpected error.", guard.Panics)
 	counter("lacewingyard_store_calls_total", "Calls to the platform's store.", func() int64 { return int64(h.follower.callCount()) })
 	counter("lacewingyard_heartbeats_unreadable_total", "Heartbeats that could not be read.", func() int64 { return int64(h.gossip.DecodeErrors()) })
 	gauge("lacewingyard_state_age_seconds", "Time since the store confirmed the state in use.", func() float64 {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -95,28 +96,33 @@
 // the update of the published state in it if there is one. If the peer has a newer
 // revision that the update does not provide, the host pulls from the peer.
 func (f *follower) observePeer(ctx context.Context, peer roster.State, update *gossip.Update) {
-	now := time.Now()
+	changed, pull := f.observed(time.Now(), peer, update)
+	if changed != nil {
+		f.publish(changed)
+	}
+	if pull {
+		go f.pull(ctx, peer)
+	}
+}
+
+// observed records what a peer reported. It returns the new view, nil if the state did
+// not change, and whether to pull from the peer.
+func (f *follower) observed(now time.Time, peer roster.State, update *gossip.Update) (changed *catalog.View, pull bool) {
 	confirmed := now.Add(-time.Duration(peer.ConfirmedAge) * time.Millisecond)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	own := f.catalog.Revision()
 	if peer.Revision == own && own > 0 && confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
-	var changed *catalog.View
 	if update != nil && update.View == nil && update.After > 0 && update.After <= own && update.Revision > own {
 		// The error is ignored: a configuration patch may not fit the configuration
 		// of this host, which then pulls.
 		changed, _ = f.applyUpdate(now, *update)
 	}
-	pull := peer.Revision > f.catalog.Revision() && !f.pulling
+	pull = peer.Revision > f.catalog.Revision() && !f.pulling
 	f.pulling = f.pulling || pull
-	f.mu.Unlock()
-	if changed != nil {
-		f.publish(changed)
-	}
-	if pull {
-		go f.pull(ctx, peer)
-	}
+	return changed, pull
 }
 
 // pull pulls from a peer that has a newer revision. After an update that could not be
@@ -128,15 +134,9 @@
 		position = f.position()
 	}
 	f.mu.Unlock()
-	update, err := f.puller.Pull(ctx, peer.PeerAddress, position)
-	f.mu.Lock()
-	f.pulling = false
 	var changed *catalog.View
-	if err == nil {
-		changed, err = f.applyUpdate(time.Now(), update)
-		f.pullWhole = err != nil
-	}
-	f.mu.Unlock()
+	err := errPanicked
+	guard.Run(f.log, "pull", func() { changed, err = f.pulled(ctx, peer, position) })
 	if err != nil {
 		f.log.Debug("failed to pull the state from a peer", "peer", peer.Name, "known", position.Revision, "error", err)
 	}
@@ -145,6 +145,27 @@
 	}
 }
 
+// pulled pulls from a peer and returns the new view, or nil if the state did not change.
+func (f *follower) pulled(ctx context.Context, peer roster.State, position gossip.Position) (*catalog.View, error) {
+	applied := false
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.pulling = false
+		f.pullWhole = f.pullWhole && !applied
+	}()
+	update, err := f.puller.Pull(ctx, peer.PeerAddress, position)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pullWhole = true // unless the update can be applied
+	changed, err := f.applyUpdate(time.Now(), update)
+	applied = err == nil
+	return changed, err
+}
+
 // applyUpdate applies an update of a peer and returns the new view, or nil if the
 // revision is still the same. It returns an error if the changes do not fit the state.
 // The lock must be held.
--- a/internal/edge/trouble_test.go
+++ b/internal/edge/trouble_test.go
@@ -10,6 +10,9 @@
 	"strings"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
+	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -165,3 +168,35 @@
 		}
 	})
 })
+
+// fragileCodec panics for the answers of a service.
+type fragileCodec struct {
+	platform.Codec
+	service string
+}
+
+func (c fragileCodec) Decode(resp *http.Response) backend.Head {
+	head := c.Codec.Decode(resp)
+	if strings.HasPrefix(head.Digest, c.service+".") {
+		panic("answer of " + c.service)
+	}
+	return head
+}
+
+var _ = Describe("Host with an unexpected error", func() {
+	// Guards against one answer that ends the process, and against a lock that stays
+	// held so that the host serves nobody.
+	It("gives up the send only and serves everything else", func() {
+		before := guard.Panics()
+		f := newFixtureWith(1, fragileCodec{service: "s1"})
+		for range 20 {
+			r, id, uri := f.call(f.hosts[0], "GET", platformtest.SearchPrefix, nil)
+			Expect(r.Status).To(Equal(200), "%v", r.Err)
+			Expect(platformtest.CheckSearch(&r, id, uri, [][]string{shards})).To(BeEmpty())
+			Expect(r.Missing).To(Equal(1))
+			r, _, _ = f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil)
+			Expect(r.Status).To(Equal(200), "%v", r.Err)
+		}
+		Expect(guard.Panics()).To(BeNumerically(">=", before+20))
+	})
+})
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -22,7 +22,7 @@
 	TargetMisplaced TargetState = "misplaced" // another target answers at its address
 	TargetDown      TargetState = "down"      // unreachable; no requests until the backoff ends
 	TargetCold      TargetState = "cold"      // warming up, and its rate limit leaves no request for this host now
-	TargetFull      TargetState = "full"      // all connections of this host to it are in use
+	TargetFull      TargetState = "full"      // it takes no more requests of this host now, or all connections to it are in use
 )
 
 // TargetReport is this host's state of a target.
@@ -103,7 +103,7 @@
 		return TargetDown
 	case !e.coldSendAllowed(t, now):
 		return TargetCold
-	case !t.pool.HasCapacity():
+	case t.state.Full(now), !t.pool.HasCapacity():
 		return TargetFull
 	default:
 		return TargetUsable
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -109,7 +109,14 @@
 // the answer's own.
 func (x *execution) run(ctx context.Context) Answer {
 	x.traceCtx = ctx
-	a := x.answer(ctx)
+	var a Answer
+	defer func() { x.end(a.Forwarded) }()
+	a = x.answer(ctx)
+	return a
+}
+
+// end ends the execution. It frees the memory of all results but the forwarded one.
+func (x *execution) end(forwarded *backend.Result) {
 	x.decided = time.Now()
 	for i := range x.shards {
 		x.setWaiting(&x.shards[i], false)
@@ -123,12 +130,11 @@
 	}
 	for i := range x.shards {
 		for _, r := range []*backend.Result{x.shards[i].part, x.shards[i].failure} {
-			if r != nil && r != a.Forwarded {
+			if r != nil && r != forwarded {
 				r.Release()
 			}
 		}
 	}
-	return a
 }
 
 // setWaiting sets whether a shard of a fan-out waits for a target that takes a request.
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/balance"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -24,22 +26,45 @@
 		s.exhausted = len(s.open) == 0
 		return
 	}
+	switch x.sendNow(i, now) {
+	case sent:
+		x.setWaiting(s, false)
+	case noBudget:
+		x.awaitBudget(s, now)
+	case allBusy:
+		x.handleNoTarget(s, now, true)
+	case noTarget:
+		x.handleNoTarget(s, now, false)
+	}
+}
+
+// sendAttempt is what became of an attempt to send.
+type sendAttempt uint8
+
+const (
+	sent sendAttempt = iota
+	noBudget
+	allBusy  // targets were passed over because they take no request now
+	noTarget // no target can be chosen
+)
+
+// sendNow sends the request of a shard if a target and the budget allow.
+func (x *execution) sendNow(i int, now time.Time) sendAttempt {
+	s := &x.shards[i]
 	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
 	t, busy := x.e.chooseTarget(x, s, now, false)
-	if t == nil {
-		x.e.mu.Unlock()
-		x.handleNoTarget(s, now, busy)
-		return
-	}
 	extra := s.possibleArrivals > 0
-	if !x.chargeBudget(s, now, extra, 0) {
-		x.e.mu.Unlock()
-		x.awaitBudget(s, now)
-		return
+	switch {
+	case t == nil && busy:
+		return allBusy
+	case t == nil:
+		return noTarget
+	case !x.chargeBudget(s, now, extra, 0):
+		return noBudget
 	}
 	x.launch(i, t, now, extra)
-	x.e.mu.Unlock()
-	x.setWaiting(s, false)
+	return sent
 }
 
 // awaitBudget plans a retry of a shard that has no budget for it now, if an answer could
@@ -188,14 +213,22 @@
 	go x.send(i, t, extra)
 }
 
+// errPanicked is the error of a send that panicked. The request may have run.
+var errPanicked = errors.New("unexpected error")
+
 // send sends the request to a target, records the result and passes it to run.
 func (x *execution) send(i int, t *target, extra bool) {
-	x.e.cfg.OnSend()
-	request, span := x.startSendSpan(t, extra)
-	result := t.pool.Send(x.sendCtx, request, x.deadline, !x.route.Repeatable)
-	endSendSpan(span, &result)
-	x.e.record(x, t, &result)
-	x.e.cfg.Observer.Sent(t.service, &result, extra)
+	result := backend.Result{Err: errPanicked}
+	guard.Run(x.e.cfg.Log, "send", func() {
+		x.e.cfg.OnSend()
+		request, span := x.startSendSpan(t, extra)
+		result = t.pool.Send(x.sendCtx, request, x.deadline, !x.route.Repeatable)
+		endSendSpan(span, &result)
+	})
+	guard.Run(x.e.cfg.Log, "result of a send", func() {
+		x.e.record(x, t, &result)
+		x.e.cfg.Observer.Sent(t.service, &result, extra)
+	})
 	x.deliver(sendResult{shard: i, target: t, result: result})
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -260,21 +261,26 @@
 		if err != nil {
 			continue // ICMP error caused by an earlier send
 		}
-		var m heartbeat
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			g.countDecodeError(from, err)
-			continue
-		}
-		newer, seen := g.observe(m)
-		if len(m.Crashes) > 0 {
-			g.opts.OnCrashes(m.Crashes)
-		}
-		if !seen && g.needsReply(m.Self) {
-			g.reply(m.Self)
-		}
-		if newer {
-			g.opts.OnUpdate(m.Self, g.piggybackedUpdate(from, m.Update))
-		}
+		guard.Run(g.opts.Log, "heartbeat", func() { g.handle(from, buffer[:n]) })
+	}
+}
+
+// handle handles a datagram.
+func (g *Gossip) handle(from netip.AddrPort, data []byte) {
+	var m heartbeat
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		g.countDecodeError(from, err)
+		return
+	}
+	newer, seen := g.observe(m)
+	if len(m.Crashes) > 0 {
+		g.opts.OnCrashes(m.Crashes)
+	}
+	if !seen && g.needsReply(m.Self) {
+		g.reply(m.Self)
+	}
+	if newer {
+		g.opts.OnUpdate(m.Self, g.piggybackedUpdate(from, m.Update))
 	}
 }
 
