Learn callers' timeouts anew in each hundred requests; clip what one late answer shows

One pause of a host raised the margin of its answers for a hundred more.

Change: the longest timeout is that of the last one or two hundred requests, at most the route's own; an overrun counts up to 30 ms.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -181,8 +181,9 @@
 }
 
 // Do executes a request. The front must call Done on the answer once it has been
-// written. Do returns when the answer is decided; sends still open at that time run to their own end. If ctx is done first, Do returns at once, and the open sends
-// are canceled after cancelGrace.
+// written. Do returns when the answer is decided; sends still open at that time run to
+// their own end. If ctx is done first, Do returns at once, and the open sends are canceled
+// after cancelGrace.
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
 	ctx, span := e.startRequestSpan(ctx, r)
 	a := e.do(ctx, r)
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -13,7 +13,9 @@
 type routeState struct {
 	latencies  *hedge.Latencies
 	expected   time.Duration // expected service time, without the round trip
-	maxTimeout time.Duration // longest timeout that callers stated
+	maxTimeout time.Duration // longest timeout that callers stated in this window of requests
+	earlierMax time.Duration // the same of the window before
+	timeouts   int           // requests of this window
 	split      splitter
 	margin     gather.Margin
 }
@@ -31,6 +33,9 @@
 	// hedgeQuantile is the quantile of the latencies after which a hedge is sent: about
 	// one send in ten, within the usual budget of one in five.
 	hedgeQuantile = 0.92
+	// timeoutWindow is the number of requests after which the longest timeout is learned
+	// anew, so that a caller which waits longer than all others does not count for ever.
+	timeoutWindow = 100
 	// minHedgeDelay is the shortest delay of a hedge.
 	minHedgeDelay = 4 * time.Millisecond
 )
@@ -62,13 +67,20 @@
 // firstAttempt estimates when the caller began, from which its objective runs: before it
 // sends the request, a caller may look up the directory, open a connection or have
 // another host fail. A caller states how long it still waits, so what is missing from the
-// longest timeout of the route has been used already.
-func (s *routeState) firstAttempt(r *Request) time.Time {
+// longest timeout that callers of the route stated lately has been used already.
+func (s *routeState) firstAttempt(route *catalog.Route, r *Request) time.Time {
 	if r.Timeout <= 0 {
 		return r.Received
 	}
-	s.maxTimeout = max(s.maxTimeout, r.Timeout)
-	return r.Received.Add(r.Timeout - s.maxTimeout)
+	timeout := r.Timeout
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	s.maxTimeout = max(s.maxTimeout, timeout)
+	if s.timeouts++; s.timeouts >= timeoutWindow {
+		s.earlierMax, s.maxTimeout, s.timeouts = s.maxTimeout, timeout, 0
+	}
+	return r.Received.Add(timeout - max(s.maxTimeout, s.earlierMax))
 }
 
 // budget returns the budget of extra sends to a service. The engine's lock must be
--- a/pkg/gather/margin.go
+++ b/pkg/gather/margin.go
@@ -15,6 +15,9 @@
 	// parts nearly all, so the average rises faster than it falls.
 	riseGain = 0.3
 	fallGain = 0.05
+	// maxOverrun bounds what one answer shows: a host that stood still for seconds is not
+	// slow from then on.
+	maxOverrun = 30 * time.Millisecond
 	// inboundFactor adds to the overrun the same time for the request: a host that is
 	// late to write an answer was as late to read the request, and the objective has run
 	// since the caller sent it.
@@ -30,6 +33,7 @@
 // Observe records the time from the moment at which an answer was due and could be sent
 // until its last byte was written.
 func (m *Margin) Observe(overrun time.Duration) {
+	overrun = min(overrun, maxOverrun)
 	gain := fallGain
 	if overrun > m.overrun {
 		gain = riseGain
--- a/pkg/gather/margin_test.go
+++ b/pkg/gather/margin_test.go
@@ -51,6 +51,16 @@
 		}
 	})
 
+	// Guards against a host that answers early, with parts missing, long after a pause.
+	It("forgets one pause of the host soon", func() {
+		var m gather.Margin
+		m.Observe(4 * time.Second)
+		for range 30 {
+			m.Observe(time.Millisecond)
+		}
+		Expect(m.Before(200 * time.Millisecond)).To(BeNumerically("<", 20*time.Millisecond))
+	})
+
 	It("leaves two thirds of the objective for the shards, however slow the host is", func() {
 		var m gather.Margin
 		for range 100 {
