--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,107 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// rawCaller sends requests with bodies on connections of its own.
+type rawCaller struct {
+	address string
+	keep    bool          // use a connection for many requests
+	pause   time.Duration // between the halves of a body
+	c       net.Conn
+	br      *bufio.Reader
+}
+
+// post sends a request and reads its answer. It returns whether the request was sent
+// completely, and an error unless a whole answer arrived.
+func (r *rawCaller) post(id string) (sent bool, err error) {
+	if r.c == nil {
+		if r.c, err = net.DialTimeout("tcp", r.address, time.Second); err != nil {
+			return false, err
+		}
+		r.br = bufio.NewReader(r.c)
+	}
+	keep := false
+	defer func() {
+		if !keep {
+			_ = r.c.Close()
+			r.c = nil
+		}
+	}()
+	_ = r.c.SetDeadline(time.Now().Add(3 * time.Second))
+	body := strings.Repeat("x", 2000)
+	_, err = fmt.Fprintf(r.c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s",
+		platformtest.AtMostOncePrefix, id, platformtest.HostName, id, len(body), body[:1000])
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(r.pause)
+	if _, err = io.WriteString(r.c, body[1000:]); err != nil {
+		return false, err
+	}
+	resp, err := http.ReadResponse(r.br, nil)
+	if err != nil {
+		return true, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	keep = err == nil && r.keep && !resp.Close
+	return true, err
+}
+
+var _ = Describe("Host that is stopped under load", func() {
+	// Guards against requests that were just accepted, or whose bodies are on the way,
+	// and that end without an answer although they ran.
+	It("answers each request that it has read, on new and kept connections", func() {
+		f := newFixture(3)
+		for _, h := range f.hosts[:2] { // one after the other
+			var callers sync.WaitGroup
+			var answered, aborted atomic.Int64
+			stop := make(chan struct{})
+			for i := range 12 {
+				callers.Go(func() {
+					r := &rawCaller{address: h.Address(h.Ports.Callers), keep: i%2 == 0, pause: time.Duration(i%4) * 3 * time.Millisecond}
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						id := fmt.Sprintf("stop%06d", f.next.Add(1))
+						sent, err := r.post(id)
+						switch {
+						case err == nil:
+							answered.Add(1)
+						case sent && f.runs(id) > 0:
+							aborted.Add(1)
+						}
+						time.Sleep(time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			before := answered.Load()
+			h.stop()
+			var err error
+			Eventually(h.ended, 10*time.Second).Should(Receive(&err))
+			Expect(err).NotTo(HaveOccurred())
+			h.ended <- nil
+			close(stop)
+			callers.Wait()
+			Expect(answered.Load()).To(BeNumerically(">", before+50), "it serves while it leaves")
+			Expect(aborted.Load()).To(BeZero())
+		}
+	})
+})
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -68,19 +68,15 @@
 // sends the request, a caller may look up the directory, open a connection or have
 // another host fail. A caller states how long it still waits, so what is missing from the
 // longest timeout that callers of the route stated lately has been used already.
-func (s *routeState) firstAttempt(route *catalog.Route, r *Request) time.Time {
+func (s *routeState) firstAttempt(r *Request) time.Time {
 	if r.Timeout <= 0 {
 		return r.Received
 	}
-	timeout := r.Timeout
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
-	}
-	s.maxTimeout = max(s.maxTimeout, timeout)
+	s.maxTimeout = max(s.maxTimeout, r.Timeout)
 	if s.timeouts++; s.timeouts >= timeoutWindow {
-		s.earlierMax, s.maxTimeout, s.timeouts = s.maxTimeout, timeout, 0
+		s.earlierMax, s.maxTimeout, s.timeouts = s.maxTimeout, r.Timeout, 0
 	}
-	return r.Received.Add(timeout - max(s.maxTimeout, s.earlierMax))
+	return r.Received.Add(r.Timeout - max(s.maxTimeout, s.earlierMax))
 }
 
 // budget returns the budget of extra sends to a service. The engine's lock must be
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -85,7 +85,7 @@
 	defer e.mu.Unlock()
 	state := e.stateOf(route)
 	x.expected = state.expected
-	x.answerBy = state.firstAttempt(route, r).Add(route.Objective - state.margin.Before(route.Objective))
+	x.answerBy = state.firstAttempt(r).Add(route.Objective - state.margin.Before(route.Objective))
 	services := route.Shards
 	if len(services) == 0 {
 		services = []string{route.Service}
