Direct callers of places with little traffic to few hosts; connect ahead of requests; give these hosts the extra sends

Fan-outs with one to four paused targets sent no hedge until 190 ms had passed: the slack of extra sends was divided into equal shares of which none was a send.

Change: entries.Concentrate keeps the hosts of a place that its load needs, at least two. balance.Preconnect opens a connection to each shard in use, and once to those that no configuration names yet. roster.DirectedShare gives the hosts to which callers are directed three quarters of the extra sends, ten seconds after callers are first directed to them. A target without an idle connection costs a round trip more.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -87,9 +87,17 @@
 
 // HasCapacity reports whether a connection is idle or may be opened.
 func (p *Pool) HasCapacity() bool {
+	_, capacity := p.Availability()
+	return capacity
+}
+
+// Availability reports whether a connection is idle, and whether one is idle or may be
+// opened.
+func (p *Pool) Availability() (idle, capacity bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || p.open < p.limit
+	idle = len(p.idle) > 0
+	return idle, idle || p.open < p.limit
 }
 
 // Stats returns the numbers of open and idle connections and of attempts to open one
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
@@ -52,21 +53,9 @@
 	return h.addresses(now, place), ttl
 }
 
-// addresses returns the addresses of hosts for callers in a place. It omits peers
-// that the roster does not consider alive: they have failed or are partitioned.
+// addresses returns the addresses of hosts for callers in a place.
 func (h *Host) addresses(now time.Time, place string) []string {
-	var hosts []entries.Host
-	if h.ready() {
-		hosts = append(hosts, entries.Host{Name: h.opts.Site.Name, Place: h.opts.Site.Place, Address: h.opts.Site.CallerAddress,
-			PlaceInService: true, Reachable: true, Capacity: h.load.capacity, Load: h.load.current()})
-	}
-	h.gossip.WithRoster(func(r *roster.Roster) {
-		for _, peer := range r.Known() {
-			hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.CallerAddress,
-				PlaceInService: true, Reachable: r.IsAlive(now, peer), Leaving: peer.Leaving || !peer.Ready, Capacity: peer.Capacity, Load: peer.Load})
-		}
-	})
-	hosts = entries.FilterReachable(entries.PreferLarge(hosts))
+	hosts := h.directed(now)
 	if v := h.engine.View(); v != nil && v.ServedFraction(place) < minServedFraction {
 		if best := bestServedPlace(v, hosts); best != "" {
 			place = best
@@ -80,3 +69,26 @@
 	}
 	return addresses
 }
+
+// directed returns the hosts of all places to which callers are directed. Each host gets
+// the same result as far as it knows the same fleet. It omits peers that the roster does
+// not consider alive: they have failed or are partitioned.
+func (h *Host) directed(now time.Time) []entries.Host {
+	var hosts []entries.Host
+	if h.ready() {
+		hosts = append(hosts, entries.Host{Name: h.opts.Site.Name, Place: h.opts.Site.Place, Address: h.opts.Site.CallerAddress,
+			PlaceInService: true, Reachable: true, Capacity: h.load.capacity, Load: h.load.current()})
+	}
+	h.gossip.WithRoster(func(r *roster.Roster) {
+		for _, peer := range r.Known() {
+			hosts = append(hosts, entries.Host{Name: peer.Name, Place: peer.Place, Address: peer.CallerAddress,
+				PlaceInService: true, Reachable: r.IsAlive(now, peer), Leaving: peer.Leaving || !peer.Ready, Capacity: peer.Capacity, Load: peer.Load})
+		}
+	})
+	return entries.Concentrate(entries.PreferLarge(hosts))
+}
+
+// isOneOf reports whether this host is one of the given hosts.
+func (h *Host) isOneOf(hosts []entries.Host) bool {
+	return slices.ContainsFunc(hosts, func(host entries.Host) bool { return host.Name == h.opts.Site.Name })
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,6 +51,9 @@
 	// totalsInterval is the time between two "totals" log lines.
 	totalsInterval       = 10 * time.Second
 	housekeepingInterval = 500 * time.Millisecond
+	// preconnectInterval is the time between two rounds of connections that are opened
+	// ahead of requests.
+	preconnectInterval = 300 * time.Millisecond
 )
 
 // Handlers implement the platform's HTTP protocols on top of the host.
@@ -91,6 +94,8 @@
 	fleetHosts   atomic.Int64  // hosts that may be running, this one included
 	placeHosts   atomic.Int64  // those of them in this host's place
 	shares       atomic.Pointer[shares]
+	// directedShare is used by housekeeping only.
+	directedShare roster.DirectedShare
 }
 
 // New returns a host that is not serving yet; only the UDP socket for heartbeats is open.
@@ -99,7 +104,7 @@
 	h := &Host{opts: o, applied: o.Site, started: time.Now(), incarnation: time.Now().UnixNano(), load: newLoadMeter(o.Site.CPUCores, o.Site.LinkBytesPerSecond)}
 	h.fleetHosts.Store(roster.AssumedFleetHosts)
 	h.placeHosts.Store(roster.AssumedFleetHosts / 4)
-	h.shares.Store(&shares{fleet: 1.0 / roster.AssumedFleetHosts, place: 4.0 / roster.AssumedFleetHosts})
+	h.shares.Store(&shares{fleet: 1.0 / roster.AssumedFleetHosts, place: 4.0 / roster.AssumedFleetHosts, extra: 1.0 / roster.AssumedFleetHosts})
 	if o.Site.MemoryLimitBytes > 0 {
 		debug.SetMemoryLimit(int64(goMemoryFraction * float64(o.Site.MemoryLimitBytes)))
 	}
@@ -128,8 +133,8 @@
 }
 
 // shares are the fractions that this host may use of limits for the whole fleet and
-// for its place.
-type shares struct{ fleet, place float64 }
+// for its place, and of the extra sends of the fleet.
+type shares struct{ fleet, place, extra float64 }
 
 // Shares implements engine.Fleet.
 func (h *Host) Shares() (fleet, place float64) {
@@ -137,6 +142,9 @@
 	return s.fleet, s.place
 }
 
+// ExtraShare implements engine.Fleet.
+func (h *Host) ExtraShare() float64 { return h.shares.Load().extra }
+
 // Owns implements engine.Fleet. Until roster.SettleTime after its start, a host may
 // lack others in its roster, and owns no targets.
 func (h *Host) Owns(target, place string, owners int) (owns bool) {
@@ -255,6 +263,7 @@
 	go h.gossip.Run(background)
 	go h.follower.run(background)
 	go h.housekeeping(background)
+	go h.preconnect(background)
 	h.opts.Log.Info("started", "host", h.opts.Site.Name, "place", h.opts.Site.Place, "callers", h.opts.Site.CallerAddress, "incarnation", h.incarnation)
 	<-ctx.Done()
 	h.shutdown(callers)
@@ -293,18 +302,32 @@
 	}
 }
 
+// preconnect opens connections to shards ahead of requests while callers are directed to
+// this host, until the context ends.
+func (h *Host) preconnect(ctx context.Context) {
+	for ctx.Err() == nil {
+		if h.isOneOf(h.directed(time.Now())) {
+			h.engine.Preconnect(ctx)
+		}
+		sleep(ctx, preconnectInterval)
+	}
+}
+
 // refresh does the periodic work of housekeeping.
 func (h *Host) refresh() {
+	now := time.Now()
+	directed := h.directed(now)
+	h.directedShare.Update(now, h.isOneOf(directed), len(directed))
 	h.gossip.WithRoster(func(r *roster.Roster) {
-		all, here := r.FleetSize(time.Now())
+		all, here := r.FleetSize(now)
 		h.fleetHosts.Store(int64(all))
 		h.placeHosts.Store(int64(here))
-		fleet, place := r.Shares(time.Now(), h.load.capacity)
-		h.shares.Store(&shares{fleet, place})
+		fleet, place := r.Shares(now, h.load.capacity)
+		h.shares.Store(&shares{fleet, place, h.directedShare.Of(now, fleet)})
 	})
 	h.follower.expire()
 	h.engine.Refresh()
-	h.load.update(time.Now())
+	h.load.update(now)
 }
 
 // logTotals logs the connections to targets that were opened, could not be opened and
--- a/internal/engine/cold_test.go
+++ b/internal/engine/cold_test.go
@@ -15,6 +15,7 @@
 type fleetOf struct{ *roster.Roster }
 
 func (fleetOf) Hosts() (all, here int)         { return 60, 20 }
+func (fleetOf) ExtraShare() float64            { return 1.0 / 60 }
 func (fleetOf) Shares() (fleet, place float64) { return 1.0 / 60, 1.0 / 20 }
 
 var _ = Describe("A cold target", func() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,9 @@
 	// Shares returns the fractions, 0 to 1, that this host may use of limits shared by
 	// the fleet and of limits shared by its place.
 	Shares() (fleet, place float64)
+	// ExtraShare returns the fraction that this host may use of the extra sends of the
+	// fleet.
+	ExtraShare() float64
 	// Owns reports whether this host is one of the given number of owners of a target
 	// among the hosts of a place.
 	Owns(target, place string, owners int) bool
@@ -75,6 +79,11 @@
 	rtts    map[string]time.Duration       // round-trip time by place
 	waiting map[string]int                 // shards of fan-outs that wait for a target, by service
 
+	preconnect    balance.Preconnect
+	lastUsed      map[string]time.Time // time of the last send, by service
+	shardServices []string             // shardServices(shardsOf)
+	shardsOf      *catalog.View
+
 	crashCounter *quarantine.CrashCounter
 	backends     *backend.Shared
 }
@@ -100,7 +109,7 @@
 	return &Engine{
 		cfg: cfg, configured: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
 		targets: map[string]*target{}, routes: map[string]*routeState{},
-		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[string]int{}, crashCounter: quarantine.NewCrashCounter(),
+		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[string]int{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
 		backends: &backend.Shared{Codec: cfg.Codec, Bodies: backend.NewBodies(cfg.MemoryBytes)},
 	}
 }
@@ -144,6 +153,7 @@
 			pool: backend.NewPool(entry.Address, entry.ID, e.backends, 1),
 		}
 	}
+	maps.DeleteFunc(e.lastUsed, func(service string, _ time.Time) bool { return len(v.Usable(service)) == 0 })
 	e.setLimits(v)
 }
 
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -92,6 +92,5 @@
 
 // slack returns this host's share of the slack of a budget, in sends.
 func (e *Engine) slack() float64 {
-	fleet, _ := e.cfg.Fleet.Shares()
-	return slackShare * e.cfg.RetrySlack * fleet
+	return slackShare * e.cfg.RetrySlack * e.cfg.Fleet.ExtraShare()
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -158,11 +158,12 @@
 		if !e.coldSendAllowed(t, now) {
 			continue
 		}
-		if t.state.Full(now) || !t.pool.HasCapacity() {
+		idle, capacity := t.pool.Availability()
+		if t.state.Full(now) || !capacity {
 			busy = true
 			continue
 		}
-		candidates = append(candidates, balance.Candidate{Target: t.state, RTT: e.rtt(entry.Place)})
+		candidates = append(candidates, balance.Candidate{Target: t.state, RTT: e.rtt(entry.Place), Unconnected: !idle})
 		targets = append(targets, t)
 	}
 	_, here := e.cfg.Fleet.Hosts()
@@ -200,6 +201,7 @@
 	x.history = append(x.history, sendRecord{shard: i, target: t.id, began: now, extra: extra})
 	s.open = append(s.open, openSend{target: t, began: now})
 	t.state.Sent(now)
+	x.e.lastUsed[t.service] = now
 	if now.Before(t.coldUntil()) {
 		t.lastColdSend = now
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -44,6 +44,9 @@
 	// maxSlowness bounds the slowness, and the inverse of it, that one answer can
 	// show.
 	maxSlowness = 30.0
+	// minConnectCost is the least cost of opening a connection, which takes a round trip
+	// and CPU time of both ends.
+	minConnectCost = time.Millisecond
 	// jitter breaks ties between equal targets, in expected service times.
 	jitter = 0.15
 )
@@ -221,9 +224,10 @@
 
 // Candidate is a target that a request may be sent to.
 type Candidate struct {
-	Target     *Target
-	RTT        time.Duration // of the path to the target
-	LastResort bool          // chosen only if no other candidate is usable
+	Target      *Target
+	RTT         time.Duration // of the path to the target
+	Unconnected bool          // no connection to the target is idle, so that one is opened first
+	LastResort  bool          // chosen only if no other candidate is usable
 }
 
 // Choose returns the index of the candidate with the lowest cost, round trip and a
@@ -235,6 +239,9 @@
 			continue
 		}
 		cost := float64(c.Target.Cost(now, expected, sendingHosts) + c.RTT)
+		if c.Unconnected {
+			cost += float64(max(c.RTT, minConnectCost))
+		}
 		cost += jitter * float64(expected) * rng.Float64()
 		if c.LastResort {
 			cost += float64(time.Hour)
--- a/pkg/catalog/view.go
+++ b/pkg/catalog/view.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Target is the registration of a target.
 type Target struct {
@@ -57,6 +61,9 @@
 	}
 }
 
+// ServicesWithTargets returns the services with a usable target, sorted.
+func (v *View) ServicesWithTargets() []string { return slices.Sorted(maps.Keys(v.byService)) }
+
 // ServedFraction returns the fraction, 0 to 1, of the services with a usable target
 // in any place that have one in the given place.
 func (v *View) ServedFraction(place string) float64 {
