Spread the state to hosts that start at once; refuse states that were not confirmed lately

The pulls took longer than the hosts wait for them, and 512 reads of the store held each other up: the middle host had a configuration 0.55 s after its start, the last 0.67 s. A host that had just started also took the state of any peer: one that was cut off for long handed it targets that had left (spec fails without the change).

First reads of the store are spread over the time that it needs for the fleet (roster.FirstReadWait); seeds read at once. A state that was not confirmed lately is taken only if the store does not answer within 300 ms. The soak's proxy gets endless heads and bodies, late copies, answers that break off or trickle, and a check of the hosts' memory.

--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -42,7 +42,7 @@
 				if err != nil {
 					return errors.Wrapf(err, "seed %d (output of the hosts in %s)", seed+i, dir)
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d changes checked, %d violations\n", seed+i, report.Calls, report.Served, report.Runs, report.CheckedChanges, len(report.Violations))
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d changes checked, peak memory of a host %d MB, %d violations\n", seed+i, report.Calls, report.Served, report.Runs, report.CheckedChanges, report.PeakMemory>>20, len(report.Violations))
 				for _, violation := range report.Violations {
 					fmt.Fprintln(cmd.OutOrStdout(), " ", violation)
 				}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -123,7 +124,14 @@
 			h.follower.observePeer(context.Background(), from, update)
 		},
 	})
-	return h, err
+	if err != nil {
+		return nil, err
+	}
+	h.follower.heardHosts = func() (hosts int) {
+		h.gossip.WithRoster(func(r *roster.Roster) { hosts = r.HeardHosts() })
+		return hosts
+	}
+	return h, nil
 }
 
 // gossipAddress returns the IP address and UDP port at which this host receives
@@ -179,6 +187,21 @@
 	return reads
 }
 
+// peersWithState returns the addresses of some peers, chosen at random, that have a
+// published state.
+func (h *Host) peersWithState() []string {
+	var addresses []string
+	h.gossip.WithRoster(func(r *roster.Roster) {
+		for _, peer := range r.Alive(time.Now()) {
+			if peer.Revision > 0 {
+				addresses = append(addresses, peer.PeerAddress)
+			}
+		}
+	})
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxNamedPeers)]
+}
+
 // activate puts a new published state in force and sends a heartbeat that announces
 // the state's revision: to all hosts that are alive and to the seeds for the first state,
 // else to the receivers of a regular heartbeat.
@@ -239,7 +262,7 @@
 		{h.opts.Site.CallerAddress, callers},
 		{h.opts.Site.ReadyAddress, newSmallServer(h.opts.Handlers.Ready(h.ready))},
 		{h.opts.Site.DirectoryAddress, newSmallServer(h.opts.Handlers.Directory(h.resolve))},
-		{h.opts.Site.PeerAddress, newSmallServer(gossip.StateHandler(h.follower.updateFor))},
+		{h.opts.Site.PeerAddress, newSmallServer(gossip.StateHandler(gossip.Sources{UpdateFor: h.follower.updateFor, Others: h.peersWithState}))},
 	}
 	if h.opts.OperatorsAddress != "" {
 		servers = append(servers, struct {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -13,6 +13,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
 
 const (
@@ -44,14 +45,8 @@
 	// outageAfter is the time without an answer that counts as an outage of the
 	// store, during which registrations of targets may have expired.
 	outageAfter = 2500 * time.Millisecond
-	// firstStartDelay is how long a host waits for peers, in place of peerDelay, when
-	// the whole fleet starts for the first time, before there are callers.
+	// firstStartDelay is how long a host waits for peers at least when the whole fleet starts for the first time, before there are callers.
 	firstStartDelay = time.Second
-	// peerDelay is how long a host that has just started waits for a heartbeat of a
-	// peer that has the state before it reads the store: a round trip between places
-	// and some CPU time. If all hosts have just started, no peer has the state, and
-	// the delay only prolongs the outage for callers.
-	peerDelay = 25 * time.Millisecond
 	// peerPullWait is how long a host that has just started waits for a pull from
 	// a peer that has the state.
 	peerPullWait = 250 * time.Millisecond
@@ -60,6 +55,10 @@
 	// does not notice its recovery, and reads cancelled early never complete while
 	// the store is slow.
 	initialReadInterval = 400 * time.Millisecond
+	// staleStateWait is how long a host that has just started waits for the store or a peer
+	// with a confirmed state before it takes an old one. That may name targets that left and
+	// routes that were withdrawn; a read of the store usually takes less.
+	staleStateWait = 300 * time.Millisecond
 	// standbyCheckInterval is how often a host that does not call the store checks
 	// whether it has to.
 	standbyCheckInterval = 50 * time.Millisecond
@@ -99,16 +98,20 @@
 	log         hclog.Logger
 	publish     func(*catalog.View)
 	isReader    func(now time.Time) bool // whether this host is one of the StoreReaders hosts that read the store
-	peerWait    time.Duration            // how long to wait for peers before the first read; 0 for a seed
+	isSeed      bool                     // whether other hosts greet this host at their start
+	minPeerWait time.Duration            // how long to wait for peers at least before the first read, unless isSeed
+	readDraw    float64                  // in [0, 1): the turn of this host among first reads
+	heardHosts  func() int               // see roster.Roster.HeardHosts
 	changeBound time.Duration            // within which changes must be in force
 	started     time.Time
 
 	mu           sync.Mutex
 	catalog      *catalog.Catalog
-	confirmed    time.Time // when the store last confirmed the state to this host or a peer
-	lastAnswer   time.Time // when the store last answered this host
-	pulling      bool      // a pull is in progress
-	pullWhole    bool      // the next pull requests the whole state
+	confirmed    time.Time     // when the store last confirmed the state to this host or a peer
+	lastAnswer   time.Time     // when the store last answered this host
+	pulling      bool          // a pull is in progress
+	pullWhole    bool          // the next pull requests the whole state
+	fallback     *roster.State // the peer with the latest of the states that were too old to be taken at the start
 	recent       positionHistory
 	needsRead    bool // the next call reads the whole state
 	storeAnswers bool // the store answered the last call
@@ -120,16 +123,14 @@
 func newFollower(s *site.Settings, store Store, puller Puller, log hclog.Logger, isReader func(time.Time) bool, publish func(*catalog.View)) *follower {
 	now := time.Now()
 	f := &follower{store: store, puller: puller, log: log, isReader: isReader, publish: publish,
-		changeBound: defaultChangeBound, catalog: catalog.New(), needsRead: true, storeAnswers: true, lastAnswer: now, started: now}
+		changeBound: defaultChangeBound, catalog: catalog.New(), needsRead: true, storeAnswers: true, lastAnswer: now, started: now,
+		readDraw: rand.Float64(), heardHosts: func() int { return 0 }}
 	if s.DrainBound > 0 && s.ConfigBound > 0 {
 		f.changeBound = min(s.DrainBound, s.ConfigBound)
 	}
-	switch {
-	case slices.Contains(s.Seeds, s.PeerAddress):
-	case s.FirstStart:
-		f.peerWait = firstStartDelay
-	default:
-		f.peerWait = peerDelay
+	f.isSeed = slices.Contains(s.Seeds, s.PeerAddress)
+	if s.FirstStart && !f.isSeed {
+		f.minPeerWait = firstStartDelay
 	}
 	return f
 }
@@ -158,6 +159,7 @@
 func (f *follower) run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		f.pullFallback(ctx, time.Now())
 		if !f.shouldCall(time.Now()) {
 			sleep(ctx, f.checkInterval())
 			continue
@@ -213,16 +215,23 @@
 // it has waited for peers; with one, if it is a reader or the last confirmation is old.
 func (f *follower) shouldCall(now time.Time) bool {
 	f.mu.Lock()
-	empty, stale := f.catalog.Revision() == 0, now.Sub(f.confirmed) > time.Duration(staleFraction*float64(f.changeBound))
-	wait := f.peerWait
-	if f.pulling {
-		wait = max(wait, peerPullWait)
-	}
+	empty, stale := f.catalog.Revision() == 0, now.Sub(f.confirmed) > f.staleAge()
+	pulling := f.pulling
 	f.mu.Unlock()
-	if empty {
-		return now.Sub(f.started) >= wait
+	if !empty {
+		return stale || f.isReader(now)
+	}
+	wait := max(f.minPeerWait, roster.FirstReadWait(f.isSeed, f.heardHosts(), f.readDraw))
+	if pulling {
+		wait = max(wait, peerPullWait)
 	}
-	return stale || f.isReader(now)
+	return now.Sub(f.started) >= wait
+}
+
+// staleAge returns the age of the last confirmation from which a host reads the store by
+// itself, whoever else does.
+func (f *follower) staleAge() time.Duration {
+	return time.Duration(staleFraction * float64(f.changeBound))
 }
 
 // call reads the whole state if necessary, and otherwise watches for changes.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
 	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
@@ -16,6 +18,13 @@
 	piggybackPeriod = 1500 * time.Millisecond
 	// maxRecentPositions bounds the earlier positions from which changes are sent.
 	maxRecentPositions = 4
+	// maxPullRetries bounds the further peers that are asked for the state if the first is
+	// sending it to others, and minPullPause is the shortest pause between two, the longest
+	// being twice as long. A small host sends a state within one.
+	maxPullRetries = 12
+	minPullPause   = 10 * time.Millisecond
+	// maxNamedPeers bounds the peers that a busy host names.
+	maxNamedPeers = 8
 )
 
 // positionHistory holds the position of the published state and the positions before
@@ -105,6 +114,21 @@
 	}
 }
 
+// pullFallback pulls from the peer with the latest old state if neither the store nor
+// another peer has provided one within staleStateWait of the start.
+func (f *follower) pullFallback(ctx context.Context, now time.Time) {
+	f.mu.Lock()
+	peer := f.fallback
+	if peer == nil || f.pulling || f.catalog.Revision() > 0 || now.Sub(f.started) < staleStateWait {
+		f.mu.Unlock()
+		return
+	}
+	f.fallback, f.pulling = nil, true
+	f.mu.Unlock()
+	f.log.Info("the store does not answer; taking the state of a peer that was not confirmed lately", "peer", peer.Name, "revision", peer.Revision)
+	go f.pull(ctx, *peer)
+}
+
 // observed records what a peer reported. It returns the new view, nil if the state did
 // not change, and whether to pull from the peer.
 func (f *follower) observed(now time.Time, peer roster.State, update *gossip.Update) (changed *catalog.View, pull bool) {
@@ -121,6 +145,12 @@
 		changed, _ = f.applyUpdate(now, *update)
 	}
 	pull = peer.Revision > f.catalog.Revision() && !f.pulling
+	if pull && own == 0 && now.Sub(confirmed) > f.staleAge() && now.Sub(f.started) < staleStateWait {
+		if f.fallback == nil || f.fallback.Revision < peer.Revision {
+			f.fallback = &peer
+		}
+		pull = false
+	}
 	f.pulling = f.pulling || pull
 	return changed, pull
 }
@@ -154,7 +184,7 @@
 		f.pulling = false
 		f.pullWhole = f.pullWhole && !applied
 	}()
-	update, err := f.puller.Pull(ctx, peer.PeerAddress, position)
+	update, err := f.pullFromAny(ctx, peer.PeerAddress, position)
 	if err != nil {
 		return nil, err
 	}
@@ -166,6 +196,22 @@
 	return changed, err
 }
 
+// pullFromAny pulls from the peer at an address or, while that peer is sending the state to
+// others, from one that it names.
+func (f *follower) pullFromAny(ctx context.Context, address string, position gossip.Position) (gossip.Update, error) {
+	for retries := 0; ; retries++ {
+		update, err := f.puller.Pull(ctx, address, position)
+		var busy *gossip.BusyError
+		if !errors.As(err, &busy) || retries == maxPullRetries || ctx.Err() != nil {
+			return update, err
+		}
+		sleep(ctx, minPullPause+rand.N(minPullPause))
+		if len(busy.Peers) > 0 {
+			address = busy.Peers[rand.IntN(len(busy.Peers))]
+		}
+	}
+}
+
 // applyUpdate applies an update of a peer and returns the new view, or nil if the
 // revision is still the same. It returns an error if the changes do not fit the state.
 // The lock must be held.
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -114,4 +114,44 @@
 		first := newFollower(&site.Settings{FirstStart: true}, nil, peer, hclog.NewNullLogger(), func(time.Time) bool { return false }, func(*catalog.View) {})
 		Expect(first.shouldCall(first.started.Add(4*roundTrip))).To(BeFalse(), "there are no callers yet")
 	})
+
+	Context("on a host that has just started", func() {
+		var first *follower
+		confirmedAgo := func(age time.Duration) roster.State {
+			return roster.State{Name: "peer", Revision: peer.catalog.Revision(), ConfirmedAge: age.Milliseconds()}
+		}
+		BeforeEach(func() {
+			first = newFollower(&site.Settings{}, nil, peer, hclog.NewNullLogger(), func(time.Time) bool { return false }, func(v *catalog.View) { published <- v })
+		})
+
+		// Guards against a target that left, or a route that was withdrawn, and that is in use
+		// again after a restart: a peer that was cut off still has both.
+		It("reads the store before it takes a state that was not confirmed for long", func() {
+			first.observePeer(context.Background(), confirmedAgo(time.Minute), nil)
+			Consistently(published, 50*time.Millisecond).ShouldNot(Receive())
+			first.applyAnswer(func(now time.Time) {
+				first.catalog.Replace(now, 9, []catalog.Item{config(2, 8), target("b", 9)})
+			}, true)
+			var v *catalog.View
+			Expect(published).To(Receive(&v))
+			Expect(v.Revision).To(BeEquivalentTo(9))
+			first.pullFallback(context.Background(), first.started.Add(time.Second))
+			Consistently(published, 50*time.Millisecond).ShouldNot(Receive())
+		})
+
+		It("takes such a state if the store does not answer soon", func() {
+			first.observePeer(context.Background(), confirmedAgo(time.Minute), nil)
+			first.pullFallback(context.Background(), first.started.Add(100*time.Millisecond))
+			Consistently(published, 50*time.Millisecond).ShouldNot(Receive())
+			first.pullFallback(context.Background(), first.started.Add(400*time.Millisecond))
+			var v *catalog.View
+			Eventually(published).Should(Receive(&v))
+			Expect(v.Revision).To(BeEquivalentTo(5))
+		})
+
+		It("takes a state that was confirmed lately at once", func() {
+			first.observePeer(context.Background(), confirmedAgo(time.Second), nil)
+			Eventually(published).Should(Receive())
+		})
+	})
 })
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -179,7 +179,7 @@
 	g.roster.Forget(now)
 	g.sequence++
 	m.Self = g.opts.Self()
-	m.Self.Sequence = g.sequence
+	m.Self.Sequence, m.Self.KnownHosts = g.sequence, g.roster.HeardHosts()
 	if relay {
 		m.Relayed, m.Liveness = g.sampleRelayed(now, maxHeartbeatBytes-typicalStateBytes-len(m.Update)-typicalCrashBytes*len(m.Crashes))
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -114,14 +114,14 @@
 				Routes: []catalog.Route{{Name: "r", Hostname: "h", Prefix: "/", Attempts: attempts}, {Name: "q", Hostname: "h", Prefix: "/q/"}}}}
 		}
 		source.Replace(now, 5, []catalog.Item{config(3, 4, 1), target("t", 5)})
-		server := httptest.NewServer(gossip.StateHandler(func(p gossip.Position) (gossip.Update, bool) {
+		server := httptest.NewServer(gossip.StateHandler(gossip.Sources{UpdateFor: func(p gossip.Position) (gossip.Update, bool) {
 			u := gossip.Update{Revision: source.Revision(), ConfirmedAge: time.Second}
 			var ok bool
 			if u.Changes, ok = source.ChangesSince(p.Revision, p.ConfigVersion); !ok {
 				u.View = source.View()
 			}
 			return u, source.Revision() > 0
-		}))
+		}}))
 		DeferCleanup(server.Close)
 		pull := func() gossip.Update {
 			u, err := gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(server.URL, "http://"),
@@ -146,7 +146,7 @@
 		Expect(receiver.View().Config.Route("h", "/x").Attempts).To(Equal(2))
 		Expect(receiver.View().Config.Version).To(BeEquivalentTo(4))
 
-		empty := httptest.NewServer(gossip.StateHandler(func(gossip.Position) (gossip.Update, bool) { return gossip.Update{}, false }))
+		empty := httptest.NewServer(gossip.StateHandler(gossip.Sources{UpdateFor: func(gossip.Position) (gossip.Update, bool) { return gossip.Update{}, false }}))
 		DeferCleanup(empty.Close)
 		_, err := gossip.NewPuller().Pull(context.Background(), strings.TrimPrefix(empty.URL, "http://"), gossip.Position{})
 		Expect(err).To(MatchError(ContainSubstring("503")))
--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -1,11 +1,6 @@
 package gossip
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,17 +8,6 @@
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 )
 
-const (
-	statePath = "/state"
-	// maxUpdateBytes bounds the response to a pull, enough for a configuration of 1 MB
-	// and 10,000 targets.
-	maxUpdateBytes = 8 << 20
-	// maxHeadBytes bounds the head of the response to a pull.
-	maxHeadBytes = 16 << 10
-	// pullTimeout bounds a pull, so that another peer can be asked in time.
-	pullTimeout = 600 * time.Millisecond
-)
-
 // Position identifies the published state that a host has. A pull returns what was
 // published after it.
 type Position struct {
@@ -55,42 +39,6 @@
 	After        uint64         `cbor:"5,keyasint,omitempty"`
 }
 
-// Query parameters of a pull.
-const (
-	afterParam  = "after"  // revision
-	configParam = "config" // version
-)
-
-// StateHandler serves pulls of peers. updateFor returns what a host at a position
-// lacks, or false if this host has no state yet; the response is then 503. A request
-// without a valid position is answered with 400.
-func StateHandler(updateFor func(Position) (Update, bool)) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
-		var position Position
-		for name, to := range map[string]*uint64{afterParam: &position.Revision, configParam: &position.ConfigVersion} {
-			var err error
-			if *to, err = strconv.ParseUint(r.URL.Query().Get(name), 10, 64); err != nil {
-				http.Error(w, name+" is not an unsigned integer", http.StatusBadRequest)
-				return
-			}
-		}
-		update, ok := updateFor(position)
-		if !ok {
-			http.Error(w, "this host has no published state yet", http.StatusServiceUnavailable)
-			return
-		}
-		data, err := update.encode(time.Now())
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		// A write error means that the peer closed the connection.
-		_, _ = w.Write(data)
-	})
-	return mux
-}
-
 // encode encodes the update with durations instead of times, because the clocks of
 // hosts differ.
 func (u *Update) encode(now time.Time) ([]byte, error) {
@@ -121,42 +69,7 @@
 	return &copied
 }
 
-// Puller pulls the published state from peers. It is safe for concurrent use.
-type Puller struct{ client *http.Client }
-
-// NewPuller returns a Puller that opens a connection for each pull.
-func NewPuller() *Puller {
-	return &Puller{client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
-		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
-}
-
-// Pull requests what a host at a position lacks from the peer at an IP:port. It
-// returns an error if the peer does not answer within 600 ms, has no state yet or
-// sends a malformed update.
-func (p *Puller) Pull(ctx context.Context, address string, position Position) (Update, error) {
-	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, statePath, afterParam, position.Revision, configParam, position.ConfigVersion)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return Update{}, err
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return Update{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return Update{}, errors.Newf("peer %s answered with status %d", address, resp.StatusCode)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxUpdateBytes))
-	if err != nil {
-		return Update{}, err
-	}
-	u, err := decodeUpdate(data, time.Now())
-	return u, errors.Wrapf(err, "decode update of peer %s", address)
-}
-
-// decodeUpdate decodes an update that arrived now. It rejects updates without a
+// decodeUpdate decodes an update that was encoded now. It rejects updates without a
 // revision, with a negative age, with a view of another revision or with an empty
 // target in the view.
 func decodeUpdate(data []byte, now time.Time) (Update, error) {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// Fail records a violation that was found elsewhere.
+func (c *Checker) Fail(violation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, violation)
+}
+
 func (c *Checker) fail(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,7 +17,13 @@
 	Reset              // connections are reset
 	Blackhole          // data are discarded in both directions
 	OneWay             // answers are discarded
-	linkModes          // number of modes
+	// In the modes from here on, answers are not those of the target.
+	EndlessHead // a head without an end
+	EndlessBody // a body without an end
+	LateCopy    // each answer is followed by a second copy
+	CutOff      // answers break off
+	Trickle     // answers arrive byte by byte
+	linkModes   // number of modes
 )
 
 // linkDelay is longer than a usual answer takes.
@@ -127,7 +133,11 @@
 			time.Sleep(linkDelay)
 		}
 		lost = lost || mode == Blackhole || mode == OneWay && answers
-		if n > 0 && !lost {
+		if n > 0 && !lost && answers && mode >= EndlessHead {
+			if !p.corrupt(to, buffer[:n], mode) {
+				return
+			}
+		} else if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 	settingsFile string
 	storeProxy   *Proxy // through which the host reaches the store
 	cmd          *exec.Cmd
+	pid          atomic.Int64  // of the process; 0 before the first start
 	exited       chan struct{} // closed when the process has exited
 }
 
@@ -38,6 +40,8 @@
 	shards  []string // set of shards in the last published configuration
 	client  *http.Client
 	output  *os.File // standard output and error of the hosts
+
+	peakMemory int64 // of any host, in bytes
 }
 
 // target is a fake target and the proxy through which hosts reach it.
@@ -139,6 +143,7 @@
 	if err := h.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", h.Name)
 	}
+	h.pid.Store(int64(h.cmd.Process.Pid))
 	exited := make(chan struct{})
 	h.exited = exited
 	cmd := h.cmd
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,8 +36,9 @@
 
 // Report is the result of a run.
 type Report struct {
-	Calls, Served, Runs int // calls sent, calls answered with status 200, and executions of requests on targets
-	CheckedChanges      int // planned changes for which the time to take effect was checked
+	Calls, Served, Runs int   // calls sent, calls answered with status 200, and executions of requests on targets
+	PeakMemory          int64 // largest resident memory of a host, in bytes
+	CheckedChanges      int   // planned changes for which the time to take effect was checked
 	Violations          []string
 }
 
@@ -60,6 +61,7 @@
 	}
 	calling, stopCalling := context.WithCancel(ctx)
 	var callers sync.WaitGroup
+	callers.Go(func() { s.watchMemory(calling) })
 	var nextID atomic.Int64
 	for i := range o.Callers {
 		c := &caller{fleet: s, place: fmt.Sprint("p", i%places), rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
@@ -95,7 +97,7 @@
 
 func (s *testFleet) report(recovered time.Time) Report {
 	runs := s.runLog.Runs()
-	r := Report{Runs: len(runs), Violations: s.checker.Finish(runs)}
+	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.Finish(runs)}
 	r.Calls, r.Served = s.checker.Served(time.Time{})
 	if sent, served := s.checker.Served(recovered); float64(served) < minServedRatio*float64(sent) || sent == 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("of %d calls after the recovery time only %d were served", sent, served))
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -41,6 +41,8 @@
 	// is the fraction of Capacity in use.
 	Capacity float64 `cbor:"13,keyasint"`
 	Load     float64 `cbor:"14,keyasint"`
+	// KnownHosts is the number of hosts that the host knows of, itself included.
+	KnownHosts int `cbor:"15,keyasint,omitempty"`
 	// Age is the time in milliseconds since this state left its host, when it is
 	// relayed; 0 in the sender's own state.
 	Age int64 `cbor:"12,keyasint"`
