--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -64,7 +64,7 @@
 	sources Sources
 	whole   chan struct{} // holds an item for each whole state that is being sent
 
-	mu         sync.Mutex
+	mu      sync.Mutex
 	cached  []byte // a whole state, encoded and compressed
 	encoded time.Time
 }
