--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -29,10 +28,6 @@
 
 var shards = []string{"s1", "s2", "s3", "s4"}
 
-// operatorsPort is outside the range of ephemeral ports, so that no outgoing
-// connection uses it. Each host has its own IP.
-const operatorsPort = "9464"
-
 // fixture is an installation on loopback addresses: a store, hosts, two targets per
 // shard and two for non-idempotent requests.
 type fixture struct {
@@ -98,7 +93,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	host, err := edge.New(edge.Options{
 		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: f.codec, Observer: edge.NewMetrics(), Tracer: f.tracer,
-		Log: hclog.NewNullLogger(), OperatorsAddress: net.JoinHostPort(h.IP, operatorsPort),
+		Log: hclog.NewNullLogger(), OperatorsAddress: h.Address(h.Ports.Operators),
 		Handlers: edge.Handlers{Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -331,7 +326,7 @@
 	It("shows operators its status and where it would send a request", func() {
 		f := newFixture(3)
 		read := func(path string, answer any) int {
-			resp, err := f.client.Get("http://" + net.JoinHostPort(f.hosts[0].IP, operatorsPort) + path)
+			resp, err := f.client.Get("http://" + f.hosts[0].Address(f.hosts[0].Ports.Operators) + path)
 			Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = resp.Body.Close() }()
 			Expect(json.NewDecoder(resp.Body).Decode(answer)).To(Succeed())
