--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -42,8 +42,8 @@
 }
 
 func printEdgeStatus(w io.Writer, s *edge.Status) {
-	fmt.Fprintf(w, "host\t%s\nplace\t%s\nstarted\t%s\nready\t%t\nleaving\t%t\nopen requests\t%d\nload\t%.2f of %.0f sends/s\n",
-		s.Host, s.Place, s.Started.Format(time.RFC3339), s.Ready, s.Leaving, s.OpenRequests, s.Load, s.Capacity)
+	fmt.Fprintf(w, "host\t%s\nplace\t%s\nstarted\t%s\nready\t%t\nleaving\t%t\nopen requests\t%d\nload\t%.2f of %.0f sends/s\ncallers directed here\t%t\nshare of extra sends\t%.3f\n",
+		s.Host, s.Place, s.Started.Format(time.RFC3339), s.Ready, s.Leaving, s.OpenRequests, s.Load, s.Capacity, s.Directed, s.ExtraShare)
 	fmt.Fprintf(w, "configuration\t%d\nrevision\t%d, confirmed %d ms ago\nstore calls\t%d\nreads the store for all\t%t\nhosts assumed\t%d\n",
 		s.State.Config, s.State.Revision, s.State.ConfirmedAgeMS, s.State.StoreCalls, s.State.ReadsStore, s.State.AssumedHosts)
 	fmt.Fprintln(w, "\nHOST\tPLACE\tHEARD\tALIVE\tREADY\tLEAVING\tREVISION\tLOAD")
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -33,6 +33,7 @@
 // close.
 type Counters struct {
 	Opened         atomic.Int64
+	Ahead          atomic.Int64 // of these, opened ahead of requests
 	DialFailed     atomic.Int64 // attempts to open that failed
 	ClosedByTarget atomic.Int64 // closed on request of the target
 	Stale          atomic.Int64 // closed because they were idle for too long
@@ -184,6 +185,7 @@
 	if err != nil {
 		return err
 	}
+	p.shared.Counters.Ahead.Add(1)
 	p.put(c)
 	return nil
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -64,16 +64,27 @@
 		}
 	}
 	f.store.Put("op/config", platformtest.Config(1, shards, 2*time.Second))
-	ports, err := platformtest.FreePorts("127.0.0.1")
+	ips := make([]string, hosts)
+	for i := range ips {
+		ips[i] = fmt.Sprint("127.0.0.", 2+i)
+	}
+	ports, err := platformtest.FreePorts(ips...)
 	Expect(err).NotTo(HaveOccurred())
 	for i := range hosts {
 		f.hosts = append(f.hosts, f.start(platformtest.HostSettings{
-			Name: fmt.Sprint("host-", i), IP: fmt.Sprint("127.0.0.", 2+i), Place: fmt.Sprint("p", i%2), Ports: ports,
+			Name: fmt.Sprint("host-", i), IP: ips[i], Place: fmt.Sprint("p", i%2), Ports: ports,
 			Store: f.store.Address, Seeds: []string{"127.0.0.2", "127.0.0.3"}, Grace: 3 * time.Second,
 		}))
 	}
 	for _, h := range f.hosts {
-		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue(), func() string {
+			select {
+			case err := <-h.ended:
+				return fmt.Sprintf("%s ended: %v", h.Name, err)
+			default:
+				return h.Name + " is running"
+			}
+		})
 	}
 	return f
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -54,6 +54,7 @@
 	}
 	c := h.engine.Connections()
 	counter("lacewingyard_connections_opened_total", "Connections opened to targets.", c.Opened.Load)
+	counter("lacewingyard_connections_ahead_total", "Connections opened to targets ahead of requests.", c.Ahead.Load)
 	counter("lacewingyard_connections_failed_total", "Connections to targets that could not be opened.", c.DialFailed.Load)
 	counter("lacewingyard_connections_broken_total", "Connections to targets closed after a request that ended badly.", c.Broken.Load)
 	counter("lacewingyard_answers_oversized_total", "Answers of targets cut off because they were longer than any valid one.", c.Oversized.Load)
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -34,6 +34,10 @@
 	OpenRequests int64                 `json:"open_requests"`
 	Load         float64               `json:"load"` // fraction of Capacity in use
 	Capacity     float64               `json:"capacity_sends_per_s"`
+	// Directed is set if directory answers name this host, and ExtraShare is its fraction
+	// of the fleet's slack of extra sends.
+	Directed   bool    `json:"callers_directed_here"`
+	ExtraShare float64 `json:"extra_share"`
 	State        StateStatus           `json:"state"`
 	Peers        []PeerStatus          `json:"peers"`
 	Targets      []engine.TargetReport `json:"targets"`
@@ -100,6 +104,7 @@
 	s := Status{
 		Host: h.opts.Site.Name, Place: h.opts.Site.Place, Started: h.started, Ready: h.ready(), Leaving: h.leaving.Load(),
 		OpenRequests: h.openRequests.Load(), Load: h.load.current(), Capacity: h.load.capacity,
+		Directed: h.isOneOf(h.directed(now)), ExtraShare: h.ExtraShare(),
 		State: StateStatus{
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -76,13 +76,17 @@
 	if err := s.newShardSet("a"); err != nil {
 		return nil, err
 	}
-	ports, err := platformtest.FreePorts("127.0.0.1")
+	ips := make([]string, hosts)
+	for i := range ips {
+		ips[i] = fmt.Sprint("127.0.1.", 1+i)
+	}
+	ports, err := platformtest.FreePorts(ips...)
 	if err != nil {
 		return nil, err
 	}
 	for i := range hosts {
 		h := &host{HostSettings: platformtest.HostSettings{
-			Name: fmt.Sprint("host-", i), IP: fmt.Sprint("127.0.1.", 1+i), Place: fmt.Sprint("p", i%places), Ports: ports,
+			Name: fmt.Sprint("host-", i), IP: ips[i], Place: fmt.Sprint("p", i%places), Ports: ports,
 			Seeds: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}, Grace: gracePeriod,
 		}, settingsFile: filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))}
 		if h.storeProxy, err = NewProxy(s.store.Address); err != nil {
