Greet seeds until they reply; make one reply for the hosts that start within 20 ms

Those that start before a seed lost their only greeting, the next came 500 ms later, and a small host needs 170 us of a fifth of a core for each of 295 replies.

--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -26,21 +26,21 @@
 
 // Status is the response of StatusPath: the state of a host, its peers and targets.
 type Status struct {
-	Host         string                `json:"host"`
-	Place        string                `json:"place"`
-	Started      time.Time             `json:"started"`
-	Ready        bool                  `json:"ready"`
-	Leaving      bool                  `json:"leaving"`
-	OpenRequests int64                 `json:"open_requests"`
-	Load         float64               `json:"load"` // fraction of Capacity in use
-	Capacity     float64               `json:"capacity_sends_per_s"`
+	Host         string    `json:"host"`
+	Place        string    `json:"place"`
+	Started      time.Time `json:"started"`
+	Ready        bool      `json:"ready"`
+	Leaving      bool      `json:"leaving"`
+	OpenRequests int64     `json:"open_requests"`
+	Load         float64   `json:"load"` // fraction of Capacity in use
+	Capacity     float64   `json:"capacity_sends_per_s"`
 	// Directed is set if directory answers name this host, and ExtraShare is its fraction
 	// of the fleet's slack of extra sends.
-	Directed   bool    `json:"callers_directed_here"`
-	ExtraShare float64 `json:"extra_share"`
-	State        StateStatus           `json:"state"`
-	Peers        []PeerStatus          `json:"peers"`
-	Targets      []engine.TargetReport `json:"targets"`
+	Directed   bool                  `json:"callers_directed_here"`
+	ExtraShare float64               `json:"extra_share"`
+	State      StateStatus           `json:"state"`
+	Peers      []PeerStatus          `json:"peers"`
+	Targets    []engine.TargetReport `json:"targets"`
 	// Budgets are the remaining budgets of extra sends, hedges and retries, to the
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,6 +28,15 @@
 	// maxPiggybackBytes bounds the update in a heartbeat, enough for a few targets
 	// or routes. The update leaves less room for relayed states.
 	maxPiggybackBytes = 660
+	// greetInterval is the time between two greetings of a seed that has not replied to a
+	// host without a state, and greetPeriod the time after its start in which it sends them:
+	// a seed that starts later does not get the first one.
+	greetInterval = 50 * time.Millisecond
+	greetPeriod   = 2 * time.Second
+	// replyCacheTime is how long a reply is sent to further hosts that have just started.
+	// After a restart of all hosts, a small host takes longer to make one reply for each
+	// than these wait for it.
+	replyCacheTime = 20 * time.Millisecond
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 64 << 10
 )
@@ -81,6 +90,14 @@
 	heartbeats   uint64 // number of the latest regular heartbeat
 	seeds        []netip.AddrPort
 	decodeErrors int
+	lastReply    reply
+}
+
+// reply is an encoded reply to a host that has just started.
+type reply struct {
+	data     []byte
+	made     time.Time
+	revision uint64 // of this host's state then
 }
 
 // New opens the UDP socket. It returns an error if the address is not valid or the
@@ -126,8 +143,17 @@
 	go g.receive()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	greetings := time.NewTicker(greetInterval)
+	defer greetings.Stop()
+	greetUntil := time.Now().Add(greetPeriod)
 	for {
 		select {
+		case now := <-greetings.C:
+			if g.opts.Self().Revision > 0 || now.After(greetUntil) {
+				greetings.Stop()
+				continue
+			}
+			g.greetSeeds(now)
 		case <-timer.C:
 			g.Send()
 			timer.Reset(g.heartbeatParams().Interval)
@@ -138,6 +164,27 @@
 	}
 }
 
+// greetSeeds sends a heartbeat to the seeds that were not heard of.
+func (g *Gossip) greetSeeds(now time.Time) {
+	g.mu.Lock()
+	heard := map[netip.AddrPort]bool{}
+	for _, h := range g.roster.Known() {
+		if ap, err := netip.ParseAddrPort(h.GossipAddress); err == nil {
+			heard[ap] = true
+		}
+	}
+	var to []netip.AddrPort
+	for _, seed := range g.seeds {
+		if !heard[seed] {
+			to = append(to, seed)
+		}
+	}
+	g.mu.Unlock()
+	if len(to) > 0 {
+		g.sendTo(now, to, false)
+	}
+}
+
 // heartbeatParams returns the parameters for the current size of the fleet.
 func (g *Gossip) heartbeatParams() roster.HeartbeatParams {
 	g.mu.Lock()
@@ -174,6 +221,13 @@
 // sendTo sends a heartbeat to the given addresses. If relay is set, the heartbeat
 // includes states and liveness records of other hosts.
 func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, relay bool) {
+	if data := g.encode(now, relay); data != nil {
+		g.write(data, to)
+	}
+}
+
+// encode returns the datagram of a heartbeat, or nil if it cannot be encoded.
+func (g *Gossip) encode(now time.Time, relay bool) []byte {
 	m := heartbeat{Update: g.encodeUpdate(now), Crashes: g.opts.Crashes()}
 	g.mu.Lock()
 	g.roster.Forget(now)
@@ -187,8 +241,13 @@
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		g.opts.Log.Error("failed to encode a heartbeat", "error", err)
-		return
+		return nil
 	}
+	return data
+}
+
+// write sends a datagram to the given addresses.
+func (g *Gossip) write(data []byte, to []netip.AddrPort) {
 	for _, addr := range to {
 		// Errors are ignored: an unreachable host is detected by the absence of
 		// its heartbeats.
@@ -277,7 +336,7 @@
 		g.opts.OnCrashes(m.Crashes)
 	}
 	if !seen && g.needsReply(m.Self) {
-		g.reply(m.Self)
+		g.sendReply(m.Self)
 	}
 	if newer {
 		g.opts.OnUpdate(m.Self, g.piggybackedUpdate(from, m.Update))
@@ -323,14 +382,35 @@
 	return g.roster.HeartbeatParams().NearFanout == 0
 }
 
-// reply sends a heartbeat to a host whose process has just started, so that the
+// sendReply sends a heartbeat to a host whose process has just started, so that the
 // host does not wait for the next round to find peers.
-func (g *Gossip) reply(s roster.State) {
-	if ap, err := netip.ParseAddrPort(s.GossipAddress); err == nil && s.Name != "" {
-		g.sendTo(time.Now(), []netip.AddrPort{ap}, true)
+func (g *Gossip) sendReply(s roster.State) {
+	ap, err := netip.ParseAddrPort(s.GossipAddress)
+	if err != nil || s.Name == "" {
+		return
+	}
+	if data := g.latestReply(time.Now()); data != nil {
+		g.write(data, []netip.AddrPort{ap})
 	}
 }
 
+// latestReply returns a reply that was made at most replyCacheTime ago and with the present
+// state of this host, or nil if it cannot be encoded.
+func (g *Gossip) latestReply(now time.Time) []byte {
+	revision := g.opts.Self().Revision
+	g.mu.Lock()
+	last := g.lastReply
+	g.mu.Unlock()
+	if last.data != nil && last.revision == revision && now.Sub(last.made) < replyCacheTime {
+		return last.data
+	}
+	last = reply{data: g.encode(now, true), made: now, revision: revision}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastReply = last
+	return last.data
+}
+
 // observe records a heartbeat in the roster. It reports whether the sender's state
 // is newer than the one in the roster, and whether the sender's incarnation was in
 // the roster before.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +102,55 @@
 		Expect(update.Changes).To(Equal(many[37:]))
 	})
 
+	// Guards against a host that hears of a seed half a second after both have started,
+	// because its first heartbeat came too early, and reads the store meanwhile.
+	It("greets a seed again until it replies", func() {
+		seed, err := net.ListenPacket("udp", "127.0.4.5:17946")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(seed.Close)
+		start("first", "127.0.4.4", "127.0.4.5:1", 17946, func(*gossip.Options) {})
+		Expect(seed.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		var arrived []time.Time
+		for range 4 {
+			_, _, err := seed.ReadFrom(make([]byte, 2000))
+			Expect(err).NotTo(HaveOccurred())
+			arrived = append(arrived, time.Now())
+		}
+		const heartbeats = 1500 * time.Millisecond // from the first to the fourth
+		Expect(arrived[3].Sub(arrived[0])).To(BeNumerically("<", heartbeats*3/4))
+	})
+
+	// Guards against a host that starts just after another one has got the state, and that
+	// is told that the other has none.
+	It("replies to hosts that start with its present state", func() {
+		var revision atomic.Uint64
+		start("seed", "127.0.4.6", "127.0.4.6:1", 17946, func(o *gossip.Options) {
+			self := o.Self
+			o.Self = func() roster.State {
+				s := self()
+				s.Revision = revision.Load()
+				return s
+			}
+		})
+		for i := range 8 {
+			revision.Store(uint64(i))
+			told := make(chan uint64, 10)
+			start(fmt.Sprint("h", i), fmt.Sprint("127.0.4.", 10+i), "127.0.4.6:1", 17946, func(o *gossip.Options) {
+				o.OnUpdate = func(from roster.State, _ *gossip.Update) {
+					if from.Name == "seed" {
+						select {
+						case told <- from.Revision:
+						default:
+						}
+					}
+				}
+			})
+			var first uint64
+			Eventually(told, 5*time.Second).Should(Receive(&first))
+			Expect(first).To(BeEquivalentTo(i))
+		}
+	})
+
 	// Guards against a pull of the whole state after each change, and against a warm-up
 	// that is lost or restarted by the transfer between hosts.
 	It("transfers the whole state, then only the changes, and fails if the peer has no state", func() {
