Tell hosts that start of the large hosts first; connect ahead only once the roster is settled

Change: half of the states that a heartbeat relays, and all that a reply to a host that starts relays, are of large hosts as far as there are any.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -329,7 +329,8 @@
 // this host, until the context ends.
 func (h *Host) preconnect(ctx context.Context) {
 	for ctx.Err() == nil {
-		if h.isOneOf(h.directed(time.Now())) {
+		// Before SettleTime this host may know too few others to tell.
+		if now := time.Now(); now.Sub(h.started) >= roster.SettleTime && h.isOneOf(h.directed(now)) {
 			h.engine.Preconnect(ctx)
 		}
 		sleep(ctx, preconnectInterval)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -181,7 +181,7 @@
 	}
 	g.mu.Unlock()
 	if len(to) > 0 {
-		g.sendTo(now, to, false)
+		g.sendTo(now, to, relayNone)
 	}
 }
 
@@ -198,7 +198,7 @@
 	g.mu.Lock()
 	to := g.receivers(now)
 	g.mu.Unlock()
-	g.sendTo(now, to, true)
+	g.sendTo(now, to, relaySample)
 }
 
 // Broadcast sends a heartbeat to every host that is alive and to all seeds, for
@@ -215,27 +215,43 @@
 		}
 	}
 	g.mu.Unlock()
-	g.sendTo(now, to, len(alive) <= roster.FullMeshHosts)
+	relay := relayNone
+	if len(alive) <= roster.FullMeshHosts {
+		relay = relaySample
+	}
+	g.sendTo(now, to, relay)
 }
 
-// sendTo sends a heartbeat to the given addresses. If relay is set, the heartbeat
-// includes states and liveness records of other hosts.
-func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, relay bool) {
+// relay is what a heartbeat includes of other hosts.
+type relay uint8
+
+const (
+	relayNone     relay = iota
+	relaySample         // a sample of states and liveness records
+	relayForStart       // for a host that has just started: states, those of large hosts first
+)
+
+// sendTo sends a heartbeat to the given addresses.
+func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, relay relay) {
 	if data := g.encode(now, relay); data != nil {
 		g.write(data, to)
 	}
 }
 
 // encode returns the datagram of a heartbeat, or nil if it cannot be encoded.
-func (g *Gossip) encode(now time.Time, relay bool) []byte {
+func (g *Gossip) encode(now time.Time, relay relay) []byte {
 	m := heartbeat{Update: g.encodeUpdate(now), Crashes: g.opts.Crashes()}
 	g.mu.Lock()
 	g.roster.Forget(now)
 	g.sequence++
 	m.Self = g.opts.Self()
 	m.Self.Sequence, m.Self.KnownHosts = g.sequence, g.roster.HeardHosts()
-	if relay {
-		m.Relayed, m.Liveness = g.sampleRelayed(now, maxHeartbeatBytes-typicalStateBytes-len(m.Update)-typicalCrashBytes*len(m.Crashes))
+	bytesLeft := maxHeartbeatBytes - typicalStateBytes - len(m.Update) - typicalCrashBytes*len(m.Crashes)
+	switch relay {
+	case relaySample:
+		m.Relayed, m.Liveness = g.sampleRelayed(now, bytesLeft)
+	case relayForStart:
+		m.Relayed = g.roster.SampleForStart(now, max(0, bytesLeft/typicalStateBytes), g.rng)
 	}
 	g.mu.Unlock()
 	data, err := cbor.Marshal(m)
@@ -404,7 +420,7 @@
 	if last.data != nil && last.revision == revision && now.Sub(last.made) < replyCacheTime {
 		return last.data
 	}
-	last = reply{data: g.encode(now, true), made: now, revision: revision}
+	last = reply{data: g.encode(now, relayForStart), made: now, revision: revision}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastReply = last
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -290,23 +290,59 @@
 // Sample returns what a heartbeat relays, chosen at random with ages as of now: at
 // most the given number of states of hosts that are alive, and liveness records of
 // at most the given numbers of hosts of this place and of other places. Two thirds
-// of the states are of this place, to whose hosts local callers are sent.
+// of the states are of this place, to whose hosts local callers are sent, and half of
+// each of large hosts, which get most callers as soon as they are known.
 func (r *Roster) Sample(now time.Time, states, nearLiveness, farLiveness int, rng *rand.Rand) ([]State, []Liveness) {
 	near, far := r.shuffled(now, rng)
 	fromFar := min(len(far), max(states/3, states-len(near)))
+	fromNear := min(len(near), states-fromFar)
+	chosen := slices.Concat(r.largeFirst(near, (fromNear+1)/2)[:fromNear], r.largeFirst(far, (fromFar+1)/2)[:fromFar])
+	var liveness []Liveness
+	for _, h := range slices.Concat(near[:min(len(near), nearLiveness)], far[:min(len(far), farLiveness)]) {
+		liveness = append(liveness, Liveness{Key: processKey(h.Name, h.Incarnation), Sequence: h.lastSequence, Age: now.Sub(h.LastSentAt).Milliseconds()})
+	}
+	return relayedStates(now, chosen), liveness
+}
+
+// SampleForStart returns what a reply to a host that has just started relays: at most the
+// given number of states of hosts that are alive, those of large hosts first. A host that
+// knows no large ones directs callers to small ones.
+func (r *Roster) SampleForStart(now time.Time, states int, rng *rand.Rand) []State {
+	near, far := r.shuffled(now, rng)
+	all := slices.Concat(near, far)
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return relayedStates(now, r.largeFirst(all, states)[:min(states, len(all))])
+}
+
+// largeFirst returns hosts in their order, but with up to count large ones first.
+func (r *Roster) largeFirst(hosts []*Host, count int) []*Host {
+	largest := map[string]float64{}
+	for _, h := range r.hosts {
+		largest[h.Place] = max(largest[h.Place], h.Capacity)
+	}
+	first := make([]*Host, 0, len(hosts))
+	var others []*Host
+	for _, h := range hosts {
+		if len(first) < count && h.Capacity >= LargeCapacityRatio*largest[h.Place] {
+			first = append(first, h)
+		} else {
+			others = append(others, h)
+		}
+	}
+	return append(first, others...)
+}
+
+// relayedStates returns the states of hosts with ages as of now.
+func relayedStates(now time.Time, hosts []*Host) []State {
 	var relayed []State
-	for _, h := range slices.Concat(near[:min(len(near), states-fromFar)], far[:fromFar]) {
+	for _, h := range hosts {
 		s := h.State
 		age := now.Sub(h.StateSentAt).Milliseconds()
 		s.ConfirmedAge += age - s.Age
 		s.Age = age
 		relayed = append(relayed, s)
 	}
-	var liveness []Liveness
-	for _, h := range slices.Concat(near[:min(len(near), nearLiveness)], far[:min(len(far), farLiveness)]) {
-		liveness = append(liveness, Liveness{Key: processKey(h.Name, h.Incarnation), Sequence: h.lastSequence, Age: now.Sub(h.LastSentAt).Milliseconds()})
-	}
-	return relayed, liveness
+	return relayed
 }
 
 // shuffled returns the hosts of this place and of other places that are alive, in
