Name as many small hosts as the load needs, as often as their capacity allows

Change: PreferLarge keeps the small hosts that the load of the place needs beside the large ones, by the hashes of their names; the load that small ones carry counts, so that callers do not move to and fro. An answer names a small host with the probability by which it is smaller.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -55,13 +55,13 @@
 
 // addresses returns the addresses of hosts for callers in a place.
 func (h *Host) addresses(now time.Time, place string) []string {
-	hosts := h.directed(now)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	hosts := entries.SampleByCapacity(h.directed(now), rng)
 	if v := h.engine.View(); v != nil && v.ServedFraction(place) < minServedFraction {
 		if best := bestServedPlace(v, hosts); best != "" {
 			place = best
 		}
 	}
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen := entries.LimitRemote(entries.Choose(hosts, place, rng), place)
 	addresses := make([]string, len(chosen))
 	for i, host := range chosen {
--- a/pkg/entries/concentrate.go
+++ b/pkg/entries/concentrate.go
@@ -1,12 +1,5 @@
 package entries
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
-
 // sparseLoad is the mean load up to which callers are directed to fewer hosts of a place.
 // At this load two requests rarely meet on a host.
 const sparseLoad = 0.1
@@ -42,9 +35,7 @@
 		}
 		used += h.Load * h.Capacity
 	}
-	slices.SortFunc(hosts, func(a, b Host) int {
-		return cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name))
-	})
+	sortByHash(hosts)
 	capacity := 0.0
 	for i, h := range hosts {
 		if i >= enoughLocal && used <= sparseLoad*capacity {
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
 
@@ -164,24 +165,38 @@
 	maxFleetLoad  = 0.3
 )
 
-// loadTotal sums up hosts and their load.
+// loadTotal sums up the reachable hosts of a place or of the fleet.
 type loadTotal struct {
-	hosts int
-	load  float64
+	hosts    int     // large ones
+	load     float64 // sum of the loads of the large ones
+	capacity float64 // of the large ones
+	used     float64 // capacity of any of the hosts that is in use
 }
 
-func (t *loadTotal) add(load float64) {
-	t.hosts++
-	t.load += load
+func (t *loadTotal) add(h *Host, large bool) {
+	t.used += h.Load * h.Capacity
+	if large {
+		t.hosts++
+		t.load += h.Load
+		t.capacity += h.Capacity
+	}
 }
 
+// mean returns the mean load of the large hosts.
 func (t *loadTotal) mean() float64 { return t.load / float64(max(1, t.hosts)) }
 
+// largeSuffice reports whether the large hosts could carry the load of all. The load that
+// small ones carry counts, or callers would move to and fro.
+func (t *loadTotal) largeSuffice() bool {
+	return t.mean() <= maxLocalLoad && t.used <= maxLocalLoad*t.capacity
+}
+
 // PreferLarge drops the small hosts of a place if its large hosts have spare capacity,
 // or if too few of them are reachable but the large hosts of the fleet have. A round
 // trip to another place takes less time than a fan-out through a host with a slow link
 // and little CPU. The fewer hosts share the callers, the more requests each has to keep
-// its connections open and its latency estimates recent. Small hosts are a reserve.
+// its connections open and its latency estimates recent. Small hosts are a reserve: of a
+// place whose large hosts lack capacity, as many are kept as the load needs.
 // Which hosts of a place count as large depends on all of them, including those that
 // are leaving or unreachable.
 func PreferLarge(hosts []Host) []Host {
@@ -196,22 +211,86 @@
 		if places[h.Place] == nil {
 			places[h.Place] = &loadTotal{}
 		}
-		if large(h) && h.class() == reachable {
-			places[h.Place].add(h.Load)
-			fleet.add(h.Load)
+		if h.class() == reachable {
+			places[h.Place].add(&h, large(h))
+			fleet.add(&h, large(h))
 		}
 	}
 	enough := func(t *loadTotal) bool {
 		if t.hosts >= enoughLocal {
-			return t.mean() <= maxLocalLoad
+			return t.largeSuffice()
 		}
 		return fleet.hosts >= minFleetLarge && fleet.mean() <= maxFleetLoad
 	}
 	kept := make([]Host, 0, len(hosts))
+	small := map[string][]Host{}
 	for _, h := range hosts {
-		if large(h) || !enough(places[h.Place]) {
+		switch {
+		case large(h):
 			kept = append(kept, h)
+		case !enough(places[h.Place]):
+			small[h.Place] = append(small[h.Place], h)
 		}
 	}
+	for place, reserve := range small {
+		if places[place].hosts == 0 {
+			kept = append(kept, reserve...)
+			continue
+		}
+		kept = append(kept, neededReserve(hosts, reserve)...)
+	}
 	return kept
 }
+
+// neededReserve returns those of the small hosts of a place, of which at least one large
+// host is reachable, that its load needs beside the large ones. They are the same on every
+// host.
+func neededReserve(all, reserve []Host) []Host {
+	sortByHash(reserve)
+	isReserve := map[string]bool{}
+	for _, h := range reserve {
+		isReserve[h.Name] = true
+	}
+	used, capacity, serving := 0.0, 0.0, 0
+	for _, h := range all {
+		if h.Place != reserve[0].Place || h.class() != reachable {
+			continue
+		}
+		used += h.Load * h.Capacity
+		if !isReserve[h.Name] {
+			capacity += h.Capacity
+			serving++
+		}
+	}
+	for i, h := range reserve {
+		if serving >= enoughLocal && used <= maxLocalLoad*capacity {
+			return reserve[:i]
+		}
+		if h.class() == reachable {
+			capacity += h.Capacity
+			serving++
+		}
+	}
+	return reserve
+}
+
+// sortByHash sorts hosts by the hashes of their names, in the same order on every host.
+func sortByHash(hosts []Host) {
+	slices.SortFunc(hosts, func(a, b Host) int {
+		return cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name))
+	})
+}
+
+// SampleByCapacity drops each host with the probability by which its capacity is below
+// that of the largest host of its place. It serves callers that use the addresses of an
+// answer in random order, to whom a small host is worth as much as a large one. Hosts of
+// unknown capacity are kept.
+func SampleByCapacity(hosts []Host, rng *rand.Rand) []Host {
+	largest := map[string]float64{}
+	for _, h := range hosts {
+		largest[h.Place] = max(largest[h.Place], h.Capacity)
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool {
+		return h.Capacity > 0 && rng.Float64()*largest[h.Place] >= h.Capacity
+	})
+}
--- a/pkg/entries/large_test.go
+++ b/pkg/entries/large_test.go
@@ -1,6 +1,10 @@
 package entries_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
 	"github.com/lacewingyard/lacewingyard/pkg/entries"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -55,6 +59,48 @@
 		Expect(reachableNames(fleet[:4])).To(ContainElement("a3"), "there are too few large hosts")
 	})
 
+	// Guards against callers that are spread over all hosts of a place, each of which then
+	// opens connections to all targets, because its large hosts are a little too busy.
+	It("keeps as many small hosts as the load needs beside the large ones", func() {
+		hosts := []entries.Host{host("a1", "a", 10, 0.5), host("a2", "a", 10, 0.4)}
+		for i := range 20 {
+			hosts = append(hosts, host(fmt.Sprint("s", i), "a", 1, 0))
+		}
+		kept := names(hosts)
+		Expect(kept).To(HaveLen(5), "9 of 23 are used")
+		for i := range hosts[:2] { // the small ones take their part
+			hosts[i].Load = 0.39
+		}
+		for i := range hosts {
+			if slices.Contains(kept[2:], hosts[i].Name) {
+				hosts[i].Load = 0.39
+			}
+		}
+		Expect(names(hosts)).To(Equal(kept), "callers do not move to and fro")
+		for i := range hosts {
+			hosts[i].Load = min(hosts[i].Load, 0.3)
+		}
+		Expect(names(hosts)).To(HaveLen(2), "the large ones have spare capacity again")
+		hosts[0].Load, hosts[1].Load = 0.9, 0.9
+		Expect(len(names(hosts))).To(BeNumerically(">", 20))
+	})
+
+	// Guards against a small host that gets as many callers as a large one.
+	It("names hosts as often as their capacity allows", func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		named := map[string]int{}
+		for range 1000 {
+			for _, h := range entries.SampleByCapacity([]entries.Host{host("a1", "a", 10, 0), host("a2", "a", 10, 0), host("s", "a", 2, 0), host("b", "b", 2, 0), host("c", "c", 0, 0)}, rng) {
+				named[h.Name]++
+			}
+		}
+		Expect(named).To(HaveKeyWithValue("a1", 1000))
+		Expect(named).To(HaveKeyWithValue("a2", 1000))
+		Expect(named).To(HaveKeyWithValue("b", 1000))
+		Expect(named).To(HaveKeyWithValue("c", 1000))
+		Expect(named["s"]).To(BeNumerically("~", 200, 50))
+	})
+
 	// Guards against hosts of unknown capacity that count as small and are dropped.
 	It("keeps all hosts if none states its capacity", func() {
 		Expect(names([]entries.Host{host("a1", "a", 0, 0), host("a2", "a", 0, 0)})).To(HaveLen(2))
