Relay small hosts of other places too; no store readers among hosts that have just started

The one state of another place in a heartbeat was always that of a large host, so that rosters lacked the small hosts with the highest hashes, and hosts that lack them count themselves as readers of the store. After a restart of all hosts every host does for a while.

Change: a single relayed state is that of a large host every other time. A host of a fleet beyond 16 hosts reads the store for others only from SettleTime on; the age of its state still makes it read for itself. The spec of the readers checks the settled fleet and, new, large and small fleets that have just started.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -296,7 +296,8 @@
 	near, far := r.shuffled(now, rng)
 	fromFar := min(len(far), max(states/3, states-len(near)))
 	fromNear := min(len(near), states-fromFar)
-	chosen := slices.Concat(r.largeFirst(near, (fromNear+1)/2)[:fromNear], r.largeFirst(far, (fromFar+1)/2)[:fromFar])
+	half := func(n int) int { return (n + rng.IntN(2)) / 2 } // of a single state, every other time
+	chosen := slices.Concat(r.largeFirst(near, half(fromNear))[:fromNear], r.largeFirst(far, half(fromFar))[:fromFar])
 	var liveness []Liveness
 	for _, h := range slices.Concat(near[:min(len(near), nearLiveness)], far[:min(len(far), farLiveness)]) {
 		liveness = append(liveness, Liveness{Key: processKey(h.Name, h.Incarnation), Sequence: h.lastSequence, Age: now.Sub(h.LastSentAt).Milliseconds()})
@@ -363,7 +364,14 @@
 // ReadsStore reports whether this host is one of the given number that read the
 // store on behalf of all: those whose names have the highest hashes among the
 // hosts that are alive and not leaving.
+//
+// In a large fleet a host that has just started knows few others, so that many hosts would
+// count themselves as readers after a restart of all. Until SettleTime it reads only what
+// its age requires.
 func (r *Roster) ReadsStore(now time.Time, readers int) bool {
+	if now.Sub(r.started) < SettleTime && r.HeardHosts() > FullMeshHosts {
+		return false
+	}
 	own := xxhash.Sum64String(r.self)
 	higher := 0
 	for _, h := range r.hosts {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -80,19 +80,25 @@
 		Expect(all).To(Equal(1))
 	})
 
-	// Without a common choice, no host or every host would read the store.
+	// Without a common choice, no host or every host would read the store. A host of a large
+	// fleet that has just started knows too few others for it.
 	It("chooses the same few store readers on every host that knows the same fleet", func() {
-		readers := 0
-		for me := range 20 {
-			r := roster.New(fmt.Sprint(me), "a", start)
-			for i := range 20 {
-				r.Observe(start, state(fmt.Sprint(i), 1, 1))
-			}
-			if r.ReadsStore(start, 2) {
-				readers++
+		readers := func(hosts int, sinceStart time.Duration) (n int) {
+			for me := range hosts {
+				r := roster.New(fmt.Sprint(me), "a", start)
+				now := start.Add(sinceStart)
+				for i := range hosts {
+					r.Observe(now, state(fmt.Sprint(i), 1, 1))
+				}
+				if r.ReadsStore(now, 2) {
+					n++
+				}
 			}
+			return n
 		}
-		Expect(readers).To(Equal(2))
+		Expect(readers(20, roster.SettleTime)).To(Equal(2))
+		Expect(readers(20, 0)).To(BeZero(), "a large fleet")
+		Expect(readers(7, 0)).To(Equal(2), "a small fleet")
 	})
 
 	// A host that is wrongly counted as dead is missing from the addresses that callers
