Let hosts of large fleets read the store for all half a second after their start

After a start of all hosts nobody read the store for three seconds; with a watch of two, the state of all 295 hosts became older than the 3.6 s at which each reads it by itself.

Change: roster.ReaderDelay, 0.5 s. Whether callers are directed to a host is worked out once each half second.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,6 +95,7 @@
 	fleetHosts   atomic.Int64  // hosts that may be running, this one included
 	placeHosts   atomic.Int64  // those of them in this host's place
 	shares       atomic.Pointer[shares]
+	directedHere atomic.Bool   // whether callers are directed to this host
 	// directedShare is used by housekeeping only.
 	directedShare roster.DirectedShare
 }
@@ -330,7 +331,7 @@
 func (h *Host) preconnect(ctx context.Context) {
 	for ctx.Err() == nil {
 		// Before SettleTime this host may know too few others to tell.
-		if now := time.Now(); now.Sub(h.started) >= roster.SettleTime && h.isOneOf(h.directed(now)) {
+		if time.Since(h.started) >= roster.SettleTime && h.directedHere.Load() {
 			h.engine.Preconnect(ctx)
 		}
 		sleep(ctx, preconnectInterval)
@@ -341,7 +342,8 @@
 func (h *Host) refresh() {
 	now := time.Now()
 	directed := h.directed(now)
-	h.directedShare.Update(now, h.isOneOf(directed), len(directed))
+	h.directedHere.Store(h.isOneOf(directed))
+	h.directedShare.Update(now, h.directedHere.Load(), len(directed))
 	h.gossip.WithRoster(func(r *roster.Roster) {
 		all, here := r.FleetSize(now)
 		h.fleetHosts.Store(int64(all))
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -45,7 +45,8 @@
 	// outageAfter is the time without an answer that counts as an outage of the
 	// store, during which registrations of targets may have expired.
 	outageAfter = 2500 * time.Millisecond
-	// firstStartDelay is how long a host waits for peers at least when the whole fleet starts for the first time, before there are callers.
+	// firstStartDelay is how long a host waits for peers at least when the whole fleet
+	// starts for the first time, before there are callers.
 	firstStartDelay = time.Second
 	// peerPullWait is how long a host that has just started waits for a pull from
 	// a peer that has the state.
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -104,7 +104,7 @@
 	s := Status{
 		Host: h.opts.Site.Name, Place: h.opts.Site.Place, Started: h.started, Ready: h.ready(), Leaving: h.leaving.Load(),
 		OpenRequests: h.openRequests.Load(), Load: h.load.current(), Capacity: h.load.capacity,
-		Directed: h.isOneOf(h.directed(now)), ExtraShare: h.ExtraShare(),
+		Directed: h.directedHere.Load(), ExtraShare: h.ExtraShare(),
 		State: StateStatus{
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -17,6 +17,10 @@
 	// SettleTime is the time after the start of this host from which the number of
 	// hosts in the roster is used as the size of the fleet.
 	SettleTime = 3 * time.Second
+	// ReaderDelay is the time after its start from which a host of a large fleet may read
+	// the store for all: a round of heartbeats. With a watch, which may take a third of the
+	// bound on changes, it has to be shorter than the age at which every host reads.
+	ReaderDelay = 500 * time.Millisecond
 	// AssumedFleetHosts is the smallest size of the fleet assumed before SettleTime,
 	// in hosts, while this host may not know all others.
 	AssumedFleetHosts = 64
@@ -365,11 +369,11 @@
 // store on behalf of all: those whose names have the highest hashes among the
 // hosts that are alive and not leaving.
 //
-// In a large fleet a host that has just started knows few others, so that many hosts would
-// count themselves as readers after a restart of all. Until SettleTime it reads only what
-// its age requires.
+// In a large fleet a host that has just started knows few others, so that nearly all hosts
+// would count themselves as readers after a restart of all. Until ReaderDelay after its
+// start it reads only what the age of its state requires.
 func (r *Roster) ReadsStore(now time.Time, readers int) bool {
-	if now.Sub(r.started) < SettleTime && r.HeardHosts() > FullMeshHosts {
+	if now.Sub(r.started) < ReaderDelay && r.HeardHosts() > FullMeshHosts {
 		return false
 	}
 	own := xxhash.Sum64String(r.self)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -96,7 +96,7 @@
 			}
 			return n
 		}
-		Expect(readers(20, roster.SettleTime)).To(Equal(2))
+		Expect(readers(20, roster.ReaderDelay)).To(Equal(2))
 		Expect(readers(20, 0)).To(BeZero(), "a large fleet")
 		Expect(readers(7, 0)).To(Equal(2), "a small fleet")
 	})
