--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,7 +95,7 @@
 	fleetHosts   atomic.Int64  // hosts that may be running, this one included
 	placeHosts   atomic.Int64  // those of them in this host's place
 	shares       atomic.Pointer[shares]
-	directedHere atomic.Bool   // whether callers are directed to this host
+	directedHere atomic.Bool // whether callers are directed to this host
 	// directedShare is used by housekeeping only.
 	directedShare roster.DirectedShare
 }
