Relay states of two large hosts besides three of any host

Change: a heartbeat of a fleet of 17 to 400 hosts relays three states of any hosts and two of large ones.

--- a/internal/gossip/fuzz_test.go
+++ b/internal/gossip/fuzz_test.go
@@ -63,7 +63,7 @@
 	for i := 1; i < 30; i++ {
 		r.Observe(now, fleetHostState(i, 3, now))
 	}
-	states, liveness := r.Sample(now, 4, 10, 10, rand.New(rand.NewPCG(1, 1)))
+	states, liveness := r.Sample(now, 4, 0, 10, 10, rand.New(rand.NewPCG(1, 1)))
 	data, err := cbor.Marshal(heartbeat{Self: fleetHostState(1, 3, now), Relayed: states, Liveness: liveness})
 	if err != nil {
 		f.Fatal(err)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -277,9 +277,11 @@
 	params := g.roster.HeartbeatParams()
 	states := max(0, min(params.States, bytesLeft/typicalStateBytes))
 	bytesLeft -= states * typicalStateBytes
+	large := max(0, min(params.LargeStates, bytesLeft/typicalStateBytes))
+	bytesLeft -= large * typicalStateBytes
 	near := max(0, min(params.NearLiveness, bytesLeft/typicalLivenessBytes))
 	bytesLeft -= near * typicalLivenessBytes
-	return g.roster.Sample(now, states, near, max(0, min(params.FarLiveness, bytesLeft/typicalLivenessBytes)), g.rng)
+	return g.roster.Sample(now, states, large, near, max(0, min(params.FarLiveness, bytesLeft/typicalLivenessBytes)), g.rng)
 }
 
 // encodeUpdate returns the first recent update that fits a heartbeat, encoded; nil
--- a/pkg/entries/restart_test.go
+++ b/pkg/entries/restart_test.go
@@ -59,7 +59,7 @@
 					continue
 				}
 				params := rosters[i].HeartbeatParams()
-				relayed, liveness := rosters[i].Sample(now, params.States, params.NearLiveness, params.FarLiveness, rng)
+				relayed, liveness := rosters[i].Sample(now, params.States, params.LargeStates, params.NearLiveness, params.FarLiveness, rng)
 				for _, h := range rosters[i].Receivers(now, uint64(round), rng) {
 					to, err := strconv.Atoi(h.Name)
 					Expect(err).NotTo(HaveOccurred())
--- a/pkg/roster/heartbeat.go
+++ b/pkg/roster/heartbeat.go
@@ -17,10 +17,11 @@
 	// other places that get a heartbeat. A NearFanout of 0 sends it to all hosts.
 	// Every FarEvery-th heartbeat goes to other places as well.
 	NearFanout, FarFanout, FarEvery int
-	// States is the largest number of states of other hosts in a heartbeat;
+	// States is the largest number of states of other hosts in a heartbeat, LargeStates that
+	// of further states of large hosts;
 	// NearLiveness and FarLiveness are the largest numbers of liveness records of
 	// hosts of the same place and of other places.
-	States, NearLiveness, FarLiveness int
+	States, LargeStates, NearLiveness, FarLiveness int
 	// FailureTimeout and FarFailureTimeout are the silences after which a host of the
 	// same place, and of another place, counts as dead.
 	FailureTimeout, FarFailureTimeout time.Duration
@@ -53,7 +54,7 @@
 		return HeartbeatParams{Interval: 500 * time.Millisecond, FarEvery: 1, States: 11, FailureTimeout: FailureTimeout, FarFailureTimeout: FailureTimeout}
 	case hosts <= HugeFleetHosts:
 		return HeartbeatParams{Interval: 500 * time.Millisecond, NearFanout: 5, FarFanout: 1, FarEvery: 1,
-			States: 4, NearLiveness: 40, FarLiveness: 20, FailureTimeout: FailureTimeout, FarFailureTimeout: FarFailureTimeout}
+			States: 3, LargeStates: 2, NearLiveness: 40, FarLiveness: 20, FailureTimeout: FailureTimeout, FarFailureTimeout: FarFailureTimeout}
 	default:
 		return HeartbeatParams{Interval: time.Second, NearFanout: 2, FarFanout: 1, FarEvery: 2,
 			States: 1, NearLiveness: 60, FarLiveness: 5, FailureTimeout: HugeFleetFailureTimeout, FarFailureTimeout: HugeFleetFailureTimeout}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -294,14 +294,17 @@
 // Sample returns what a heartbeat relays, chosen at random with ages as of now: at
 // most the given number of states of hosts that are alive, and liveness records of
 // at most the given numbers of hosts of this place and of other places. Two thirds
-// of the states are of this place, to whose hosts local callers are sent, and half of
-// each of large hosts, which get most callers as soon as they are known.
-func (r *Roster) Sample(now time.Time, states, nearLiveness, farLiveness int, rng *rand.Rand) ([]State, []Liveness) {
+// of the states are of this place, to whose hosts local callers are sent. Besides, it relays
+// the given number of states of large hosts, which get most callers once they are known.
+func (r *Roster) Sample(now time.Time, states, large, nearLiveness, farLiveness int, rng *rand.Rand) ([]State, []Liveness) {
 	near, far := r.shuffled(now, rng)
 	fromFar := min(len(far), max(states/3, states-len(near)))
 	fromNear := min(len(near), states-fromFar)
-	half := func(n int) int { return (n + rng.IntN(2)) / 2 } // of a single state, every other time
-	chosen := slices.Concat(r.largeFirst(near, half(fromNear))[:fromNear], r.largeFirst(far, half(fromFar))[:fromFar])
+	chosen := slices.Concat(near[:fromNear], far[:fromFar])
+	if extra := slices.Concat(near[fromNear:], far[fromFar:]); large > 0 && len(extra) > 0 {
+		rng.Shuffle(len(extra), func(i, j int) { extra[i], extra[j] = extra[j], extra[i] })
+		chosen = append(chosen, r.largeFirst(extra, large)[:min(large, len(extra))]...)
+	}
 	var liveness []Liveness
 	for _, h := range slices.Concat(near[:min(len(near), nearLiveness)], far[:min(len(far), farLiveness)]) {
 		liveness = append(liveness, Liveness{Key: processKey(h.Name, h.Incarnation), Sequence: h.lastSequence, Age: now.Sub(h.LastSentAt).Milliseconds()})
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -48,7 +48,7 @@
 		}
 		now := start.Add(2 * time.Second)
 		a.Observe(now, state("x", 7, 9))
-		_, liveness := a.Sample(now, 0, 5, 5, rand.New(rand.NewPCG(1, 1)))
+		_, liveness := a.Sample(now, 0, 0, 5, 5, rand.New(rand.NewPCG(1, 1)))
 		Expect(liveness).To(HaveLen(1))
 		b.ObserveLiveness(now, liveness[0])
 		later := start.Add(roster.FailureTimeout + time.Second)
@@ -125,7 +125,7 @@
 			for i := range rosters {
 				own[i].Sequence++
 				params := rosters[i].HeartbeatParams()
-				others, liveness := rosters[i].Sample(now, params.States, params.NearLiveness, params.FarLiveness, rng)
+				others, liveness := rosters[i].Sample(now, params.States, params.LargeStates, params.NearLiveness, params.FarLiveness, rng)
 				for _, h := range rosters[i].Receivers(now, uint64(round), rng) {
 					if rng.IntN(100) == 0 {
 						continue
