Keep the platform's names in its test package; one rule for each choice of hosts and targets

The largest fleet size ever told was passed on for ever (KnownHosts); hosts tell the size of their own roster now, with a spec that failed. Whether a first state is taken is decided in pkg/roster. Concentrate and the reserve of a place share a count, the three lists of candidates one constructor.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -56,10 +56,6 @@
 	// does not notice its recovery, and reads cancelled early never complete while
 	// the store is slow.
 	initialReadInterval = 400 * time.Millisecond
-	// staleStateWait is how long a host that has just started waits for the store or a peer
-	// with a confirmed state before it takes an old one. That may name targets that left and
-	// routes that were withdrawn; a read of the store usually takes less.
-	staleStateWait = 300 * time.Millisecond
 	// standbyCheckInterval is how often a host that does not call the store checks
 	// whether it has to.
 	standbyCheckInterval = 50 * time.Millisecond
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -114,12 +114,12 @@
 	}
 }
 
-// pullFallback pulls from the peer with the latest old state if neither the store nor
-// another peer has provided one within staleStateWait of the start.
+// pullFallback pulls from the peer with the latest old state once this host takes such a
+// state, if neither the store nor another peer has provided one by then.
 func (f *follower) pullFallback(ctx context.Context, now time.Time) {
 	f.mu.Lock()
 	peer := f.fallback
-	if peer == nil || f.pulling || f.catalog.Revision() > 0 || now.Sub(f.started) < staleStateWait {
+	if peer == nil || f.pulling || f.catalog.Revision() > 0 || !roster.TakesFirstState(now.Sub(f.started), time.Duration(peer.ConfirmedAge)*time.Millisecond, f.staleAge()) {
 		f.mu.Unlock()
 		return
 	}
@@ -145,7 +145,7 @@
 		changed, _ = f.applyUpdate(now, *update)
 	}
 	pull = peer.Revision > f.catalog.Revision() && !f.pulling
-	if pull && own == 0 && now.Sub(confirmed) > f.staleAge() && now.Sub(f.started) < staleStateWait {
+	if pull && own == 0 && !roster.TakesFirstState(now.Sub(f.started), now.Sub(confirmed), f.staleAge()) {
 		if f.fallback == nil || f.fallback.Revision < peer.Revision {
 			f.fallback = &peer
 		}
--- a/internal/engine/preconnect.go
+++ b/internal/engine/preconnect.go
@@ -73,8 +73,8 @@
 	var targets []*target
 	for _, entry := range v.Usable(service) {
 		if t := e.targets[entry.ID]; t != nil && !t.wrongTarget && !now.Before(t.coldUntil()) {
-			idle, _ := t.pool.Availability()
-			candidates = append(candidates, balance.Candidate{Target: t.state, RTT: e.rtt(t.place), Unconnected: !idle})
+			candidate, _ := e.candidate(t)
+			candidates = append(candidates, candidate)
 			targets = append(targets, t)
 		}
 	}
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -172,7 +172,8 @@
 		r := e.targetReport(t, v, now)
 		f.Targets = append(f.Targets, r)
 		if r.State == TargetUsable {
-			candidates = append(candidates, balance.Candidate{Target: t.state, RTT: e.rtt(t.place), Unconnected: r.Idle == 0})
+			candidate, _ := e.candidate(t)
+			candidates = append(candidates, candidate)
 			names = append(names, t.id)
 		}
 	}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -158,12 +158,12 @@
 		if !e.coldSendAllowed(t, now) {
 			continue
 		}
-		idle, capacity := t.pool.Availability()
+		candidate, capacity := e.candidate(t)
 		if t.state.Full(now) || !capacity {
 			busy = true
 			continue
 		}
-		candidates = append(candidates, balance.Candidate{Target: t.state, RTT: e.rtt(entry.Place), Unconnected: !idle})
+		candidates = append(candidates, candidate)
 		targets = append(targets, t)
 	}
 	_, here := e.cfg.Fleet.Hosts()
@@ -174,6 +174,13 @@
 	return targets[i], false
 }
 
+// candidate describes a target for balance.Choose, and reports whether it has a connection
+// for another request. The engine's lock must be held.
+func (e *Engine) candidate(t *target) (c balance.Candidate, capacity bool) {
+	idle, capacity := t.pool.Availability()
+	return balance.Candidate{Target: t.state, RTT: e.rtt(t.entry.Place), Unconnected: !idle}, capacity
+}
+
 // rtt returns the round-trip time to a place, measured when connections were opened.
 // Without a measurement it returns 0 for this host's place and defaultRTT for any other.
 // The engine's lock must be held.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -215,39 +215,39 @@
 		}
 	}
 	g.mu.Unlock()
-	relay := relayNone
+	mode := relayNone
 	if len(alive) <= roster.FullMeshHosts {
-		relay = relaySample
+		mode = relaySample
 	}
-	g.sendTo(now, to, relay)
+	g.sendTo(now, to, mode)
 }
 
-// relay is what a heartbeat includes of other hosts.
-type relay uint8
+// relayMode is what a heartbeat includes of other hosts.
+type relayMode uint8
 
 const (
-	relayNone     relay = iota
-	relaySample         // a sample of states and liveness records
-	relayForStart       // for a host that has just started: states, those of large hosts first
+	relayNone     relayMode = iota
+	relaySample             // a sample of states and liveness records
+	relayForStart           // for a host that has just started: states, those of large hosts first
 )
 
 // sendTo sends a heartbeat to the given addresses.
-func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, relay relay) {
-	if data := g.encode(now, relay); data != nil {
+func (g *Gossip) sendTo(now time.Time, to []netip.AddrPort, mode relayMode) {
+	if data := g.encode(now, mode); data != nil {
 		g.write(data, to)
 	}
 }
 
 // encode returns the datagram of a heartbeat, or nil if it cannot be encoded.
-func (g *Gossip) encode(now time.Time, relay relay) []byte {
+func (g *Gossip) encode(now time.Time, mode relayMode) []byte {
 	m := heartbeat{Update: g.encodeUpdate(now), Crashes: g.opts.Crashes()}
 	g.mu.Lock()
 	g.roster.Forget(now)
 	g.sequence++
 	m.Self = g.opts.Self()
-	m.Self.Sequence, m.Self.KnownHosts = g.sequence, g.roster.HeardHosts()
+	m.Self.Sequence, m.Self.KnownHosts = g.sequence, g.roster.Size()
 	bytesLeft := maxHeartbeatBytes - typicalStateBytes - len(m.Update) - typicalCrashBytes*len(m.Crashes)
-	switch relay {
+	switch mode {
 	case relaySample:
 		m.Relayed, m.Liveness = g.sampleRelayed(now, bytesLeft)
 	case relayForStart:
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -138,7 +138,7 @@
 func (s *testFleet) publish() {
 	s.version += 3
 	s.checker.AddShardSet(s.shards)
-	s.store.Put("op/config", platformtest.Config(s.version, s.shards, routeTimeout))
+	s.store.Put(platformtest.ConfigKey, platformtest.Config(s.version, s.shards, routeTimeout))
 }
 
 func (s *testFleet) startHost(h *host) error {
--- a/pkg/entries/concentrate.go
+++ b/pkg/entries/concentrate.go
@@ -36,12 +36,5 @@
 		used += h.Load * h.Capacity
 	}
 	sortByHash(hosts)
-	capacity := 0.0
-	for i, h := range hosts {
-		if i >= enoughLocal && used <= sparseLoad*capacity {
-			return hosts[:i]
-		}
-		capacity += h.Capacity
-	}
-	return hosts
+	return hosts[:countNeeded(hosts, used, sparseLoad, 0, 0)]
 }
--- a/pkg/entries/entries.go
+++ b/pkg/entries/entries.go
@@ -246,6 +246,10 @@
 // host is reachable, that its load needs beside the large ones. They are the same on every
 // host.
 func neededReserve(all, reserve []Host) []Host {
+	reserve = FilterReachable(reserve)
+	if len(reserve) == 0 {
+		return nil
+	}
 	sortByHash(reserve)
 	isReserve := map[string]bool{}
 	for _, h := range reserve {
@@ -262,16 +266,21 @@
 			serving++
 		}
 	}
-	for i, h := range reserve {
-		if serving >= enoughLocal && used <= maxLocalLoad*capacity {
-			return reserve[:i]
-		}
-		if h.class() == reachable {
-			capacity += h.Capacity
-			serving++
+	return reserve[:countNeeded(reserve, used, maxLocalLoad, capacity, serving)]
+}
+
+// countNeeded returns how many of the given hosts, in their order, are needed beside a number
+// of serving hosts with a capacity, so that at least enoughLocal serve, and the used capacity
+// is a load of at most maxLoad.
+func countNeeded(hosts []Host, used, maxLoad, capacity float64, serving int) int {
+	for i, h := range hosts {
+		if serving >= enoughLocal && used <= maxLoad*capacity {
+			return i
 		}
+		capacity += h.Capacity
+		serving++
 	}
-	return reserve
+	return len(hosts)
 }
 
 // sortByHash sorts hosts by the hashes of their names, in the same order on every host.
--- a/pkg/roster/firstread.go
+++ b/pkg/roster/firstread.go
@@ -33,9 +33,25 @@
 // HeardHosts returns the largest number of hosts, this one included, that this host or a
 // peer in its roster knows of.
 func (r *Roster) HeardHosts() int {
-	most := 1 + len(r.hosts)
+	most := r.Size()
 	for _, h := range r.hosts {
 		most = max(most, h.KnownHosts)
 	}
 	return most
 }
+
+// Size returns the number of hosts in the roster, silent ones and this one included. It is
+// what a host tells others, rather than HeardHosts: the largest number that any host ever
+// told would never be forgotten.
+func (r *Roster) Size() int { return 1 + len(r.hosts) }
+
+// staleStateWait is how long a host that has just started waits for the store or a peer with
+// a confirmed state before it takes an old one. That may name targets that left and routes
+// that were withdrawn; a read of the store usually takes less.
+const staleStateWait = 300 * time.Millisecond
+
+// TakesFirstState reports whether a host that started sinceStart ago and has no state takes
+// one that the store confirmed age ago. Up to maxAge, the state of a host counts as current.
+func TakesFirstState(sinceStart, age, maxAge time.Duration) bool {
+	return age <= maxAge || sinceStart >= staleStateWait
+}
--- a/pkg/roster/firstread_test.go
+++ b/pkg/roster/firstread_test.go
@@ -126,3 +126,30 @@
 		Expect(roster.FirstReadWait(true, 1300, 0.999)).To(BeZero())
 	})
 })
+
+// Guards against a fleet that is taken for as large as it once was: each host would tell the
+// others what it had heard from them.
+var _ = Describe("HeardHosts", func() {
+	It("forgets the size of a fleet that has shrunk", func() {
+		start := time.Unix(1000, 0)
+		a, b := roster.New("a", "p", start), roster.New("b", "p", start)
+		a.Observe(start, roster.State{Name: "b", Incarnation: 1, Place: "p", KnownHosts: 300})
+		Expect(a.HeardHosts()).To(Equal(300))
+		for i := range uint64(3) {
+			b.Observe(start, roster.State{Name: "a", Incarnation: 1, Sequence: 1 + i, Place: "p", KnownHosts: a.Size()})
+			a.Observe(start, roster.State{Name: "b", Incarnation: 1, Sequence: 1 + i, Place: "p", KnownHosts: b.Size()})
+		}
+		Expect(a.HeardHosts()).To(Equal(2))
+		Expect(b.HeardHosts()).To(Equal(2))
+	})
+})
+
+// Guards against an old state that is taken while the store could give a new one, and against
+// a host that serves nobody while the store is away.
+var _ = DescribeTable("TakesFirstState", func(sinceStart, age time.Duration, want bool) {
+	Expect(roster.TakesFirstState(sinceStart, age, 2*time.Second)).To(Equal(want))
+},
+	Entry("a state confirmed lately, at once", time.Duration(0), time.Second, true),
+	Entry("an old state, not at once", time.Duration(0), 3*time.Second, false),
+	Entry("an old state, once the store had time to answer", time.Second, time.Hour, true),
+)
