--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -44,6 +44,15 @@
 	// Budgets are the remaining budgets of extra sends, hedges and retries, to the
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
+	Crashes CrashStatus           `json:"crashes"`
+}
+
+// CrashStatus counts the evidence of requests that crash their targets, since the start.
+type CrashStatus struct {
+	ClosedSends int64 `json:"closed_sends"`
+	Crashes     int64 `json:"counted"`
+	FromPeers   int64 `json:"from_peers"`
+	Refused     int64 `json:"requests_refused"`
 }
 
 // StateStatus describes the published state that a host has in force.
@@ -111,6 +120,8 @@
 		},
 		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(),
 	}
+	crashes := h.engine.CrashCounts()
+	s.Crashes = CrashStatus{ClosedSends: crashes.BrokenSends.Load(), Crashes: crashes.Crashes.Load(), FromPeers: crashes.FromPeers.Load(), Refused: crashes.Refused.Load()}
 	if v := h.engine.View(); v != nil && v.Config != nil {
 		s.State.Config = v.Config.Version
 	}
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,17 @@
 	at    time.Time
 }
 
+// CrashCounts counts the evidence of requests that crash their targets.
+type CrashCounts struct {
+	BrokenSends atomic.Int64 // sends whose connection the target closed before its answer
+	Crashes     atomic.Int64 // crashes that this host counted against a request
+	FromPeers   atomic.Int64 // crashes that other hosts reported first
+	Refused     atomic.Int64 // requests refused because they crash their targets
+}
+
+// CrashCounts returns the counters of crashes.
+func (e *Engine) CrashCounts() *CrashCounts { return &e.crashCounts }
+
 // fingerprint hashes what is the same each time a caller sends a request: method,
 // host name, URI and body, but not its ID.
 func fingerprint(r *Request) quarantine.Fingerprint {
@@ -47,6 +59,7 @@
 func (e *Engine) detectCrash(x *execution, t *target, r *backend.Result, now time.Time) {
 	switch {
 	case r.Kind == backend.Broken && closedByPeer(r.Err):
+		e.crashCounts.BrokenSends.Add(1)
 		crashed := len(t.brokenSends) > 0 && now.Sub(t.brokenSends[len(t.brokenSends)-1].at) < crashWindow
 		t.brokenSends = append(t.brokenSends, brokenSend{at: now, crash: quarantine.Crash{
 			Fingerprint: fingerprint(x.r), Attempt: xxhash.Sum64String(x.r.ID),
@@ -74,6 +87,8 @@
 		if now.Sub(b.at) > crashConfirmWindow || !e.crashCounter.Add(now, b.crash) {
 			continue
 		}
+		e.crashCounts.Crashes.Add(1)
+		e.cfg.Log.Info("a target crashed during a request", "fingerprint", uint64(b.crash.Fingerprint), "target", t.id, "service", t.service)
 		if e.crashCounter.ShouldRefuse(now, b.crash.Fingerprint) {
 			e.cfg.Log.Warn("a request crashes its targets and is refused from now on", "fingerprint", uint64(b.crash.Fingerprint), "target", t.id)
 		}
@@ -94,7 +109,9 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	for _, c := range crashes {
-		e.crashCounter.Add(now, c)
+		if e.crashCounter.Add(now, c) {
+			e.crashCounts.FromPeers.Add(1)
+		}
 	}
 }
 
@@ -102,5 +119,9 @@
 func (e *Engine) isQuarantined(r *Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.crashCounter.HasCrashes() && e.crashCounter.ShouldRefuse(time.Now(), fingerprint(r))
+	refused := e.crashCounter.HasCrashes() && e.crashCounter.ShouldRefuse(time.Now(), fingerprint(r))
+	if refused {
+		e.crashCounts.Refused.Add(1)
+	}
+	return refused
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -85,6 +85,7 @@
 	shardsOf      *catalog.View
 
 	crashCounter *quarantine.CrashCounter
+	crashCounts  CrashCounts
 	backends     *backend.Shared
 }
 
