--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -180,10 +180,10 @@
 		r.Kind = Refused
 	case head.UnexpectedEncoding:
 		r.Release()
-		return Result{Err: errUnexpectedEncoding}
+		return Result{Head: head, Err: errUnexpectedEncoding}
 	case resp.StatusCode/100 == 2 && head.Digest == "":
 		r.Release()
-		return Result{Err: errNoDigest}
+		return Result{Head: head, Err: errNoDigest}
 	case resp.StatusCode/100 == 2:
 		r.Kind = Success
 	}
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/headlimit"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 )
 
 // Request is a caller's request as a target receives it.
@@ -44,6 +45,7 @@
 	IdleTimeout        time.Duration // how long the target keeps an idle connection; 0 if not stated
 	UnexpectedEncoding bool          // the body has a content encoding that was not requested
 	Instance           string        // ID of the target that answered; empty if not stated
+	Notices            notice.Said   // what the target says about itself
 }
 
 // Kind classifies the result of a send.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/backend"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/guard"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -19,6 +20,7 @@
 	sendTime *prometheus.HistogramVec
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
+	notices  *prometheus.CounterVec
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -37,8 +39,10 @@
 			Name: "lacewingyard_requests_total", Help: "Requests of callers by outcome and reason."}, []string{"outcome", "reason"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lacewingyard_request_duration_seconds", Help: "Time from the head of a request to its answer.", Buckets: latencyBuckets}, []string{"outcome"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingyard_target_notices_total", Help: "Starts and changes of notices that targets give about themselves, by kind."}, []string{"kind", "service"}),
 	}
-	m.registry.MustRegister(m.sends, m.sendTime, m.requests, m.duration)
+	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration)
 	return m
 }
 
@@ -78,6 +82,11 @@
 		return 0
 	})
 	gauge("lacewingyard_hosts", "Hosts that may be running, this one included.", func() float64 { return float64(h.fleetHosts.Load()) })
+	for _, kind := range notice.Kinds {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "lacewingyard_targets_under_notice", Help: "Targets whose notices are in force, by kind.", ConstLabels: prometheus.Labels{"kind": string(kind)},
+		}, func() float64 { return float64(h.engine.UnderNotice()[kind]) }))
+	}
 	gauge("lacewingyard_requests_open", "Requests of callers in progress.", func() float64 { return float64(h.openRequests.Load()) })
 }
 
@@ -98,6 +107,13 @@
 	m.duration.WithLabelValues(a.Outcome.Kind.String()).Observe(took.Seconds())
 }
 
+// Noticed implements engine.Observer. It counts the starts and changes of notices.
+func (m *Metrics) Noticed(service string, c notice.Change) {
+	if c.Value > 0 {
+		m.notices.WithLabelValues(string(c.Kind), service).Inc()
+	}
+}
+
 // Handler returns the handler of the metrics endpoint.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingyard/lacewingyard/pkg/balance"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 )
@@ -62,6 +63,8 @@
 	// empty for a request that was refused because there was no configuration or no
 	// route, or because the request is quarantined.
 	Finished(route string, a *Answer, took time.Duration)
+	// Noticed is called for each start, change and end of a notice of a target.
+	Noticed(service string, c notice.Change)
 }
 
 // Engine executes requests. It is safe for concurrent use.
@@ -98,6 +101,7 @@
 	entry              *catalog.Target // guarded by the engine's lock
 	state              *balance.Target
 	pool               *backend.Pool
+	notices            notice.Target
 	wrongTarget        bool             // another target answers at its address
 	unanswered         []unansweredSend // since its last answer
 	ended              bool             // it is no longer published, or another process is in its place
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -41,6 +41,9 @@
 	Connections int     `json:"connections"`
 	Idle        int     `json:"idle"`
 	Limit       int     `json:"limit"` // on this host's connections to the target
+	// NamedLimit is the number of requests a second that the target takes from all hosts
+	// together, 0 if it names none.
+	NamedLimit float64 `json:"named_limit_per_s,omitempty"`
 }
 
 // BudgetReport is the rest of the budget of extra sends to a service.
@@ -85,7 +88,7 @@
 	return TargetReport{
 		Target: t.id, Service: t.service, Place: t.place, State: e.targetState(t, v, now), Retained: v.Retained[t.id],
 		Slowness: stats.Slowness, Failures: stats.FailureRate, Refusals: stats.RefusalRate, Outstanding: stats.Outstanding,
-		Connections: open, Idle: idle, Limit: t.pool.Limit(),
+		Connections: open, Idle: idle, Limit: t.pool.Limit(), NamedLimit: t.notices.Limit(),
 	}
 }
 
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -260,6 +260,7 @@
 		e.observeRTT(t.place, r.DialTime)
 	}
 	e.observeCrash(x, t, r, now)
+	e.observeNotices(t, r, now)
 	if r.Head.Cold > 0 {
 		t.coldReported = now.Add(r.Head.Cold)
 	}
