Divide the limit that a target names among the hosts

What callers saw: nothing; a target in need got up to eight times what it had named, and callers would lose it.

Cause: nothing read the limit, and no rule divided one that targets name among the hosts. Class: a shared limit without a share for each host.

Change: pkg/notice. Hosts with callers in the target's place share three quarters of the limit, those elsewhere a fifth, in parts of at least one request in two seconds, by rank; the others ask now and then whether it is still named. The choice of targets, hedges, connections ahead, admission of fan-outs and the status ask it; a request that would wait too long is refused at once with the time until its turn. Numbers in headers that are not finite, or longer than 64 bytes, count as not stated; a limit of zero is asked now and then.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 	"golang.org/x/sync/errgroup"
@@ -96,6 +97,8 @@
 	placeHosts   atomic.Int64  // those of them in this host's place
 	shares       atomic.Pointer[shares]
 	directedHere atomic.Bool // whether callers are directed to this host
+	// directedHosts are the hosts to which callers are directed.
+	directedHosts atomic.Pointer[[]notice.Host]
 	// directedShare is used by housekeeping only.
 	directedShare roster.DirectedShare
 }
@@ -164,6 +167,23 @@
 	return owns
 }
 
+// LimitPosition implements engine.Fleet. Until roster.SettleTime after its start, a host
+// may lack others, and assumes the last place in a group of a large fleet.
+func (h *Host) LimitPosition(target, place string) notice.Position {
+	self := notice.Host{Name: h.opts.Site.Name, Place: h.opts.Site.Place}
+	var hosts []notice.Host
+	if directed := h.directedHosts.Load(); directed != nil {
+		hosts = *directed
+	}
+	p := notice.PositionOf(self, hosts, target, place)
+	if time.Since(h.started) < roster.SettleTime {
+		p.Hosts = max(p.Hosts, roster.AssumedFleetHosts)
+		p.Group = max(p.Group, roster.AssumedFleetHosts/4)
+		p.Rank = p.Group - 1
+	}
+	return p
+}
+
 // Hosts implements engine.Fleet.
 func (h *Host) Hosts() (all, here int) { return int(h.fleetHosts.Load()), int(h.placeHosts.Load()) }
 
@@ -343,6 +363,11 @@
 	now := time.Now()
 	directed := h.directed(now)
 	h.directedHere.Store(h.isOneOf(directed))
+	sharing := make([]notice.Host, len(directed))
+	for i, d := range directed {
+		sharing[i] = notice.Host{Name: d.Name, Place: d.Place}
+	}
+	h.directedHosts.Store(&sharing)
 	h.directedShare.Update(now, h.directedHere.Load(), len(directed))
 	h.gossip.WithRoster(func(r *roster.Roster) {
 		all, here := r.FleetSize(now)
--- /dev/null
+++ b/internal/edge/notices_test.go
@@ -0,0 +1,157 @@
+package edge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// newNoticeFixture returns an installation with one target of the service of single requests
+// that gives notices, and slower ones. The target has the place of the first host.
+func newNoticeFixture(hosts, slower int) (*fixture, *platformtest.Target) {
+	f := newFixture(hosts)
+	f.dropTargets(platformtest.AtMostOnceService)
+	f.addTarget("noticed", platformtest.AtMostOnceService, "p0")
+	noticed := f.targets[len(f.targets)-1]
+	for i := range slower {
+		f.addTarget(fmt.Sprint("slower-", i), platformtest.AtMostOnceService, fmt.Sprint("p", i%2))
+		f.targets[len(f.targets)-1].SetServiceTime(15 * time.Millisecond)
+	}
+	time.Sleep(time.Second) // all hosts have the targets
+	return f, noticed
+}
+
+// send sends single requests to the hosts in turn for a time, and returns the outcomes by
+// status.
+func (f *fixture) send(interval, duration time.Duration) map[int]int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[int]int{}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for i := range int(duration / interval) {
+		<-ticker.C
+		wg.Go(func() {
+			r, _, _ := f.call(f.hosts[i%len(f.hosts)], "POST", platformtest.AtMostOncePrefix, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[r.Status]++
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
+
+// runTimes returns when a target ran requests, in order.
+func (f *fixture) runTimes(target string) []time.Time {
+	var times []time.Time
+	for _, r := range f.log.Runs() {
+		if r.Target == target {
+			times = append(times, r.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// mostIn returns the largest number of times in a window that begins at the given time or
+// later.
+func mostIn(times []time.Time, window time.Duration, from time.Time) (most int) {
+	for i, t := range times {
+		if t.Before(from) {
+			continue
+		}
+		n := 0
+		for _, other := range times[i:] {
+			if other.Sub(t) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// targetReport returns what a host reports of a target.
+func (f *fixture) targetReport(h *running, target string) engine.TargetReport {
+	resp, err := f.client.Get("http://" + h.Address(h.Ports.Operators) + edge.StatusPath)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	var status edge.Status
+	Expect(json.NewDecoder(resp.Body).Decode(&status)).To(Succeed())
+	i := slices.IndexFunc(status.Targets, func(t engine.TargetReport) bool { return t.Target == target })
+	Expect(i).To(BeNumerically(">=", 0), "target %s is not known", target)
+	return status.Targets[i]
+}
+
+var _ = Describe("Target that names a limit", func() {
+	const (
+		limit = 8.0 // requests a second
+		// In any limitWindow the target may get limitExcess times its limit and limitExtra
+		// requests.
+		limitWindow = 4 * time.Second
+		limitExcess = 1.5
+		limitExtra  = 5
+	)
+
+	DescribeTable("gets no more than that from all hosts together, and callers lose nothing",
+		func(hosts int) {
+			f, noticed := newNoticeFixture(hosts, 3)
+			noticed.SetLimit("8.0")
+			began := time.Now()
+			outcomes := f.send(8*time.Millisecond, 14*time.Second)
+			times := f.runTimes(noticed.ID)
+			GinkgoWriter.Printf("in the busiest window: %d; in all %d; outcomes %v\n", mostIn(times, limitWindow, began.Add(contactTime)), len(times), outcomes)
+			Expect(times).NotTo(BeEmpty())
+			Expect(float64(mostIn(times, limitWindow, began.Add(contactTime)))).To(BeNumerically("<=", limitExcess*limit*limitWindow.Seconds()+limitExtra))
+			Expect(outcomes).To(HaveLen(1))
+			Expect(outcomes).To(HaveKey(200))
+			Expect(f.targetReport(f.hosts[0], noticed.ID).NamedLimit).To(Equal(limit))
+
+			noticed.SetLimit("")
+			Eventually(func() float64 {
+				f.send(8*time.Millisecond, 400*time.Millisecond)
+				return f.targetReport(f.hosts[0], noticed.ID).NamedLimit
+			}, 5*time.Second).Should(BeZero())
+		},
+		Entry("through 2 hosts", 2),
+		Entry("through 6 hosts", 6),
+	)
+
+	// Guards against requests that wait for a share of the limit until their deadline.
+	It("has requests beyond it refused at once, with the time to come back", func() {
+		f, noticed := newNoticeFixture(1, 0)
+		noticed.SetLimit("2")
+		f.send(100*time.Millisecond, time.Second)
+		for range 10 {
+			r, id, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil)
+			Expect(r.Took).To(BeNumerically("<", time.Second))
+			if r.Status != 200 {
+				Expect(r.NotRun()).To(BeTrue(), "status %d", r.Status)
+				Expect(r.RetryAfter).To(BeNumerically(">", 0))
+				Expect(f.runs(id)).To(BeZero())
+			}
+		}
+	})
+
+	// Guards against values that end a process, or that stop all requests to a target.
+	DescribeTable("with a value that makes no sense is sent to as before", func(value string) {
+		f, noticed := newNoticeFixture(1, 0)
+		noticed.SetLimit(value)
+		Expect(f.send(20*time.Millisecond, 500*time.Millisecond)).To(Equal(map[int]int{200: 25}))
+		Expect(f.targetReport(f.hosts[0], noticed.ID).NamedLimit).To(BeZero())
+	},
+		Entry("negative", "-5"), Entry("no number", "many"), Entry("not a number", "NaN"), Entry("infinite", "+Inf"),
+		Entry("long", fmt.Sprintf("%08000d", 7)),
+	)
+})
--- a/internal/engine/cold_test.go
+++ b/internal/engine/cold_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,8 +15,11 @@
 // fleetOf implements Fleet by the roster of one host.
 type fleetOf struct{ *roster.Roster }
 
-func (fleetOf) Hosts() (all, here int)         { return 60, 20 }
-func (fleetOf) ExtraShare() float64            { return 1.0 / 60 }
+func (fleetOf) Hosts() (all, here int) { return 60, 20 }
+func (fleetOf) ExtraShare() float64    { return 1.0 / 60 }
+func (fleetOf) LimitPosition(_, _ string) notice.Position {
+	return notice.Position{Hosts: 60, Group: 20, Local: true}
+}
 func (fleetOf) Shares() (fleet, place float64) { return 1.0 / 60, 1.0 / 20 }
 
 var _ = Describe("A cold target", func() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,9 @@
 	// Owns reports whether this host is one of the given number of owners of a target
 	// among the hosts of a place.
 	Owns(target, place string, owners int) bool
+	// LimitPosition returns this host's position among the hosts that share the limit which
+	// a target of a place names.
+	LimitPosition(target, place string) notice.Position
 }
 
 // Config of an Engine.
@@ -180,7 +183,7 @@
 	}
 }
 
-// Refresh adapts the connection limits to this host's shares and closes connections that
+// Refresh adapts the limits of connections and requests to this host's shares and closes connections that
 // have been idle for too long. Callers should call Refresh about once a second.
 func (e *Engine) Refresh() {
 	now := time.Now()
@@ -188,6 +191,9 @@
 	pools := make([]*backend.Pool, 0, len(e.targets))
 	for _, t := range e.targets {
 		pools = append(pools, t.pool)
+		if t.notices.Limit() > 0 {
+			t.notices.SetPosition(now, e.cfg.Fleet.LimitPosition(t.id, t.place))
+		}
 	}
 	if v := e.view.Load(); v != nil {
 		e.setLimits(v)
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -13,13 +13,14 @@
 	if r.Head.ID == "" || r.Kind == backend.WrongTarget {
 		return // no answer of this target
 	}
-	for _, c := range t.notices.Observe(now, now.Add(-r.Duration), r.Head.Notices) {
+	position := func() notice.Position { return e.cfg.Fleet.LimitPosition(t.id, t.place) }
+	for _, c := range t.notices.Observe(now, now.Add(-r.Duration), r.Head.Notices, position, e.rng) {
 		e.cfg.Observer.Noticed(t.service, c)
 		message := "a target gives a notice"
 		if c.Value == 0 {
 			message = "a target gives a notice no more"
 		}
-		e.cfg.Log.Info(message, "kind", string(c.Kind), "target", t.id, "service", t.service, "value", c.Value, "before", c.Before)
+		e.cfg.Log.Info(message, "kind", string(c.Kind), "target", t.id, "service", t.service, "value", c.Value, "before", c.Before, "host_rate", t.notices.HostRate())
 	}
 }
 
--- a/internal/engine/preconnect.go
+++ b/internal/engine/preconnect.go
@@ -72,7 +72,7 @@
 	var candidates []balance.Candidate
 	var targets []*target
 	for _, entry := range v.Usable(service) {
-		if t := e.targets[entry.ID]; t != nil && !t.wrongTarget && !now.Before(t.coldUntil()) {
+		if t := e.targets[entry.ID]; t != nil && !t.wrongTarget && !now.Before(t.coldUntil()) && t.notices.Takes(now) {
 			candidate, _ := e.candidate(t)
 			candidates = append(candidates, candidate)
 			targets = append(targets, t)
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -22,6 +22,7 @@
 	TargetMisplaced TargetState = "misplaced" // another target answers at its address
 	TargetDown      TargetState = "down"      // unreachable; no requests until the backoff ends
 	TargetCold      TargetState = "cold"      // warming up, and its rate limit leaves no request for this host now
+	TargetLimited   TargetState = "limited"   // it names a limit, and this host's share of it leaves no request now
 	TargetFull      TargetState = "full"      // it takes no more requests of this host now, or all connections to it are in use
 )
 
@@ -42,8 +43,9 @@
 	Idle        int     `json:"idle"`
 	Limit       int     `json:"limit"` // on this host's connections to the target
 	// NamedLimit is the number of requests a second that the target takes from all hosts
-	// together, 0 if it names none.
+	// together, 0 if it names none, and HostRate the part of it that this host uses.
 	NamedLimit float64 `json:"named_limit_per_s,omitempty"`
+	HostRate   float64 `json:"host_rate_per_s,omitempty"`
 }
 
 // BudgetReport is the rest of the budget of extra sends to a service.
@@ -88,7 +90,7 @@
 	return TargetReport{
 		Target: t.id, Service: t.service, Place: t.place, State: e.targetState(t, v, now), Retained: v.Retained[t.id],
 		Slowness: stats.Slowness, Failures: stats.FailureRate, Refusals: stats.RefusalRate, Outstanding: stats.Outstanding,
-		Connections: open, Idle: idle, Limit: t.pool.Limit(), NamedLimit: t.notices.Limit(),
+		Connections: open, Idle: idle, Limit: t.pool.Limit(), NamedLimit: t.notices.Limit(), HostRate: t.notices.HostRate(),
 	}
 }
 
@@ -106,6 +108,8 @@
 		return TargetDown
 	case !e.coldSendAllowed(t, now):
 		return TargetCold
+	case !t.notices.Takes(now):
+		return TargetLimited
 	case t.state.Full(now), !t.pool.HasCapacity():
 		return TargetFull
 	default:
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -52,6 +52,7 @@
 	retryAt          time.Time // when to retry; zero if no retry is planned
 	hedgeAt          time.Time // when to hedge the open send; zero if no hedge is planned
 	retryDelay       time.Duration
+	notBefore        time.Time       // when the first target that wants no request now takes one; zero if there is none
 	waiting          bool            // for a target that takes a request; counted in Engine.waiting
 	part             *backend.Result // the answer of the shard; nil until there is one
 	failure          *backend.Result // a target's own failure, or the last result
@@ -212,7 +213,7 @@
 		for _, entry := range x.view.Usable(service) {
 			if t := x.e.targets[entry.ID]; t != nil && !t.wrongTarget && !t.state.Down(now) && x.e.coldSendAllowed(t, now) {
 				usable = true
-				takes = takes || !t.state.Full(now)
+				takes = takes || !t.state.Full(now) && t.notices.Wait(now, x.e.rng) == 0
 			}
 		}
 		if usable {
@@ -232,6 +233,18 @@
 	return max(minRetryAfter, time.Until(x.deadline)/overloadRetryDivisor)
 }
 
+// retryAfter returns the shortest retry delay of a caller whose request no target took: the
+// time until one takes requests of this host again, if targets said so.
+func (x *execution) retryAfter(now time.Time) time.Duration {
+	after := outageRetryAfter
+	for i := range x.shards {
+		if s := &x.shards[i]; s.notBefore.Sub(now) > after {
+			after = s.notBefore.Sub(now)
+		}
+	}
+	return after
+}
+
 // releaseSends frees the context of the sends if none is open. Open sends run to their
 // own end.
 func (x *execution) releaseSends() {
@@ -380,7 +393,7 @@
 	}
 	switch {
 	case !mayHaveRun:
-		return Answer{Outcome: x.e.refusal(reason, outageRetryAfter, "no target took the request")}
+		return Answer{Outcome: x.e.refusal(reason, x.retryAfter(now), "no target took the request")}
 	case !now.Before(x.deadline):
 		return Answer{Outcome: outcome.Uncertain(outcome.Deadline, "no answer within the time limit")}
 	default:
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -103,6 +103,16 @@
 		s.retryAt = now.Add(s.retryDelay)
 	case len(s.open) == 0:
 		s.exhausted = true
+		if s.reason == "" && !s.notBefore.IsZero() {
+			s.reason = outcome.Overload
+		}
+	}
+}
+
+// postpone records that a target wants no request of this host before the given time.
+func (s *shard) postpone(until time.Time) {
+	if s.notBefore.IsZero() || until.Before(s.notBefore) {
+		s.notBefore = until
 	}
 }
 
@@ -146,8 +156,8 @@
 }
 
 // chooseTarget returns the target for the next send of a shard, or nil. busy is set with
-// nil if a target was passed over because it takes no more requests of this host now, or
-// because all connections of this host to that target are in use. The engine's lock must be held.
+// nil if a target was passed over because it takes no more requests of this host now but may
+// in time, or because all connections of this host to that target are in use. The engine's lock must be held.
 func (e *Engine) chooseTarget(x *execution, s *shard, now time.Time, hedging bool) (t *target, busy bool) {
 	entries := x.view.Usable(s.service)
 	if latest := e.view.Load(); latest != x.view {
@@ -167,6 +177,11 @@
 		if !e.coldSendAllowed(t, now) {
 			continue
 		}
+		if wait := t.notices.Wait(now, e.rng); wait > 0 {
+			s.postpone(now.Add(wait))
+			busy = busy || now.Add(wait).Before(x.answerBy)
+			continue
+		}
 		candidate, capacity := e.candidate(t)
 		if t.state.Full(now) || !capacity {
 			busy = true
@@ -217,6 +232,7 @@
 	x.history = append(x.history, sendRecord{shard: i, target: t.id, began: now, extra: extra})
 	s.open = append(s.open, openSend{target: t, began: now})
 	t.state.Sent(now)
+	t.notices.Sent(now)
 	x.e.lastUsed[t.service] = now
 	if now.Before(t.coldUntil()) {
 		t.lastColdSend = now
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -1,6 +1,7 @@
 package notice_test
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/pkg/notice"
@@ -12,16 +13,26 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// alone is the position of a host that shares limits with nobody.
+func alone() notice.Position { return notice.Position{Hosts: 1, Group: 1, Local: true} }
+
 var _ = Describe("Target", func() {
 	// Guards against a limit that ends with an answer from before it was named.
 	It("reports the start, change and end of a limit", func() {
 		var t notice.Target
-		Expect(t.Observe(at(0), at(-time.Second), notice.Said{})).To(BeEmpty())
-		Expect(t.Observe(at(1*time.Second), at(0), notice.Said{Limit: 33})).To(Equal([]notice.Change{{Kind: notice.Limit, Value: 33}}))
-		Expect(t.Observe(at(2*time.Second), at(0), notice.Said{})).To(BeEmpty(), "sent before the limit was named")
-		Expect(t.Observe(at(2*time.Second), at(1500*time.Millisecond), notice.Said{Limit: 30})).To(Equal([]notice.Change{{Kind: notice.Limit, Value: 30, Before: 33}}))
+		rng := newRand()
+		observe := func(now, sent time.Duration, limit float64) []notice.Change {
+			return t.Observe(at(now), at(sent), notice.Said{Limit: limit, Limited: limit > 0}, alone, rng)
+		}
+		Expect(observe(0, -time.Second, 0)).To(BeEmpty())
+		Expect(observe(1*time.Second, 0, 33)).To(Equal([]notice.Change{{Kind: notice.Limit, Value: 33}}))
+		Expect(observe(2*time.Second, 0, 0)).To(BeEmpty(), "sent before the limit was named")
+		Expect(observe(2*time.Second, 1500*time.Millisecond, 30)).To(Equal([]notice.Change{{Kind: notice.Limit, Value: 30, Before: 33}}))
 		Expect(t.Limit()).To(Equal(30.0))
-		Expect(t.Observe(at(4*time.Second), at(3*time.Second), notice.Said{})).To(Equal([]notice.Change{{Kind: notice.Limit, Before: 30}}))
+		Expect(observe(4*time.Second, 3*time.Second, 0)).To(Equal([]notice.Change{{Kind: notice.Limit, Before: 30}}))
 		Expect(t.Limit()).To(BeZero())
+		Expect(t.Wait(at(4*time.Second), rng)).To(BeZero())
 	})
 })
