Stop sending to targets that say in their answers that they leave

What callers saw: requests on a target that was about to end, as long as its entry was ready or the store away.

Cause: only the store's entry told a host that a target drains. Class: a list that lags outranks what the target itself says.

Change: the first answer with the notice, of any outcome, makes the target the last resort for half of the drain bound; then nothing is sent to it: no first send, retry, hedge or connection ahead. It holds for the process; another start is another target. What a target said is kept for ten minutes after its entry goes, so that an entry that returns does not bring it back. Hosts do not tell each other: each hears it with its first answer, which the bound counts from.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,7 +117,7 @@
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
 		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Tracer: o.Tracer, Seed: seed, OnSend: h.load.count,
-		MemoryBytes: o.Site.MemoryLimitBytes,
+		MemoryBytes: o.Site.MemoryLimitBytes, DrainBound: o.Site.DrainBound,
 	})
 	h.follower = newFollower(&h.opts.Site, o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.activate)
 	var err error
--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -155,3 +155,58 @@
 		Entry("long", fmt.Sprintf("%08000d", 7)),
 	)
 })
+
+var _ = Describe("Target that says that it leaves", func() {
+	// drainBound is how long after its first such answer a target may get requests.
+	const drainBound = 3 * time.Second
+
+	DescribeTable("gets no request once it may have ended, although its entry is ready, and callers lose nothing",
+		func(during func(f *fixture, noticed *platformtest.Target)) {
+			f, noticed := newNoticeFixture(2, 3)
+			f.send(8*time.Millisecond, 500*time.Millisecond)
+			noticed.SetLeaving(true)
+			noticed.SetServiceTime(time.Millisecond)
+			began := time.Now()
+			go func() {
+				defer GinkgoRecover()
+				during(f, noticed)
+			}()
+			outcomes := f.send(8*time.Millisecond, 8*time.Second)
+			late := 0
+			for _, t := range f.runTimes(noticed.ID) {
+				if t.Sub(began) > drainBound {
+					late++
+				}
+			}
+			GinkgoWriter.Printf("late: %d, outcomes %v\n", late, outcomes)
+			Expect(late).To(BeZero())
+			Expect(outcomes).To(Equal(map[int]int{200: 1000}))
+			Expect(f.targetReport(f.hosts[0], noticed.ID).State).To(Equal(engine.TargetLeaving))
+		},
+		Entry("with the store up", func(*fixture, *platformtest.Target) {}),
+		Entry("with the store away", func(f *fixture, _ *platformtest.Target) { f.store.SetMode(platformtest.Unavailable) }),
+		Entry("with an entry that goes and returns", func(f *fixture, noticed *platformtest.Target) {
+			time.Sleep(time.Second)
+			f.store.Delete(noticed.Key())
+			time.Sleep(time.Second)
+			f.store.Put(noticed.Key(), noticed.Entry("ready"))
+		}),
+	)
+
+	// Guards against a notice that outlives the process which gave it.
+	It("is another target after a start, and gets requests", func() {
+		f, noticed := newNoticeFixture(1, 0)
+		noticed.SetLeaving(true)
+		f.send(50*time.Millisecond, 500*time.Millisecond)
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil); return r.Status }, 4*time.Second).Should(Equal(503))
+		r, id, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil)
+		Expect(r.NotRun()).To(BeTrue())
+		Expect(r.Took).To(BeNumerically("<", time.Second), "it is refused at once")
+		Expect(f.runs(id)).To(BeZero())
+		noticed.SetLeaving(false)
+		entry := noticed.Entry("ready")
+		entry["born"] = 2
+		f.store.Put(noticed.Key(), entry)
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil); return r.Status }, 4*time.Second).Should(Equal(200))
+	})
+})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,6 +46,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// DrainBound is how long a target may get requests after it said that it leaves.
+	DrainBound  time.Duration
 	Codec       backend.Codec
 	Fleet       Fleet
 	Log         hclog.Logger
@@ -80,10 +82,13 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	targets map[string]*target // by ID
-	routes  map[string]*routeState
-	budgets map[string]*hedge.WindowBudget // by service
-	rtts    map[string]time.Duration       // round-trip time by place
-	waiting map[string]int                 // shards of fan-outs that wait for a target, by service
+	// departed has what targets that are published no more had said about themselves: the
+	// entry of the same process may come back.
+	departed map[processKey]departedTarget
+	routes   map[string]*routeState
+	budgets  map[string]*hedge.WindowBudget // by service
+	rtts     map[string]time.Duration       // round-trip time by place
+	waiting  map[string]int                 // shards of fan-outs that wait for a target, by service
 
 	preconnect    balance.Preconnect
 	lastUsed      map[string]time.Time // time of the last send, by service
@@ -113,11 +118,19 @@
 	oversized          bool             // an answer of it was longer than any valid one
 }
 
+// processKey identifies one process of a target.
+type processKey struct {
+	id      string
+	started int64
+}
+
+func (t *target) key() processKey { return processKey{t.id, t.entry.Started} }
+
 // New returns an engine without a configuration.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, configured: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
-		targets: map[string]*target{}, routes: map[string]*routeState{},
+		targets: map[string]*target{}, departed: map[processKey]departedTarget{}, routes: map[string]*routeState{},
 		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[string]int{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
 		backends: &backend.Shared{Codec: cfg.Codec, Bodies: backend.NewBodies(cfg.MemoryBytes)},
 	}
@@ -146,11 +159,13 @@
 	if v.Config != nil {
 		e.configuredOnce.Do(func() { close(e.configured) })
 	}
+	now := time.Now()
 	for id, t := range e.targets {
 		if entry, ok := v.Targets[id]; !ok || !entry.SameProcess(t.entry) {
 			t.pool.Close()
 			t.ended = true
-			e.targetEnded(t, time.Now())
+			e.targetEnded(t, now)
+			e.keepNotices(t, now)
 			delete(e.targets, id)
 		}
 	}
@@ -159,10 +174,12 @@
 			t.entry = entry
 			continue
 		}
-		e.targets[id] = &target{
+		t := &target{
 			id: id, service: entry.Service, place: entry.Place, entry: entry, state: balance.NewTarget(entry.Slots),
 			pool: backend.NewPool(entry.Address, entry.ID, e.backends, 1),
 		}
+		t.notices = e.departed[t.key()].notices
+		e.targets[id] = t
 	}
 	maps.DeleteFunc(e.lastUsed, func(service string, _ time.Time) bool { return len(v.Usable(service)) == 0 })
 	e.setLimits(v)
@@ -195,6 +212,7 @@
 			t.notices.SetPosition(now, e.cfg.Fleet.LimitPosition(t.id, t.place))
 		}
 	}
+	e.expireDeparted(now)
 	if v := e.view.Load(); v != nil {
 		e.setLimits(v)
 	}
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
@@ -22,6 +23,9 @@
 		}
 		e.cfg.Log.Info(message, "kind", string(c.Kind), "target", t.id, "service", t.service, "value", c.Value, "before", c.Before, "host_rate", t.notices.HostRate())
 	}
+	if t.ended {
+		e.keepNotices(t, now) // the last answers of a target come after its entry has gone
+	}
 }
 
 // UnderNotice returns the number of targets whose notices are in force, by kind.
@@ -30,9 +34,52 @@
 	defer e.mu.Unlock()
 	counts := map[notice.Kind]int{}
 	for _, t := range e.targets {
-		if t.notices.Limit() > 0 {
-			counts[notice.Limit]++
+		for _, kind := range t.notices.InForce() {
+			counts[kind]++
 		}
 	}
 	return counts
 }
+
+const (
+	// departedRetention is how long the notices of a target are kept that is published no
+	// more. An entry that lapsed during an outage of the store, or that an older state of a
+	// peer still has, comes back within that time.
+	departedRetention = 10 * time.Minute
+	// maxDeparted bounds the targets whose notices are kept.
+	maxDeparted = 4096
+)
+
+// departedTarget is what a target that is published no more had said about itself.
+type departedTarget struct {
+	notices notice.Target
+	since   time.Time
+}
+
+// keepNotices keeps the notices of a target that is published no more. The engine's lock
+// must be held.
+func (e *Engine) keepNotices(t *target, now time.Time) {
+	if len(t.notices.InForce()) == 0 {
+		return
+	}
+	if len(e.departed) >= maxDeparted {
+		e.expireDeparted(now)
+	}
+	if len(e.departed) >= maxDeparted {
+		e.cfg.Log.Warn("too many targets with notices have left; what this one said is forgotten", "target", t.id)
+		return
+	}
+	e.departed[t.key()] = departedTarget{t.notices, now}
+}
+
+// expireDeparted forgets what targets had said that departed long ago. The engine's lock must
+// be held.
+func (e *Engine) expireDeparted(now time.Time) {
+	maps.DeleteFunc(e.departed, func(_ processKey, d departedTarget) bool { return now.Sub(d.since) > departedRetention })
+}
+
+// decide returns what the notices of a target let this host send now. The engine's lock must
+// be held.
+func (e *Engine) decide(t *target, now time.Time) notice.Decision {
+	return t.notices.Decide(now, e.cfg.DrainBound, e.rng)
+}
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -22,6 +22,7 @@
 	TargetMisplaced TargetState = "misplaced" // another target answers at its address
 	TargetDown      TargetState = "down"      // unreachable; no requests until the backoff ends
 	TargetCold      TargetState = "cold"      // warming up, and its rate limit leaves no request for this host now
+	TargetLeaving   TargetState = "leaving"   // it says that it leaves; requests go to others
 	TargetLimited   TargetState = "limited"   // it names a limit, and this host's share of it leaves no request now
 	TargetFull      TargetState = "full"      // it takes no more requests of this host now, or all connections to it are in use
 )
@@ -108,6 +109,8 @@
 		return TargetDown
 	case !e.coldSendAllowed(t, now):
 		return TargetCold
+	case t.notices.IsLeaving():
+		return TargetLeaving
 	case !t.notices.Takes(now):
 		return TargetLimited
 	case t.state.Full(now), !t.pool.HasCapacity():
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -211,10 +211,13 @@
 		service := x.shards[i].service
 		usable, takes := false, false
 		for _, entry := range x.view.Usable(service) {
-			if t := x.e.targets[entry.ID]; t != nil && !t.wrongTarget && !t.state.Down(now) && x.e.coldSendAllowed(t, now) {
-				usable = true
-				takes = takes || !t.state.Full(now) && t.notices.Wait(now, x.e.rng) == 0
+			t := x.e.targets[entry.ID]
+			if t == nil || t.wrongTarget || t.state.Down(now) || !x.e.coldSendAllowed(t, now) {
+				continue
 			}
+			decision := x.e.decide(t, now)
+			usable = usable || decision.Allowed || decision.Wait > 0
+			takes = takes || decision.Allowed && !t.state.Full(now)
 		}
 		if usable {
 			reachable++
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -177,12 +177,16 @@
 		if !e.coldSendAllowed(t, now) {
 			continue
 		}
-		if wait := t.notices.Wait(now, e.rng); wait > 0 {
-			s.postpone(now.Add(wait))
-			busy = busy || now.Add(wait).Before(x.answerBy)
+		decision := e.decide(t, now)
+		if !decision.Allowed {
+			if decision.Wait > 0 {
+				s.postpone(now.Add(decision.Wait))
+				busy = busy || now.Add(decision.Wait).Before(x.answerBy)
+			}
 			continue
 		}
 		candidate, capacity := e.candidate(t)
+		candidate.LastResort = decision.LastResort
 		if t.state.Full(now) || !capacity {
 			busy = true
 			continue
--- a/pkg/notice/limit_test.go
+++ b/pkg/notice/limit_test.go
@@ -68,7 +68,7 @@
 				}
 				continue
 			}
-			if rng.Float64() < p.demand*step.Seconds() && h.target.Wait(at(now), rng) == 0 {
+			if rng.Float64() < p.demand*step.Seconds() && h.target.Decide(at(now), drain, rng).Allowed {
 				h.target.Sent(at(now))
 				h.answers = append(h.answers, now+answerTime)
 				sent = append(sent, now)
@@ -127,7 +127,7 @@
 			var t notice.Target
 			t.Observe(at(0), at(0), notice.Said{Limit: limit, Limited: true}, func() notice.Position { return p }, rng)
 			for now := at(time.Hour); now.Before(at(time.Hour + limitWindow)); now = now.Add(20 * time.Millisecond) {
-				if t.Wait(now, rng) == 0 {
+				if t.Decide(now, drain, rng).Allowed {
 					t.Sent(now)
 					sent++
 				}
@@ -153,7 +153,7 @@
 			Expect(t.HostRate()).To(BeNumerically(">", 0))
 			Expect(t.HostRate()).To(BeNumerically("<=", max(limit, 1)))
 			t.Sent(at(0))
-			Expect(t.Wait(at(time.Second), newRand())).To(BeNumerically(">=", 0))
+			Expect(t.Decide(at(time.Second), drain, newRand()).Wait).To(BeNumerically(">=", 0))
 		}
 	},
 		Entry("zero", 0.0), Entry("tiny", 1e-9), Entry("huge", 1e300), Entry("the largest", math.MaxFloat64),
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -10,11 +10,12 @@
 
 // The kinds of notices.
 const (
-	Limit Kind = "limit" // the requests a second that the target takes from all hosts together
+	Limit   Kind = "limit"   // the requests a second that the target takes from all hosts together
+	Leaving Kind = "leaving" // the target is about to end
 )
 
 // Kinds has all kinds of notices.
-var Kinds = []Kind{Limit}
+var Kinds = []Kind{Limit, Leaving}
 
 // Said is what one answer of a target says about the target itself.
 type Said struct {
@@ -22,6 +23,8 @@
 	// together; it counts only if Limited is set.
 	Limit   float64
 	Limited bool
+	// Leaving is set if the target is about to end.
+	Leaving bool
 }
 
 // Change is the start, change or end of a notice.
@@ -33,14 +36,45 @@
 // Target is what one process of a target has said about itself. The zero value has said
 // nothing.
 type Target struct {
-	limit   float64
-	limitAt time.Time // arrival of the last answer that named the limit
-	pacer   pacer
+	limit     float64
+	limitAt   time.Time // arrival of the last answer that named the limit
+	pacer     pacer
+	leavingAt time.Time // arrival of the first answer with the notice; zero if there is none
 }
 
+// Decision is what this host may send to a target now.
+type Decision struct {
+	// Allowed is set if a request may be sent.
+	Allowed bool
+	// LastResort is set if a request is better sent to another target.
+	LastResort bool
+	// Wait is how long until a request may be sent; 0 if it may be now or never may.
+	Wait time.Duration
+}
+
+// leavingUse is the fraction of the time for which a target that leaves may get requests in
+// which this host still sends some that no other target takes. The rest is for those that
+// are on the way.
+const leavingUse = 0.5
+
 // Observe records what an answer says to a request that was sent at the given time, and
 // returns the changes. position is this host's position for the target.
 func (t *Target) Observe(now, sent time.Time, said Said, position func() Position, rng *rand.Rand) []Change {
+	var changes []Change
+	if said.Leaving && t.leavingAt.IsZero() {
+		// It holds until the process ends: a target that leaves does not come back.
+		t.leavingAt = now
+		changes = append(changes, Change{Kind: Leaving, Value: 1})
+	}
+	if before := t.limit; t.observeLimit(now, sent, said, position, rng) {
+		changes = append(changes, Change{Kind: Limit, Value: t.limit, Before: before})
+	}
+	return changes
+}
+
+// observeLimit records the limit that an answer names, or that it names none, and reports
+// whether the limit changed.
+func (t *Target) observeLimit(now, sent time.Time, said Said, position func() Position, rng *rand.Rand) bool {
 	limit := 0.0
 	if said.Limited {
 		limit = max(said.Limit, leastLimit)
@@ -48,13 +82,13 @@
 	// An answer without a limit ends the notice, unless it may be older than the answer
 	// that named it.
 	if limit == 0 && (t.limit == 0 || !sent.After(t.limitAt)) {
-		return nil
+		return false
 	}
 	before := t.limit
 	t.limit, t.limitAt = limit, now
 	switch {
 	case limit == before:
-		return nil
+		return false
 	case limit == 0:
 		t.pacer = pacer{}
 	case before == 0:
@@ -62,7 +96,7 @@
 	default:
 		t.pacer.setRate(now, HostRate(limit, position()))
 	}
-	return []Change{{Kind: Limit, Value: limit, Before: before}}
+	return true
 }
 
 // SetPosition changes this host's position for the target.
@@ -78,13 +112,36 @@
 // HostRate returns the requests a second that this host may send, 0 if there is no limit.
 func (t *Target) HostRate() float64 { return t.pacer.rate }
 
-// Wait returns how long the target wants no request of this host, 0 if it takes one now.
-func (t *Target) Wait(now time.Time, rng *rand.Rand) time.Duration {
-	return t.pacer.wait(now, rng)
+// IsLeaving reports whether the target said that it is about to end.
+func (t *Target) IsLeaving() bool { return !t.leavingAt.IsZero() }
+
+// InForce returns the kinds of the notices in force.
+func (t *Target) InForce() []Kind {
+	var kinds []Kind
+	if t.limit > 0 {
+		kinds = append(kinds, Limit)
+	}
+	if t.IsLeaving() {
+		kinds = append(kinds, Leaving)
+	}
+	return kinds
+}
+
+// Decide returns what this host may send to the target now. drain is how long a target that
+// leaves may get requests after its first notice.
+func (t *Target) Decide(now time.Time, drain time.Duration, rng *rand.Rand) Decision {
+	if t.IsLeaving() && now.Sub(t.leavingAt) >= time.Duration(leavingUse*float64(drain)) {
+		return Decision{}
+	}
+	if wait := t.pacer.wait(now, rng); wait > 0 {
+		return Decision{Wait: wait}
+	}
+	return Decision{Allowed: true, LastResort: t.IsLeaving()}
 }
 
-// Takes reports whether the target takes a request of this host now.
-func (t *Target) Takes(now time.Time) bool { return !now.Before(t.pacer.next) }
+// Takes reports whether the target takes a request of this host now that could go to
+// another one as well.
+func (t *Target) Takes(now time.Time) bool { return !t.IsLeaving() && !now.Before(t.pacer.next) }
 
 // Sent records a request to the target.
 func (t *Target) Sent(now time.Time) { t.pacer.sent(now) }
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -11,6 +11,9 @@
 
 var start = time.Unix(1000, 0)
 
+// drain is how long a target that leaves may get requests.
+const drain = 3 * time.Second
+
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
@@ -33,6 +36,19 @@
 		Expect(t.Limit()).To(Equal(30.0))
 		Expect(observe(4*time.Second, 3*time.Second, 0)).To(Equal([]notice.Change{{Kind: notice.Limit, Before: 30}}))
 		Expect(t.Limit()).To(BeZero())
-		Expect(t.Wait(at(4*time.Second), rng)).To(BeZero())
+		Expect(t.Decide(at(4*time.Second), drain, rng)).To(Equal(notice.Decision{Allowed: true}))
+	})
+
+	// Guards against requests to a target that has ended, whoever says that it is ready.
+	It("that leaves gets only requests that no other takes, and none once it may end", func() {
+		var t notice.Target
+		rng := newRand()
+		Expect(t.Observe(at(0), at(0), notice.Said{Leaving: true}, alone, rng)).To(Equal([]notice.Change{{Kind: notice.Leaving, Value: 1}}))
+		Expect(t.Takes(at(0))).To(BeFalse())
+		Expect(t.Decide(at(time.Second), drain, rng)).To(Equal(notice.Decision{Allowed: true, LastResort: true}))
+		Expect(t.Observe(at(time.Second), at(time.Second), notice.Said{}, alone, rng)).To(BeEmpty(), "it does not come back")
+		Expect(t.Observe(at(2*time.Second), at(time.Second), notice.Said{Leaving: true}, alone, rng)).To(BeEmpty())
+		Expect(t.Decide(at(drain-time.Millisecond), drain, rng)).To(Equal(notice.Decision{}))
+		Expect(t.Decide(at(time.Hour), drain, rng)).To(Equal(notice.Decision{}))
 	})
 })
