Keep to the time for which a target turns requests away

What callers saw: requests that a target had said it would not take, as long as the other targets of the service were fuller; then refusals without the time to come back.

Cause: a refusal raised the cost of a target for 60 ms, whatever it said. Class: what a target says is known and not kept.

Change: 503 with Retry-After is a notice; nothing is sent to the target until its end (a minute at most) and up to a second more, spread by host. Then one request at a time until one is answered, then growing numbers for a second. If no target takes a request, callers are refused at once, with the time that is left and up to a second more. The random part of a retry delay is a second at most.

The service with one target gave no time before. Values that make no sense count as a plain refusal.

--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -210,3 +210,79 @@
 		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil); return r.Status }, 4*time.Second).Should(Equal(200))
 	})
 })
+
+var _ = Describe("Target that turns requests away for a time", func() {
+	// arrivalsBetween counts the requests that reached a target in a span of time.
+	arrivalsBetween := func(t *platformtest.Target, from, to time.Time) (n int) {
+		for _, r := range t.Arrivals() {
+			if r.At.After(from) && r.At.Before(to) {
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against hosts that go on sending, and against callers that lose by it.
+	DescribeTable("gets next to nothing in that time from any host, and requests after it", func(interval, slower time.Duration, allAnswered bool) {
+		f, noticed := newNoticeFixture(2, 3)
+		for _, t := range f.targets {
+			if t.Service == platformtest.AtMostOnceService && t != noticed {
+				t.SetServiceTime(slower)
+			}
+		}
+		f.send(interval, 500*time.Millisecond)
+		noticed.SetServiceTime(time.Millisecond)
+		noticed.SetRetryAfter("4")
+		began := time.Now()
+		time.AfterFunc(3900*time.Millisecond, func() { noticed.SetRetryAfter("") })
+		outcomes := f.send(interval, 8*time.Second)
+		// Each host may send two.
+		in := arrivalsBetween(noticed, began.Add(600*time.Millisecond), began.Add(3900*time.Millisecond))
+		after := arrivalsBetween(noticed, began.Add(6*time.Second), began.Add(8*time.Second))
+		GinkgoWriter.Printf("in the time: %d, after it: %d, outcomes %v\n", in, after, outcomes)
+		Expect(in).To(BeNumerically("<=", 4))
+		Expect(after).To(BeNumerically(">", 0))
+		if allAnswered {
+			Expect(outcomes).To(HaveLen(1))
+		}
+		delete(outcomes, 503) // refused as not run, because the other targets are full
+		Expect(outcomes).To(HaveLen(1))
+		Expect(outcomes).To(HaveKey(200))
+	},
+		Entry("beside targets with room", 10*time.Millisecond, 40*time.Millisecond, true),
+		Entry("beside full ones", 5*time.Millisecond, 100*time.Millisecond, false),
+	)
+
+	// Guards against callers that wait, or come back too early, for a service that turns all
+	// requests away.
+	It("has callers refused at once, with the time that is left, if it is the only one", func() {
+		f, noticed := newNoticeFixture(1, 0)
+		noticed.SetRetryAfter("3")
+		f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil)
+		delays := map[time.Duration]bool{}
+		for range 20 {
+			r, id, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil)
+			Expect(r.Status).To(Equal(503))
+			Expect(f.runs(id)).To(BeZero())
+			Expect(r.Took).To(BeNumerically("<", time.Second))
+			Expect(r.RetryAfter).To(BeNumerically(">", 1500*time.Millisecond))
+			Expect(r.RetryAfter).To(BeNumerically("<", 5*time.Second))
+			delays[r.RetryAfter] = true
+		}
+		Expect(len(delays)).To(BeNumerically(">", 10), "callers return at different times")
+		noticed.SetRetryAfter("")
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil); return r.Status }, 6*time.Second).Should(Equal(200))
+	})
+
+	// Guards against values that stop all requests to a target, or end a process.
+	DescribeTable("with a value that makes no sense counts as one that refuses", func(value string) {
+		f, noticed := newNoticeFixture(1, 0)
+		noticed.SetRetryAfter(value)
+		f.send(50*time.Millisecond, 200*time.Millisecond)
+		noticed.SetRetryAfter("")
+		Eventually(func() int { r, _, _ := f.call(f.hosts[0], "POST", platformtest.AtMostOncePrefix, nil); return r.Status }, 500*time.Millisecond).Should(Equal(200))
+	},
+		Entry("zero", "0"), Entry("negative", "-4"), Entry("no number", "soon"), Entry("not a number", "NaN"), Entry("infinite", "Inf"),
+		Entry("a date", "Sat, 05 Dec 2026 10:00:00 GMT"), Entry("long", fmt.Sprintf("%08000d", 4)),
+	)
+})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -286,12 +286,15 @@
 	return e.view.Load()
 }
 
-// refusal returns a refusal with a random retry delay between after and twice after,
-// so that callers do not resend at the same moment.
+// maxRetrySpread bounds the random part of a retry delay.
+const maxRetrySpread = time.Second
+
+// refusal returns a refusal with a random retry delay between after and twice after, at most
+// maxRetrySpread later, so that callers do not resend at the same moment.
 func (e *Engine) refusal(reason outcome.Reason, after time.Duration, format string, args ...any) outcome.Outcome {
 	o := outcome.Refused(reason, format, args...)
 	e.mu.Lock()
-	o.RetryAfter = after + time.Duration(e.rng.Int64N(int64(after)))
+	o.RetryAfter = after + time.Duration(e.rng.Int64N(int64(min(after, maxRetrySpread))))
 	e.mu.Unlock()
 	return o
 }
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -23,6 +23,7 @@
 	TargetDown      TargetState = "down"      // unreachable; no requests until the backoff ends
 	TargetCold      TargetState = "cold"      // warming up, and its rate limit leaves no request for this host now
 	TargetLeaving   TargetState = "leaving"   // it says that it leaves; requests go to others
+	TargetBacksOff  TargetState = "backs off" // it says that it wants no request of this host for a time
 	TargetLimited   TargetState = "limited"   // it names a limit, and this host's share of it leaves no request now
 	TargetFull      TargetState = "full"      // it takes no more requests of this host now, or all connections to it are in use
 )
@@ -111,6 +112,8 @@
 		return TargetCold
 	case t.notices.IsLeaving():
 		return TargetLeaving
+	case t.notices.BacksOff() && !t.notices.Takes(now):
+		return TargetBacksOff
 	case !t.notices.Takes(now):
 		return TargetLimited
 	case t.state.Full(now), !t.pool.HasCapacity():
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,11 +171,13 @@
 
 // answer sends the request and returns its answer.
 func (x *execution) answer(ctx context.Context) Answer {
-	switch reachable, free := x.available(time.Now()); gather.Admit(x.progress(), reachable, free) {
+	now := time.Now()
+	reachable, free := x.available(now)
+	switch gather.Admit(x.progress(), reachable, free) {
 	case gather.Unreachable:
 		return Answer{Outcome: x.e.refusal(outcome.Unavailable, outageRetryAfter, "too few services have a target that can be reached")}
 	case gather.Overloaded:
-		return Answer{Outcome: x.e.refusal(outcome.Overload, x.overloadRetryAfter(), "too few services have a target that takes a request now")}
+		return Answer{Outcome: x.e.refusal(outcome.Overload, max(x.overloadRetryAfter(), x.enoughAfter(now, free)), "too few services have a target that takes a request now")}
 	}
 	x.lastPart = time.Now()
 	for i := range x.shards {
@@ -216,12 +219,18 @@
 				continue
 			}
 			decision := x.e.decide(t, now)
+			if decision.Wait > 0 {
+				x.shards[i].postpone(now.Add(decision.Wait))
+			}
 			usable = usable || decision.Allowed || decision.Wait > 0
 			takes = takes || decision.Allowed && !t.state.Full(now)
 		}
 		if usable {
 			reachable++
 		}
+		if takes {
+			x.shards[i].notBefore = time.Time{}
+		}
 		if takes && x.e.waiting[service] == 0 {
 			free++
 		}
@@ -229,6 +238,23 @@
 	return reachable, free
 }
 
+// enoughAfter returns how long it takes until enough shards have a target that wants a request
+// of this host, if targets said when they do; free shards have one now.
+func (x *execution) enoughAfter(now time.Time, free int) time.Duration {
+	var waits []time.Duration
+	for i := range x.shards {
+		if s := &x.shards[i]; !s.notBefore.IsZero() {
+			waits = append(waits, s.notBefore.Sub(now))
+		}
+	}
+	slices.Sort(waits)
+	missing := x.progress().Required() - free
+	if missing <= 0 || len(waits) == 0 {
+		return 0
+	}
+	return waits[min(missing, len(waits))-1]
+}
+
 // overloadRetryAfter returns the shortest retry delay of a caller whose fan-out is refused
 // for load; the longest is twice as long. The delays spread over much of the time that
 // the caller has left, because an overload lasts longer than a queue.
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -12,10 +12,12 @@
 const (
 	Limit   Kind = "limit"   // the requests a second that the target takes from all hosts together
 	Leaving Kind = "leaving" // the target is about to end
+	// RetryAfter is the time in seconds for which the target wants no request of this host.
+	RetryAfter Kind = "retry_after"
 )
 
 // Kinds has all kinds of notices.
-var Kinds = []Kind{Limit, Leaving}
+var Kinds = []Kind{Limit, Leaving, RetryAfter}
 
 // Said is what one answer of a target says about the target itself.
 type Said struct {
@@ -25,6 +27,8 @@
 	Limited bool
 	// Leaving is set if the target is about to end.
 	Leaving bool
+	// RetryAfter is how long the target wants no request of this host, 0 if it did not say so.
+	RetryAfter time.Duration
 }
 
 // Change is the start, change or end of a notice.
@@ -40,6 +44,7 @@
 	limitAt   time.Time // arrival of the last answer that named the limit
 	pacer     pacer
 	leavingAt time.Time // arrival of the first answer with the notice; zero if there is none
+	backoff   backoff
 }
 
 // Decision is what this host may send to a target now.
@@ -66,6 +71,13 @@
 		t.leavingAt = now
 		changes = append(changes, Change{Kind: Leaving, Value: 1})
 	}
+	if t.backoff.observe(now, sent, said.RetryAfter, rng) {
+		c := Change{Kind: RetryAfter, Value: min(said.RetryAfter, maxRetryAfter).Seconds()}
+		if !t.backoff.inForce {
+			c = Change{Kind: RetryAfter, Before: 1}
+		}
+		changes = append(changes, c)
+	}
 	if before := t.limit; t.observeLimit(now, sent, said, position, rng) {
 		changes = append(changes, Change{Kind: Limit, Value: t.limit, Before: before})
 	}
@@ -124,6 +136,9 @@
 	if t.IsLeaving() {
 		kinds = append(kinds, Leaving)
 	}
+	if t.backoff.inForce {
+		kinds = append(kinds, RetryAfter)
+	}
 	return kinds
 }
 
@@ -133,7 +148,7 @@
 	if t.IsLeaving() && now.Sub(t.leavingAt) >= time.Duration(leavingUse*float64(drain)) {
 		return Decision{}
 	}
-	if wait := t.pacer.wait(now, rng); wait > 0 {
+	if wait := max(t.pacer.wait(now, rng), t.backoff.wait(now)); wait > 0 {
 		return Decision{Wait: wait}
 	}
 	return Decision{Allowed: true, LastResort: t.IsLeaving()}
@@ -141,7 +156,16 @@
 
 // Takes reports whether the target takes a request of this host now that could go to
 // another one as well.
-func (t *Target) Takes(now time.Time) bool { return !t.IsLeaving() && !now.Before(t.pacer.next) }
+func (t *Target) Takes(now time.Time) bool {
+	return !t.IsLeaving() && !now.Before(t.pacer.next) && !now.Before(t.backoff.next)
+}
+
+// BacksOff reports whether the target said that it wants no request of this host, and has not
+// answered one otherwise since.
+func (t *Target) BacksOff() bool { return t.backoff.inForce }
 
 // Sent records a request to the target.
-func (t *Target) Sent(now time.Time) { t.pacer.sent(now) }
+func (t *Target) Sent(now time.Time) {
+	t.pacer.sent(now)
+	t.backoff.sent(now)
+}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -51,4 +51,48 @@
 		Expect(t.Decide(at(drain-time.Millisecond), drain, rng)).To(Equal(notice.Decision{}))
 		Expect(t.Decide(at(time.Hour), drain, rng)).To(Equal(notice.Decision{}))
 	})
+
+	// Guards against requests that a target turns away for a time, and against hosts that all
+	// return at its end, with all of their requests.
+	It("that turns requests away for a time gets none in it, one at a time after it, and more once it answers", func() {
+		returns := map[time.Duration]bool{}
+		for seed := range uint64(20) {
+			var t notice.Target
+			rng := rand.New(rand.NewPCG(seed, 3))
+			Expect(t.Observe(at(0), at(-time.Millisecond), notice.Said{RetryAfter: 4 * time.Second}, alone, rng)).To(Equal([]notice.Change{{Kind: notice.RetryAfter, Value: 4}}))
+			Expect(t.Observe(at(time.Second), at(-time.Millisecond), notice.Said{}, alone, rng)).To(BeEmpty(), "sent before")
+			Expect(t.Decide(at(0), drain, rng).Wait).To(BeNumerically(">=", 4*time.Second))
+			Expect(t.Takes(at(3 * time.Second))).To(BeFalse())
+			wait := t.Decide(at(0), drain, rng).Wait
+			Expect(wait).To(BeNumerically("<=", 5*time.Second))
+			returns[wait] = true
+			Expect(t.Decide(at(wait), drain, rng).Allowed).To(BeTrue())
+			t.Sent(at(wait))
+			Expect(t.Decide(at(wait+time.Millisecond), drain, rng).Allowed).To(BeFalse())
+			now := wait + 5*time.Millisecond
+			Expect(t.Observe(at(now), at(wait), notice.Said{}, alone, rng)).To(HaveLen(1))
+			Expect(t.BacksOff()).To(BeFalse())
+			sent := func(duration time.Duration) (n int) {
+				for end := now + duration; now < end; now += time.Millisecond {
+					if t.Decide(at(now), drain, rng).Allowed {
+						t.Sent(at(now))
+						n++
+					}
+				}
+				return n
+			}
+			Expect(sent(200 * time.Millisecond)).To(BeNumerically("<=", 5))
+			sent(800 * time.Millisecond)
+			Expect(sent(100 * time.Millisecond)).To(Equal(100))
+		}
+		Expect(returns).To(HaveLen(20), "hosts return at different times")
+	})
+
+	// Guards against a target that asks for a year.
+	It("that asks for very long is asked again within a minute", func() {
+		var t notice.Target
+		rng := newRand()
+		t.Observe(at(0), at(0), notice.Said{RetryAfter: 365 * 24 * time.Hour}, alone, rng)
+		Expect(t.Decide(at(0), drain, rng).Wait).To(BeNumerically("<=", 61*time.Second))
+	})
 })
