Keep what targets say about themselves in one place; log notices that make no sense

The warm-up that a target states was kept beside the other notices, in the engine. pkg/notice has all of them now, decoded once in platform/. Of several values of a header the one that asks for the least counts; empty, long, negative, infinite and other values that make no sense count as not given and are logged once a target. FuzzAnswer (12 s, 193,338 inputs): no finding.

--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -41,7 +41,6 @@
 	Digest             string        // the target's digest of the answer
 	NotRun             bool          // the target did not run the request
 	WrongTarget        bool          // another target answers at the address; the request did not run
-	Cold               time.Duration // rest of the target's warm-up; 0 if not stated
 	IdleTimeout        time.Duration // how long the target keeps an idle connection; 0 if not stated
 	UnexpectedEncoding bool          // the body has a content encoding that was not requested
 	Instance           string        // ID of the target that answered; empty if not stated
--- a/internal/engine/cold.go
+++ b/internal/engine/cold.go
@@ -14,7 +14,7 @@
 // coldUntil returns the end of a target's warm-up: the later of the times that its
 // entry and its answers report.
 func (t *target) coldUntil() time.Time {
-	until := t.coldReported
+	until := t.notices.ColdUntil()
 	if t.entry.Cold > 0 {
 		if byEntry := t.entry.SeenAt.Add(t.entry.Cold); byEntry.After(until) {
 			until = byEntry
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -14,6 +14,10 @@
 	if r.Head.ID == "" || r.Kind == backend.WrongTarget {
 		return // no answer of this target
 	}
+	if r.Head.Notices.Malformed && !t.malformed {
+		t.malformed = true
+		e.cfg.Log.Warn("a target gives a notice with a value that makes no sense; it is ignored, and further ones are not logged", "target", t.id, "service", t.service)
+	}
 	position := func() notice.Position { return e.cfg.Fleet.LimitPosition(t.id, t.place) }
 	for _, c := range t.notices.Observe(now, now.Add(-r.Duration), r.Head.Notices, position, e.rng) {
 		e.cfg.Observer.Noticed(t.service, c)
@@ -32,9 +36,9 @@
 func (e *Engine) UnderNotice() map[notice.Kind]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	counts := map[notice.Kind]int{}
+	counts, now := map[notice.Kind]int{}, time.Now()
 	for _, t := range e.targets {
-		for _, kind := range t.notices.InForce() {
+		for _, kind := range t.notices.InForce(now) {
 			counts[kind]++
 		}
 	}
@@ -59,7 +63,7 @@
 // keepNotices keeps the notices of a target that is published no more. The engine's lock
 // must be held.
 func (e *Engine) keepNotices(t *target, now time.Time) {
-	if len(t.notices.InForce()) == 0 {
+	if len(t.notices.InForce(now)) == 0 {
 		return
 	}
 	if len(e.departed) >= maxDeparted {
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -281,9 +281,6 @@
 	}
 	e.observeCrash(x, t, r, now)
 	e.observeNotices(t, r, now)
-	if r.Head.Cold > 0 {
-		t.coldReported = now.Add(r.Head.Cold)
-	}
 	rtt := e.rtt(t.place)
 	switch r.Kind {
 	case backend.Success:
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -14,10 +14,11 @@
 	Leaving Kind = "leaving" // the target is about to end
 	// RetryAfter is the time in seconds for which the target wants no request of this host.
 	RetryAfter Kind = "retry_after"
+	Cold       Kind = "cold" // the time in seconds for which the target is still warming up
 )
 
 // Kinds has all kinds of notices.
-var Kinds = []Kind{Limit, Leaving, RetryAfter}
+var Kinds = []Kind{Limit, Leaving, RetryAfter, Cold}
 
 // Said is what one answer of a target says about the target itself.
 type Said struct {
@@ -29,6 +30,11 @@
 	Leaving bool
 	// RetryAfter is how long the target wants no request of this host, 0 if it did not say so.
 	RetryAfter time.Duration
+	// Cold is how long the target is still warming up, 0 if it did not say so.
+	Cold time.Duration
+	// Malformed is set if the answer has a notice with a value that makes no sense. Such a
+	// notice counts as not given.
+	Malformed bool
 }
 
 // Change is the start, change or end of a notice.
@@ -45,6 +51,7 @@
 	pacer     pacer
 	leavingAt time.Time // arrival of the first answer with the notice; zero if there is none
 	backoff   backoff
+	coldUntil time.Time
 }
 
 // Decision is what this host may send to a target now.
@@ -71,6 +78,12 @@
 		t.leavingAt = now
 		changes = append(changes, Change{Kind: Leaving, Value: 1})
 	}
+	if said.Cold > 0 {
+		if !now.Before(t.coldUntil) {
+			changes = append(changes, Change{Kind: Cold, Value: said.Cold.Seconds()})
+		}
+		t.coldUntil = now.Add(said.Cold)
+	}
 	if t.backoff.observe(now, sent, said.RetryAfter, rng) {
 		c := Change{Kind: RetryAfter, Value: min(said.RetryAfter, maxRetryAfter).Seconds()}
 		if !t.backoff.inForce {
@@ -128,7 +141,7 @@
 func (t *Target) IsLeaving() bool { return !t.leavingAt.IsZero() }
 
 // InForce returns the kinds of the notices in force.
-func (t *Target) InForce() []Kind {
+func (t *Target) InForce(now time.Time) []Kind {
 	var kinds []Kind
 	if t.limit > 0 {
 		kinds = append(kinds, Limit)
@@ -139,9 +152,16 @@
 	if t.backoff.inForce {
 		kinds = append(kinds, RetryAfter)
 	}
+	if now.Before(t.coldUntil) {
+		kinds = append(kinds, Cold)
+	}
 	return kinds
 }
 
+// ColdUntil returns the end of the warm-up that the target stated, the zero time if it stated
+// none.
+func (t *Target) ColdUntil() time.Time { return t.coldUntil }
+
 // Decide returns what this host may send to the target now. drain is how long a target that
 // leaves may get requests after its first notice.
 func (t *Target) Decide(now time.Time, drain time.Duration, rng *rand.Rand) Decision {
