--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -57,6 +57,14 @@
 	for _, b := range s.Budgets {
 		fmt.Fprintf(w, "%s\t%.1f\n", b.Service, b.Left)
 	}
+	fmt.Fprintf(w, "\nconnections closed under requests\t%d\ncrashes counted\t%d, and %d reported by others\nrequests refused for them\t%d\n",
+		s.Crashes.ClosedSends, s.Crashes.Crashes, s.Crashes.FromPeers, s.Crashes.Refused)
+	if len(s.Crashes.Quarantined) > 0 {
+		fmt.Fprintln(w, "\nREQUEST THAT CRASHES TARGETS\tREFUSED FOR\tTIMES")
+	}
+	for _, q := range s.Crashes.Quarantined {
+		fmt.Fprintf(w, "%d\t%s\t%d\n", q.Fingerprint, time.Duration(q.LeftMS)*time.Millisecond, q.Level)
+	}
 }
 
 func printTargets(w io.Writer, targets []engine.TargetReport) {
@@ -66,6 +74,9 @@
 		if t.Retained {
 			state += ", entry missing"
 		}
+		if t.NamedLimit > 0 {
+			state += fmt.Sprintf(", %.2f of %.2f/s", t.HostRate, t.NamedLimit)
+		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%d\t%d of %d\n",
 			t.Target, t.Service, t.Place, state, t.Slowness, t.Failures, t.Refusals, t.Outstanding, t.Connections, t.Limit)
 	}
--- a/cmd/lacewingyard/edgestatus_test.go
+++ b/cmd/lacewingyard/edgestatus_test.go
@@ -33,7 +33,9 @@
 		switch r.URL.Path {
 		case edge.StatusPath:
 			api.WriteJSON(w, http.StatusOK, edge.Status{Host: "host-1", State: edge.StateStatus{Config: 7},
-				Targets: []engine.TargetReport{{Target: "t1", Service: "s", State: engine.TargetDown, Retained: true, Limit: 3}},
+				Targets: []engine.TargetReport{{Target: "t1", Service: "s", State: engine.TargetDown, Retained: true, Limit: 3},
+					{Target: "t2", Service: "s", State: engine.TargetLimited, NamedLimit: 8, HostRate: 1.5}},
+				Crashes: edge.CrashStatus{Quarantined: []edge.QuarantinedRequest{{Fingerprint: 77, LeftMS: 1500, Level: 2}}},
 				Budgets: []engine.BudgetReport{{Service: "s", Left: 4.5}}})
 		case edge.ExplainPath:
 			if r.URL.Query().Get(edge.PathParam) != "/a/b" {
@@ -51,6 +53,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out).To(MatchRegexp(`t1 +s +down, entry missing .* 0 of 3`))
 	g.Expect(out).To(MatchRegexp(`(?m)^s +4\.5$`))
+	g.Expect(out).To(MatchRegexp(`t2 +s +limited, 1\.50 of 8\.00/s`))
+	g.Expect(out).To(MatchRegexp(`77 +1\.5s +2`))
 
 	out, err = runCommand("edge-explain", "--operators", address, "h.example", "/a/b")
 	g.Expect(err).NotTo(HaveOccurred())
