Soak: targets give notices and end under a request, with a check each

Targets leave, name limits and turn requests away during faults and changes, and some calls end the targets that run them. Each check is made per host, from the first answer that the host passed on, and excuses hosts that were faulted since.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -19,6 +19,8 @@
 	meanInterval = 15 * time.Millisecond
 	// callTimeout is the time that callers wait for an answer.
 	callTimeout = 2 * time.Second
+	// One call in killerCalls, on average, ends the target that runs it.
+	killerCalls = 150
 )
 
 // caller sends requests to the hosts that the directory names. It keeps its
@@ -66,8 +68,11 @@
 
 func (c *caller) call(address string) {
 	id := fmt.Sprintf("c%08d", c.nextID.Add(1))
-	call := Call{ID: id, Method: "GET", URI: platformtest.SearchPrefix + id, Sent: time.Now()}
-	if c.rng.IntN(3) == 0 {
+	call := Call{ID: id, Method: "GET", URI: platformtest.SearchPrefix + id, Host: address, Sent: time.Now()}
+	switch {
+	case c.rng.IntN(killerCalls) == 0:
+		call.Method, call.URI, call.Killer = "POST", platformtest.AtMostOncePrefix+killerPath, true
+	case c.rng.IntN(3) == 0:
 		call.Method, call.URI, call.Body = "POST", platformtest.AtMostOncePrefix+id+"?n=1", "body of "+id
 	}
 	c.fleet.checker.RecordCall(call)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -12,6 +12,8 @@
 // Call is a request of a caller and the reply to it.
 type Call struct {
 	ID, Method, URI, Body string
+	Host                  string // address of the host that it was sent to
+	Killer                bool   // it ends the targets that run it
 	Sent                  time.Time
 	Reply                 platformtest.Reply
 }
@@ -25,6 +27,10 @@
 	forbidden  map[string][]interval // by target: when it must not run a request
 	retired    map[string]time.Time  // by service, which is one shard: calls sent later must not be answered from it
 	violations []string
+
+	notices      []Notice
+	hostFaults   map[string][]interval // by address of a host
+	disturbances []interval
 }
 
 // interval is an open interval of time, without an end if until is zero.
@@ -36,7 +42,7 @@
 
 // NewChecker returns a checker without calls and sets of shards.
 func NewChecker() *Checker {
-	return &Checker{calls: map[string]*Call{}, forbidden: map[string][]interval{}, retired: map[string]time.Time{}}
+	return &Checker{calls: map[string]*Call{}, forbidden: map[string][]interval{}, retired: map[string]time.Time{}, hostFaults: map[string][]interval{}}
 }
 
 // AddShardSet records a set of shards. It must be called before a configuration that
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,4 +78,77 @@
 		c.RetireShardSet(set, now.Add(-time.Second))
 		Expect(c.Finish(nil)).To(HaveLen(before + 1))
 	})
+
+	Describe("of what targets say", func() {
+		const a, b = "10.0.0.1:1", "10.0.0.2:1"
+		var received []platformtest.Run
+		next := 0
+		// send records a call through a host that reaches target t, and is answered at once
+		// with a status.
+		send := func(at time.Duration, host string, status int, killer bool) {
+			next++
+			id := fmt.Sprint("n", next)
+			c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once", Host: host, Sent: now.Add(at), Killer: killer})
+			c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id)})
+			received = append(received, platformtest.Run{Target: "t", Service: platformtest.AtMostOnceService, ID: id, At: now.Add(at)})
+		}
+		notice := func(n soak.Notice) {
+			n.Target, n.Service, n.From = "t", platformtest.AtMostOnceService, now
+			c.AddNotice(n)
+		}
+		BeforeEach(func() { received, next = nil, 0 })
+
+		It("reports requests to a target that leaves, through hosts that know and had no fault", func() {
+			notice(soak.Notice{Kind: soak.NoticeLeaving})
+			send(time.Second, a, 200, false)
+			send(3900*time.Millisecond, a, 200, false)
+			send(4100*time.Millisecond, b, 200, false)
+			Expect(c.CheckNotices(received)).To(BeEmpty())
+			send(4100*time.Millisecond, a, 200, false)
+			Expect(c.CheckNotices(received)).To(ConsistOf(ContainSubstring("had said that it leaves")))
+		})
+
+		It("excuses a host that was faulted since it heard that a target leaves", func() {
+			notice(soak.Notice{Kind: soak.NoticeLeaving})
+			send(time.Second, a, 200, false)
+			c.AddHostFault(a, now.Add(2*time.Second), now.Add(3*time.Second))
+			send(5*time.Second, a, 200, false)
+			Expect(c.CheckNotices(received)).To(BeEmpty())
+		})
+
+		It("reports more requests than a limit allows", func() {
+			notice(soak.Notice{Kind: soak.NoticeLimit, Limit: 2, Until: now.Add(20 * time.Second)})
+			for i := range 40 { // two a second
+				send(time.Duration(i)*500*time.Millisecond, []string{a, b}[i%2], 200, false)
+			}
+			Expect(c.CheckNotices(received)).To(BeEmpty())
+			for i := range 20 {
+				send(10*time.Second+time.Duration(i)*100*time.Millisecond, b, 200, false)
+			}
+			Expect(c.CheckNotices(received)).To(ConsistOf(ContainSubstring("its limit of 2.0/s")))
+		})
+
+		It("reports requests to a target that turned the host away", func() {
+			notice(soak.Notice{Kind: soak.NoticeRetryAfter, RetryAfter: 2 * time.Second, Until: now.Add(10 * time.Second)})
+			send(time.Millisecond, a, 503, false)
+			for _, at := range []time.Duration{100, 600, 700, 2100} {
+				send(at*time.Millisecond, a, 503, false)
+			}
+			send(800*time.Millisecond, b, 503, false)
+			Expect(c.CheckNotices(received)).To(BeEmpty())
+			send(800*time.Millisecond, a, 503, false)
+			Expect(c.CheckNotices(received)).To(ConsistOf(ContainSubstring("had turned it away")))
+		})
+
+		It("reports a request that goes on ending targets", func() {
+			for i := range 7 {
+				send(time.Duration(i)*time.Second, a, 502, true)
+			}
+			Expect(c.CheckNotices(received)).To(BeEmpty())
+			for i := range 4 {
+				send(time.Duration(8+i)*time.Second, a, 502, true)
+			}
+			Expect(c.CheckNotices(received)).To(ConsistOf(ContainSubstring("ends its targets")))
+		})
+	})
 })
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,12 +42,13 @@
 
 	mu             sync.Mutex
 	wg             sync.WaitGroup
-	faulted        map[*host]bool  // hosts with a fault of their process
-	disturbedUntil time.Time       // deadlines of changes made before are not checked
-	drained        map[string]bool // services with a draining target
-	shardSets      int             // started after the first one
-	evacuating     string          // the evacuated place; empty for none
-	checkedChanges int             // changes for which the time to take effect was checked
+	faulted        map[*host]bool   // hosts with a fault of their process
+	disturbedUntil time.Time        // deadlines of changes made before are not checked
+	drained        map[string]bool  // services with a target that drains or leaves
+	noticed        map[*target]bool // targets that give a notice
+	shardSets      int              // started after the first one
+	evacuating     string           // the evacuated place; empty for none
+	checkedChanges int              // changes for which the time to take effect was checked
 }
 
 // run starts faults, which overlap, until the context ends, and returns once all have
@@ -97,7 +98,7 @@
 // injectFault starts one fault or change.
 func (f *injector) injectFault(ctx context.Context) {
 	length := f.randomDuration(500*time.Millisecond, 4*time.Second)
-	switch f.rng.IntN(13) {
+	switch f.rng.IntN(15) {
 	case 0:
 		f.processFault(ctx, "pause", length, func(h *host) { h.signal(syscall.SIGSTOP) }, func(h *host) { h.signal(syscall.SIGCONT) })
 	case 1:
@@ -107,13 +108,17 @@
 	case 3, 4:
 		f.linkFault(ctx, "target", f.target().proxy, length)
 	case 5:
-		f.linkFault(ctx, "store of a host", f.fleet.hosts[f.rng.IntN(len(f.fleet.hosts))].storeProxy, length)
+		h := f.fleet.hosts[f.rng.IntN(len(f.fleet.hosts))]
+		f.fleet.checker.AddHostFault(h.Address(h.Ports.Callers), time.Now(), time.Now().Add(length))
+		f.linkFault(ctx, "store of a host", h.storeProxy, length)
 	case 6:
 		f.storeFault(ctx, length)
 	case 7:
 		f.answerFault(ctx, f.target(), length)
 	case 8:
 		f.killAll(ctx)
+	case 9, 10:
+		f.giveNotice(ctx, f.target())
 	default:
 		f.makeChange(ctx)
 	}
@@ -121,9 +126,11 @@
 
 // makeChange makes one planned change.
 func (f *injector) makeChange(ctx context.Context) {
-	switch f.rng.IntN(4) {
+	switch f.rng.IntN(6) {
 	case 0:
 		f.drain(ctx, f.target())
+	case 4, 5:
+		f.giveNotice(ctx, f.target())
 	case 1:
 		h := f.fleet.hosts[f.rng.IntN(len(f.fleet.hosts))]
 		f.logf("%s reloads its settings", h.Name)
@@ -150,9 +157,11 @@
 // recordDisturbance suspends the checks of deadlines for a fault of the given length and
 // for disturbanceMargin after it.
 func (f *injector) recordDisturbance(length time.Duration) {
+	until := time.Now().Add(length + disturbanceMargin)
+	f.fleet.checker.AddDisturbance(time.Now(), until)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := time.Now().Add(length + disturbanceMargin); until.After(f.disturbedUntil) {
+	if until.After(f.disturbedUntil) {
 		f.disturbedUntil = until
 	}
 }
@@ -171,9 +180,11 @@
 	f.recordDisturbance(length + gracePeriod)
 	f.logf("%s %s for %v", what, h.Name, length)
 	f.wg.Go(func() {
+		from := time.Now()
 		begin(h)
 		sleep(ctx, length)
 		end(h)
+		f.fleet.checker.AddHostFault(h.Address(h.Ports.Callers), from, time.Now())
 		f.mu.Lock()
 		delete(f.faulted, h)
 		f.mu.Unlock()
@@ -309,12 +320,14 @@
 	f.logf("all hosts are killed")
 	f.wg.Go(func() {
 		f.recordDisturbance(gracePeriod)
+		from := time.Now()
 		for _, h := range f.fleet.hosts {
 			h.kill()
 		}
 		sleep(ctx, 300*time.Millisecond)
 		for _, h := range f.fleet.hosts {
 			f.restart(h)
+			f.fleet.checker.AddHostFault(h.Address(h.Ports.Callers), from, time.Now())
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -39,6 +39,7 @@
 	mu    sync.Mutex
 	mode  LinkMode
 	conns map[net.Conn]bool // both sides of the open connections
+	down  time.Time         // until then connections are reset
 }
 
 // NewProxy starts a proxy on a free loopback port that forwards to an address.
@@ -58,9 +59,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
-	if mode != Reset {
-		return
+	if mode == Reset {
+		p.resetAll()
 	}
+}
+
+// Down resets all connections, and further ones for a time, as when the target ends.
+func (p *Proxy) Down(length time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = time.Now().Add(length)
+	p.resetAll()
+}
+
+// resetAll resets the open connections. The lock must be held.
+func (p *Proxy) resetAll() {
 	for c := range p.conns {
 		reset(c)
 	}
@@ -89,6 +102,12 @@
 	return p.mode
 }
 
+func (p *Proxy) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.down)
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
@@ -100,7 +119,7 @@
 }
 
 func (p *Proxy) serve(c net.Conn) {
-	if p.currentMode() == Reset {
+	if p.currentMode() == Reset || p.isDown() {
 		reset(c)
 		return
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -55,8 +55,12 @@
 	places            = 3
 	shardsPerSet      = 5
 	atMostOnceTargets = 6
-	serviceTime       = 8 * time.Millisecond
-	routeTimeout      = 2 * time.Second
+	// killerPath is the end of the path of calls that end the targets which run them, and
+	// killedFor the time after which such a target is back.
+	killerPath   = "killer"
+	killedFor    = 300 * time.Millisecond
+	serviceTime  = 8 * time.Millisecond
+	routeTimeout = 2 * time.Second
 )
 
 func newTestFleet(binary, dir string, hosts int) (*testFleet, error) {
@@ -111,6 +115,7 @@
 		return err
 	}
 	t.Address = proxy.Address
+	t.SetKiller(platformtest.AtMostOncePrefix+killerPath, func() { proxy.Down(killedFor) })
 	s.targets = append(s.targets, &target{t, proxy})
 	s.store.Put(t.Key(), t.Entry("ready"))
 	return nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -69,7 +69,7 @@
 		callers.Go(func() { c.run(calling) })
 	}
 	faults, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
-	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, faulted: map[*host]bool{}, drained: map[string]bool{}}
+	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
 	inj.run(faults)
 	stopFaults()
 	sleep(ctx, recoveryTime)
@@ -97,7 +97,12 @@
 
 func (s *testFleet) report(recovered time.Time) Report {
 	runs := s.runLog.Runs()
-	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.Finish(runs)}
+	s.checker.Finish(runs)
+	var received []platformtest.Run
+	for _, t := range s.targets {
+		received = append(received, t.Arrivals()...)
+	}
+	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.CheckNotices(received)}
 	r.Calls, r.Served = s.checker.Served(time.Time{})
 	if sent, served := s.checker.Served(recovered); float64(served) < minServedRatio*float64(sent) || sent == 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("of %d calls after the recovery time only %d were served", sent, served))
