--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -232,7 +232,7 @@
 // leaves. It does nothing if another target of the service leaves already.
 func (f *injector) giveNotice(ctx context.Context, t *target) {
 	n := Notice{Target: t.ID, Service: t.Service, Kind: NoticeKind(f.rng.IntN(int(noticeKinds))), From: time.Now()}
-	length := f.randomDuration(5*time.Second, 9*time.Second)
+	length := f.randomDuration(contactTime+limitWindow, 3*limitWindow)
 	f.mu.Lock()
 	if n.Kind == NoticeLeaving && f.drained[t.Service] || f.noticed[t] {
 		f.mu.Unlock()
