Use leaving targets until shortly before they may end; return to targets sooner

Cause, from a model in virtual time in which a third of the targets leave, a third turn requests away and a third name limits, under a burst, with restarts: callers were refused although targets that leave could still have taken their requests (half of the drain bound was left unused), and although targets took requests again (up to a second of spread, then a second of ramp).

Change: a target that leaves is the last resort until 0.3 s before the drain bound; the return is spread over 0.4 s at most and takes half a second.

--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -64,10 +64,10 @@
 	Wait time.Duration
 }
 
-// leavingUse is the fraction of the time for which a target that leaves may get requests in
-// which this host still sends some that no other target takes. The rest is for those that
-// are on the way.
-const leavingUse = 0.5
+// leavingReserve is how long before the end of the time for which a target that leaves may get
+// requests this host sends it no more, for those that are on the way. Until then it gets those
+// that no other target takes.
+const leavingReserve = 300 * time.Millisecond
 
 // Observe records what an answer says to a request that was sent at the given time, and
 // returns the changes. position is this host's position for the target.
@@ -165,7 +165,7 @@
 // Decide returns what this host may send to the target now. drain is how long a target that
 // leaves may get requests after its first notice.
 func (t *Target) Decide(now time.Time, drain time.Duration, rng *rand.Rand) Decision {
-	if t.IsLeaving() && now.Sub(t.leavingAt) >= time.Duration(leavingUse*float64(drain)) {
+	if t.IsLeaving() && now.Sub(t.leavingAt) >= drain-leavingReserve {
 		return Decision{}
 	}
 	if wait := max(t.pacer.wait(now, rng), t.backoff.wait(now)); wait > 0 {
--- a/pkg/notice/retryafter.go
+++ b/pkg/notice/retryafter.go
@@ -10,14 +10,14 @@
 	maxRetryAfter = time.Minute
 	// spreadDivisor divides the time that a target asked for into the longest time by which
 	// this host comes back later, at most maxSpread: all hosts were turned away together.
-	spreadDivisor = 4
-	maxSpread     = time.Second
+	spreadDivisor = 8
+	maxSpread     = 400 * time.Millisecond
 	// trialInterval is the time between two requests until the target answers one otherwise.
-	trialInterval = 500 * time.Millisecond
+	trialInterval = 250 * time.Millisecond
 	// rampTime is the time after the first such answer in which requests come in growing
 	// numbers, and rampSpacing the time between two at its beginning.
-	rampTime    = time.Second
-	rampSpacing = 100 * time.Millisecond
+	rampTime    = 500 * time.Millisecond
+	rampSpacing = 25 * time.Millisecond
 )
 
 // backoff is the time in which a target wants no request of this host, and the return after
