Apply the last answers of a target to the entry that returned

A target whose entry goes and returns while a request is on the way says what it says about the same process; the notice went to the old entry.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -200,8 +200,9 @@
 	}
 }
 
-// Refresh adapts the limits of connections and requests to this host's shares and closes connections that
-// have been idle for too long. Callers should call Refresh about once a second.
+// Refresh adapts the limits of connections and requests to this host's shares, and closes
+// connections that have been idle for too long. Callers should call Refresh about once a
+// second.
 func (e *Engine) Refresh() {
 	now := time.Now()
 	e.mu.Lock()
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -14,6 +14,10 @@
 	if r.Head.ID == "" || r.Kind == backend.WrongTarget {
 		return // no answer of this target
 	}
+	// An entry that went and came back made another target of the same process.
+	if current := e.targets[t.id]; current != nil && current.key() == t.key() {
+		t = current
+	}
 	if r.Head.Notices.Malformed && !t.malformed {
 		t.malformed = true
 		e.cfg.Log.Warn("a target gives a notice with a value that makes no sense; it is ignored, and further ones are not logged", "target", t.id, "service", t.service)
