--- a/internal/edge/killer_test.go
+++ b/internal/edge/killer_test.go
@@ -280,16 +280,16 @@
 		restarted.stop()
 		Eventually(restarted.ended, 10*time.Second).Should(Receive(BeNil()))
 		restarted.ended <- nil
-		f.hosts[1] = f.start(restarted.HostSettings)
-		Eventually(f.ready(f.hosts[1]), 5*time.Second).Should(BeTrue())
+		restarted = f.start(restarted.HostSettings)
+		Eventually(f.ready(restarted), 5*time.Second).Should(BeTrue())
 		time.Sleep(contactTime)
 		_, before := losses.count()
 		for range 9 {
-			f.sendKiller(f.hosts[1], "POST", platformtest.AtMostOncePrefix)
+			f.sendKiller(restarted, "POST", platformtest.AtMostOncePrefix)
 			time.Sleep(300 * time.Millisecond)
 		}
 		all, late := losses.count()
-		GinkgoWriter.Printf("targets ended: %d, late: %d (%d before the restart), restarted host: %+v\n", all, late, before, f.crashStatus(f.hosts[1]))
+		GinkgoWriter.Printf("targets ended: %d, late: %d (%d before the restart), restarted host: %+v\n", all, late, before, f.crashStatus(restarted))
 		Expect(late-before).To(BeZero(), "hosts in touch know of it")
 	})
 })
