Show how long a target wants no request; forecast the targets of last choice

Cause: the end of a retry_after notice was logged with the value 1 in place of the seconds that the target had asked for, status did not show the time that was left, and explain named no target where only such were left as take requests after all others, although a request goes there.

Change: the notice keeps its value; away_ms and heard in /status, both in edge-status; explain asks the notices as the choice of a target does. Specs: end of the notice Before 1 -> 4; forecast "" -> the target.

--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -77,6 +77,12 @@
 		if t.NamedLimit > 0 {
 			state += fmt.Sprintf(", %.2f of %.2f/s", t.HostRate, t.NamedLimit)
 		}
+		if t.AwayMS > 0 {
+			state += fmt.Sprintf(", wants none for %s", time.Duration(t.AwayMS)*time.Millisecond)
+		}
+		if len(t.Heard) > 0 {
+			state += fmt.Sprintf(", told others: %v", t.Heard)
+		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%d\t%d of %d\n",
 			t.Target, t.Service, t.Place, state, t.Slowness, t.Failures, t.Refusals, t.Outstanding, t.Connections, t.Limit)
 	}
--- a/cmd/lacewingyard/edgestatus_test.go
+++ b/cmd/lacewingyard/edgestatus_test.go
@@ -9,6 +9,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/edge"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	. "github.com/onsi/gomega"
 )
@@ -34,7 +35,9 @@
 		case edge.StatusPath:
 			api.WriteJSON(w, http.StatusOK, edge.Status{Host: "host-1", State: edge.StateStatus{Config: 7},
 				Targets: []engine.TargetReport{{Target: "t1", Service: "s", State: engine.TargetDown, Retained: true, Limit: 3},
-					{Target: "t2", Service: "s", State: engine.TargetLimited, NamedLimit: 8, HostRate: 1.5}},
+					{Target: "t2", Service: "s", State: engine.TargetLimited, NamedLimit: 8, HostRate: 1.5},
+					{Target: "t3", Service: "s", State: engine.TargetBacksOff, AwayMS: 2500},
+					{Target: "t4", Service: "s", State: engine.TargetAvoided, Heard: []notice.Kind{notice.Leaving, notice.Limit}}},
 				Crashes: edge.CrashStatus{Quarantined: []edge.QuarantinedRequest{{Fingerprint: 77, LeftMS: 1500, Level: 2}}},
 				Budgets: []engine.BudgetReport{{Service: "s", Left: 4.5}}})
 		case edge.ExplainPath:
@@ -54,6 +57,8 @@
 	g.Expect(out).To(MatchRegexp(`t1 +s +down, entry missing .* 0 of 3`))
 	g.Expect(out).To(MatchRegexp(`(?m)^s +4\.5$`))
 	g.Expect(out).To(MatchRegexp(`t2 +s +limited, 1\.50 of 8\.00/s`))
+	g.Expect(out).To(MatchRegexp(`t3 +s +backs off, wants none for 2\.5s`))
+	g.Expect(out).To(MatchRegexp(`t4 +s +avoided, told others: \[leaving limit\]`))
 	g.Expect(out).To(MatchRegexp(`77 +1\.5s +2`))
 
 	out, err = runCommand("edge-explain", "--operators", address, "h.example", "/a/b")
--- a/internal/engine/notices_test.go
+++ b/internal/engine/notices_test.go
@@ -103,6 +103,11 @@
 		other.ImportNotices(reports)
 		Expect(heard(other)).To(Equal([]notice.Kind{notice.Leaving}))
 		Expect(other.NoticeReports()).To(BeEmpty(), "it was not told by the target")
+		other.mu.Lock()
+		forecast := other.forecast(&catalog.Route{Service: "s"}, "s", other.view.Load(), time.Now())
+		other.mu.Unlock()
+		Expect(forecast.Targets[0].State).To(Equal(TargetAvoided))
+		Expect(forecast.Choice).To(Equal("t"), "there is no other target")
 		later.ImportNotices(reports)
 		Expect(heard(later)).To(BeEmpty())
 
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -50,6 +50,8 @@
 	// together, 0 if it names none, and HostRate the part of it that this host uses.
 	NamedLimit float64 `json:"named_limit_per_s,omitempty"`
 	HostRate   float64 `json:"host_rate_per_s,omitempty"`
+	// AwayMS is for how much longer the target wants no request of this host, in milliseconds.
+	AwayMS int64 `json:"away_ms,omitempty"`
 	// Heard are the kinds of notices that the target gave other hosts only.
 	Heard []notice.Kind `json:"heard,omitempty"`
 }
@@ -97,7 +99,7 @@
 		Target: t.id, Service: t.service, Place: t.place, State: e.targetState(t, v, now), Retained: v.Retained[t.id],
 		Slowness: stats.Slowness, Failures: stats.FailureRate, Refusals: stats.RefusalRate, Outstanding: stats.Outstanding,
 		Connections: open, Idle: idle, Limit: t.pool.Limit(), NamedLimit: t.notices.Limit(), HostRate: t.notices.HostRate(),
-		Heard: t.notices.Heard(now),
+		AwayMS: t.notices.AwayLeft(now).Milliseconds(), Heard: t.notices.Heard(now),
 	}
 }
 
@@ -183,6 +185,9 @@
 // lock must be held.
 func (e *Engine) forecast(route *catalog.Route, service string, v *catalog.View, now time.Time) ServiceForecast {
 	f := ServiceForecast{Service: service}
+	// A separate source, so that a forecast does not change the random choices of
+	// requests.
+	rng := rand.New(rand.NewPCG(1, 1))
 	var candidates []balance.Candidate
 	var names []string
 	for _, t := range e.targets {
@@ -191,8 +196,13 @@
 		}
 		r := e.targetReport(t, v, now)
 		f.Targets = append(f.Targets, r)
-		if r.State == TargetUsable {
+		if r.State != TargetUsable && r.State != TargetLeaving && r.State != TargetAvoided {
+			continue
+		}
+		notices := t.notices // a copy, because Decide may draw another time
+		if decision := notices.Decide(now, e.cfg.DrainBound, rng); decision.Allowed {
 			candidate, _ := e.candidate(t)
+			candidate.Preference = int(decision.Preference)
 			candidates = append(candidates, candidate)
 			names = append(names, t.id)
 		}
@@ -203,9 +213,6 @@
 		expected = s.expected
 	}
 	_, here := e.cfg.Fleet.Hosts()
-	// A separate source, so that a forecast does not change the random choices of
-	// requests.
-	rng := rand.New(rand.NewPCG(1, 1))
 	if i := balance.Choose(now, candidates, expected, here, rng); i >= 0 {
 		f.Choice = names[i]
 	}
--- a/pkg/notice/hearsay.go
+++ b/pkg/notice/hearsay.go
@@ -46,8 +46,8 @@
 	if t.IsLeaving() && now.Sub(t.leavingAt) < maxReportAge {
 		r.Leaving, r.LeavingAgeMS = true, now.Sub(t.leavingAt).Milliseconds()
 	}
-	if t.backoff.inForce && now.Before(t.backoff.until) {
-		r.AwayMS, r.AwayAgeMS = t.backoff.until.Sub(now).Milliseconds(), now.Sub(t.backoff.saidAt).Milliseconds()
+	if left := t.AwayLeft(now).Milliseconds(); left > 0 {
+		r.AwayMS, r.AwayAgeMS = left, now.Sub(t.backoff.saidAt).Milliseconds()
 	}
 	return r, r.Limit > 0 || r.Leaving || r.AwayMS > 0
 }
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -100,12 +100,9 @@
 		}
 		t.coldUntil = now.Add(said.Cold)
 	}
+	before := t.backoff.asked
 	if t.backoff.observe(now, sent, said.RetryAfter, rng) {
-		c := Change{Kind: RetryAfter, Value: min(said.RetryAfter, maxRetryAfter).Seconds()}
-		if !t.backoff.inForce {
-			c = Change{Kind: RetryAfter, Before: 1}
-		}
-		changes = append(changes, c)
+		changes = append(changes, Change{Kind: RetryAfter, Value: t.backoff.asked.Seconds(), Before: before.Seconds()})
 	}
 	if before := t.limit; t.observeLimit(now, sent, said, position, rng) {
 		changes = append(changes, Change{Kind: Limit, Value: t.limit, Before: before})
@@ -225,6 +222,15 @@
 // answered one otherwise since.
 func (t *Target) BacksOff() bool { return t.backoff.inForce }
 
+// AwayLeft returns for how much longer the target wants no request of this host, 0 if it may
+// get one.
+func (t *Target) AwayLeft(now time.Time) time.Duration {
+	if !t.backoff.inForce {
+		return 0
+	}
+	return max(0, t.backoff.until.Sub(now))
+}
+
 // Sent records a request to the target.
 func (t *Target) Sent(now time.Time) {
 	t.pacer.sent(now)
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -70,7 +70,9 @@
 			t.Sent(at(wait))
 			Expect(t.Decide(at(wait+time.Millisecond), drain, rng).Allowed).To(BeFalse())
 			now := wait + 5*time.Millisecond
-			Expect(t.Observe(at(now), at(wait), notice.Said{}, alone, rng)).To(HaveLen(1))
+			Expect(t.AwayLeft(at(time.Second))).To(Equal(3 * time.Second))
+			Expect(t.Observe(at(now), at(wait), notice.Said{}, alone, rng)).To(Equal([]notice.Change{{Kind: notice.RetryAfter, Before: 4}}))
+			Expect(t.AwayLeft(at(time.Second))).To(BeZero())
 			Expect(t.BacksOff()).To(BeFalse())
 			sent := func(duration time.Duration) (n int) {
 				for end := now + duration; now < end; now += time.Millisecond {
--- a/pkg/notice/retryafter.go
+++ b/pkg/notice/retryafter.go
@@ -23,10 +23,11 @@
 // backoff is the time in which a target wants no request of this host, and the return after
 // it. The zero value has none.
 type backoff struct {
-	inForce bool      // until an answer without the notice after the time
-	until   time.Time // end of the time that the target asked for
-	saidAt  time.Time // arrival of the last answer with the notice
-	next    time.Time // when the next request may be sent
+	inForce bool          // until an answer without the notice after the time
+	asked   time.Duration // the latest time that the target asked for
+	until   time.Time     // end of the time that the target asked for
+	saidAt  time.Time     // arrival of the last answer with the notice
+	next    time.Time     // when the next request may be sent
 	rampEnd time.Time
 }
 
@@ -42,7 +43,7 @@
 	}
 	began := !b.inForce
 	wait = min(wait, maxRetryAfter)
-	b.inForce, b.saidAt = true, now
+	b.inForce, b.asked, b.saidAt = true, wait, now
 	if until := now.Add(wait); until.After(b.until) {
 		b.until = until
 		b.next = until.Add(time.Duration(rng.Float64() * float64(min(maxSpread, wait/spreadDivisor))))
