--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -29,6 +29,7 @@
 	mu                sync.Mutex // guards what follows
 	table             *quarantine.Table
 	transmissionsLeft map[quarantine.Fingerprint]int // how often each new entry is still to be sent
+	nextRefusal       quarantine.Fingerprint         // refusal in force that is sent first with the next heartbeat
 	canaryLocks       map[string]chan struct{}       // per target, so that one suspect at a time runs on it
 }
 
--- a/internal/daemon/quarantinebeat.go
+++ b/internal/daemon/quarantinebeat.go
@@ -16,20 +16,33 @@
 // all hosts, although a host of a large fleet has only 4 contacts.
 const entryTransmissions = 16
 
-// buildExtension returns encoded new entries for a heartbeat, at most maxBytes
-// bytes, starting with those sent least often.
+// minRepeatedRefusal is the least rest of a refusal that is sent for as long as it lasts. With
+// less, hosts would adopt the rest from each other at its end, and it would never end.
+const minRepeatedRefusal = 10 * time.Second
+
+// buildExtension returns encoded entries for a heartbeat, at most maxBytes bytes: new ones,
+// starting with those sent least often, and then refusals in force, which a host that started
+// meanwhile does not know, in turn.
 func (g *quarantineGuard) buildExtension(maxBytes int) []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	entries, data, full := g.newEntries(now, maxBytes)
+	if full {
+		return data
+	}
+	return g.appendRefusals(now, entries, data, maxBytes)
+}
+
+// newEntries returns the new entries that fit a heartbeat, and their encoding; full is set if
+// others are left. The lock must be held.
+func (g *quarantineGuard) newEntries(now time.Time, maxBytes int) (entries []quarantine.Entry, data []byte, full bool) {
 	for _, e := range g.table.Export(now) {
 		g.transmissionsLeft[e.Fingerprint] = entryTransmissions
 	}
 	order := slices.SortedFunc(maps.Keys(g.transmissionsLeft), func(a, b quarantine.Fingerprint) int {
 		return cmp.Or(cmp.Compare(g.transmissionsLeft[b], g.transmissionsLeft[a]), cmp.Compare(a, b))
 	})
-	var entries []quarantine.Entry
-	var data []byte
 	for _, fp := range order {
 		entry, known := g.table.Entry(now, fp)
 		if !known {
@@ -38,7 +51,7 @@
 		}
 		appended, encoded, ok := appendEntry(entries, entry, maxBytes)
 		if !ok && len(entries) > 0 {
-			break // sent with the next heartbeat
+			return entries, data, true // sent with the next heartbeat
 		}
 		if ok { // otherwise the entry's names are too long for any heartbeat
 			entries, data = appended, encoded
@@ -47,6 +60,24 @@
 			delete(g.transmissionsLeft, fp)
 		}
 	}
+	return entries, data, false
+}
+
+// appendRefusals appends refusals in force to the entries of a heartbeat, as many as fit, and
+// returns the encoding of all. The lock must be held.
+func (g *quarantineGuard) appendRefusals(now time.Time, entries []quarantine.Entry, data []byte, maxBytes int) []byte {
+	refused := slices.DeleteFunc(g.table.Entries(now), func(e quarantine.Entry) bool {
+		return e.RefusedFor < minRepeatedRefusal || slices.ContainsFunc(entries, func(sent quarantine.Entry) bool { return sent.Fingerprint == e.Fingerprint })
+	})
+	first, _ := slices.BinarySearchFunc(refused, g.nextRefusal, func(e quarantine.Entry, fp quarantine.Fingerprint) int { return cmp.Compare(e.Fingerprint, fp) })
+	for _, e := range slices.Concat(refused[first:], refused[:first]) {
+		appended, encoded, ok := appendEntry(entries, e, maxBytes)
+		if !ok {
+			g.nextRefusal = e.Fingerprint
+			break
+		}
+		entries, data = appended, encoded
+	}
 	return data
 }
 
