--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const callersOfACase = 6
+
+// connectAll opens the callers' connections and sends one request on each, so that they are
+// kept connections from then on.
+func (p *play) connectAll() ([]*caller, error) {
+	var callers []*caller
+	for i := range callersOfACase {
+		c, err := connect(p.host.callers)
+		if err != nil {
+			return nil, err
+		}
+		callers = append(callers, c)
+		id := fmt.Sprintf("first%011x", i)
+		if r := c.call(repeatable+"2f", id, timeLimit); r.status != http.StatusOK || r.stamp == "" {
+			return nil, fmt.Errorf("first request of caller %d: %v", i, r)
+		}
+	}
+	return callers, nil
+}
+
+// lateRequestsOfAStop stops the host with SIGTERM. Callers that still have its address send
+// requests on their kept connections later than 3 s after the signal.
+func lateRequestsOfAStop(p *play) (bool, error) {
+	const (
+		sentAfter = 3400 * time.Millisecond
+		grace     = 6 * time.Second
+	)
+	// The first requests of all callers run at the same time, as they take long.
+	callers := make([]*caller, callersOfACase)
+	var group sync.WaitGroup
+	for i := range callers {
+		c, err := connect(p.host.callers)
+		if err != nil {
+			return false, err
+		}
+		callers[i] = c
+		group.Go(func() {
+			p.note("caller %d, first request: %v", i, c.call(repeatable+"2f", fmt.Sprintf("first%011x", i), timeLimit))
+		})
+	}
+	group.Wait()
+	signaled := time.Now()
+	if p.trouble {
+		p.note("SIGTERM")
+		p.host.signal(syscall.SIGTERM)
+		kill := time.AfterFunc(grace, func() {
+			p.note("SIGKILL at the end of grace_s")
+			p.host.signal(syscall.SIGKILL)
+		})
+		defer kill.Stop()
+	}
+	time.Sleep(time.Until(signaled.Add(sentAfter)))
+	replies := make([]reply, len(callers))
+	written := make([]bool, len(callers))
+	ids := make([]string, len(callers))
+	for i, c := range callers {
+		path := repeatable
+		if i%2 == 1 {
+			path = unrepeatable
+		}
+		ids[i] = fmt.Sprintf("late%012x", i)
+		group.Go(func() {
+			err := c.write(head(http.MethodGet, path+"2f", ids[i], timeLimit))
+			written[i] = err == nil
+			p.note("caller %d sent %s%s %.3f s after the signal (%v)", i, path, ids[i], time.Since(signaled).Seconds(), err)
+			replies[i] = c.read(http.MethodGet, timeLimit+time.Second)
+		})
+	}
+	group.Wait()
+	broken := false
+	for i, r := range replies {
+		p.note("caller %d: %v, %.3f s after the signal", i, r, r.at.Sub(signaled).Seconds())
+		runs := p.noteRuns(ids[i])
+		if written[i] && r.status == 0 && runs > 0 && r.at.Sub(signaled) < grace && r.at.Sub(signaled)-sentAfter < timeLimit {
+			p.note("  LOST: passed on to a searcher, and its connection ended without an answer, before the time limit and the end of grace_s")
+			broken = true
+		}
+	}
+	return broken, nil
+}
+
+// callersThatEndTheirSide sends one request on each connection and then ends the sending side
+// of the connection, as a caller does that sends nothing more, and reads until the host closes.
+func callersThatEndTheirSide(p *play) (bool, error) {
+	callers, err := p.connectAll()
+	if err != nil {
+		return false, err
+	}
+	broken := false
+	for i, c := range callers {
+		path, id := repeatable, fmt.Sprintf("last%012x", i)
+		if i%2 == 1 {
+			path = unrepeatable
+		}
+		if err := c.write(head(http.MethodGet, path+"2f", id, timeLimit)); err != nil {
+			return false, err
+		}
+		if p.trouble {
+			time.Sleep(50 * time.Millisecond)
+			if err := c.conn.CloseWrite(); err != nil {
+				return false, err
+			}
+			p.note("caller %d sent %s%s and ended its side of the connection", i, path, id)
+		}
+		r := c.read(http.MethodGet, timeLimit+time.Second)
+		p.note("caller %d: %v, body %q", i, r, r.body)
+		time.Sleep(500 * time.Millisecond)
+		p.noteRuns(id)
+		if r.status/100 == 2 && (r.stamp == "" || r.body != answerBody(id)) {
+			p.note("  MIXED: a success without the searcher's Server-Stamp and body")
+			broken = true
+		}
+	}
+	return broken, nil
+}
