--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -89,6 +89,60 @@
 	return broken, nil
 }
 
+// signalsInSeries sends SIGTERM twice, half a second apart, while the host runs requests that it
+// had read before the first.
+func signalsInSeries(p *play) (bool, error) {
+	const (
+		signals   = 2
+		firstAt   = 200 * time.Millisecond
+		signalGap = 500 * time.Millisecond
+		grace     = 6 * time.Second
+	)
+	callers, err := p.connectAll()
+	if err != nil {
+		return false, err
+	}
+	replies, ids := make([]reply, len(callers)), make([]string, len(callers))
+	var group sync.WaitGroup
+	began := time.Now()
+	for i, c := range callers {
+		path := repeatable
+		if i%2 == 1 {
+			path = unrepeatable
+		}
+		ids[i] = fmt.Sprintf("open%012x", i)
+		p.note("caller %d sends %s%s", i, path, ids[i])
+		group.Go(func() { replies[i] = c.call(path+"2f", ids[i], timeLimit) })
+	}
+	for n := range signals {
+		time.Sleep(time.Until(began.Add(firstAt + time.Duration(n)*signalGap)))
+		if p.trouble {
+			p.note("SIGTERM")
+			p.host.signal(syscall.SIGTERM)
+		}
+	}
+	group.Wait()
+	broken := false
+	for i, r := range replies {
+		took := r.at.Sub(began)
+		p.note("caller %d: %v, after %.3f s", i, r, took.Seconds())
+		runs := p.noteRuns(ids[i])
+		if r.status == 0 && runs > 0 && took < firstAt+grace && took < timeLimit {
+			p.note("  LOST: passed on to a searcher, and its connection ended without an answer, before the time limit and the end of grace_s")
+			broken = true
+		}
+	}
+	if p.trouble {
+		select {
+		case <-p.host.exited:
+			p.note("the host has ended: %v", p.host.cmd.ProcessState)
+		case <-time.After(grace):
+			p.note("the host runs at the end of grace_s")
+		}
+	}
+	return broken, nil
+}
+
 // callersThatEndTheirSide sends one request on each connection and then ends the sending side
 // of the connection, as a caller does that sends nothing more, and reads until the host closes.
 func callersThatEndTheirSide(p *play) (bool, error) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -44,6 +44,7 @@
 	run  func(*play) (broken bool, err error)
 }{
 	"stop":  {2350 * time.Millisecond, lateRequestsOfAStop},
+	"again": {900 * time.Millisecond, signalsInSeries},
 	"parts": {5 * time.Millisecond, bytesAfterParts},
 	"once":  {20 * time.Millisecond, bytesAfterRefusals},
 	"leave": {600 * time.Millisecond, callersThatEndTheirSide},
