Callers' connections: end none with a request in progress, and unused ones first

Cause: callers open some connections ahead of requests. net/http's Shutdown waits up to 5 s for the first request of each, so the host stayed until the end of its grace period and cut what came on them last. By reading, a related path: Shutdown closes a connection that it takes for idle also between the arrival of its next request and the start of the handler, which then forwards a request whose caller can get no answer. That one was not seen in a run.

Change: callerConns tracks the connections. Close waits for the answer of a request in progress, a request that was read on a closed connection is dropped before it is forwarded, and connections without a first byte are closed a second after they were opened once the listener is closed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,8 @@
 	// results of their targets.
 	exitReserve    = 400 * time.Millisecond
 	abandonReserve = 200 * time.Millisecond
+	// closeUnusedInterval is the time between two looks for unused connections of callers.
+	closeUnusedInterval = 100 * time.Millisecond
 	// headerTimeout bounds the time for reading a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the time for which a caller's connection may be idle. It is
@@ -277,9 +279,11 @@
 func (h *Host) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	conns := newCallerConns()
 	callers := &http.Server{
 		Handler: limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	conns.attach(callers)
 	servers := []struct {
 		address string
 		server  *http.Server
@@ -301,6 +305,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
+		if s.server == callers {
+			listener = conns.listener(listener)
+		}
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
@@ -314,7 +321,7 @@
 	go h.preconnect(background)
 	h.opts.Log.Info("started", "host", h.opts.Site.Name, "place", h.opts.Site.Place, "callers", h.opts.Site.CallerAddress, "incarnation", h.incarnation)
 	<-ctx.Done()
-	h.shutdown(callers)
+	h.shutdown(callers, conns)
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
@@ -401,7 +408,7 @@
 // shutdown leaves the directory, serves callers that still have this host's address
 // cached, and then closes their connections once their requests are answered. It refuses
 // requests that may outlast the grace period, and answers those that nevertheless do.
-func (h *Host) shutdown(callers *http.Server) {
+func (h *Host) shutdown(callers *http.Server, conns *callerConns) {
 	var phases drain.Shutdown
 	grace := max(h.opts.Site.GracePeriod-exitReserve, time.Second)
 	leaving := min(leavingPeriod, grace*2/3)
@@ -415,12 +422,23 @@
 	defer abandon.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-leaving+abandonReserve)
 	defer cancel()
+	go closeUnused(ctx, conns)
 	if err := callers.Shutdown(ctx); err != nil {
 		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", h.openRequests.Load(), "error", err)
+		conns.abort()
 	}
 	h.opts.Log.Info("stopped", "open", h.openRequests.Load())
 }
 
+// closeUnused closes unused connections of callers until the context ends: without it, each of
+// them would keep the host from ending.
+func closeUnused(ctx context.Context, conns *callerConns) {
+	for ctx.Err() == nil {
+		conns.closeUnused(time.Now())
+		sleep(ctx, closeUnusedInterval)
+	}
+}
+
 // abandon answers the requests in progress without the results of their targets.
 func (h *Host) abandon() {
 	if open := h.openRequests.Load(); open > 0 {
--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -81,3 +81,26 @@
 		}
 	})
 })
+
+var _ = Describe("Host that is stopped while callers hold connections that were opened ahead", func() {
+	// Guards against a stop that such connections prolong until the end of the grace period.
+	It("ends once its requests are answered", func() {
+		f := newFixture(1)
+		settings := f.hosts[0].HostSettings
+		settings.Name, settings.IP, settings.Grace = "host-patient", "127.0.0.9", 8*time.Second
+		h := f.start(settings)
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		h.stop()
+		began := time.Now()
+		for time.Since(began) < 3*time.Second {
+			c := newRawCaller(h)
+			DeferCleanup(c.c.Close)
+			time.Sleep(200 * time.Millisecond)
+		}
+		// Its listener closes 3.5 s after the signal; the last connection is a second old soon after.
+		var err error
+		Eventually(h.ended, 6*time.Second-time.Since(began)).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		h.ended <- nil
+	})
+})
