Soak: planned stops one after the other, and callers that keep their connections

Planned changes of the soak now include stops of hosts that overlap, with reloads of settings in between, while targets take up to 3.5 s. New callers open connections ahead of requests and use them until the host closes them. The checker reports a call whose connection a stopping host closed without an answer, once it was passed on or 200 ms after it was sent, unless a fault may be the cause. Some requests to one target may now be repeated, and calls have 4 s.

It reproduces what users saw: renewals that may be repeated, lost around the SIGTERM of a host that logs "aborting requests still open at the end of the grace period".

--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -12,8 +12,9 @@
 
 func newSoak() *cobra.Command {
 	var seed uint64
-	var seeds, hosts, callers int
-	var faultDuration time.Duration
+	var seeds, hosts, callers, keepers int
+	var faultDuration, grace time.Duration
+	var planned bool
 	cmd := &cobra.Command{
 		Use:     "soak",
 		GroupID: "commands",
@@ -36,7 +37,7 @@
 					return err
 				}
 				report, err := soak.Run(cmd.Context(), soak.Options{
-					Binary: binary, Dir: dir, Seed: seed + i, Hosts: hosts, Callers: callers, FaultDuration: faultDuration,
+					Binary: binary, Dir: dir, Seed: seed + i, Hosts: hosts, Callers: callers, Keepers: keepers, Grace: grace, FaultDuration: faultDuration, PlannedOnly: planned,
 					Logf: func(format string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", args...) },
 				})
 				if err != nil {
@@ -65,6 +66,9 @@
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of consecutive seeds, run one after the other")
 	cmd.Flags().IntVar(&hosts, "hosts", 6, "number of host processes")
 	cmd.Flags().IntVar(&callers, "callers", 12, "number of concurrent callers")
+	cmd.Flags().IntVar(&keepers, "keepers", 6, "number of callers that open connections ahead and use them until a host closes them")
+	cmd.Flags().BoolVar(&planned, "planned", false, "make planned changes only, among them stops of hosts, and inject no faults")
+	cmd.Flags().DurationVar(&grace, "grace", 3*time.Second, "time between SIGTERM and SIGKILL of a host that is stopped")
 	cmd.Flags().DurationVar(&faultDuration, "for", 20*time.Second, "time during which faults are injected")
 	return cmd
 }
--- a/cmd/lacewingyard/soak_test.go
+++ b/cmd/lacewingyard/soak_test.go
@@ -15,3 +15,12 @@
 	g.Expect(cmd.Run()).To(Succeed(), "%s%s", stdout, stderr)
 	g.Expect(stdout.String()).To(MatchRegexp(`seed 7: [1-9]\d+ calls, .* 0 violations`))
 }
+
+// Guards against requests, on connections that callers keep or open ahead, that a stopping
+// host passes on and whose connections it closes without an answer.
+func TestSoakOfPlannedStopsLosesNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	cmd, stdout, stderr := newCommand("soak", "--planned", "--seed", "31", "--for", "6s", "--grace", "6s", "--hosts", "4", "--callers", "4", "--keepers", "16")
+	g.Expect(cmd.Run()).To(Succeed(), "%s%s", stdout, stderr)
+	g.Expect(stdout.String()).To(MatchRegexp(`seed 31: [1-9]\d+ calls, .* 0 violations`))
+}
--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -80,6 +80,25 @@
 			Expect(f.runs(c.id)).NotTo(BeZero())
 		}
 	})
+
+	// Guards against the same for requests to one target: their time limits are the longest,
+	// and a hedge does not help when all targets are slow.
+	It("answers repeatable requests to one target that are still open then", func() {
+		const prefix = "/fetch/"
+		config := platformtest.ConfigWithRoute(2, shards, 2*time.Second, prefix)
+		routes := config["routes"].([]map[string]any)
+		routes[len(routes)-1]["route_type"] = "idempotent"
+		f.store.Put(platformtest.ConfigKey, config)
+		Eventually(func() int {
+			reply, _, _ := f.call(f.hosts[0], http.MethodGet, prefix, nil)
+			return reply.Status
+		}, 10*time.Second).Should(Equal(http.StatusOK))
+		for _, c := range callLate(http.MethodGet, prefix, 1500*time.Millisecond) {
+			Expect(c.reply.Err).NotTo(HaveOccurred())
+			Expect(c.reply.Status).To(Equal(http.StatusBadGateway), "it ran, and no target has answered")
+			Expect(f.runs(c.id)).NotTo(BeZero())
+		}
+	})
 })
 
 var _ = Describe("Host that is stopped while callers hold connections that were opened ahead", func() {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,7 +18,7 @@
 	// meanInterval is the mean pause between two requests of a caller.
 	meanInterval = 15 * time.Millisecond
 	// callTimeout is the time that callers wait for an answer.
-	callTimeout = 2 * time.Second
+	callTimeout = routeTimeout
 	// One call in killerCalls, on average, ends the target that runs it.
 	killerCalls = 150
 )
@@ -66,16 +66,24 @@
 	}
 }
 
-func (c *caller) call(address string) {
+// newCall returns a call to the host at an address with a new ID.
+func (c *caller) newCall(address string) Call {
 	id := fmt.Sprintf("c%08d", c.nextID.Add(1))
 	call := Call{ID: id, Method: "GET", URI: platformtest.SearchPrefix + id, Host: address, Sent: time.Now()}
 	switch {
 	case c.rng.IntN(killerCalls) == 0:
 		call.Method, call.URI, call.Killer = "POST", platformtest.AtMostOncePrefix+killerPath, true
+	case c.rng.IntN(4) == 0:
+		call.URI = fetchPrefix + id
 	case c.rng.IntN(3) == 0:
 		call.Method, call.URI, call.Body = "POST", platformtest.AtMostOncePrefix+id+"?n=1", "body of "+id
 	}
+	return call
+}
+
+func (c *caller) call(address string) {
+	call := c.newCall(address)
 	c.fleet.checker.RecordCall(call)
 	// Calls are not cancelled at the end of the run, so that each one has an outcome.
-	c.fleet.checker.RecordReply(id, platformtest.Call(context.Background(), c.client, address, call.Method, call.URI, id, []byte(call.Body), callTimeout))
+	c.fleet.checker.RecordReply(call.ID, platformtest.Call(context.Background(), c.client, address, call.Method, call.URI, call.ID, []byte(call.Body), callTimeout))
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,11 @@
 	Reply                 platformtest.Reply
 }
 
+// forwarded reports whether the call is answered by one target.
+func (c *Call) forwarded() bool {
+	return c.Method == http.MethodPost || strings.HasPrefix(c.URI, fetchPrefix)
+}
+
 // Checker verifies the replies to callers against the runs of targets. It is safe for
 // concurrent use.
 type Checker struct {
@@ -30,6 +36,7 @@
 
 	notices      []Notice
 	hostFaults   map[string][]interval // by address of a host
+	stops        []plannedStop
 	disturbances []interval
 }
 
@@ -88,7 +95,7 @@
 	if r.Status != 200 {
 		return
 	}
-	if call.Method == "POST" {
+	if call.forwarded() {
 		if r.Digest != platformtest.Digest(platformtest.AtMostOnceService, id) {
 			c.fail("call %s was answered with the digest %q of another request", id, r.Digest)
 		}
@@ -129,6 +136,7 @@
 			}
 		}
 	}
+	c.checkStops(count)
 	for id, call := range c.calls {
 		if call.Method != "POST" {
 			c.checkShardSet(id, call)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,7 +1,9 @@
 package soak_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -151,4 +153,46 @@
 			Expect(c.CheckNotices(received)).To(ConsistOf(ContainSubstring("ends its targets")))
 		})
 	})
+
+	Describe("of a planned stop", func() {
+		const host, grace = "127.0.0.1:1", 3 * time.Second
+		closed := platformtest.Reply{Err: io.ErrUnexpectedEOF, Took: time.Second}
+		// lost returns the violations with a call that was sent a second after the stop of its
+		// host, and with the given reply.
+		lost := func(reply platformtest.Reply, runs ...platformtest.Run) []string {
+			c.RecordCall(soak.Call{ID: "s", Method: "POST", URI: "/once/s", Host: host, Sent: now.Add(time.Second)})
+			c.RecordReply("s", reply)
+			return c.Finish(runs)
+		}
+		BeforeEach(func() { c.AddStop(host, now, grace) })
+
+		It("reports a connection that was closed without an answer to a request that ran", func() {
+			Expect(lost(closed, run("s", "POST", "/once/s"))).To(HaveLen(1))
+		})
+		It("reports a request that no target got and whose connection was closed late", func() {
+			Expect(lost(closed)).To(HaveLen(1))
+		})
+		It("allows the close of a connection that crosses a request", func() {
+			Expect(lost(platformtest.Reply{Err: io.EOF, Took: 10 * time.Millisecond})).To(BeEmpty())
+		})
+		It("allows a refusal, a failure and a time limit that passed", func() {
+			Expect(lost(platformtest.Reply{Status: 503})).To(BeEmpty())
+			Expect(lost(platformtest.Reply{Status: 502}, run("s", "POST", "/once/s"))).To(BeEmpty())
+			Expect(lost(platformtest.Reply{Err: context.DeadlineExceeded, Took: time.Second}, run("s", "POST", "/once/s"))).To(BeEmpty())
+		})
+		It("allows the loss if a fault may be the cause", func() {
+			c.AddDisturbance(now, now.Add(time.Second))
+			Expect(lost(closed, run("s", "POST", "/once/s"))).To(BeEmpty())
+		})
+		It("does not report the loss at another host", func() {
+			c.RecordCall(soak.Call{ID: "o", Method: "POST", URI: "/once/o", Host: "127.0.0.2:1", Sent: now.Add(time.Second)})
+			c.RecordReply("o", closed)
+			Expect(c.Finish([]platformtest.Run{run("o", "POST", "/once/o")})).To(BeEmpty())
+		})
+	})
+	It("reports an answer of one target that belongs to another request, also if it may be repeated", func() {
+		c.RecordCall(soak.Call{ID: "f", Method: "GET", URI: "/fetch/f", Sent: now})
+		c.RecordReply("f", platformtest.Reply{Status: 200, Digest: platformtest.Digest(platformtest.AtMostOnceService, "q")})
+		Expect(c.Finish(nil)).To(HaveLen(1))
+	})
 })
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,8 @@
 	rng   *rand.Rand
 	logf  func(format string, args ...any)
 
+	plannedOnly bool // no faults
+
 	mu             sync.Mutex
 	wg             sync.WaitGroup
 	faulted        map[*host]bool   // hosts with a fault of their process
@@ -56,12 +58,17 @@
 // because the deadlines of changes can be checked only if no fault delays the hosts.
 func (f *injector) run(ctx context.Context) {
 	faultsUntil := time.Now().Add(f.randomDuration(4*time.Second, 8*time.Second))
+	if f.plannedOnly {
+		faultsUntil = time.Now()
+	}
 	for ctx.Err() == nil {
 		if time.Now().Before(faultsUntil) {
 			f.injectFault(ctx)
 		} else {
 			f.makePlannedChanges(ctx)
-			faultsUntil = time.Now().Add(f.randomDuration(4*time.Second, 8*time.Second))
+			if !f.plannedOnly {
+				faultsUntil = time.Now().Add(f.randomDuration(4*time.Second, 8*time.Second))
+			}
 		}
 		sleep(ctx, f.randomDuration(100*time.Millisecond, time.Second))
 	}
@@ -76,6 +83,7 @@
 	f.mu.Unlock()
 	sleep(ctx, time.Until(disturbedUntil))
 	f.logf("planned changes only")
+	f.rollHosts(ctx)
 	for until := time.Now().Add(changePeriod); time.Now().Before(until) && ctx.Err() == nil; {
 		f.makeChange(ctx)
 		sleep(ctx, f.randomDuration(300*time.Millisecond, 1500*time.Millisecond))
@@ -104,7 +112,7 @@
 	case 1:
 		f.processFault(ctx, "kill", length, (*host).kill, f.restart)
 	case 2:
-		f.processFault(ctx, "stop", 0, (*host).stop, f.restart)
+		f.processFault(ctx, "stop", 0, func(h *host) { h.stop(f.fleet.grace) }, f.restart)
 	case 3, 4:
 		f.linkFault(ctx, "target", f.target().proxy, length)
 	case 5:
@@ -177,7 +185,7 @@
 	}
 	f.faulted[h] = true
 	f.mu.Unlock()
-	f.recordDisturbance(length + gracePeriod)
+	f.recordDisturbance(length + f.fleet.grace)
 	f.logf("%s %s for %v", what, h.Name, length)
 	f.wg.Go(func() {
 		from := time.Now()
@@ -319,7 +327,7 @@
 	}
 	f.logf("all hosts are killed")
 	f.wg.Go(func() {
-		f.recordDisturbance(gracePeriod)
+		f.recordDisturbance(f.fleet.grace)
 		from := time.Now()
 		for _, h := range f.fleet.hosts {
 			h.kill()
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -123,6 +123,9 @@
 	if a.call.Method == "POST" {
 		return true
 	}
+	if a.call.forwarded() {
+		return perShard[[2]string{a.ID, a.Service}] == 1
+	}
 	return perShard[[2]string{a.ID, a.Service}] == 1 && slices.Contains(a.call.Reply.Parts, platformtest.Digest(a.Service, a.ID))
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -14,9 +14,6 @@
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
-// gracePeriod is the time between SIGTERM and SIGKILL when a host is stopped.
-const gracePeriod = 3 * time.Second
-
 // host is a host and its process.
 type host struct {
 	platformtest.HostSettings
@@ -31,6 +28,7 @@
 type testFleet struct {
 	dir     string // for settings files and the output of the hosts
 	binary  string
+	grace   time.Duration // between SIGTERM and SIGKILL when a host is stopped
 	store   *platformtest.Store
 	runLog  *platformtest.RunLog
 	targets []*target // all that were started, at-most-once targets first
@@ -57,14 +55,16 @@
 	atMostOnceTargets = 6
 	// killerPath is the end of the path of calls that end the targets which run them, and
 	// killedFor the time after which such a target is back.
-	killerPath   = "killer"
-	killedFor    = 300 * time.Millisecond
+	killerPath = "killer"
+	killedFor  = 300 * time.Millisecond
+	// fetchPrefix is that of a route to one target whose requests may be repeated.
+	fetchPrefix  = "/fetch/"
 	serviceTime  = 8 * time.Millisecond
-	routeTimeout = 2 * time.Second
+	routeTimeout = 4 * time.Second
 )
 
-func newTestFleet(binary, dir string, hosts int) (*testFleet, error) {
-	s := &testFleet{dir: dir, binary: binary, runLog: &platformtest.RunLog{}, checker: NewChecker(), client: &http.Client{Timeout: routeTimeout}}
+func newTestFleet(binary, dir string, hosts int, grace time.Duration) (*testFleet, error) {
+	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), client: &http.Client{Timeout: routeTimeout}}
 	var err error
 	if s.output, err = os.Create(filepath.Join(dir, "hosts.log")); err != nil {
 		return nil, err
@@ -91,7 +91,7 @@
 	for i := range hosts {
 		h := &host{HostSettings: platformtest.HostSettings{
 			Name: fmt.Sprint("host-", i), IP: ips[i], Place: fmt.Sprint("p", i%places), Ports: ports,
-			Seeds: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}, Grace: gracePeriod,
+			Seeds: []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}, Grace: grace,
 		}, settingsFile: filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))}
 		if h.storeProxy, err = NewProxy(s.store.Address); err != nil {
 			return nil, err
@@ -143,7 +143,10 @@
 func (s *testFleet) publish() {
 	s.version += 3
 	s.checker.AddShardSet(s.shards)
-	s.store.Put(platformtest.ConfigKey, platformtest.Config(s.version, s.shards, routeTimeout))
+	config := platformtest.ConfigWithRoute(s.version, s.shards, routeTimeout, fetchPrefix)
+	routes := config["routes"].([]map[string]any)
+	routes[len(routes)-1]["route_type"] = "idempotent"
+	s.store.Put(platformtest.ConfigKey, config)
 }
 
 func (s *testFleet) startHost(h *host) error {
@@ -173,11 +176,11 @@
 }
 
 // stop terminates the host gracefully, or kills it after the grace period.
-func (h *host) stop() {
+func (h *host) stop(grace time.Duration) {
 	h.signal(syscall.SIGTERM)
 	select {
 	case <-h.exited:
-	case <-time.After(gracePeriod):
+	case <-time.After(grace):
 		h.kill()
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,7 +30,10 @@
 	Seed          uint64
 	Hosts         int
 	Callers       int
+	Keepers       int           // callers that open connections ahead and keep them until they are closed
+	Grace         time.Duration // between SIGTERM and SIGKILL when a host is stopped
 	FaultDuration time.Duration // time during which faults are injected
+	PlannedOnly   bool          // make planned changes, among them stops of hosts, and inject no faults
 	Logf          func(format string, args ...any)
 }
 
@@ -46,7 +49,7 @@
 // the results. A violation is part of the report, not an error; an error means that the
 // fleet did not start or was not ready in time.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s, err := newTestFleet(o.Binary, o.Dir, o.Hosts)
+	s, err := newTestFleet(o.Binary, o.Dir, o.Hosts, o.Grace)
 	if err != nil {
 		return Report{}, err
 	}
@@ -68,8 +71,9 @@
 			client: &http.Client{Transport: &http.Transport{}}, nextID: &nextID}
 		callers.Go(func() { c.run(calling) })
 	}
+	s.startKeepers(calling, &callers, o.Keepers, o.Seed, &nextID)
 	faults, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
-	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
+	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, plannedOnly: o.PlannedOnly, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
 	inj.run(faults)
 	stopFaults()
 	sleep(ctx, recoveryTime)
--- /dev/null
+++ b/internal/soak/stops.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+)
+
+const (
+	// lossSlack is how long after its last byte was sent a request that no target got may
+	// end with its connection while its host is stopping.
+	lossSlack = 200 * time.Millisecond
+	// afterStop is how long after the grace period a stop still explains the end of a
+	// connection.
+	afterStop = time.Second
+	// slowService is the longest service time of a target while hosts are stopped one after
+	// the other: calls are open at each moment of a stop, and some when its grace ends.
+	slowService = 3500 * time.Millisecond
+)
+
+// plannedStop is the stop of a host by a signal.
+type plannedStop struct {
+	host  string // address at which callers reach it
+	at    time.Time
+	grace time.Duration
+}
+
+// AddStop records that a host was told to stop within a grace period.
+func (c *Checker) AddStop(host string, at time.Time, grace time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops = append(c.stops, plannedStop{host, at, grace})
+}
+
+// checkStops reports calls that a stopping host had read and whose connections it closed
+// without an answer, unless a fault could be the cause. runs counts the runs by call.
+func (c *Checker) checkStops(runs map[string]int) {
+	for id, call := range c.calls {
+		ended := repliedAt(call)
+		if !connectionEnded(&call.Reply) || c.disturbed(call.Sent.Add(-contactTime), ended) {
+			continue
+		}
+		for _, s := range c.stops {
+			if s.host != call.Host || ended.Before(s.at) || call.Sent.After(s.at.Add(s.grace+afterStop)) {
+				continue
+			}
+			if runs[id] > 0 || call.Reply.Took > lossSlack {
+				c.fail("call %s, sent %v after the stop of %s, had its connection closed after %v without an answer (%d runs): %v",
+					id, call.Sent.Sub(s.at).Round(time.Millisecond), s.host, call.Reply.Took.Round(time.Millisecond), runs[id], call.Reply.Err)
+			}
+		}
+	}
+}
+
+// rollHosts stops some hosts one after the other, with stops that overlap, and starts each
+// again when it has ended. Meanwhile targets take long for their work.
+func (f *injector) rollHosts(ctx context.Context) {
+	f.mu.Lock()
+	if len(f.faulted) > 0 {
+		f.mu.Unlock()
+		return
+	}
+	order := f.rng.Perm(len(f.fleet.hosts))[:1+f.rng.IntN(len(f.fleet.hosts))]
+	gap, hup := f.randomDuration(100*time.Millisecond, f.fleet.grace), f.rng.IntN(2) == 0
+	for _, i := range order {
+		f.faulted[f.fleet.hosts[i]] = true
+	}
+	f.mu.Unlock()
+	f.logf("%d hosts stop one after the other, every %v", len(order), gap)
+	least := f.randomDuration(serviceTime, slowService)
+	for _, t := range f.fleet.targets[:atMostOnceTargets] {
+		t.SetServiceTime(f.randomDuration(least, slowService))
+	}
+	f.wg.Go(func() {
+		for _, i := range order {
+			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], hup) })
+			sleep(ctx, gap)
+		}
+		sleep(ctx, f.fleet.grace)
+		for _, t := range f.fleet.targets[:atMostOnceTargets] {
+			t.SetServiceTime(serviceTime)
+		}
+	})
+}
+
+// stopAndStart stops a host and starts it again. The platform may announce changed settings
+// while the host is stopping.
+func (f *injector) stopAndStart(h *host, hup bool) {
+	address, from := h.Address(h.Ports.Callers), time.Now()
+	f.fleet.checker.AddStop(address, from, f.fleet.grace)
+	if hup {
+		time.AfterFunc(f.fleet.grace/4, func() { h.signal(syscall.SIGHUP) })
+	}
+	h.stop(f.fleet.grace)
+	f.restart(h)
+	f.fleet.checker.AddHostFault(address, from, time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.faulted, h)
+}
