Log sink: take lines after Close

Seen by the new soak of planned stops under the race detector, in the log of a host that was stopped: "panic: send on closed channel" in logsink.Sink.Write, called by the goroutine that follows the store, after the shutdown had closed the sink. Callers lose nothing: their connections have ended by then. The process ended with a panic in place of status 0.

Cause: Close closed the queue, and goroutines of the host that have not noticed the end of their context yet still log. Close now stops only the writer; what is queued at that moment is written, later lines are lost.

Test: TestSinkTakesLinesAfterClose, which failed before with the same panic.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -23,19 +23,20 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{} // closed by Close; lines stays open, because goroutines that outlive the host still log
 	done    chan struct{} // closed when run has returned
 }
 
 // New returns a sink that writes to out until Close is called. Errors of out are
 // ignored.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	s := &Sink{out: out, lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
 
 // Write queues a copy of the line or drops the line if the queue is full. It never
-// blocks and returns no error.
+// blocks and returns no error. Lines that are written during or after Close may be lost.
 func (s *Sink) Write(line []byte) (int, error) {
 	select {
 	case s.lines <- append([]byte(nil), line...):
@@ -49,9 +50,8 @@
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
 // Close writes the queued lines and the count of dropped ones, and stops the sink.
-// Write must not be called during or after Close.
 func (s *Sink) Close() {
-	close(s.lines)
+	close(s.closing)
 	<-s.done
 }
 
@@ -61,19 +61,26 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case line, ok := <-s.lines:
-			if !ok {
-				s.report()
-				return
-			}
+		case line := <-s.lines:
 			// A write error cannot be reported, because the log itself has failed.
 			_, _ = s.out.Write(line)
+		case <-s.closing:
+			s.flush()
+			s.report()
+			return
 		case <-ticker.C:
 			s.report()
 		}
 	}
 }
 
+// flush writes the lines that are queued when it is called.
+func (s *Sink) flush() {
+	for range len(s.lines) {
+		_, _ = s.out.Write(<-s.lines)
+	}
+}
+
 func (s *Sink) report() {
 	if n := s.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(s.out, `{"@level":"warn","@message":"log lines were dropped","count":%d}`+"\n", n)
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -41,3 +41,25 @@
 	g.Expect(strings.Count(out.out.String(), "line\n")).To(BeNumerically(">=", 2048))
 	g.Expect(out.out.String()).To(ContainSubstring("log lines were dropped"))
 }
+
+// Guards against a host that panics while it ends, because one of its goroutines still logs.
+func TestSinkTakesLinesAfterClose(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	s := logsink.New(&out)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 5000 {
+				_, _ = s.Write([]byte("line\n"))
+			}
+		})
+	}
+	_, _ = s.Write([]byte("last line before the end\n"))
+	s.Close()
+	writers.Wait()
+	n, err := s.Write([]byte("late\n"))
+	g.Expect(n).To(Equal(5))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).NotTo(ContainSubstring("late"))
+}
