Soak: reload no host that is being stopped and started

A reload that met a host between its stop and its start read the fields of the new process without a lock, and SIGHUP ends a process that has just started and does not catch it yet. Reloads during a stop are sent by the stop itself.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -112,7 +112,7 @@
 	case 1:
 		f.processFault(ctx, "kill", length, (*host).kill, f.restart)
 	case 2:
-		f.processFault(ctx, "stop", 0, func(h *host) { h.stop(f.fleet.grace) }, f.restart)
+		f.processFault(ctx, "stop", 0, func(h *host) { h.stop(f.fleet.grace, false) }, f.restart)
 	case 3, 4:
 		f.linkFault(ctx, "target", f.target().proxy, length)
 	case 5:
@@ -140,9 +140,7 @@
 	case 4, 5:
 		f.giveNotice(ctx, f.target())
 	case 1:
-		h := f.fleet.hosts[f.rng.IntN(len(f.fleet.hosts))]
-		f.logf("%s reloads its settings", h.Name)
-		h.signal(syscall.SIGHUP)
+		f.reload(f.fleet.hosts[f.rng.IntN(len(f.fleet.hosts))])
 	case 2:
 		f.evacuate(ctx)
 	default:
@@ -150,6 +148,17 @@
 	}
 }
 
+// reload announces changed settings to a host, unless its process has a fault or is stopping.
+func (f *injector) reload(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faulted[h] {
+		return
+	}
+	f.logf("%s reloads its settings", h.Name)
+	h.signal(syscall.SIGHUP)
+}
+
 // target draws a target of the current set of shards or, in one of three cases, of the
 // at-most-once service.
 func (f *injector) target() *target {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -175,12 +175,18 @@
 	}
 }
 
-// stop terminates the host gracefully, or kills it after the grace period.
-func (h *host) stop(grace time.Duration) {
+// stop terminates the host gracefully, or kills it after the grace period. reload announces
+// changed settings to the host while it is stopping.
+func (h *host) stop(grace time.Duration, reload bool) {
 	h.signal(syscall.SIGTERM)
+	kill := time.After(grace)
+	if reload {
+		time.Sleep(grace / 4)
+		h.signal(syscall.SIGHUP)
+	}
 	select {
 	case <-h.exited:
-	case <-time.After(grace):
+	case <-kill:
 		h.kill()
 	}
 }
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 )
 
@@ -61,7 +60,7 @@
 		return
 	}
 	order := f.rng.Perm(len(f.fleet.hosts))[:1+f.rng.IntN(len(f.fleet.hosts))]
-	gap, hup := f.randomDuration(100*time.Millisecond, f.fleet.grace), f.rng.IntN(2) == 0
+	gap, reload := f.randomDuration(100*time.Millisecond, f.fleet.grace), f.rng.IntN(2) == 0
 	for _, i := range order {
 		f.faulted[f.fleet.hosts[i]] = true
 	}
@@ -73,7 +72,7 @@
 	}
 	f.wg.Go(func() {
 		for _, i := range order {
-			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], hup) })
+			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], reload) })
 			sleep(ctx, gap)
 		}
 		sleep(ctx, f.fleet.grace)
@@ -83,15 +82,11 @@
 	})
 }
 
-// stopAndStart stops a host and starts it again. The platform may announce changed settings
-// while the host is stopping.
-func (f *injector) stopAndStart(h *host, hup bool) {
+// stopAndStart stops a host and starts it again.
+func (f *injector) stopAndStart(h *host, reload bool) {
 	address, from := h.Address(h.Ports.Callers), time.Now()
 	f.fleet.checker.AddStop(address, from, f.fleet.grace)
-	if hup {
-		time.AfterFunc(f.fleet.grace/4, func() { h.signal(syscall.SIGHUP) })
-	}
-	h.stop(f.fleet.grace)
+	h.stop(f.fleet.grace, reload)
 	f.restart(h)
 	f.fleet.checker.AddHostFault(address, from, time.Now())
 	f.mu.Lock()
