--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -6,9 +6,9 @@
 // it has expired. Only then does the host close its listener and wait for the open
 // requests.
 //
-// The package owns the phases and their deadlines. The caller closes the listener,
-// counts the open requests and ends the process. A Shutdown is not safe for
-// concurrent use.
+// The package owns the phases, their deadlines and the admission of requests in them.
+// The caller closes the listener, counts the open requests and ends the process. A
+// Shutdown is not safe for concurrent use, but for its queries after Begin.
 package drain
 
 import "time"
