Edge: go on with a stop when further signals come

Cause: after the first signal the default action is restored, so that the second one ends the process, unless the command handles it; edge did not. It now takes and logs further SIGTERM and SIGINT until the process ends. SIGKILL and SIGQUIT still end it at once.

TestSignalsInSeriesCutNoRequest failed before (EOF 0.5 s after the first signal) and passes now: SIGTERM twice, SIGHUP, SIGINT and SIGTERM while a request is open.

--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -36,7 +36,7 @@
 		Long: "Run one host on the users' platform in the foreground. The host reads the platform's\n" +
 			"settings file, watches the platform's store and serves callers. On SIGTERM or\n" +
 			"SIGINT the host leaves the directory, finishes the requests in progress and exits\n" +
-			"with status 0.",
+			"with status 0. Further ones have no effect.",
 		Example: "  " + platform.SettingsVariable + "=/etc/lacewingyard/boot.yaml lacewingyard edge",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -122,6 +122,7 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log := hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(flags.level), Output: sink, JSONFormat: true})
+	handleRepeatedSignals(log, os.Interrupt, syscall.SIGTERM)
 	store := platform.NewStore(hostSettings.StoreAddress, storeConnectTimeout)
 	store.OnInvalidItem = func(err error) { log.Warn("cannot decode an item of the store; the item has no content", "error", err) }
 	metrics := edge.NewMetrics()
--- /dev/null
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
+	. "github.com/onsi/gomega"
+)
+
+// edgeProcess is a running `lacewingyard edge` before a store and one target.
+type edgeProcess struct {
+	platformtest.HostSettings
+	cmd    *exec.Cmd
+	output bytes.Buffer
+	target *platformtest.Target
+}
+
+// edgeGrace is the grace period of an edgeProcess.
+const edgeGrace = 6 * time.Second
+
+// startEdge starts a host and waits until it is ready.
+func startEdge(t *testing.T) *edgeProcess {
+	g := NewWithT(t)
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(store.Close)
+	p := &edgeProcess{}
+	p.target, err = platformtest.NewTarget("127.0.0.1:0", "once-0", platformtest.AtMostOnceService, "a", time.Millisecond, &platformtest.RunLog{})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(p.target.Close)
+	store.Put(p.target.Key(), p.target.Entry("ready"))
+	config := platformtest.Config(1, nil, 4*time.Second)
+	config["routes"] = config["routes"].([]map[string]any)[1:]
+	store.Put(platformtest.ConfigKey, config)
+	const ip = "127.0.9.1"
+	ports, err := platformtest.FreePorts(ip)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.HostSettings = platformtest.HostSettings{Name: "host-1", IP: ip, Place: "a", Ports: ports, Store: store.Address, Seeds: []string{ip}, Grace: edgeGrace}
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	g.Expect(os.WriteFile(file, []byte(p.Settings()), 0o600)).To(Succeed())
+	p.cmd = exec.Command(os.Args[0], "edge", "--settings", file)
+	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
+	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
+	g.Expect(p.cmd.Start()).To(Succeed())
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	g.Eventually(func() bool { return platformtest.Ready(t.Context(), http.DefaultClient, p.Address(p.Ports.Ready)) }, "10s", "20ms").Should(BeTrue())
+	return p
+}
+
+// callDuring sends a call that takes 1.5 s on the target, runs during while it is open, and
+// returns its reply.
+func (p *edgeProcess) callDuring(t *testing.T, during func()) platformtest.Reply {
+	p.target.SetServiceTime(1500 * time.Millisecond)
+	replied := make(chan platformtest.Reply)
+	go func() {
+		replied <- platformtest.Call(t.Context(), &http.Client{Transport: &http.Transport{}}, p.Address(p.Ports.Callers), http.MethodPost, platformtest.AtMostOncePrefix+"open", "open", nil, 4*time.Second)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	during()
+	return <-replied
+}
+
+// Guards against further signals that end a stopping host while requests are in progress.
+func TestSignalsInSeriesCutNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	p := startEdge(t)
+	reply := p.callDuring(t, func() {
+		for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+			g.Expect(p.cmd.Process.Signal(s)).To(Succeed())
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	g.Expect(reply.Err).NotTo(HaveOccurred())
+	g.Expect(reply.Status).To(Equal(http.StatusOK))
+	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
+}
