Edge: a closed log pipe ends no host

A host whose log reader went away was ended by SIGPIPE at its next log line, during a stop as well: a supervisor that stops both may end the reader first. The request in progress lost its answer (TestClosedLogPipeCutsNoRequest: EOF after 0.25 s before; a whole answer and exit status 0 now). Writes to the closed pipe fail now, and their lines are lost.

--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -122,6 +122,7 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log := hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(flags.level), Output: sink, JSONFormat: true})
+	ignoreClosedOutput()
 	handleRepeatedSignals(log, os.Interrupt, syscall.SIGTERM)
 	store := platform.NewStore(hostSettings.StoreAddress, storeConnectTimeout)
 	store.OnInvalidItem = func(err error) { log.Warn("cannot decode an item of the store; the item has no content", "error", err) }
--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -25,8 +25,9 @@
 // edgeGrace is the grace period of an edgeProcess.
 const edgeGrace = 6 * time.Second
 
-// startEdge starts a host and waits until it is ready.
-func startEdge(t *testing.T) *edgeProcess {
+// startEdge starts a host, whose standard output goes to stdout if that is not nil, and waits
+// until it is ready.
+func startEdge(t *testing.T, stdout *os.File) *edgeProcess {
 	g := NewWithT(t)
 	store, err := platformtest.NewStore("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -48,6 +49,9 @@
 	p.cmd = exec.Command(os.Args[0], "edge", "--settings", file)
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
+	if stdout != nil {
+		p.cmd.Stdout = stdout
+	}
 	g.Expect(p.cmd.Start()).To(Succeed())
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
@@ -73,7 +77,7 @@
 // Guards against further signals that end a stopping host while requests are in progress.
 func TestSignalsInSeriesCutNoRequest(t *testing.T) {
 	g := NewWithT(t)
-	p := startEdge(t)
+	p := startEdge(t, nil)
 	reply := p.callDuring(t, func() {
 		for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
 			g.Expect(p.cmd.Process.Signal(s)).To(Succeed())
@@ -84,3 +88,19 @@
 	g.Expect(reply.Status).To(Equal(http.StatusOK))
 	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
 }
+
+// Guards against a host that the end of the process which reads its log terminates.
+func TestClosedLogPipeCutsNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	r, w, err := os.Pipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	p := startEdge(t, w)
+	g.Expect(w.Close()).To(Succeed())
+	reply := p.callDuring(t, func() {
+		g.Expect(r.Close()).To(Succeed())
+		g.Expect(p.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	})
+	g.Expect(reply.Err).NotTo(HaveOccurred())
+	g.Expect(reply.Status).To(Equal(http.StatusOK))
+	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
+}
--- a/cmd/lacewingyard/signals.go
+++ b/cmd/lacewingyard/signals.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -20,3 +21,7 @@
 		}
 	}()
 }
+
+// ignoreClosedOutput makes writes to a closed standard output or error fail. By default they
+// end the process: a host would cut its requests when whatever reads its log goes away first.
+func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
