--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -15,6 +15,7 @@
 	var seeds, hosts, callers, keepers int
 	var faultDuration, grace time.Duration
 	var planned bool
+	var binary string
 	cmd := &cobra.Command{
 		Use:     "soak",
 		GroupID: "commands",
@@ -26,9 +27,11 @@
 		Example: "  lacewingyard soak --seed 7 --for 30s",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			binary, err := os.Executable()
-			if err != nil {
-				return err
+			if binary == "" {
+				var err error
+				if binary, err = os.Executable(); err != nil {
+					return err
+				}
 			}
 			failed := 0
 			for i := range uint64(seeds) {
@@ -68,6 +71,7 @@
 	cmd.Flags().IntVar(&callers, "callers", 12, "number of concurrent callers")
 	cmd.Flags().IntVar(&keepers, "keepers", 6, "number of callers that open connections ahead and use them until a host closes them")
 	cmd.Flags().BoolVar(&planned, "planned", false, "make planned changes only, among them stops of hosts, and inject no faults")
+	cmd.Flags().StringVar(&binary, "host-binary", "", "executable of the hosts, to check another build; default: this one")
 	cmd.Flags().DurationVar(&grace, "grace", 3*time.Second, "time between SIGTERM and SIGKILL of a host that is stopped")
 	cmd.Flags().DurationVar(&faultDuration, "for", 20*time.Second, "time during which faults are injected")
 	return cmd
--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -101,6 +101,70 @@
 	})
 })
 
+var _ = Describe("Host that is stopped while some of its targets cannot be reached", func() {
+	// Guards against repeatable requests that go from target to target and are still open when
+	// the grace period ends.
+	DescribeTable("answers each request on kept connections until it closes them", func(slow, unreachable int) {
+		const prefix, hostGrace, calls = "/fetch/", 6 * time.Second, 8
+		f := newFixture(1)
+		config := platformtest.ConfigWithRoute(2, shards, 4*time.Second, prefix)
+		routes := config["routes"].([]map[string]any)
+		routes[len(routes)-1]["route_type"] = "idempotent"
+		f.store.Put(platformtest.ConfigKey, config)
+		for _, t := range f.targets[:2] {
+			f.store.Delete(t.Key())
+		}
+		for i := range slow {
+			f.addTarget(fmt.Sprintf("slow-%d", i), platformtest.AtMostOnceService, "p0")
+		}
+		for i := range unreachable {
+			l, err := platformtest.ListenShort()
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			for _, c := range platformtest.FillBacklog(l.Addr().String()) {
+				DeferCleanup(c.Close)
+			}
+			t := platformtest.Target{ID: fmt.Sprintf("lost-%d", i), Service: platformtest.AtMostOnceService, Address: l.Addr().String(), Place: "p0"}
+			f.store.Put(t.Key(), t.Entry("ready"))
+		}
+		for _, t := range f.targets {
+			t.SetServiceTime(2600 * time.Millisecond)
+		}
+		settings := f.hosts[0].HostSettings
+		settings.Name, settings.IP, settings.Grace = "host-stopped", "127.0.0.9", hostGrace
+		h := f.start(settings)
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		connections := make([]*rawCaller, calls)
+		for i := range connections {
+			connections[i] = newRawCaller(h)
+		}
+		h.stop()
+		began := time.Now()
+		replies := make([]platformtest.Reply, calls)
+		var group sync.WaitGroup
+		for i, c := range connections {
+			group.Go(func() {
+				time.Sleep(3*time.Second + time.Duration(i)*50*time.Millisecond)
+				id := fmt.Sprintf("kept%06d", f.next.Add(1))
+				replies[i] = c.call(http.MethodGet, prefix+id, id, 4*time.Second)
+			})
+		}
+		group.Wait()
+		Expect(time.Since(began)).To(BeNumerically("<", hostGrace))
+		for i, r := range replies {
+			Expect(r.Err).NotTo(HaveOccurred(), "request %d", i)
+			Expect(r.Status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable, http.StatusBadGateway))
+		}
+		var err error
+		Eventually(h.ended, 5*time.Second).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		h.ended <- nil
+	},
+		Entry("and the others are slow", 8, 3),
+		Entry("nor any other", 0, 12),
+	)
+})
+
 var _ = Describe("Host that is stopped while callers hold connections that were opened ahead", func() {
 	// Guards against a stop that such connections prolong until the end of the grace period.
 	It("ends once its requests are answered", func() {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
 // LinkMode selects how a proxy forwards its connections.
@@ -40,15 +42,18 @@
 	mode  LinkMode
 	conns map[net.Conn]bool // both sides of the open connections
 	down  time.Time         // until then connections are reset
+
+	accepting chan struct{} // holds a token while connections are accepted
 }
 
 // NewProxy starts a proxy on a free loopback port that forwards to an address.
 func NewProxy(upstream string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := platformtest.ListenShort()
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: l.Addr().String(), upstream: upstream, listener: l, conns: map[net.Conn]bool{}}
+	p := &Proxy{Address: l.Addr().String(), upstream: upstream, listener: l, conns: map[net.Conn]bool{}, accepting: make(chan struct{}, 1)}
+	p.accepting <- struct{}{}
 	go p.accept()
 	return p, nil
 }
@@ -72,6 +77,22 @@
 	p.resetAll()
 }
 
+// SuspendAccept makes new connections time out until the returned function is called. Open
+// connections are reset, and so are those that were opened meanwhile.
+func (p *Proxy) SuspendAccept() (resume func()) {
+	<-p.accepting
+	p.mu.Lock()
+	p.resetAll()
+	p.mu.Unlock()
+	waiting := platformtest.FillBacklog(p.Address)
+	return func() {
+		for _, c := range waiting {
+			reset(c)
+		}
+		p.accepting <- struct{}{}
+	}
+}
+
 // resetAll resets the open connections. The lock must be held.
 func (p *Proxy) resetAll() {
 	for c := range p.conns {
@@ -114,7 +135,9 @@
 		if err != nil {
 			return
 		}
+		<-p.accepting
 		go p.serve(c)
+		p.accepting <- struct{}{}
 	}
 }
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -62,4 +63,23 @@
 		Expect(len(read(soak.Trickle, within, atMost))).To(BeNumerically("<", 4))
 		Expect(read(soak.OneWay, within, atMost)).To(BeEmpty())
 	})
+
+	It("lets connections time out while it accepts none, and accepts them again", func() {
+		p, err := soak.NewProxy("127.0.0.1:1")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		const dialTimeout = 300 * time.Millisecond
+		resume := p.SuspendAccept()
+		var timeout net.Error
+		_, err = net.DialTimeout("tcp", p.Address, dialTimeout)
+		Expect(errors.As(err, &timeout) && timeout.Timeout()).To(BeTrue(), "%v", err)
+		resume()
+		Eventually(func() error {
+			c, err := net.DialTimeout("tcp", p.Address, dialTimeout)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}, 5*time.Second).Should(Succeed())
+	})
 })
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -70,6 +70,7 @@
 	for _, t := range f.fleet.targets[:atMostOnceTargets] {
 		t.SetServiceTime(f.randomDuration(least, slowService))
 	}
+	f.loseTargets(ctx, time.Duration(len(order))*gap+f.fleet.grace)
 	f.wg.Go(func() {
 		for _, i := range order {
 			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], reload) })
@@ -82,6 +83,29 @@
 	})
 }
 
+// loseTargets makes up to two targets unreachable for a time: they take no connection, or
+// take requests and do not answer. Unlike a random fault, it excuses no host that is stopping:
+// each call that such a host reads has to be answered, whatever its targets do.
+func (f *injector) loseTargets(ctx context.Context, length time.Duration) {
+	lost := f.rng.Perm(atMostOnceTargets)[:f.rng.IntN(3)]
+	silent := f.rng.IntN(2) == 0
+	for _, i := range lost {
+		t := f.fleet.targets[i]
+		f.logf("%s is lost for %v, silent: %v", t.ID, length, silent)
+		f.wg.Go(func() {
+			if silent {
+				t.proxy.SetMode(Blackhole)
+				sleep(ctx, length)
+				t.proxy.SetMode(Healthy)
+				return
+			}
+			resume := t.proxy.SuspendAccept()
+			sleep(ctx, length)
+			resume()
+		})
+	}
+}
+
 // stopAndStart stops a host and starts it again.
 func (f *injector) stopAndStart(h *host, reload bool) {
 	address, from := h.Address(h.Ports.Callers), time.Now()
