Soak: further signals during a planned stop, and the exit status of its host

A host that is stopped gets up to four further signals (SIGTERM, SIGINT, SIGHUP) within its grace period, and has to end with status 0 if it ends by itself: a panic at the end of a stop was seen only because another check had failed.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -112,7 +112,7 @@
 	case 1:
 		f.processFault(ctx, "kill", length, (*host).kill, f.restart)
 	case 2:
-		f.processFault(ctx, "stop", 0, func(h *host) { h.stop(f.fleet.grace, false) }, f.restart)
+		f.processFault(ctx, "stop", 0, func(h *host) { _ = h.stop(f.fleet.grace) }, f.restart) // a fault beside it may end the process
 	case 3, 4:
 		f.linkFault(ctx, "target", f.target().proxy, length)
 	case 5:
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -22,6 +22,7 @@
 	cmd          *exec.Cmd
 	pid          atomic.Int64  // of the process; 0 before the first start
 	exited       chan struct{} // closed when the process has exited
+	exitErr      error         // of the process, set before exited is closed; nil for status 0
 }
 
 // testFleet is the fleet under test with its fake platform: a store and targets.
@@ -160,7 +161,7 @@
 	h.exited = exited
 	cmd := h.cmd
 	go func() {
-		_ = cmd.Wait() // an error is expected: the soak test kills hosts
+		h.exitErr = cmd.Wait()
 		close(exited)
 	}()
 	return nil
@@ -175,19 +176,32 @@
 	}
 }
 
-// stop terminates the host gracefully, or kills it after the grace period. reload announces
-// changed settings to the host while it is stopping.
-func (h *host) stop(grace time.Duration, reload bool) {
+// laterSignal is a signal to a host that is stopping.
+type laterSignal struct {
+	after time.Duration // since the first signal
+	sig   syscall.Signal
+}
+
+// stop terminates the host gracefully, or kills it after the grace period, and sends it further
+// signals, in the order of their times, meanwhile. It returns an error if the process ended by
+// itself and not with status 0.
+func (h *host) stop(grace time.Duration, further ...laterSignal) error {
+	began := time.Now()
 	h.signal(syscall.SIGTERM)
 	kill := time.After(grace)
-	if reload {
-		time.Sleep(grace / 4)
-		h.signal(syscall.SIGHUP)
+	for _, s := range further {
+		select {
+		case <-h.exited:
+		case <-time.After(time.Until(began.Add(s.after))):
+			h.signal(s.sig)
+		}
 	}
 	select {
 	case <-h.exited:
+		return h.exitErr
 	case <-kill:
 		h.kill()
+		return nil
 	}
 }
 
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -1,7 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
+	"syscall"
 	"time"
 )
 
@@ -60,7 +64,11 @@
 		return
 	}
 	order := f.rng.Perm(len(f.fleet.hosts))[:1+f.rng.IntN(len(f.fleet.hosts))]
-	gap, reload := f.randomDuration(100*time.Millisecond, f.fleet.grace), f.rng.IntN(2) == 0
+	gap := f.randomDuration(100*time.Millisecond, f.fleet.grace)
+	further := make([][]laterSignal, len(order))
+	for i := range further {
+		further[i] = f.laterSignals()
+	}
 	for _, i := range order {
 		f.faulted[f.fleet.hosts[i]] = true
 	}
@@ -72,8 +80,8 @@
 	}
 	f.loseTargets(ctx, time.Duration(len(order))*gap+f.fleet.grace)
 	f.wg.Go(func() {
-		for _, i := range order {
-			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], reload) })
+		for n, i := range order {
+			f.wg.Go(func() { f.stopAndStart(f.fleet.hosts[i], further[n]) })
 			sleep(ctx, gap)
 		}
 		sleep(ctx, f.fleet.grace)
@@ -106,11 +114,24 @@
 	}
 }
 
-// stopAndStart stops a host and starts it again.
-func (f *injector) stopAndStart(h *host, reload bool) {
+// laterSignals draws the signals that a host gets while it is stopping: none, or a series of
+// repeated stops and announcements of changed settings.
+func (f *injector) laterSignals() []laterSignal {
+	signals := make([]laterSignal, f.rng.IntN(5))
+	for i := range signals {
+		signals[i] = laterSignal{f.randomDuration(0, f.fleet.grace), []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}[f.rng.IntN(3)]}
+	}
+	slices.SortFunc(signals, func(a, b laterSignal) int { return cmp.Compare(a.after, b.after) })
+	return signals
+}
+
+// stopAndStart stops a host, checks that it ends with status 0, and starts it again.
+func (f *injector) stopAndStart(h *host, further []laterSignal) {
 	address, from := h.Address(h.Ports.Callers), time.Now()
 	f.fleet.checker.AddStop(address, from, f.fleet.grace)
-	h.stop(f.fleet.grace, reload)
+	if err := h.stop(f.fleet.grace, further...); err != nil {
+		f.fleet.checker.Fail(fmt.Sprintf("%s ended with an error when it was stopped: %v", h.Name, err))
+	}
 	f.restart(h)
 	f.fleet.checker.AddHostFault(address, from, time.Now())
 	f.mu.Lock()
