Soak: callers that end their side of the connection and read on

One call in forty of a keeper is followed by the end of its side, up to 200 ms later. Its host owes no answer and may not send a success that no target gave.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,6 +15,7 @@
 	ID, Method, URI, Body string
 	Host                  string // address of the host that it was sent to
 	Killer                bool   // it ends the targets that run it
+	Left                  bool   // its caller ended its side of the connection, and is owed no answer
 	Sent                  time.Time
 	Reply                 platformtest.Reply
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -184,12 +184,24 @@
 			c.AddDisturbance(now, now.Add(time.Second))
 			Expect(lost(closed, run("s", "POST", "/once/s"))).To(BeEmpty())
 		})
+		It("owes no answer to a caller that has ended its side", func() {
+			c.RecordCall(soak.Call{ID: "l", Method: "GET", URI: "/fetch/l", Host: host, Sent: now.Add(time.Second), Left: true})
+			c.RecordReply("l", closed)
+			Expect(c.Finish([]platformtest.Run{run("l", "GET", "/fetch/l")})).To(BeEmpty())
+		})
 		It("does not report the loss at another host", func() {
 			c.RecordCall(soak.Call{ID: "o", Method: "POST", URI: "/once/o", Host: "127.0.0.2:1", Sent: now.Add(time.Second)})
 			c.RecordReply("o", closed)
 			Expect(c.Finish([]platformtest.Run{run("o", "POST", "/once/o")})).To(BeEmpty())
 		})
 	})
+	It("reports an empty success for a caller that has ended its side", func() {
+		c.RecordCall(soak.Call{ID: "l", Method: "GET", URI: "/fetch/l", Sent: now, Left: true})
+		c.RecordReply("l", platformtest.Reply{Status: 200})
+		c.RecordCall(soak.Call{ID: "m", Method: "GET", URI: "/search/m", Sent: now, Left: true})
+		c.RecordReply("m", platformtest.Reply{Status: 200})
+		Expect(c.Finish(nil)).To(HaveLen(2))
+	})
 	It("reports an answer of one target that belongs to another request, also if it may be repeated", func() {
 		c.RecordCall(soak.Call{ID: "f", Method: "GET", URI: "/fetch/f", Sent: now})
 		c.RecordReply("f", platformtest.Reply{Status: 200, Digest: platformtest.Digest(platformtest.AtMostOnceService, "q")})
--- a/internal/soak/keeper.go
+++ b/internal/soak/keeper.go
@@ -20,6 +20,10 @@
 const (
 	// keptPerKeeper is the number of connections that a keeper holds.
 	keptPerKeeper = 4
+	// One call in leavingCalls, on average, is followed by the end of the keeper's side of the
+	// connection, up to maxLeaveDelay later. The keeper reads on.
+	leavingCalls  = 40
+	maxLeaveDelay = 200 * time.Millisecond
 	// maxUnused is the longest time that a keeper leaves a new connection without a request.
 	maxUnused = 6 * time.Second
 )
@@ -35,7 +39,7 @@
 // keptConnection is a connection of a keeper.
 type keptConnection struct {
 	address string
-	conn    net.Conn
+	conn    *net.TCPConn
 	in      *bufio.Reader
 	useFrom time.Time // no request is sent on it before
 }
@@ -83,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &keptConnection{address: address, conn: conn, in: bufio.NewReader(conn)}, nil
+	return &keptConnection{address: address, conn: conn.(*net.TCPConn), in: bufio.NewReader(conn)}, nil
 }
 
 // send makes a call on a connection and reports whether the connection can be used again.
@@ -95,10 +99,15 @@
 	if err != nil {
 		return false
 	}
+	call.Left = k.rng.IntN(leavingCalls) == 0
 	k.fleet.checker.RecordCall(call)
+	if call.Left {
+		leave := time.AfterFunc(time.Duration(k.rng.Int64N(int64(maxLeaveDelay))), func() { _ = c.conn.CloseWrite() })
+		defer leave.Stop()
+	}
 	reply, reusable := c.roundTrip(req, callTimeout)
 	k.fleet.checker.RecordReply(call.ID, reply)
-	return reusable
+	return reusable && !call.Left
 }
 
 // roundTrip sends a request and reads its answer. It also reports whether the connection
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -40,7 +40,7 @@
 func (c *Checker) checkStops(runs map[string]int) {
 	for id, call := range c.calls {
 		ended := repliedAt(call)
-		if !connectionEnded(&call.Reply) || c.disturbed(call.Sent.Add(-contactTime), ended) {
+		if call.Left || !connectionEnded(&call.Reply) || c.disturbed(call.Sent.Add(-contactTime), ended) {
 			continue
 		}
 		for _, s := range c.stops {
