Reload: apply a changed grace period to a later stop

A host went on with the grace period of its start after a reload that shortened it, and would be killed with requests open.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -410,7 +410,7 @@
 // requests that may outlast the grace period, and answers those that nevertheless do.
 func (h *Host) shutdown(callers *http.Server, conns *callerConns) {
 	var phases drain.Shutdown
-	grace := max(h.opts.Site.GracePeriod-exitReserve, time.Second)
+	grace := max(h.gracePeriod()-exitReserve, time.Second)
 	leaving := min(leavingPeriod, grace*2/3)
 	phases.Begin(time.Now(), leaving, grace-leaving)
 	h.engine.BeginShutdown(phases)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -44,6 +44,7 @@
 // running is a host that has been started.
 type running struct {
 	platformtest.HostSettings
+	host  *edge.Host
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -109,7 +110,7 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{HostSettings: h, stop: cancel, ended: make(chan error, 1)}
+	r := &running{HostSettings: h, host: host, stop: cancel, ended: make(chan error, 1)}
 	go func() { r.ended <- host.Run(ctx) }()
 	DeferCleanup(func() {
 		cancel()
--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -187,3 +188,37 @@
 		h.ended <- nil
 	})
 })
+
+var _ = Describe("Host whose grace period was shortened by a reload", func() {
+	// Guards against a host that is killed before the end of the grace period with which it
+	// started, with requests in progress.
+	It("answers its requests and ends within the shorter one", func() {
+		const prefix, shorter = "/fetch/", 3 * time.Second
+		f := newFixture(1)
+		config := platformtest.ConfigWithRoute(2, shards, 4*time.Second, prefix)
+		routes := config["routes"].([]map[string]any)
+		routes[len(routes)-1]["route_type"] = "idempotent"
+		f.store.Put(platformtest.ConfigKey, config)
+		for _, t := range f.targets {
+			t.SetServiceTime(3500 * time.Millisecond)
+		}
+		settings := f.hosts[0].HostSettings
+		settings.Name, settings.IP, settings.Grace = "host-reloaded", "127.0.0.9", 8*time.Second
+		h := f.start(settings)
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		settings.Grace = shorter
+		changed, err := platform.ParseSettings([]byte(settings.Settings()))
+		Expect(err).NotTo(HaveOccurred())
+		h.host.Reload(changed)
+
+		c := newRawCaller(h)
+		began := time.Now()
+		h.stop()
+		reply := c.call(http.MethodGet, prefix+"short", "short", 4*time.Second)
+		Expect(reply.Err).NotTo(HaveOccurred())
+		Expect(reply.Status).To(Equal(http.StatusBadGateway), "it ran, and no target has answered")
+		Eventually(h.ended, shorter-time.Since(began)).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		h.ended <- nil
+	})
+})
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -3,19 +3,20 @@
 import (
 	"reflect"
 	"slices"
+	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 )
 
-// Reload applies changed seeds and a changed ratio and slack of the budget of extra sends
-// while the host serves. Changes of other settings take effect at the next start; Reload
-// logs a warning for them, except for FirstStart.
+// Reload applies changed seeds, a changed ratio and slack of the budget of extra sends, and a
+// changed grace period for a later shutdown while the host serves. Changes of other settings
+// take effect at the next start; Reload logs a warning for them, except for FirstStart.
 func (h *Host) Reload(s site.Settings) {
 	h.reloadMu.Lock()
 	defer h.reloadMu.Unlock()
 	old := h.applied
 	applied := old
-	applied.Seeds, applied.RetryRatio, applied.RetrySlack = s.Seeds, s.RetryRatio, s.RetrySlack
+	applied.Seeds, applied.RetryRatio, applied.RetrySlack, applied.GracePeriod = s.Seeds, s.RetryRatio, s.RetrySlack, s.GracePeriod
 	if !slices.Equal(old.Seeds, s.Seeds) {
 		h.gossip.SetSeeds(s.Seeds)
 	}
@@ -25,7 +26,15 @@
 		h.opts.Log.Warn("settings reloaded; some changes need a restart of the host", "seeds", s.Seeds)
 		return
 	}
-	h.opts.Log.Info("settings reloaded", "seeds", s.Seeds, "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack)
+	h.opts.Log.Info("settings reloaded", "seeds", s.Seeds, "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "grace", s.GracePeriod.String())
+}
+
+// gracePeriod returns the time between the signal to stop and the kill, in the settings in
+// force.
+func (h *Host) gracePeriod() time.Duration {
+	h.reloadMu.Lock()
+	defer h.reloadMu.Unlock()
+	return h.applied.GracePeriod
 }
 
 // needsRestart reports whether the settings of a reload differ from the applied ones
