Logs: when a stopping host read a request, and what it cuts at its end

The old line at the end of the grace period could not tell a connection without a request from one that was cut, nor when a request was read. Request lines name the time since the begin of the stop now, and the error line the connections with a request in progress.

--- a/internal/edge/callerconns.go
+++ b/internal/edge/callerconns.go
@@ -55,11 +55,16 @@
 	}
 }
 
-// abort closes all connections, also those with a request in progress.
-func (s *callerConns) abort() {
+// abort closes all connections, also those with a request in progress, and returns the number
+// of the latter.
+func (s *callerConns) abort() (unanswered int) {
 	for _, c := range s.all() {
+		if c.inProgress() {
+			unanswered++
+		}
 		_ = c.TCPConn.Close()
 	}
+	return unanswered
 }
 
 func (s *callerConns) all() []*callerConn {
@@ -120,6 +125,13 @@
 	return c.busy
 }
 
+// inProgress reports whether a request is in progress on the connection.
+func (c *callerConn) inProgress() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // end ends a request whose answer the server has written, if there is one.
 func (c *callerConn) end() {
 	c.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -424,8 +424,8 @@
 	defer cancel()
 	go closeUnused(ctx, conns)
 	if err := callers.Shutdown(ctx); err != nil {
-		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", h.openRequests.Load(), "error", err)
-		conns.abort()
+		open := h.openRequests.Load()
+		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", open, "unanswered", conns.abort(), "error", err)
 	}
 	h.opts.Log.Info("stopped", "open", h.openRequests.Load())
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -280,8 +280,11 @@
 // reject logs and answers a request that is refused before execution is planned.
 func (e *Engine) reject(r *Request, config uint64, o outcome.Outcome) Answer {
 	a := Answer{Outcome: o}
-	e.cfg.Log.Info("request turned away", "request", r.ID, "host", r.Host, "path", r.Path, "config", config,
-		"outcome", o.Kind.String(), "reason", string(o.Reason), "retry_after_ms", o.RetryAfter.Milliseconds())
+	fields := []any{
+		"request", r.ID, "host", r.Host, "path", r.Path, "config", config,
+		"outcome", o.Kind.String(), "reason", string(o.Reason), "retry_after_ms", o.RetryAfter.Milliseconds(),
+	}
+	e.cfg.Log.Info("request turned away", append(fields, e.stoppingField(r)...)...)
 	e.cfg.Observer.Finished("", &a, time.Since(r.Received))
 	return a
 }
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -30,6 +30,16 @@
 	})
 }
 
+// stoppingField returns the log field with the time between the begin of the shutdown and the
+// receipt of a request, and nothing for a request that was received before it.
+func (e *Engine) stoppingField(r *Request) []any {
+	s := e.shutdown.Load()
+	if s == nil || s.Elapsed(r.Received) < 0 {
+		return nil
+	}
+	return []any{"stopping_ms", s.Elapsed(r.Received).Milliseconds()}
+}
+
 // abandon returns the answer of an execution that the end of the host interrupts. A caller
 // must get one: without it, the end of the connection would look like a lost request.
 func (x *execution) abandon(now time.Time) Answer {
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -32,6 +32,7 @@
 // Shutdown tracks the phases of one host. The zero value is in Serving.
 type Shutdown struct {
 	started         bool
+	began           time.Time
 	addressesExpire time.Time // when the last cached address answer expires
 	graceEnds       time.Time // when open requests are abandoned
 }
@@ -43,7 +44,7 @@
 	if s.started {
 		return
 	}
-	s.started = true
+	s.started, s.began = true, now
 	s.addressesExpire = now.Add(ttl)
 	s.graceEnds = s.addressesExpire.Add(requestGrace)
 }
@@ -62,6 +63,14 @@
 	}
 }
 
+// Elapsed returns the time since Begin, 0 in Serving.
+func (s *Shutdown) Elapsed(now time.Time) time.Duration {
+	if !s.started {
+		return 0
+	}
+	return now.Sub(s.began)
+}
+
 // Remaining returns the longest time that the phase can still last: in Leaving
 // until the last cached answer expires, in Closing and Done until the end of the
 // grace period. It is 0 in Serving and after the grace period. A host whose
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -28,6 +28,14 @@
 		Expect(s.Phase(start.Add(35*time.Second), 1)).To(Equal(drain.Done))
 	})
 
+	It("tells for how long it has lasted", func() {
+		var s drain.Shutdown
+		Expect(s.Elapsed(start)).To(BeZero())
+		s.Begin(start, 5*time.Second, 30*time.Second)
+		s.Begin(start.Add(time.Second), 5*time.Second, 30*time.Second)
+		Expect(s.Elapsed(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+	})
+
 	// Guards against a daemon that waits for a time other than the one after which
 	// its status and the address answers change.
 	It("leaves each phase after the remaining time", func() {
