Soak: count what stopping hosts serve, refuse and fail

Without it, a rule that refuses more than it must shows nowhere. In one series of stops in three, on average, targets now take their usual time.

--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -47,6 +47,9 @@
 					return errors.Wrapf(err, "seed %d (output of the hosts in %s)", seed+i, dir)
 				}
 				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d changes checked, peak memory of a host %d MB, %d violations\n", seed+i, report.Calls, report.Served, report.Runs, report.CheckedChanges, report.PeakMemory>>20, len(report.Violations))
+				if report.RepeatableInStops.Calls+report.OnceInStops.Calls > 0 {
+					fmt.Fprintf(cmd.ErrOrStderr(), "repeatable: %v; run once: %v\n", report.RepeatableInStops, report.OnceInStops)
+				}
 				for _, violation := range report.Violations {
 					fmt.Fprintln(cmd.OutOrStdout(), " ", violation)
 				}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -180,6 +180,18 @@
 			Expect(lost(platformtest.Reply{Status: 502}, run("s", "POST", "/once/s"))).To(BeEmpty())
 			Expect(lost(platformtest.Reply{Err: context.DeadlineExceeded, Took: time.Second}, run("s", "POST", "/once/s"))).To(BeEmpty())
 		})
+		It("counts the answers of a stopping host by what they promise, until it has ended", func() {
+			for id, status := range map[string]int{"a": 200, "b": 503, "c": 502, "d": 0} {
+				c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once/" + id, Host: host, Sent: now.Add(time.Second)})
+				c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id)})
+			}
+			c.EndStop(host, now.Add(2*time.Second))
+			c.RecordCall(soak.Call{ID: "e", Method: "POST", URI: "/once/e", Host: host, Sent: now.Add(2 * time.Second)})
+			c.RecordReply("e", platformtest.Reply{Status: 503})
+			repeatable, once := c.CountStops()
+			Expect(repeatable).To(Equal(soak.StopCounts{}))
+			Expect(once).To(Equal(soak.StopCounts{Calls: 3, Served: 1, Refused: 1, Failed: 1}))
+		})
 		It("allows the loss if a fault may be the cause", func() {
 			c.AddDisturbance(now, now.Add(time.Second))
 			Expect(lost(closed, run("s", "POST", "/once/s"))).To(BeEmpty())
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,7 +41,9 @@
 type Report struct {
 	Calls, Served, Runs int   // calls sent, calls answered with status 200, and executions of requests on targets
 	PeakMemory          int64 // largest resident memory of a host, in bytes
-	CheckedChanges      int   // planned changes for which the time to take effect was checked
+	RepeatableInStops   StopCounts
+	OnceInStops         StopCounts
+	CheckedChanges      int // planned changes for which the time to take effect was checked
 	Violations          []string
 }
 
@@ -108,6 +110,7 @@
 	}
 	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.CheckNotices(received)}
 	r.Calls, r.Served = s.checker.Served(time.Time{})
+	r.RepeatableInStops, r.OnceInStops = s.checker.CountStops()
 	if sent, served := s.checker.Served(recovered); float64(served) < minServedRatio*float64(sent) || sent == 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("of %d calls after the recovery time only %d were served", sent, served))
 	}
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -19,6 +20,9 @@
 	// slowService is the longest service time of a target while hosts are stopped one after
 	// the other: calls are open at each moment of a stop, and some when its grace ends.
 	slowService = 3500 * time.Millisecond
+	// In one series of stops in usualStops, on average, targets take at most usualService.
+	usualStops   = 3
+	usualService = 300 * time.Millisecond
 )
 
 // plannedStop is the stop of a host by a signal.
@@ -26,13 +30,25 @@
 	host  string // address at which callers reach it
 	at    time.Time
 	grace time.Duration
+	ended time.Time // when its process had ended; zero before
 }
 
 // AddStop records that a host was told to stop within a grace period.
 func (c *Checker) AddStop(host string, at time.Time, grace time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stops = append(c.stops, plannedStop{host, at, grace})
+	c.stops = append(c.stops, plannedStop{host: host, at: at, grace: grace})
+}
+
+// EndStop records that the process of a host that was told to stop has ended.
+func (c *Checker) EndStop(host string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.stops {
+		if s := &c.stops[i]; s.host == host && s.ended.IsZero() {
+			s.ended = at
+		}
+	}
 }
 
 // checkStops reports calls that a stopping host had read and whose connections it closed
@@ -55,6 +71,49 @@
 	}
 }
 
+// StopCounts counts the calls that were sent to hosts while these were stopping, and what
+// became of them.
+type StopCounts struct{ Calls, Served, Refused, Failed int }
+
+// String returns the counts as a part of a sentence.
+func (c StopCounts) String() string {
+	return fmt.Sprintf("%d calls to stopping hosts (%d served, %d refused, %d failed)", c.Calls, c.Served, c.Refused, c.Failed)
+}
+
+// CountStops returns the counts for calls that may be repeated and for those that may run once.
+// Calls whose connections ended without an answer are not counted: most crossed the close of
+// their connection.
+func (c *Checker) CountStops() (repeatable, once StopCounts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.calls {
+		if call.Left || call.Killer || call.Reply.Status == 0 || !c.stopping(call.Host, call.Sent) {
+			continue
+		}
+		counts := &repeatable
+		if call.Method == http.MethodPost {
+			counts = &once
+		}
+		counts.Calls++
+		switch {
+		case call.Reply.Status == http.StatusOK:
+			counts.Served++
+		case call.Reply.NotRun():
+			counts.Refused++
+		default:
+			counts.Failed++
+		}
+	}
+	return repeatable, once
+}
+
+// stopping reports whether a host was stopping at a time. The lock must be held.
+func (c *Checker) stopping(host string, at time.Time) bool {
+	return slices.ContainsFunc(c.stops, func(s plannedStop) bool {
+		return s.host == host && at.After(s.at) && (s.ended.IsZero() || at.Before(s.ended))
+	})
+}
+
 // rollHosts stops some hosts one after the other, with stops that overlap, and starts each
 // again when it has ended. Meanwhile targets take long for their work.
 func (f *injector) rollHosts(ctx context.Context) {
@@ -75,8 +134,12 @@
 	f.mu.Unlock()
 	f.logf("%d hosts stop one after the other, every %v", len(order), gap)
 	least := f.randomDuration(serviceTime, slowService)
+	slowest := slowService
+	if f.rng.IntN(usualStops) == 0 {
+		least, slowest = serviceTime, usualService
+	}
 	for _, t := range f.fleet.targets[:atMostOnceTargets] {
-		t.SetServiceTime(f.randomDuration(least, slowService))
+		t.SetServiceTime(f.randomDuration(least, slowest))
 	}
 	f.loseTargets(ctx, time.Duration(len(order))*gap+f.fleet.grace)
 	f.wg.Go(func() {
@@ -132,6 +195,7 @@
 	if err := h.stop(f.fleet.grace, further...); err != nil {
 		f.fleet.checker.Fail(fmt.Sprintf("%s ended with an error when it was stopped: %v", h.Name, err))
 	}
+	f.fleet.checker.EndStop(address, time.Now())
 	f.restart(h)
 	f.fleet.checker.AddHostFault(address, from, time.Now())
 	f.mu.Lock()
