JSON interface: a stop answers what outlasts its grace period, and refuses it at once

Callers of serve saw their connections end without an answer when entries_ttl and drain_grace together were shorter than their deadlines: the end of the grace period closed open requests.

TestGracefulShutdownShorterThanDeadlines failed before (EOF after 1.5 s for the open search, and 1.5 s for one that was then answered with no coverage).

--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -170,6 +170,43 @@
 	g.Expect(south.cmd.Wait()).To(Succeed(), south.log.String())
 }
 
+// Guards against a grace period shorter than the deadlines of requests, whose end cuts open
+// requests off without an answer, and against requests that are taken although they outlast it.
+func TestGracefulShutdownShorterThanDeadlines(t *testing.T) {
+	g := NewWithT(t)
+	d := smallDeployment()
+	d.Document.Fleet.Settings["entries_ttl"] = json.RawMessage(`"1s"`)
+	d.Document.Fleet.Settings["drain_grace"] = json.RawMessage(`"500ms"`)
+	f, err := fleet.StartStandins(d, hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	for _, s := range f.Searchers {
+		s.SetFaults(standin.Faults{Stuck: true})
+	}
+	north := startProcess(t, f, "north", 0)
+	g.Eventually(north.checkHealth, "15s", "20ms").Should(Succeed())
+	type reply struct {
+		answer api.SearchResponse
+		err    error
+	}
+	open := make(chan reply, 1)
+	go func() {
+		answer, err := north.search("red")
+		open <- reply{answer, err}
+	}()
+	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(BeNumerically(">", 0))
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	_, err = north.search("green")
+	g.Expect(err).To(MatchError(ContainSubstring("not_run (draining)")))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+	answered := <-open
+	g.Expect(answered.err).NotTo(HaveOccurred())
+	g.Expect(answered.answer.Coverage).To(BeZero())
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+}
+
 // Guards against a second signal that is ignored, and against a shutdown that does
 // not report the requests aborted by a second signal.
 func TestGracefulShutdownSecondSignal(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,9 @@
 	drainRequested chan struct{} // closed by Drain
 	drainOnce      sync.Once
 	initialized    chan struct{} // closed when New has set every field
+	// ending is done when the requests that are still open in a shutdown must end.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New creates a daemon, opens its socket for peers and starts to serve them. Run
@@ -98,6 +101,7 @@
 	}
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), initialized: make(chan struct{}), aborted: make(chan struct{}),
 		drainRequested: make(chan struct{})}
+	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
@@ -186,7 +190,7 @@
 
 func (d *Daemon) callerRoutes() http.Handler {
 	router := mux.NewRouter()
-	entry := &telemetry.Instrumented{Entry: d.entry, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
+	entry := &telemetry.Instrumented{Entry: &stoppingEntry{d.entry, d.ending}, Metrics: d.opts.Metrics, Tracer: d.opts.Tracer}
 	queries.Register(router, entry)
 	commands.Register(router, entry)
 	api.HandleUnknownRoutes(router, "callers")
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -91,7 +91,8 @@
 }
 
 // shutdown removes this host from the entries responses, accepts requests until
-// cached entries responses have expired, and finishes the open requests. It then
+// cached entries responses have expired, and finishes the open requests, or ends them shortly
+// before the end of the grace period. It then
 // hands over the request results and releases the targets. It returns an
 // *AbortedError if requests are open after Abort or at the end of the grace period.
 func (d *Daemon) shutdown() error {
@@ -99,6 +100,9 @@
 	d.entry.beginShutdown(policy)
 	d.control.announceLeave()
 	d.log.Info("leaving", "accepting_for", policy.EntriesTTL, "open", d.openRequests.count.Load())
+	whole := policy.EntriesTTL + policy.DrainGrace
+	end := time.AfterFunc(whole-min(answerReserve, whole/4), d.endRequests)
+	defer end.Stop()
 	phase, left := d.phase()
 	for ; phase == drain.Leaving; phase, left = d.phase() {
 		if !d.sleepUnlessAborted(left) {
