JSON interface: repeated stops and closed log pipes cut no request

A second SIGTERM aborted the requests of a stopping host, by design: the design took it for an operator in a hurry. A closed standard error ends the process no more.

--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -17,11 +17,11 @@
 	"github.com/spf13/cobra"
 )
 
-// abortOnSignal waits for the next SIGINT or SIGTERM and aborts the shutdown.
-func abortOnSignal(d *daemon.Daemon) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	<-signals
+// abortOnInterrupt waits for the next SIGINT and aborts the shutdown.
+func abortOnInterrupt(d *daemon.Daemon) {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt)
+	<-interrupts
 	d.Abort()
 }
 
@@ -32,7 +32,8 @@
 		GroupID: "commands",
 		Short:   "Run one entry host in the foreground",
 		Long: "Run one entry host in the foreground. On SIGTERM or SIGINT the host finishes the\n" +
-			"requests in progress and exits with status 0; a second signal aborts them.",
+			"requests in progress and exits with status 0. A further SIGTERM has no effect, an\n" +
+			"interrupt (SIGINT) then aborts the requests.",
 		Example: "  lacewingyard serve --settings /etc/lacewingyard/host.json",
 		Args:    cobra.NoArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), file) },
@@ -56,6 +57,8 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
 	})
+	ignoreClosedOutput()
+	handleRepeatedSignals(log, syscall.SIGTERM)
 	tracer, err := telemetry.NewTracer(ctx, process.Traces, process.Name, process.Place)
 	if err != nil {
 		return usageError{fmt.Errorf("%s: traces: %w", file, err)}
@@ -75,9 +78,8 @@
 		log.Info("key files reloaded")
 	})
 	go warnUntilReady(ctx, log, d.Ready(), &process.Platform)
-	// The first signal ends the context and starts the graceful shutdown; the second
-	// one aborts the shutdown.
-	context.AfterFunc(ctx, func() { abortOnSignal(d) })
+	// The first signal ends the context and starts the graceful shutdown.
+	context.AfterFunc(ctx, func() { abortOnInterrupt(d) })
 	return errors.CombineErrors(d.Run(ctx), tracer.Close())
 }
 
