--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -207,6 +207,24 @@
 	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
 }
 
+// Guards against connections that callers open ahead of requests and that keep a stopping host
+// from ending, and against a host that ends before it has read a request on such a connection.
+func TestGracefulShutdownUnusedConnections(t *testing.T) {
+	g := NewWithT(t)
+	f, err := fleet.StartStandins(smallDeployment(), hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	north := startProcess(t, f, "north", 0)
+	g.Eventually(north.checkHealth, "15s", "20ms").Should(Succeed())
+	unused, err := net.Dial("tcp", north.settings.Listen.Callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer unused.Close()
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	began := time.Now()
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+	g.Expect(time.Since(began)).To(BeNumerically("<", 4*time.Second), "net/http alone waits for 5 s")
+}
+
 // openSearch sends a search that no target answers and waits until it is open. The error of
 // the search is sent to the returned channel.
 func openSearch(g Gomega, f *fleet.Fleet, host *hostProcess) <-chan error {
--- /dev/null
+++ b/internal/callerconn/callerconn.go
@@ -0,0 +1,199 @@
+// Package callerconn tracks the connections of callers to an HTTP server, so that a server
+// that stops closes none with a request in progress, and none on which it has just read one.
+//
+// The package owns the connections from their accept to their close. It does not decide when a
+// server stops or for how long. A Set is safe for concurrent use.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// unusedTimeout is how long a caller's connection may wait for its first byte while the
+// server stops. Callers open some connections ahead of requests.
+const unusedTimeout = time.Second
+
+// closeUnusedInterval is the time between two looks for unused connections.
+const closeUnusedInterval = 100 * time.Millisecond
+
+// Set is the set of a server's open connections. net/http closes an idle connection while its
+// next request may already be read; a connection of the set keeps such a request from being
+// passed on, or its answer from being cut off.
+type Set struct {
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{open: map[*conn]struct{}{}} }
+
+// Listener returns a listener whose connections belong to the set.
+func (s *Set) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+
+type listener struct {
+	net.Listener
+	conns *Set
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, conns: l.conns, opened: time.Now()}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	l.conns.open[c] = struct{}{}
+	return c, nil
+}
+
+// CloseUnusedUntil calls CloseUnused periodically until the context ends: without it, each
+// unused connection would keep a server from ending.
+func (s *Set) CloseUnusedUntil(ctx context.Context) {
+	ticker := time.NewTicker(closeUnusedInterval)
+	defer ticker.Stop()
+	for {
+		s.CloseUnused(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// CloseUnused closes the connections on which nothing was received for unusedTimeout after
+// they were opened.
+func (s *Set) CloseUnused(now time.Time) {
+	for _, c := range s.all() {
+		if !c.received.Load() && now.Sub(c.opened) >= unusedTimeout {
+			_ = c.Close()
+		}
+	}
+}
+
+// Abort closes all connections, also those with a request in progress, and returns the number
+// of the latter.
+func (s *Set) Abort() (unanswered int) {
+	for _, c := range s.all() {
+		if c.inProgress() {
+			unanswered++
+		}
+		_ = c.Conn.Close()
+	}
+	return unanswered
+}
+
+func (s *Set) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := make([]*conn, 0, len(s.open))
+	for c := range s.open {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (s *Set) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// conn is a connection of a caller, which carries one request at a time.
+type conn struct {
+	net.Conn
+	conns    *Set
+	opened   time.Time
+	received atomic.Bool // any byte
+
+	mu     sync.Mutex
+	busy   bool // a request is in progress
+	closed bool // Close was called
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	return n, err
+}
+
+// Close closes the connection, or leaves that to the end of a request in progress.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.busy {
+		return nil
+	}
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending side. net/http does so before it closes a connection on which
+// the caller may still be sending.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// begin reports whether a request that was read may be handled. After Close, it may not:
+// its caller would get no answer, and may send it again only if it did not run.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = !c.closed
+	return c.busy
+}
+
+// inProgress reports whether a request is in progress on the connection.
+func (c *conn) inProgress() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
+// end ends a request whose answer the server has written, if there is one.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	if c.closed {
+		c.conns.remove(c)
+		_ = c.Conn.Close() // nothing is left to be lost
+	}
+}
+
+// connKey is the key of the conn in the context of its requests.
+type connKey struct{}
+
+// Attach makes a server, which must use a listener of the set, report the ends of requests.
+// The server closes a connection after an answer only once it is idle.
+func (s *Set) Attach(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateIdle || state == http.StateClosed {
+			c.(*conn).end()
+		}
+	}
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !r.Context().Value(connKey{}).(*conn).begin() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/edge/callerconns_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"bufio"
@@ -12,21 +12,21 @@
 )
 
 var _ = Describe("Connections of callers", func() {
-	var conns *callerConns
+	var conns *Set
 	// serve serves callers with a handler and returns a connection to the server. onRead is
 	// called when the head of a request has been read.
-	serve := func(handler http.HandlerFunc, onRead func(*callerConn)) net.Conn {
-		conns = newCallerConns()
+	serve := func(handler http.HandlerFunc, onRead func(*conn)) net.Conn {
+		conns = NewSet()
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		server := &http.Server{Handler: handler}
-		conns.attach(server)
+		conns.Attach(server)
 		attached := server.Handler
 		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			onRead(r.Context().Value(callerConnKey{}).(*callerConn))
+			onRead(r.Context().Value(connKey{}).(*conn))
 			attached.ServeHTTP(w, r)
 		})
-		go func() { _ = server.Serve(conns.listener(l)) }()
+		go func() { _ = server.Serve(conns.Listener(l)) }()
 		DeferCleanup(server.Close)
 		c, err := net.Dial("tcp4", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
@@ -48,7 +48,7 @@
 			close(begun)
 			<-release
 			_, _ = io.WriteString(w, "answer")
-		}, func(*callerConn) {})
+		}, func(*conn) {})
 		send(c, request)
 		<-begun
 		Expect(conns.all()[0].Close()).To(Succeed())
@@ -65,7 +65,7 @@
 	// Guards against a request that is passed on although its caller can get no answer.
 	It("drops a request on a connection that was closed before", func() {
 		handled := make(chan struct{}, 1)
-		c := serve(func(http.ResponseWriter, *http.Request) { handled <- struct{}{} }, func(c *callerConn) { _ = c.Close() })
+		c := serve(func(http.ResponseWriter, *http.Request) { handled <- struct{}{} }, func(c *conn) { _ = c.Close() })
 		send(c, request)
 		_, err := bufio.NewReader(c).ReadByte()
 		Expect(err).To(HaveOccurred())
@@ -75,7 +75,7 @@
 	// Guards against a stop that lasts until the end of its grace period because of callers
 	// that opened connections ahead, and against a cut through the head of a request.
 	It("closes unused connections, but none on which a request is on its way", func() {
-		c := serve(func(http.ResponseWriter, *http.Request) {}, func(*callerConn) {})
+		c := serve(func(http.ResponseWriter, *http.Request) {}, func(*conn) {})
 		Eventually(conns.all).Should(HaveLen(1))
 		used, err := net.Dial("tcp4", c.RemoteAddr().String())
 		Expect(err).NotTo(HaveOccurred())
@@ -90,9 +90,9 @@
 			return n
 		}
 		Eventually(received).Should(Equal(1))
-		conns.closeUnused(time.Now())
+		conns.CloseUnused(time.Now())
 		Expect(conns.all()).To(HaveLen(2), "the first request may still be on its way")
-		conns.closeUnused(time.Now().Add(unusedTimeout))
+		conns.CloseUnused(time.Now().Add(unusedTimeout))
 		Expect(conns.all()).To(HaveLen(1))
 		_, err = bufio.NewReader(c).ReadByte()
 		Expect(err).To(MatchError(io.EOF))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/api/commands"
 	"github.com/lacewingyard/lacewingyard/internal/api/queries"
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
@@ -60,6 +61,7 @@
 	entry          *entry
 	transport      *peer.Transport
 	callerServer   *http.Server
+	callerConns    *callerconn.Set
 	operatorServer *http.Server
 	openRequests   openRequests
 	rateLimit      *api.RateLimiter
@@ -101,6 +103,7 @@
 	}
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), initialized: make(chan struct{}), aborted: make(chan struct{}),
 		drainRequested: make(chan struct{})}
+	d.callerConns = callerconn.NewSet()
 	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -70,9 +70,10 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	d.callerServer = newServer(d.openRequests.track(d.callerRoutes()))
+	d.callerConns.Attach(d.callerServer)
 	d.operatorServer = newServer(d.operatorRoutes())
 	failed := make(chan error, 2)
-	go func() { failed <- d.callerServer.Serve(callers) }()
+	go func() { failed <- d.callerServer.Serve(d.callerConns.Listener(callers)) }()
 	go func() { failed <- d.operatorServer.Serve(operators) }()
 	d.log.Info("serving", "callers", callers.Addr(), "peers", d.opts.Process.Listen.Peers, "operators", operators.Addr())
 	close(d.ready)
@@ -113,6 +114,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	closed := make(chan error, 1)
+	go d.callerConns.CloseUnusedUntil(ctx)
 	go func() {
 		err := d.callerServer.Shutdown(ctx)
 		d.entry.home.waitIdle(ctx)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/gossip"
@@ -43,8 +44,6 @@
 	// results of their targets.
 	exitReserve    = 400 * time.Millisecond
 	abandonReserve = 200 * time.Millisecond
-	// closeUnusedInterval is the time between two looks for unused connections of callers.
-	closeUnusedInterval = 100 * time.Millisecond
 	// headerTimeout bounds the time for reading a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the time for which a caller's connection may be idle. It is
@@ -279,11 +278,11 @@
 func (h *Host) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	conns := newCallerConns()
+	conns := callerconn.NewSet()
 	callers := &http.Server{
 		Handler: limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	conns.attach(callers)
+	conns.Attach(callers)
 	servers := []struct {
 		address string
 		server  *http.Server
@@ -306,7 +305,7 @@
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
 		if s.server == callers {
-			listener = conns.listener(listener)
+			listener = conns.Listener(listener)
 		}
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -408,7 +407,7 @@
 // shutdown leaves the directory, serves callers that still have this host's address
 // cached, and then closes their connections once their requests are answered. It refuses
 // requests that may outlast the grace period, and answers those that nevertheless do.
-func (h *Host) shutdown(callers *http.Server, conns *callerConns) {
+func (h *Host) shutdown(callers *http.Server, conns *callerconn.Set) {
 	var phases drain.Shutdown
 	grace := max(h.gracePeriod()-exitReserve, time.Second)
 	leaving := min(leavingPeriod, grace*2/3)
@@ -422,23 +421,14 @@
 	defer abandon.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-leaving+abandonReserve)
 	defer cancel()
-	go closeUnused(ctx, conns)
+	go conns.CloseUnusedUntil(ctx)
 	if err := callers.Shutdown(ctx); err != nil {
 		open := h.openRequests.Load()
-		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", open, "unanswered", conns.abort(), "error", err)
+		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", open, "unanswered", conns.Abort(), "error", err)
 	}
 	h.opts.Log.Info("stopped", "open", h.openRequests.Load())
 }
 
-// closeUnused closes unused connections of callers until the context ends: without it, each of
-// them would keep the host from ending.
-func closeUnused(ctx context.Context, conns *callerConns) {
-	for ctx.Err() == nil {
-		conns.closeUnused(time.Now())
-		sleep(ctx, closeUnusedInterval)
-	}
-}
-
 // abandon answers the requests in progress without the results of their targets.
 func (h *Host) abandon() {
 	if open := h.openRequests.Load(); open > 0 {
