Shutdown: admit what usually ends long before the grace period

A stopping host refused every request that may run once from the moment when its whole time limit no longer fitted (1.6 s of 6 s with a limit of 4 s), whatever such requests take. While most hosts stop, callers were refused by one after the other and could only wait for the first host that is back.

The host knows within which time nearly all sends of a route ended lately, also those without an answer. A request that may run once is admitted if twice that time is left. If it lasts longer all the same, its caller gets 502 at the end, as before.

--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -241,8 +241,11 @@
 	if now.Before(t.coldUntil()) {
 		t.lastColdSend = now
 	}
+	state := x.e.stateOf(x.route)
+	if state.once != nil {
+		state.once.sent(x, now)
+	}
 	if x.route.Repeatable && x.route.Attempts > 1 {
-		state := x.e.stateOf(x.route)
 		rule := hedge.Rule{Quantile: hedgeQuantile, MinDelay: minHedgeDelay}
 		slack := x.e.slack()
 		budgetLevel := min(1, max(0, x.e.budget(s.service).Left(now, x.e.cfg.RetryRatio, slack)/max(1, slack)))
@@ -282,6 +285,9 @@
 	e.observeCrash(x, t, r, now)
 	e.observeNotices(t, r, now)
 	rtt := e.rtt(t.place)
+	if once := e.stateOf(x.route).once; once != nil {
+		once.ended(x, r.Duration, !r.Kind.NotRun())
+	}
 	switch r.Kind {
 	case backend.Success:
 		state := e.stateOf(x.route)
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -24,10 +24,17 @@
 // down.
 func (e *Engine) admits(r *Request, route *catalog.Route) bool {
 	s := e.shutdown.Load()
+	if s == nil {
+		return true
+	}
 	now := time.Now()
-	return s == nil || s.Admits(now, drain.Request{
-		Limit: deadlineOf(r, route).Sub(now), Objective: route.Objective, Repeatable: route.Repeatable,
-	})
+	request := drain.Request{Limit: deadlineOf(r, route).Sub(now), Objective: route.Objective, Repeatable: route.Repeatable}
+	e.mu.Lock()
+	if once := e.stateOf(route).once; once != nil {
+		request.Usual = once.usual(now)
+	}
+	e.mu.Unlock()
+	return s.Admits(now, request)
 }
 
 // stoppingField returns the log field with the time between the begin of the shutdown and the
--- a/pkg/hedge/latency.go
+++ b/pkg/hedge/latency.go
@@ -89,6 +89,15 @@
 // stragglers themselves, and its p99 stayed at the deadline.
 const minHedgeFraction = 0.5
 
+// Usual returns a quantile, 0 to 1, of the latencies of all groups, or 0 if there are too few
+// samples to tell.
+func (l *Latencies) Usual(quantile float64) time.Duration {
+	if l.service.total < minSamples {
+		return 0
+	}
+	return l.service.valueAt(quantile)
+}
+
 // Groups returns the number of groups with samples.
 func (l *Latencies) Groups() int { return len(l.groups) }
 
