--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -180,30 +180,16 @@
 	f, err := fleet.StartStandins(d, hclog.NewNullLogger())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer f.Close()
-	for _, s := range f.Searchers {
-		s.SetFaults(standin.Faults{Stuck: true})
-	}
 	north := startProcess(t, f, "north", 0)
 	g.Eventually(north.checkHealth, "15s", "20ms").Should(Succeed())
-	type reply struct {
-		answer api.SearchResponse
-		err    error
-	}
-	open := make(chan reply, 1)
-	go func() {
-		answer, err := north.search("red")
-		open <- reply{answer, err}
-	}()
-	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(BeNumerically(">", 0))
+	ended := openSearch(g, f, north)
 	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
 	time.Sleep(200 * time.Millisecond)
 	began := time.Now()
 	_, err = north.search("green")
 	g.Expect(err).To(MatchError(ContainSubstring("not_run (draining)")))
 	g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
-	answered := <-open
-	g.Expect(answered.err).NotTo(HaveOccurred())
-	g.Expect(answered.answer.Coverage).To(BeZero())
+	g.Expect(<-ended).NotTo(HaveOccurred(), "it ends with the host, with no coverage")
 	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
 }
 
--- a/cmd/lacewingyard/soak_test.go
+++ b/cmd/lacewingyard/soak_test.go
@@ -22,7 +22,7 @@
 // host passes on and whose connections it closes without an answer.
 func TestSoakOfPlannedStopsLosesNoRequest(t *testing.T) {
 	g := NewWithT(t)
-	cmd, stdout, stderr := newCommand("soak", "--planned", "--seed", "31", "--for", "6s", "--grace", "6s", "--hosts", "4", "--callers", "2", "--keepers", "10")
+	cmd, stdout, stderr := newCommand("soak", "--planned", "--seed", "31", "--for", "6s", "--grace", "6s", "--hosts", "6", "--callers", "2", "--keepers", "10")
 	err := cmd.Run()
 	g.Expect(stdout.String()).To(MatchRegexp(`seed 31: [1-9]\d+ calls, .* violations`), "%s", stderr)
 	for line := range strings.Lines(stdout.String()) {
--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/gather"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
 )
@@ -11,12 +12,12 @@
 // routeState holds this host's measurements of the requests of a route and the state of
 // the route's split.
 type routeState struct {
-	latencies  *hedge.Latencies // of answers
-	once       *onceTimes       // nil if all versions of the route so far allow repeats
-	expected   time.Duration    // expected service time, without the round trip
-	maxTimeout time.Duration    // longest timeout that callers stated in this window of requests
-	earlierMax time.Duration    // the same of the window before
-	timeouts   int              // requests of this window
+	latencies  *hedge.Latencies             // of answers
+	once       *drain.Durations[*execution] // nil if all versions of the route so far allow repeats
+	expected   time.Duration                // expected service time, without the round trip
+	maxTimeout time.Duration                // longest timeout that callers stated in this window of requests
+	earlierMax time.Duration                // the same of the window before
+	timeouts   int                          // requests of this window
 	split      splitter
 	margin     gather.Margin
 }
@@ -49,7 +50,7 @@
 		e.routes[r.Name] = s
 	}
 	if !r.Repeatable && s.once == nil { // a later version of the configuration may say so first
-		s.once = newOnceTimes()
+		s.once = drain.NewDurations[*execution]()
 	}
 	return s
 }
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -31,7 +31,7 @@
 	request := drain.Request{Limit: deadlineOf(r, route).Sub(now), Objective: route.Objective, Repeatable: route.Repeatable}
 	e.mu.Lock()
 	if once := e.stateOf(route).once; once != nil {
-		request.Usual = once.usual(now)
+		request.Usual = once.Usual(now)
 	}
 	e.mu.Unlock()
 	return s.Admits(now, request)
