Callers' connections: answer requests that arrive while a server shuts down

Callers saw a connection end without a byte when their request arrived on an open connection after the listener had closed: one that was opened ahead, or whose head was on its way. A request that may run once cannot be sent again then.

Set.Shutdown closes the listeners and the idle connections and waits for the others itself; http.Server.Shutdown follows when none is left.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -18,32 +18,43 @@
 // server stops. Callers open some connections ahead of requests.
 const unusedTimeout = time.Second
 
-// closeUnusedInterval is the time between two looks for unused connections.
-const closeUnusedInterval = 100 * time.Millisecond
+// pollInterval is the time between two looks at the connections that are left in a shutdown.
+const pollInterval = 20 * time.Millisecond
 
 // Set is the set of a server's open connections. net/http closes an idle connection while its
 // next request may already be read; a connection of the set keeps such a request from being
 // passed on, or its answer from being cut off.
 type Set struct {
-	mu   sync.Mutex
-	open map[*conn]struct{}
+	mu        sync.Mutex
+	open      map[*conn]struct{}
+	listeners []*listener
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{open: map[*conn]struct{}{}} }
 
 // Listener returns a listener whose connections belong to the set.
-func (s *Set) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+func (s *Set) Listener(l net.Listener) net.Listener {
+	added := &listener{Listener: l, conns: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, added)
+	return added
+}
 
 type listener struct {
 	net.Listener
-	conns *Set
+	conns  *Set
+	closed atomic.Bool // by Shutdown
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
-	if err != nil {
+	switch {
+	case err != nil && l.closed.Load():
+		return nil, http.ErrServerClosed
+	case err != nil:
 		return nil, err
 	}
 	c := &conn{Conn: nc, conns: l.conns, opened: time.Now()}
@@ -53,17 +64,28 @@
 	return c, nil
 }
 
-// CloseUnusedUntil calls CloseUnused periodically until the context ends: without it, each
-// unused connection would keep a server from ending.
-func (s *Set) CloseUnusedUntil(ctx context.Context) {
-	ticker := time.NewTicker(closeUnusedInterval)
+// Shutdown closes the listeners and the idle connections, and returns once the other connections
+// have ended too, or with the context's error. Requests that arrive on them are answered, whereas
+// http.Server.Shutdown drops each request that is read after its begin.
+func (s *Set) Shutdown(ctx context.Context, server *http.Server) error {
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		l.closed.Store(true)
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	server.SetKeepAlivesEnabled(false) // also closes idle connections
+	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		s.CloseUnused(time.Now())
+		if len(s.all()) == 0 {
+			return server.Shutdown(ctx)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		}
 	}
 }
--- /dev/null
+++ b/internal/callerconn/shutdown_test.go
@@ -0,0 +1,47 @@
+package callerconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Connections of callers while the server shuts down", func() {
+	// Guards against requests that are read and whose connections then end without an answer.
+	DescribeTable("get the answer to a request that arrives before they are closed", func(before, after string) {
+		conns := NewSet()
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		conns.Attach(server)
+		go func() { _ = server.Serve(conns.Listener(l)) }()
+		DeferCleanup(server.Close)
+		c, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		Eventually(conns.all).Should(HaveLen(1))
+		_, err = io.WriteString(c, before)
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		DeferCleanup(cancel)
+		go func() { ended <- conns.Shutdown(ctx, server) }()
+		Consistently(ended, 100*time.Millisecond).ShouldNot(Receive())
+		_, err = io.WriteString(c, after)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(resp.Close).To(BeTrue())
+	},
+		Entry("on one that was opened ahead", "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+		Entry("whose head was on its way", "GET / HT", "TP/1.1\r\nHost: h\r\n\r\n"),
+	)
+})
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -114,9 +114,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	closed := make(chan error, 1)
-	go d.callerConns.CloseUnusedUntil(ctx)
 	go func() {
-		err := d.callerServer.Shutdown(ctx)
+		err := d.callerConns.Shutdown(ctx, d.callerServer)
 		d.entry.home.waitIdle(ctx)
 		d.entry.home.stopAccepting(ctx)
 		d.entry.home.handOver(d.transport, d.directory, policy.TicketTTL)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -421,8 +421,7 @@
 	defer abandon.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-leaving+abandonReserve)
 	defer cancel()
-	go conns.CloseUnusedUntil(ctx)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := conns.Shutdown(ctx, callers); err != nil {
 		open := h.openRequests.Load()
 		h.opts.Log.Error("closing connections of callers at the end of the grace period", "open", open, "unanswered", conns.Abort(), "error", err)
 	}
