Reload: apply settings changed just before a stop

A host that was told to stop right after its settings file had changed went on with the earlier grace period: with 6 s shortened to 3 s, a call of 3.5 s got its answer 3.5 s after the signal, when the platform kills the host. Its caller would have got no answer.

The cause: the watch of the settings file ended with the context that also began the stop. A change without SIGHUP was never seen; one with SIGHUP at the same moment lost the race.

The file is now read once more before the stop begins, for at most 100 ms, which the reserve at the end of the grace period covers. A change that arrives during the stop has no effect on it, as before.

--- a/cmd/lacewingyard/edge.go
+++ b/cmd/lacewingyard/edge.go
@@ -141,27 +141,37 @@
 		return err
 	}
 	metrics.RegisterHost(edgeHost)
-	go watchSettings(ctx, hup, settingsPath(flags.file), log, edgeHost.Reload)
-	return errors.CombineErrors(edgeHost.Run(ctx), tracer.Close())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() { time.AfterFunc(lastReloadTimeout, stop) })
+	go func() {
+		defer stop()
+		watchSettings(ctx, hup, settingsPath(flags.file), log, edgeHost.Reload)
+	}()
+	return errors.CombineErrors(edgeHost.Run(serving), tracer.Close())
 }
 
 // settingsPollInterval is the interval at which the settings file is polled; the file
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
+// lastReloadTimeout bounds how long a stop waits for the last read of the settings file, which
+// a stalled disk may hold up. The reserve at the end of the grace period covers it.
+const lastReloadTimeout = 100 * time.Millisecond
+
 // watchSettings calls reload with the new settings when the contents of the file have
-// changed; it compares them at SIGHUP and at each poll until the context ends. An
-// unreadable or invalid file leaves the settings as they are.
+// changed; it compares them at SIGHUP, at each poll and once more when the context ends:
+// the grace period of the stop may have changed just before. An unreadable or invalid file
+// leaves the settings as they are.
 func watchSettings(ctx context.Context, hup <-chan os.Signal, file string, log hclog.Logger, reload func(site.Settings)) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(file) // the file was loaded just before; on an error the first poll reloads it
-	for {
+	for ended := false; !ended; {
 		select {
 		case <-hup:
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
+			ended = true
 		}
 		data, err := os.ReadFile(file)
 		if err != nil || bytes.Equal(data, last) {
--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -17,6 +17,7 @@
 // edgeProcess is a running `lacewingyard edge` before a store and one target.
 type edgeProcess struct {
 	platformtest.HostSettings
+	file   string // with the settings
 	cmd    *exec.Cmd
 	output bytes.Buffer
 	target *platformtest.Target
@@ -44,9 +45,9 @@
 	ports, err := platformtest.FreePorts(ip)
 	g.Expect(err).NotTo(HaveOccurred())
 	p.HostSettings = platformtest.HostSettings{Name: "host-1", IP: ip, Place: "a", Ports: ports, Store: store.Address, Seeds: []string{ip}, Grace: edgeGrace}
-	file := filepath.Join(t.TempDir(), "settings.yaml")
-	g.Expect(os.WriteFile(file, []byte(p.Settings()), 0o600)).To(Succeed())
-	p.cmd = exec.Command(os.Args[0], "edge", "--settings", file)
+	p.file = filepath.Join(t.TempDir(), "settings.yaml")
+	g.Expect(os.WriteFile(p.file, []byte(p.Settings()), 0o600)).To(Succeed())
+	p.cmd = exec.Command(os.Args[0], "edge", "--settings", p.file)
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	if stdout != nil {
@@ -61,10 +62,10 @@
 	return p
 }
 
-// callDuring sends a call that takes 1.5 s on the target, runs during while it is open, and
-// returns its reply.
-func (p *edgeProcess) callDuring(t *testing.T, during func()) platformtest.Reply {
-	p.target.SetServiceTime(1500 * time.Millisecond)
+// callDuring sends a call that takes some time on the target, runs during while it is open,
+// and returns its reply.
+func (p *edgeProcess) callDuring(t *testing.T, work time.Duration, during func()) platformtest.Reply {
+	p.target.SetServiceTime(work)
 	replied := make(chan platformtest.Reply)
 	go func() {
 		replied <- platformtest.Call(t.Context(), &http.Client{Transport: &http.Transport{}}, p.Address(p.Ports.Callers), http.MethodPost, platformtest.AtMostOncePrefix+"open", "open", nil, 4*time.Second)
@@ -78,7 +79,7 @@
 func TestSignalsInSeriesCutNoRequest(t *testing.T) {
 	g := NewWithT(t)
 	p := startEdge(t, nil)
-	reply := p.callDuring(t, func() {
+	reply := p.callDuring(t, 1500*time.Millisecond, func() {
 		for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
 			g.Expect(p.cmd.Process.Signal(s)).To(Succeed())
 			time.Sleep(100 * time.Millisecond)
@@ -96,7 +97,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	p := startEdge(t, w)
 	g.Expect(w.Close()).To(Succeed())
-	reply := p.callDuring(t, func() {
+	reply := p.callDuring(t, 1500*time.Millisecond, func() {
 		g.Expect(r.Close()).To(Succeed())
 		g.Expect(p.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
 	})
@@ -104,3 +105,45 @@
 	g.Expect(reply.Status).To(Equal(http.StatusOK))
 	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
 }
+
+// Guards against a host that is killed with requests in progress because it counts on a grace
+// period that was shortened just before the signal.
+func TestStopAppliesSettingsChangedJustBeforeIt(t *testing.T) {
+	const shorter = 3 * time.Second
+	for name, hangUp := range map[string]func(signal func(syscall.Signal)){
+		"with SIGHUP 50 ms before": func(signal func(syscall.Signal)) { signal(syscall.SIGHUP); time.Sleep(50 * time.Millisecond) },
+		"with SIGHUP at once":      func(signal func(syscall.Signal)) { signal(syscall.SIGHUP) },
+		"without SIGHUP":           func(func(syscall.Signal)) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := startEdge(t, nil)
+			signal := func(s syscall.Signal) { g.Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
+			var stopped time.Time
+			reply := p.callDuring(t, shorter+500*time.Millisecond, func() {
+				p.Grace = shorter
+				g.Expect(os.WriteFile(p.file, []byte(p.Settings()), 0o600)).To(Succeed())
+				hangUp(signal)
+				signal(syscall.SIGTERM)
+				stopped = time.Now()
+			})
+			g.Expect(reply.Err).NotTo(HaveOccurred())
+			g.Expect(reply.Status).To(Equal(http.StatusBadGateway), "it ran, and the target has not answered")
+			g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
+			g.Expect(time.Since(stopped)).To(BeNumerically("<", shorter))
+		})
+	}
+}
+
+// Guards against a stop that an invalid settings file shortens or prevents.
+func TestStopIgnoresInvalidSettings(t *testing.T) {
+	g := NewWithT(t)
+	p := startEdge(t, nil)
+	reply := p.callDuring(t, 3500*time.Millisecond, func() {
+		g.Expect(os.WriteFile(p.file, []byte("node_name: ["), 0o600)).To(Succeed())
+		g.Expect(p.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	})
+	g.Expect(reply.Err).NotTo(HaveOccurred())
+	g.Expect(reply.Status).To(Equal(http.StatusOK))
+	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
+}
