Stops: end within a grace period of one second

A host with a grace period of up to 1.4 s took at least one second for its stop, which left nothing of the period for the end of its process: with a period of 1 s, it would have answered what was open just when the platform kills it, and callers got no answer.

The new spec failed before (2 of 2 runs: no answer to an open call within 1 s of the signal). A stop now takes the grace period less the reserve, and at least half of the period; the spec passes (3 of 3 runs). Longer periods are used as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -409,7 +409,8 @@
 // requests that may outlast the grace period, and answers those that nevertheless do.
 func (h *Host) shutdown(callers *http.Server, conns *callerconn.Set) {
 	var phases drain.Shutdown
-	grace := max(h.gracePeriod()-exitReserve, time.Second)
+	period := h.gracePeriod()
+	grace := max(period-exitReserve, period/2)
 	leaving := min(leavingPeriod, grace*2/3)
 	phases.Begin(time.Now(), leaving, grace-leaving)
 	h.engine.BeginShutdown(phases)
--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -222,3 +222,33 @@
 		h.ended <- nil
 	})
 })
+
+var _ = Describe("Host with a grace period of one second", func() {
+	// Guards against a host that is killed with requests in progress because it counts on more
+	// time than it has.
+	It("answers its requests and ends within it", func() {
+		const grace = time.Second
+		f := newFixture(1)
+		settings := f.hosts[0].HostSettings
+		settings.Name, settings.IP, settings.Grace = "host-hasty", "127.0.0.9", grace
+		h := f.start(settings)
+		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		for _, t := range f.targets {
+			t.SetServiceTime(1500 * time.Millisecond)
+		}
+		open := make(chan platformtest.Reply, 1)
+		c := newRawCaller(h)
+		go func() { open <- c.call(http.MethodPost, platformtest.AtMostOncePrefix+"open", "open", 2*time.Second) }()
+		Eventually(func() int { return f.runs("open") }, time.Second).Should(Equal(1))
+		began := time.Now()
+		h.stop()
+		var reply platformtest.Reply
+		Eventually(open, grace).Should(Receive(&reply))
+		Expect(reply.Err).NotTo(HaveOccurred())
+		Expect(reply.Status).To(Equal(http.StatusBadGateway), "it ran, and no target has answered")
+		var err error
+		Eventually(h.ended, grace-time.Since(began)).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		h.ended <- nil
+	})
+})
