Soak: bound the memory of hosts in builds with and without the race detector

What was seen: TestSoakOfPlannedStopsLosesNoRequest failed at times with "host-3 used 128 MB of memory". The bound, half of the limit in the settings, was compared with the resident memory, also of hosts with the race detector.

Cause: the detector's own memory. A server and its callers in 60 lines without any code of the project, 20 callers that open 1,000 connections a round and send 10 requests on each, do the same: Go holds 13 MB in both builds, resident are 18 MB without the detector, and 125, 204 and 243 MB with it after 10,000, 40,000 and 80,000 requests. GORACE=history_size=0 changed nothing that is clear of the noise (119 MB); which of the detector's tables it is was not looked at.

Change: builds without the detector are checked as before. For builds with it the same bound holds for all that the Go runtime has obtained from the system, resident or not, and the resident part of files: no less than what would be resident without the detector, and the first does not fall between samples. It is read from the host's metrics, which now have those of the Go runtime and the process. A host whose memory was never read is a violation.

The test has its former 4 callers and 16 keepers again (and six hosts, which its runs below did not have), which were halved for the detector's memory only, and no exception; the entry in KNOWN-RED.txt goes.

--- a/cmd/lacewingyard/soak_test.go
+++ b/cmd/lacewingyard/soak_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"strings"
 	"testing"
 
-	"github.com/lacewingyard/lacewingyard/internal/knownred"
 	. "github.com/onsi/gomega"
 )
 
@@ -22,14 +20,7 @@
 // host passes on and whose connections it closes without an answer.
 func TestSoakOfPlannedStopsLosesNoRequest(t *testing.T) {
 	g := NewWithT(t)
-	cmd, stdout, stderr := newCommand("soak", "--planned", "--seed", "31", "--for", "6s", "--grace", "6s", "--hosts", "6", "--callers", "2", "--keepers", "10")
-	err := cmd.Run()
-	g.Expect(stdout.String()).To(MatchRegexp(`seed 31: [1-9]\d+ calls, .* violations`), "%s", stderr)
-	for line := range strings.Lines(stdout.String()) {
-		if strings.HasPrefix(line, "  ") && !strings.HasPrefix(line, "  output of the hosts:") {
-			g.Expect(line).To(MatchRegexp(`^  host-\d used \d+ MB of memory\n$`), "a violation other than the known one")
-		}
-	}
-	knownred.Skip(t, "TestSoakOfPlannedStopsLosesNoRequest")
-	g.Expect(err).NotTo(HaveOccurred(), "%s%s", stdout, stderr)
+	cmd, stdout, stderr := newCommand("soak", "--planned", "--seed", "31", "--for", "6s", "--grace", "6s", "--hosts", "6", "--callers", "4", "--keepers", "16")
+	g.Expect(cmd.Run()).To(Succeed(), "%s%s", stdout, stderr)
+	g.Expect(stdout.String()).To(MatchRegexp(`seed 31: [1-9]\d+ calls, .* 0 violations`))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,11 +9,12 @@
 	"github.com/lacewingyard/lacewingyard/internal/guard"
 	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// Metrics exports Prometheus metrics of sends to targets, of requests of callers and of
-// the host. It implements engine.Observer and is safe for concurrent use.
+// Metrics exports Prometheus metrics of sends to targets, of requests of callers, of the
+// process and of the host. It implements engine.Observer and is safe for concurrent use.
 type Metrics struct {
 	registry *prometheus.Registry
 	sends    *prometheus.CounterVec
@@ -26,8 +27,8 @@
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
 var latencyBuckets = []float64{.005, .01, .02, .04, .06, .08, .1, .15, .2, .3, .5, 1, 2, 4}
 
-// NewMetrics returns Metrics with a registry of its own, which has no metrics of a host
-// before RegisterHost is called.
+// NewMetrics returns Metrics with a registry of its own, which has those of the Go runtime and
+// the process, and no metrics of a host before RegisterHost is called.
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
@@ -42,7 +43,8 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingyard_target_notices_total", Help: "Starts and changes of notices that targets give about themselves, by kind."}, []string{"kind", "service"}),
 	}
-	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration)
+	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,7 +41,8 @@
 	client  *http.Client
 	output  *os.File // standard output and error of the hosts
 
-	peakMemory int64 // of any host, in bytes
+	raceDetector bool  // whether binary was built with it
+	peakMemory   int64 // of any host, in bytes
 }
 
 // target is a fake target and the proxy through which hosts reach it.
@@ -67,6 +69,9 @@
 func newTestFleet(binary, dir string, hosts int, grace time.Duration) (*testFleet, error) {
 	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), client: &http.Client{Timeout: routeTimeout}}
 	var err error
+	if s.raceDetector, err = hasRaceDetector(binary); err != nil {
+		return nil, errors.Wrapf(err, "read the build settings of %s", binary)
+	}
 	if s.output, err = os.Create(filepath.Join(dir, "hosts.log")); err != nil {
 		return nil, err
 	}
@@ -151,7 +156,7 @@
 }
 
 func (s *testFleet) startHost(h *host) error {
-	h.cmd = exec.Command(s.binary, "edge", "--settings", h.settingsFile)
+	h.cmd = exec.Command(s.binary, "edge", "--settings", h.settingsFile, "--metrics-port", strconv.Itoa(h.Ports.Operators))
 	h.cmd.Stdout, h.cmd.Stderr = s.output, s.output
 	if err := h.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", h.Name)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,7 +40,7 @@
 // Report is the result of a run.
 type Report struct {
 	Calls, Served, Runs int   // calls sent, calls answered with status 200, and executions of requests on targets
-	PeakMemory          int64 // largest resident memory of a host, in bytes
+	PeakMemory          int64 // most memory that a host used, in bytes
 	RepeatableInStops   StopCounts
 	OnceInStops         StopCounts
 	CheckedChanges      int // planned changes for which the time to take effect was checked
