JSON interface: SIGHUP reloads the key files and ends no host

Callers of serve saw their connections end without an answer when its host got SIGHUP, for example from a supervisor that reloads: serve did not handle the signal, and its default action terminates the process at once, also during a stop. edge has caught it for long.

serve catches it before anything else now and checks the key files at once. They are also watched until the process exits; until now the watch ended with the first stop signal. TestGracefulShutdownHangup failed before (EOF of an open search at the first SIGHUP) and passes after.

--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -263,6 +263,27 @@
 	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
 }
 
+// Guards against a host that SIGHUP terminates, which is the signal's default action, while it
+// serves or stops.
+func TestGracefulShutdownHangup(t *testing.T) {
+	g := NewWithT(t)
+	f, err := fleet.StartStandins(smallDeployment(), hclog.NewNullLogger())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	north := startProcess(t, f, "north", 0)
+	g.Eventually(north.checkHealth, "15s", "20ms").Should(Succeed())
+	ended := openSearch(g, f, north)
+	changed := time.Now().Add(time.Second)
+	g.Expect(os.Chtimes(north.settings.TLS.CertFile, changed, changed)).To(Succeed())
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		g.Expect(north.cmd.Process.Signal(s)).To(Succeed())
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.Expect(<-ended).NotTo(HaveOccurred(), "it ends at its deadline, with no coverage")
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+	g.Expect(north.log.String()).To(ContainSubstring("key files reloaded"))
+}
+
 // Guards against a host that waits for its configuration without a log line. Its
 // listeners are not open yet, so only the log can report the wait.
 func TestServeLogsMissingConfiguration(t *testing.T) {
--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -33,7 +33,7 @@
 		Short:   "Run one entry host in the foreground",
 		Long: "Run one entry host in the foreground. On SIGTERM or SIGINT the host finishes the\n" +
 			"requests in progress and exits with status 0. A further SIGTERM has no effect, an\n" +
-			"interrupt (SIGINT) then aborts the requests.",
+			"interrupt (SIGINT) then aborts the requests. SIGHUP reloads changed key files.",
 		Example: "  lacewingyard serve --settings /etc/lacewingyard/host.json",
 		Args:    cobra.NoArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), file) },
@@ -46,6 +46,9 @@
 // serve runs a host with the process settings of a file. When the context ends it
 // shuts the host down gracefully.
 func serve(ctx context.Context, file string) error {
+	// SIGHUP is caught first: its default action terminates the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	process, err := settings.LoadProcess(file)
 	if err != nil {
 		return usageError{err}
@@ -70,7 +73,9 @@
 	if err != nil {
 		return err
 	}
-	go keys.Watch(ctx, func(err error) {
+	untilExit, exit := context.WithCancel(context.WithoutCancel(ctx)) // a stopping host still opens connections to peers
+	defer exit()
+	go keys.Watch(untilExit, hup, func(err error) {
 		if err != nil {
 			log.Error("key files could not be reloaded", "error", err)
 			return
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -84,20 +84,21 @@
 	return &credentialSet{cert: cert, roots: roots}, nil
 }
 
-// Watch reloads changed key files until the context ends. It calls report after each
-// reload, with nil, and after each failure, with the error.
-func (c *Credentials) Watch(ctx context.Context, report func(error)) {
+// Watch reloads changed key files until the context ends, at each interval and at each signal.
+// It calls report after each reload, with nil, and after each failure, with the error.
+func (c *Credentials) Watch(ctx context.Context, signals <-chan os.Signal, report func(error)) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			if changed, err := c.Reload(); changed || err != nil {
-				report(err)
-			}
+		case <-signals:
 		case <-ctx.Done():
 			return
 		}
+		if changed, err := c.Reload(); changed || err != nil {
+			report(err)
+		}
 	}
 }
 
