JSON interface: a stop finishes what its targets work on for other hosts

Callers of other hosts got unknown for commands, and errors for lookups, that a target of a stopping host worked on: once the callers of the stopping host itself were served, it waited 500 ms for the requests of other hosts, although up to drain_grace (30 s) was left.

The stopping host refuses new requests of other hosts then, before a command is started, and waits for those that it has taken until their senders have read the replies, at most to the end of the grace period (drain.Shutdown.AwaitsTargets). Shortly before it they are ended like those of its callers. What was canceled is awaited for 500 ms as before, and requests that come after the refusal are not counted, so that neither an idle host nor one that others go on to ask stops later.

TestGracefulShutdownBranch (two processes, commands and lookups of 2 s) failed before (unknown (conn_lost): branch host did not reply) and passes after; TestGracefulShutdownBranchUnderLoad stops a host that another keeps asking in 0.42 s, of which 0.3 s are entries_ttl.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/target"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/quarantine"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -24,10 +26,16 @@
 	workers    *workerPool
 	observer   observer
 	peers      *branchClient // connects to the other owners of this host's targets
+	// ending is done when the requests of other hosts that are still open must end.
+	ending context.Context
+
+	mu       sync.Mutex // guards what follows
+	refusing bool       // takes no more requests of other hosts
+	awaited  int        // requests of other hosts taken and not ended
 }
 
 func newBranch(self *settings.Process, config *config, guard *quarantineGuard, dial target.Dialer) *branch {
-	return &branch{self: self, config: config, dispatcher: newDispatcher(self, config, dial), guard: guard, workers: newWorkerPool()}
+	return &branch{self: self, config: config, dispatcher: newDispatcher(self, config, dial), guard: guard, workers: newWorkerPool(), ending: context.Background()}
 }
 
 func (b *branch) close() {
@@ -35,6 +43,45 @@
 	b.workers.close()
 }
 
+// serve answers a stream of another host with a handler, unless this host has stopped
+// accepting: the stream is then reset, so that the sender knows at once that nothing ran.
+func (b *branch) serve(ctx context.Context, s *peer.Stream, handle func(context.Context, *peer.Stream)) {
+	b.mu.Lock()
+	refusing := b.refusing
+	if !refusing {
+		b.awaited++
+	}
+	b.mu.Unlock()
+	if refusing {
+		s.Reset()
+		return
+	}
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.awaited--
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(b.ending, cancel)()
+	handle(ctx, s)
+}
+
+// stopAccepting refuses further requests.
+func (b *branch) stopAccepting() {
+	b.mu.Lock()
+	b.refusing = true
+	b.mu.Unlock()
+	b.dispatcher.close()
+}
+
+// workLeft returns the work of other hosts that is in progress.
+func (b *branch) workLeft() drain.TargetWork {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return drain.TargetWork{Awaited: b.awaited, AtTargets: b.dispatcher.inFlight()}
+}
+
 // serveSearch answers a search stream. Each part is sent as soon as it is ready;
 // the entry host may cancel groups in the meantime.
 func (b *branch) serveSearch(ctx context.Context, s *peer.Stream) {
@@ -49,7 +96,9 @@
 	defer span.End()
 	req.Traceparent = parent
 	run := newBranchRun(ctx, &req)
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		for {
 			var canceled wire.Cancel
 			if err := s.Receive(&canceled); err != nil {
@@ -66,6 +115,11 @@
 	})
 	if err != nil {
 		s.Reset()
+		return
+	}
+	select {
+	case <-ended: // the sender has the reply
+	case <-time.After(receiptTimeout):
 	}
 }
 
@@ -183,7 +237,9 @@
 	reply := b.lookup(ctx, &req)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
+		return
 	}
+	awaitReceipt(s)
 }
 
 func (b *branch) lookup(ctx context.Context, req *wire.LookupRequest) (reply wire.LookupReply) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,6 +110,7 @@
 	d.control = newControl(opts.Process, opts.Incarnation, d.config, d.directory, d.log)
 	guard := newQuarantineGuard(opts.Process, d.config, d.directory)
 	d.branch = newBranch(opts.Process, d.config, guard, opts.DialTarget)
+	d.branch.ending = d.ending
 	obs := observer{tracer: opts.Tracer, metrics: opts.Metrics}
 	d.branch.observer = obs
 
@@ -214,9 +215,9 @@
 func (d *Daemon) servePeer(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
 	switch exchange {
 	case wire.ExchangeSearch:
-		d.branch.serveSearch(ctx, s)
+		d.branch.serve(ctx, s, d.branch.serveSearch)
 	case wire.ExchangeLookup:
-		d.branch.serveLookup(ctx, s)
+		d.branch.serve(ctx, s, d.branch.serveLookup)
 	case wire.ExchangeHeartbeat:
 		d.control.serveHeartbeat(s)
 	case wire.ExchangePull:
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -246,7 +246,9 @@
 func (d *Daemon) serveOnce(ctx context.Context, s *peer.Stream) {
 	select {
 	case <-d.initialized:
-		d.branch.serveOnce(ctx, s, d.entry.home.cacheExecutedAnswer)
+		d.branch.serve(ctx, s, func(ctx context.Context, s *peer.Stream) {
+			d.branch.serveOnce(ctx, s, d.entry.home.cacheExecutedAnswer)
+		})
 	case <-ctx.Done():
 		s.Reset()
 	}
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -114,5 +114,7 @@
 	onResult(&req, &reply)
 	if err := s.Send(&reply); err != nil {
 		s.Reset()
+		return
 	}
+	awaitReceipt(s)
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -133,34 +133,39 @@
 	}
 }
 
-// targetIdleTimeout bounds the wait of a shutdown for the requests that other
-// hosts have sent to the targets of this one.
-const targetIdleTimeout = 500 * time.Millisecond
-
-// releaseTargets refuses new work on the targets and, once no request is in
-// progress on them, announces to the peers that this process has stopped.
+// releaseTargets refuses new work on the targets, waits for the work of other hosts as long as
+// drain.Shutdown.AwaitsTargets says and, if none is left, announces to the peers that this
+// process has stopped.
 func (d *Daemon) releaseTargets() {
-	d.branch.dispatcher.close()
-	ctx, cancel := context.WithTimeout(context.Background(), targetIdleTimeout)
-	defer cancel()
-	if waitFor(ctx, shutdownPollInterval, d.branch.dispatcher.idle) == nil {
+	d.branch.stopAccepting()
+	refusing := time.Now()
+	work := d.branch.workLeft()
+	for d.entry.awaitsTargets(refusing, work) && d.sleepUnlessAborted(shutdownPollInterval) {
+		work = d.branch.workLeft()
+	}
+	if work == (drain.TargetWork{}) {
 		d.control.announceStop()
 	}
 }
 
-// idle reports whether this host has no request in progress on its targets.
-func (d *dispatcher) idle() bool {
+// awaitsTargets reports whether a shutdown waits for work of other hosts, of which none was
+// taken since refusing.
+func (e *entry) awaitsTargets(refusing time.Time, work drain.TargetWork) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shutdown.AwaitsTargets(time.Now(), refusing, work)
+}
+
+// inFlight returns the number of requests that the targets may be working on.
+func (d *dispatcher) inFlight() (n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, t := range d.owned {
 		t.mu.Lock()
-		sending := t.inFlight
+		n += t.inFlight
 		t.mu.Unlock()
-		if sending > 0 {
-			return false
-		}
 	}
-	return true
+	return n
 }
 
 // beginShutdown removes this host from the entries responses.
