Peers: a host that closes its transport says so

Callers whose requests another host had sent to a host that stopped, or sent within the second after, waited for the idle timeout (1 s) until other targets were asked: the transport closed the connections that peers had opened without a message to them. Found beside TestGracefulShutdownBranch, whose callers got "timeout: no recent network activity".

Close ends these connections with a message now. The spec 'tells its peers that it closes' failed before (no error at the sender within 0.5 s) and passes after. A crash in the tests of the fleet closes the sockets first and stays silent.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,7 +13,9 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +62,8 @@
 
 	mu     sync.Mutex
 	conns  map[connKey]*clientConn
-	closed bool // no further dial may start
+	served map[*quic.Conn]bool // connections that peers opened
+	closed bool                // no further dial may start
 	wg     sync.WaitGroup
 }
 
@@ -85,7 +88,7 @@
 func Listen(conn net.PacketConn, conf *tls.Config, handler Handler) (*Transport, error) {
 	conf = conf.Clone()
 	conf.NextProtos = []string{protocol}
-	t := &Transport{quic: &quic.Transport{Conn: conn}, tls: conf, handler: handler, conns: map[connKey]*clientConn{}}
+	t := &Transport{quic: &quic.Transport{Conn: conn}, tls: conf, handler: handler, conns: map[connKey]*clientConn{}, served: map[*quic.Conn]bool{}}
 	t.dialCtx, t.cancelDials = context.WithCancel(context.Background())
 	// The dialing side sends keep-alives and sets the idle timeout, as the lower of
 	// both sides' timeouts applies.
@@ -122,9 +125,13 @@
 		default: // still dialing; the dial context was canceled above
 		}
 	}
+	served := slices.Collect(maps.Keys(t.served))
 	t.mu.Unlock()
-	// Closing the QUIC transport ends incoming connections and the contexts of their
-	// handlers.
+	// Closing the QUIC transport ends these connections without a message to the peers, which
+	// would send requests until their idle timeout.
+	for _, conn := range served {
+		_ = conn.CloseWithError(codeDone, "shutdown")
+	}
 	closeErr := t.quic.Close()
 	t.wg.Wait()
 	return errors.CombineErrors(err, errors.CombineErrors(closeErr, t.quic.Conn.Close()))
@@ -141,6 +148,14 @@
 }
 
 func (t *Transport) serve(conn *quic.Conn) {
+	t.mu.Lock()
+	t.served[conn] = true
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.served, conn)
+	}()
 	for {
 		s, err := conn.AcceptStream(conn.Context())
 		if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -142,6 +142,27 @@
 		Eventually(func() error { return exchange(client, address) }, "3s", "50ms").Should(Succeed())
 	})
 
+	// Guards against a sender that waits for idleTimeout, and sends more meanwhile, because the
+	// host that it sent to stopped.
+	It("tells its peers that it closes", func(ctx context.Context) {
+		conf, err := authority.TLSConfig("host")
+		Expect(err).NotTo(HaveOccurred())
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server, err := peer.Listen(conn, conf, echo)
+		Expect(err).NotTo(HaveOccurred())
+		address := conn.LocalAddr().String()
+		client, _ := listen(conf)
+		Expect(exchange(client, address)).To(Succeed())
+		s, err := client.Open(ctx, address, wire.ExchangeSearch)
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Receive(&wire.SearchReply{}) }()
+		Expect(server.Close()).To(Succeed())
+		Eventually(ended).WithTimeout(500 * time.Millisecond).Should(Receive(HaveOccurred()))
+		Expect(client.Lost(address)).To(BeTrue())
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against a dial that starts while Close waits for earlier dials, which the
 	// race detector reports as a race on the wait group.
 	It("starts no dial after Close", func(ctx context.Context) {
