JSON interface: a stopping host starts no command of others that may outlast it

Callers of other hosts got unknown for commands that a stopping host took although their deadline lay behind the end of its grace period: as the home of their tickets, or at its targets. With a home that had gone meanwhile they waited for half of their deadline more.

The home refuses such a command as not run, with the retry delay of other refusals of a stopping host, and keeps the refusal marker, so that no earlier send runs later. A command that runs or has ended is joined or answered as before; callers of the stopping host itself got unknown for these. As a branch host it does not acknowledge such a command, after which the home asks another target. A forwarded command that still runs shortly before the end of the grace period is answered as unknown then, instead of by the end of the connection.

--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -28,6 +28,8 @@
 	peers      *branchClient // connects to the other owners of this host's targets
 	// ending is done when the requests of other hosts that are still open must end.
 	ending context.Context
+	// admits reports whether this host may finish a command of a time limit before it stops.
+	admits func(limit time.Duration) bool
 
 	mu       sync.Mutex // guards what follows
 	refusing bool       // takes no more requests of other hosts
@@ -35,7 +37,8 @@
 }
 
 func newBranch(self *settings.Process, config *config, guard *quarantineGuard, dial target.Dialer) *branch {
-	return &branch{self: self, config: config, dispatcher: newDispatcher(self, config, dial), guard: guard, workers: newWorkerPool(), ending: context.Background()}
+	return &branch{self: self, config: config, dispatcher: newDispatcher(self, config, dial), guard: guard, workers: newWorkerPool(), ending: context.Background(),
+		admits: func(time.Duration) bool { return true }}
 }
 
 func (b *branch) close() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -136,7 +137,8 @@
 	d.entry.router.SetFreeSlotFunc(d.branch.dispatcher.hasFreeSlot)
 	d.control.setLoadSource(d.entry.admission.utilization)
 	guard.transport, d.entry.guard, d.entry.observer = d.transport, guard, obs
-	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry)
+	d.entry.home = newHome(opts.Process, opts.Incarnation, d.entry, d.ending)
+	d.branch.admits = func(limit time.Duration) bool { return d.entry.admits(d.ending, drain.Request{Limit: limit}) }
 	d.rateLimit = api.NewRateLimiter(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit }, d.entry.RefusalOutcome)
 	d.entry.peerState, d.entry.incarnation, d.entry.connLost = d.control.peerState, d.control.incarnation, d.transport.Lost
 	close(d.initialized)
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -34,6 +35,8 @@
 	self     *settings.Process
 	entry    *entry
 	inFlight atomic.Int64 // runs and replies to other hosts in progress
+	// ending is done when commands of other hosts must be answered, finished or not.
+	ending context.Context
 
 	mu        sync.Mutex // guards what follows
 	registry  *atmostonce.Registry[wire.CommandReply]
@@ -47,9 +50,9 @@
 	reply wire.CommandReply
 }
 
-func newHome(self *settings.Process, incarnation uint64, entry *entry) *home {
+func newHome(self *settings.Process, incarnation uint64, entry *entry, ending context.Context) *home {
 	return &home{
-		self: self, entry: entry, running: map[string]*commandRun{},
+		self: self, entry: entry, running: map[string]*commandRun{}, ending: ending,
 		registry:  atmostonce.NewRegistry[wire.CommandReply](self.Name, incarnation, commandLimits),
 		handovers: atmostonce.NewHandoverStore[wire.CommandReply](handoverLimits),
 	}
@@ -106,7 +109,19 @@
 
 // begin returns the decision of the registry on a command, and starts the run of the
 // command if the decision is Run. The commandRun is nil if the command is not running.
+//
+// A command that may outlast the shutdown of this host is not run: whether it ran would then
+// be unknown to its caller. One that is running or has ended needs no further time.
 func (h *home) begin(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, confirmed uint64) (atmostonce.Decision[wire.CommandReply], *commandRun) {
+	if !h.entry.admits(h.ending, drain.Request{Limit: time.Duration(req.TimeoutMS) * time.Millisecond}) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if now := time.Now(); !h.registry.Recorded(now, id) {
+			refusal := h.registry.RecordRefusal(now, id, h.entry.stoppingRefusal())
+			return atmostonce.Decision[wire.CommandReply]{Action: atmostonce.Refuse, Outcome: refusal}, nil
+		}
+		return h.registry.Begin(time.Now(), id, digest(req), confirmed), h.running[id.String()]
+	}
 	if ctx.Err() != nil { // the caller no longer waits
 		return atmostonce.Decision[wire.CommandReply]{Action: atmostonce.Refuse, Outcome: canceledReply().Outcome}, nil
 	}
@@ -182,6 +197,7 @@
 	defer h.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
 	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	ctx, span, parent := h.entry.observer.startBranch(ctx, req.Traceparent, "home command", req.Service, h.entry.self)
 	req.Traceparent = parent
 	if err := s.Send(&wire.CommandReply{Accepted: true}); err != nil {
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -90,12 +90,13 @@
 }
 
 // serveOnce answers the stream of the lookup of a command. The lookup runs only
-// after the second message of the home. onResult is called with the result
+// after the second message of the home. Without the acknowledgement, the home knows that the
+// command did not run here, for example because this host stops before its end. onResult is called with the result
 // before the home receives it.
 func (b *branch) serveOnce(ctx context.Context, s *peer.Stream, onResult func(*wire.LookupRequest, *wire.LookupReply)) {
 	var req wire.LookupRequest
 	var start wire.LookupStart
-	if err := s.Receive(&req); err != nil || !req.Once {
+	if err := s.Receive(&req); err != nil || !req.Once || !b.admits(time.Duration(req.TimeoutMS)*time.Millisecond) {
 		s.Reset()
 		return
 	}
--- a/internal/daemon/stopping.go
+++ b/internal/daemon/stopping.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/atmostonce"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -51,16 +52,29 @@
 // refuse returns the refusal of a request that the shutdown does not admit, and true.
 func (e *stoppingEntry) refuse(service string, meta api.Meta) (outcome.Outcome, bool) {
 	kind, policy, _ := e.Service(service)
+	if id, err := atmostonce.ParseID(meta.RequestID); kind == settings.KindCommand && err == nil && id.Ticket.Host == e.self.Name {
+		return outcome.Outcome{}, false // the home of the ticket decides: it may have the answer
+	}
 	allowed := deadline(meta, policy)
-	e.mu.Lock()
-	admitted := e.shutdown.Admits(time.Now(), drain.Request{Limit: allowed, Objective: allowed, Repeatable: kind != settings.KindCommand})
-	e.mu.Unlock()
-	if admitted && e.ending.Err() == nil {
+	if e.admits(e.ending, drain.Request{Limit: allowed, Objective: allowed, Repeatable: kind != settings.KindCommand}) {
 		return outcome.Outcome{}, false
 	}
+	return e.stoppingRefusal(), true
+}
+
+// admits reports whether the shutdown, if one has begun, leaves a request its time. ending is
+// done when open requests must end.
+func (e *entry) admits(ending context.Context, r drain.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shutdown.Admits(time.Now(), r) && ending.Err() == nil
+}
+
+// stoppingRefusal returns the refusal of a request that may outlast the shutdown.
+func (e *entry) stoppingRefusal() outcome.Outcome {
 	o := outcome.Refused(outcome.Draining, "host %s stops and may not finish the request", e.self.Name)
 	o.RetryAfter = stoppingRetryAfter + rand.N(stoppingRetryAfter)
-	return o, true
+	return o
 }
 
 // untilEnd returns a context that ends with ctx, or when open requests must end.
--- a/pkg/atmostonce/registry.go
+++ b/pkg/atmostonce/registry.go
@@ -137,6 +137,14 @@
 	return o
 }
 
+// Recorded reports whether a run of a request is recorded, in progress or finished, so that
+// Begin starts no other.
+func (r *Registry[A]) Recorded(now time.Time, id ID) bool {
+	r.expire(r.advance(now))
+	rec, ok := r.records[id.String()]
+	return ok && rec.refusalSeq == 0
+}
+
 // checkHome returns Unknown and true for a ticket that names another host or
 // incarnation, which may have run the request.
 func (r *Registry[A]) checkHome(id ID) (outcome.Outcome, bool) {
--- a/pkg/atmostonce/registry_test.go
+++ b/pkg/atmostonce/registry_test.go
@@ -36,6 +36,21 @@
 		Expect(home.Begin(start, id, 1, 0).Action).To(Equal(atmostonce.Join))
 	})
 
+	// Guards against a stopping home that refuses what it could answer, and against one that
+	// counts a refused send as a run.
+	It("tells whether a run is recorded", func() {
+		home := newHome()
+		id, refused := request(home, "a"), request(home, "b")
+		Expect(home.Recorded(start, id)).To(BeFalse())
+		home.Begin(start, id, 1, 0)
+		Expect(home.Recorded(start, id)).To(BeTrue())
+		home.Finish(start, id, outcome.OK(), "answer")
+		Expect(home.Recorded(start, id)).To(BeTrue())
+		Expect(home.Recorded(start.Add(time.Minute+limits.MaxDeadline), id)).To(BeFalse())
+		home.RecordRefusal(start, refused, outcome.Refused(outcome.Draining, "stopping"))
+		Expect(home.Recorded(start, refused)).To(BeFalse())
+	})
+
 	// Guards against a replacement of the home that runs a request, or answers "not
 	// run" for one, that its predecessor may have run.
 	It("answers unknown for a ticket of another incarnation or host", func() {
