JSON interface: an answer outweighs the unknown that a stopped home handed over

A command whose home stopped while it ran stayed unknown to its caller, however often it was sent again, although the host at whose target it ended kept the answer: the home hands such a command over as unknown, and hosts took that for final.

A kept answer to the same body comes first now, and a host that holds only the unknown asks the others as it does for a home that has crashed. Neither lets a command run again. TestGracefulShutdownKeepsLaterAnswers (three processes; home, target and sender in different places) failed before (unknown for 5 s) and passes after, with one run at the target; TestHandoverStoreAnswersAfterUnknown failed before as well.

--- a/cmd/lacewingyard/branchstop_test.go
+++ b/cmd/lacewingyard/branchstop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -37,21 +38,36 @@
 
 // startPlaces starts a host in each place of smallDeployment with southernServices.
 func startPlaces(t *testing.T, overrides settings.Overrides) (f *fleet.Fleet, north, south *hostProcess) {
-	g := NewWithT(t)
 	d := smallDeployment()
 	southernServices(d)
+	f, hosts := startDeployment(t, d, overrides, "north", "south")
+	return f, hosts[0], hosts[1]
+}
+
+// startThreePlaces is startPlaces with shortGrace and a third place, which has no targets.
+func startThreePlaces(t *testing.T) (f *fleet.Fleet, north, south, west *hostProcess) {
+	d := smallDeployment()
+	southernServices(d)
+	d.Document.Places["west"] = settings.Place{State: settings.PlaceIn, Hosts: 1}
+	f, hosts := startDeployment(t, d, shortGrace, "north", "south", "west")
+	return f, hosts[0], hosts[1], hosts[2]
+}
+
+// startDeployment starts a host in each of the places, with overrides of the settings.
+func startDeployment(t *testing.T, d *fleet.Deployment, overrides settings.Overrides, places ...string) (f *fleet.Fleet, hosts []*hostProcess) {
+	g := NewWithT(t)
 	d.Document.Fleet.Settings["deadline_default"] = json.RawMessage(`"8s"`) // a lookup that is silent for 3/8 of it is sent again
-	for name, value := range overrides {
-		d.Document.Fleet.Settings[name] = value
-	}
+	maps.Copy(d.Document.Fleet.Settings, overrides)
 	f, err := fleet.StartStandins(d, hclog.NewNullLogger())
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(f.Close)
-	north, south = startProcess(t, f, "north", 0), startProcess(t, f, "south", 0)
-	for _, p := range []*hostProcess{north, south} {
+	for _, place := range places {
+		hosts = append(hosts, startProcess(t, f, place, 0))
+	}
+	for _, p := range hosts {
 		g.Eventually(p.checkHealth, "15s", "20ms").Should(Succeed())
 	}
-	return f, north, south
+	return f, hosts
 }
 
 // ticket returns the prefix of request identifiers whose home is this host.
--- a/cmd/lacewingyard/homestop_test.go
+++ b/cmd/lacewingyard/homestop_test.go
@@ -62,3 +62,19 @@
 	g.Expect(north.lookup("orders", own+"never")).To(MatchError(ContainSubstring("not_run")))
 	g.Expect(f.Searchers["orders-0"].Counts().Lookups.Load()).To(Equal(int64(1)))
 }
+
+// Guards against a command that stays unknown because its home stopped while it ran, although
+// the host at whose target it ran has the answer.
+func TestGracefulShutdownKeepsLaterAnswers(t *testing.T) {
+	g := NewWithT(t)
+	f, north, south, west := startThreePlaces(t)
+	own := north.ticket(g)
+	open := north.lookups("orders", own+"open", 1)
+	awaitLookups(g, f, "orders-0", 1)
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(<-open).To(MatchError(ContainSubstring("still running")))
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+	g.Eventually(func() error { return south.lookup("orders", own+"open0") }, "5s", "100ms").Should(Succeed())
+	g.Expect(west.lookup("orders", own+"open0")).To(Succeed(), "it asks the host of the target")
+	g.Expect(f.Searchers["orders-0"].Counts().Lookups.Load()).To(Equal(int64(1)))
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -53,6 +53,9 @@
 		return e.home.execute(ctx, id, req, nil)
 	}
 	if reply, ok := e.home.answerFromHandover(id, req); ok {
+		if reply.Outcome.Kind == outcome.Unknown { // the host of the target may have the answer since
+			return e.askSuccessors(ctx, id, req, reply.Outcome)
+		}
 		return reply
 	}
 	host, ok := e.directory.byName(id.Ticket.Host)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -81,7 +81,7 @@
 // answer. None of these hosts runs the command. If none has a result, askSuccessors
 // returns the given unknown outcome.
 func (e *entry) askSuccessors(ctx context.Context, id atmostonce.ID, req *wire.CommandRequest, unknown outcome.Outcome) wire.CommandReply {
-	if reply, ok := e.home.answerFromHandover(id, req); ok { // a handover may have arrived while the home was asked
+	if reply, ok := e.home.answerFromHandover(id, req); ok && reply.Outcome.Kind != outcome.Unknown { // a handover may have arrived while the home was asked
 		return reply
 	}
 	if ctx.Err() != nil {
--- a/pkg/atmostonce/handover.go
+++ b/pkg/atmostonce/handover.go
@@ -133,7 +133,8 @@
 	if closed {
 		rec, known = e.records[key]
 	}
-	if n, ok := s.answers[key]; ok && !known {
+	// A run that had not ended when its home closed may have been answered since.
+	if n, ok := s.answers[key]; ok && (!known || rec.Outcome.Kind == outcome.Unknown && rec.Digest == n.Digest) {
 		rec, known = n.RequestResult, true
 	}
 	switch {
--- a/pkg/atmostonce/handover_test.go
+++ b/pkg/atmostonce/handover_test.go
@@ -69,3 +69,22 @@
 		}
 	})
 }
+
+// Guards against a request that stays unknown because its home closed while it ran, although the
+// host that ran it has the answer since, and against an answer to another body.
+func TestHandoverStoreAnswersAfterUnknown(t *testing.T) {
+	home := newHome()
+	id := request(home, "a")
+	home.Begin(start, id, 1, 0)
+	for digest, want := range map[uint64]outcome.Kind{1: outcome.Answered, 2: outcome.Unknown} {
+		store := atmostonce.NewHandoverStore[string](limits)
+		store.Accept(start, home.Close(start), limits.MaxDeadline)
+		if d, known := store.Decide(start, id, 1); !known || d.Outcome.Kind != outcome.Unknown {
+			t.Fatalf("the store decides %v for a request that ran when its home closed", d)
+		}
+		store.CacheAnswer(start, id, digest, outcome.OK(), "answer")
+		if d, known := store.Decide(start, id, 1); !known || d.Outcome.Kind != want {
+			t.Fatalf("answer to body %d: the store decides %v", digest, d)
+		}
+	}
+}
