JSON interface: a service that is removed while a request is read

Callers saw the connection end (lookups and commands) or an error without reason or message (searches) when a configuration removed the service between the header and the end of the body of their request. The check of the service and the run read the configuration in turn, and the search for the group of a key panics without one; in a command that another host forwarded, the panic would end the process (by reading; the window there is one round trip).

Each run now checks the configuration that it uses and refuses the request as not run. TestServiceRemovedDuringRequest failed before (no bytes for lookup and command, an empty reason for the search) and passes after.

--- a/cmd/lacewingyard/changestop_test.go
+++ b/cmd/lacewingyard/changestop_test.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
@@ -49,3 +55,59 @@
 		})
 	}
 }
+
+// partialRequest is a request of which a host has read the header and not yet the body.
+type partialRequest struct {
+	conn net.Conn
+	rest string
+}
+
+// begin sends a request without the end of its body.
+func (p *hostProcess) begin(g Gomega, path, requestID, body string) *partialRequest {
+	c, err := net.Dial("tcp", p.settings.Listen.Callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	if requestID != "" {
+		requestID = api.HeaderRequestID + ": " + requestID + "\r\n"
+	}
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: test\r\n%sContent-Length: %d\r\n\r\n%s", path, requestID, len(body), body[:2])
+	g.Expect(err).NotTo(HaveOccurred())
+	return &partialRequest{c, body[2:]}
+}
+
+// answer returns the status and the error of the answer.
+func (r *partialRequest) answer(g Gomega) (int, api.Error) {
+	defer r.conn.Close()
+	g.Expect(r.conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(r.conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var failed api.Error
+	g.Expect(json.NewDecoder(resp.Body).Decode(&failed)).To(Succeed())
+	return resp.StatusCode, failed
+}
+
+// Guards against a service that is removed while a host reads the body of a request to it.
+func TestServiceRemovedDuringRequest(t *testing.T) {
+	g := NewWithT(t)
+	f, north, _ := startPlaces(t, nil)
+	requests := map[string]*partialRequest{
+		"tags":   north.begin(g, "/v1/services/tags/search", "", `{"terms": ["red"]}`),
+		"cards":  north.begin(g, "/v1/services/cards/lookup", "", `{"id": "cards-000001"}`),
+		"orders": north.begin(g, "/v1/services/orders/lookup", north.ticket(g)+"a", `{"id": "orders-000001"}`),
+	}
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(f.PublishConfig(func(d *settings.Document) {
+		d.Services = map[string]settings.Service{"other": d.Services["cards"]}
+		d.Services["other"].Groups[0].Targets[0].ID = "other-0"
+	})).To(Succeed())
+	g.Eventually(func() string { return north.lookup("cards", "").Error() }, "5s", "50ms").Should(ContainSubstring("does not exist"))
+	for service, r := range requests {
+		_, err := r.conn.Write([]byte(r.rest))
+		g.Expect(err).NotTo(HaveOccurred())
+		status, failed := r.answer(g)
+		g.Expect(status).To(Equal(http.StatusBadRequest), service)
+		g.Expect(failed.Outcome).To(Equal(outcome.NotRun), service)
+		g.Expect(failed.Message).To(ContainSubstring("does not exist any more"), service)
+	}
+	g.Expect(north.checkHealth()).To(Succeed())
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -15,7 +15,11 @@
 // outcome of the earlier attempt is "not run".
 func (e *entry) runCommand(ctx context.Context, req *wire.CommandRequest) wire.CommandReply {
 	tree := e.config.tree()
-	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
+	service, ok := tree.Doc.Services[req.Service]
+	if !ok {
+		return wire.CommandReply{Outcome: serviceGone(req.Service)}
+	}
+	group := groupOf(service.Groups, keyspace.KeyOf(req.ID))
 	limit := tree.Effective(e.self.Place, req.Service).RetryLimit
 	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
 	tried := map[string]bool{}
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -48,10 +48,19 @@
 	return reply, true
 }
 
+// serviceGone returns the refusal of a request to a service that the configuration had when its
+// header was read, and has no more.
+func serviceGone(service string) outcome.Outcome {
+	return outcome.Refused(outcome.Invalid, "service %s does not exist any more", service)
+}
+
 // Lookup reads one record. A request of a command service goes through its home.
 func (e *entry) Lookup(ctx context.Context, service string, meta api.Meta, req *api.LookupRequest) (*api.LookupResponse, outcome.Outcome) {
 	start := time.Now()
 	tree := e.config.tree()
+	if _, ok := tree.Doc.Services[service]; !ok {
+		return nil, e.RefusalOutcome(meta.RequestID, serviceGone(service))
+	}
 	policy := tree.Effective(e.self.Place, service)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -21,6 +21,9 @@
 	}
 	start := time.Now()
 	tree := e.config.tree()
+	if tree.Doc.Services[service].Kind != settings.KindSearch {
+		return nil, serviceGone(service)
+	}
 	policy := tree.Effective(e.self.Place, service)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
