JSON interface: requests whose bodies are late are answered at the end of a stop

A caller that had not sent its whole body when the grace period ended saw the connection cut without an answer, and the host exited with status 1: the end of a stop reached requests that run, not those that are still read.

Shortly before the end, a stopping host reads no more of the bodies and refuses these requests as not run (draining, 503).

--- a/cmd/lacewingyard/changestop_test.go
+++ b/cmd/lacewingyard/changestop_test.go
@@ -111,3 +111,24 @@
 	}
 	g.Expect(north.checkHealth()).To(Succeed())
 }
+
+// Guards against callers that do not finish their requests and so keep a stopping host until the
+// end of its grace period, which then cuts them off.
+func TestGracefulShutdownUnfinishedRequests(t *testing.T) {
+	g := NewWithT(t)
+	_, north, _ := startPlaces(t, shortGrace)
+	requests := map[string]*partialRequest{
+		"tags":   north.begin(g, "/v1/services/tags/search", "", `{"terms": ["red"]}`),
+		"cards":  north.begin(g, "/v1/services/cards/lookup", "", `{"id": "cards-000001"}`),
+		"orders": north.begin(g, "/v1/services/orders/lookup", north.ticket(g)+"a", `{"id": "orders-000001"}`),
+	}
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(north.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	for service, r := range requests {
+		status, failed := r.answer(g)
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable), service)
+		g.Expect(failed.Outcome).To(Equal(outcome.NotRun), service)
+		g.Expect(failed.Reason).To(Equal(outcome.Draining), service)
+	}
+	g.Expect(north.cmd.Wait()).To(Succeed(), north.log.String())
+}
--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -50,7 +52,11 @@
 		err = fmt.Errorf("service %s is a %s service and does not %s", service, kind, operation.Verb)
 	}
 	if err != nil {
-		WriteOutcome(w, services.RefusalOutcome(r.Header.Get(HeaderRequestID), outcome.Refused(outcome.Invalid, "%v", err)))
+		refused := outcome.Refused(outcome.Invalid, "%v", err)
+		if errors.Is(err, os.ErrDeadlineExceeded) { // set only when the host stops
+			refused = outcome.Refused(outcome.Draining, "the host stops and has not read the whole request: %v", err)
+		}
+		WriteOutcome(w, services.RefusalOutcome(r.Header.Get(HeaderRequestID), refused))
 		return service, meta, false
 	}
 	return service, meta, true
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -15,11 +15,15 @@
 // openRequests counts the requests of callers that are in progress.
 type openRequests struct{ count atomic.Int64 }
 
-// track returns a handler that counts the open requests of another.
-func (o *openRequests) track(next http.Handler) http.Handler {
+// track returns a handler that counts the open requests of another, and reads no more of their
+// bodies once ending is done: a request whose body is late would get no answer.
+func (o *openRequests) track(ending context.Context, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		o.count.Add(1)
 		defer o.count.Add(-1)
+		defer context.AfterFunc(ending, func() {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails if the caller has left
+		})()
 		next.ServeHTTP(w, r)
 	})
 }
@@ -69,7 +73,7 @@
 		_ = callers.Close()
 		return errors.Wrap(err, "listen for operators")
 	}
-	d.callerServer = newServer(d.openRequests.track(d.callerRoutes()))
+	d.callerServer = newServer(d.openRequests.track(d.ending, d.callerRoutes()))
 	d.callerConns.Attach(d.callerServer)
 	d.operatorServer = newServer(d.operatorRoutes())
 	failed := make(chan error, 2)
