Spec of leaving targets: compare what each host says with the requests that it sent

What was seen: "Target that says that it leaves gets no request once it may have ended … with the store up" failed once because host 0 reported the target as "avoided" in place of "leaving", with no late request and all of 1,000 calls answered.

Cause: the spec expects host 0 to have been told by the target itself. Which host is told first depends on the order of requests: if host 1 is, host 0 hears of it within a heartbeat, sends its requests to other targets and reports "avoided", the state that docs/OPERATIONS.md states for it.

Change: a host that sent the target a request after the notice must report "leaving"; one that sent none must report "avoided" and have heard that the target leaves; the target must have told at least one. This is checked on both hosts in place of host 0 alone; the checks of late requests and of calls are as before. The forced order is a case of its own.

--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -192,18 +192,35 @@
 	// drainBound is how long after its first such answer a target may get requests.
 	const drainBound = 3 * time.Second
 
+	noHost := func(*fixture, *platformtest.Target) map[int]bool { return map[int]bool{} }
+	// secondHost sends requests to the second host until the target has told it that it leaves
+	// and the first one has heard so.
+	secondHost := func(f *fixture, noticed *platformtest.Target) map[int]bool {
+		Eventually(func() engine.TargetState {
+			var calls sync.WaitGroup
+			for range 8 { // overlapping ones, so that the host uses targets of the other place
+				calls.Go(func() { f.call(f.hosts[1], "POST", platformtest.AtMostOncePrefix, nil) })
+			}
+			calls.Wait()
+			return f.targetReport(f.hosts[1], noticed.ID).State
+		}, 2*time.Second, 10*time.Millisecond).Should(Equal(engine.TargetLeaving))
+		Eventually(func() []notice.Kind { return f.targetReport(f.hosts[0], noticed.ID).Heard }, 2*time.Second).Should(Equal([]notice.Kind{notice.Leaving}))
+		return map[int]bool{1: true}
+	}
+
 	DescribeTable("gets no request once it may have ended, although its entry is ready, and callers lose nothing",
-		func(during func(f *fixture, noticed *platformtest.Target)) {
+		func(toldFirst func(*fixture, *platformtest.Target) map[int]bool, during func(*fixture, *platformtest.Target)) {
 			f, noticed := newNoticeFixture(2, 3)
 			f.send(8*time.Millisecond, 500*time.Millisecond)
 			noticed.SetLeaving(true)
 			noticed.SetServiceTime(time.Millisecond)
 			began := time.Now()
+			told := toldFirst(f, noticed)
 			go func() {
 				defer GinkgoRecover()
 				during(f, noticed)
 			}()
-			outcomes := f.send(8*time.Millisecond, 8*time.Second)
+			outcomes, hostOf := f.sendRecorded(8*time.Millisecond, 8*time.Second)
 			late := 0
 			for _, t := range f.runTimes(noticed.ID) {
 				if t.Sub(began) > drainBound {
@@ -213,11 +230,26 @@
 			GinkgoWriter.Printf("late: %d, outcomes %v\n", late, outcomes)
 			Expect(late).To(BeZero())
 			Expect(outcomes).To(Equal(map[int]int{200: 1000}))
-			Expect(f.targetReport(f.hosts[0], noticed.ID).State).To(Equal(engine.TargetLeaving))
+			for _, run := range f.log.Runs() {
+				if i, sent := hostOf[run.ID]; sent && run.Target == noticed.ID {
+					told[i] = true
+				}
+			}
+			Expect(told).NotTo(BeEmpty())
+			for i, h := range f.hosts {
+				report := f.targetReport(h, noticed.ID)
+				if told[i] {
+					Expect(report.State).To(Equal(engine.TargetLeaving), "host %d, told by the target", i)
+				} else {
+					Expect(report.State).To(Equal(engine.TargetAvoided), "host %d, told by the other host", i)
+					Expect(report.Heard).To(Equal([]notice.Kind{notice.Leaving}), "host %d", i)
+				}
+			}
 		},
-		Entry("with the store up", func(*fixture, *platformtest.Target) {}),
-		Entry("with the store away", func(f *fixture, _ *platformtest.Target) { f.store.SetMode(platformtest.Unavailable) }),
-		Entry("with an entry that goes and returns", func(f *fixture, noticed *platformtest.Target) {
+		Entry("with the store up", noHost, func(*fixture, *platformtest.Target) {}),
+		Entry("with the store up and the second host told first", secondHost, func(*fixture, *platformtest.Target) {}),
+		Entry("with the store away", noHost, func(f *fixture, _ *platformtest.Target) { f.store.SetMode(platformtest.Unavailable) }),
+		Entry("with an entry that goes and returns", noHost, func(f *fixture, noticed *platformtest.Target) {
 			time.Sleep(time.Second)
 			f.store.Delete(noticed.Key())
 			time.Sleep(time.Second)
