Stops: answer what arrived while the host was paused

A stopping host that was paused, or starved of the processor, until about the time at which it closes its listener closed its connections at once when it ran again, with the calls in them that had arrived meanwhile.

The cause: its timer and its connections become ready at the same moment, and the timer closed the connections before they were read. The host now notices a stall by late timers and, if one has just ended, takes what has arrived for 100 ms before it closes. The limit for the last answers counts from the end of the grace period, so a late close doesn't move it beyond the kill.

A call that arrives in a pause that begins after the close of the listener is not covered.

--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -147,3 +150,49 @@
 	g.Expect(reply.Status).To(Equal(http.StatusOK))
 	g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
 }
+
+// Guards against a host that drops the calls which arrived while it was paused until about the
+// time at which it closes its listener.
+func TestPausedStopAnswersWhatArrivedMeanwhile(t *testing.T) {
+	for name, until := range map[string]time.Duration{ // after the signal to stop
+		"until it closes its listener": 3520 * time.Millisecond,
+		"until later":                  4200 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := startEdge(t, nil)
+			signal := func(s syscall.Signal) { g.Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
+			signal(syscall.SIGTERM)
+			stopped := time.Now()
+			time.Sleep(2800 * time.Millisecond)
+			kept := make([]net.Conn, 4) // opened ahead
+			for i := range kept {
+				var err error
+				kept[i], err = net.Dial("tcp", p.Address(p.Ports.Callers))
+				g.Expect(err).NotTo(HaveOccurred())
+				t.Cleanup(func() { _ = kept[i].Close() })
+			}
+			time.Sleep(100 * time.Millisecond)
+			signal(syscall.SIGSTOP)
+			replies := make(chan platformtest.Reply)
+			for i := range 2 * len(kept) {
+				transport := &http.Transport{}
+				if i < len(kept) {
+					transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return kept[i], nil }
+				}
+				go func() {
+					id := fmt.Sprintf("paused-%d", i)
+					replies <- platformtest.Call(t.Context(), &http.Client{Transport: transport}, p.Address(p.Ports.Callers), http.MethodPost, platformtest.AtMostOncePrefix+id, id, nil, 4*time.Second)
+				}()
+			}
+			time.Sleep(time.Until(stopped.Add(until)))
+			signal(syscall.SIGCONT)
+			for range 2 * len(kept) {
+				reply := <-replies
+				g.Expect(reply.Err).NotTo(HaveOccurred())
+				g.Expect(reply.NotRun()).To(BeTrue(), "status %d", reply.Status)
+			}
+			g.Expect(p.cmd.Wait()).To(Succeed(), p.output.String())
+		})
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,10 @@
 	// results of their targets.
 	exitReserve    = 400 * time.Millisecond
 	abandonReserve = 200 * time.Millisecond
+	// stallThreshold is how late a timer of a process may be that is neither paused nor starved,
+	// and stallCatchUp the time in which a host reads what has arrived in a stall.
+	stallThreshold = 50 * time.Millisecond
+	stallCatchUp   = 100 * time.Millisecond
 	// headerTimeout bounds the time for reading a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the time for which a caller's connection may be idle. It is
@@ -417,10 +421,10 @@
 	h.leaving.Store(true)
 	h.gossip.Broadcast()
 	h.opts.Log.Info("leaving", "open", h.openRequests.Load(), "serves_ms", leaving.Milliseconds())
-	time.Sleep(phases.Remaining(time.Now(), int(h.openRequests.Load())))
+	sleepAndCatchUp(phases.Remaining(time.Now(), int(h.openRequests.Load())))
 	abandon := time.AfterFunc(phases.Remaining(time.Now(), 1), h.abandon)
 	defer abandon.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-leaving+abandonReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), phases.Remaining(time.Now(), 1)+abandonReserve)
 	defer cancel()
 	if err := conns.Shutdown(ctx, callers); err != nil {
 		open := h.openRequests.Load()
@@ -429,6 +433,24 @@
 	h.opts.Log.Info("stopped", "open", h.openRequests.Load())
 }
 
+// sleepAndCatchUp sleeps for d, and for stallCatchUp after a stall of the process that has just
+// ended: connections that are closed right after it would lose requests that are not read yet.
+func sleepAndCatchUp(d time.Duration) {
+	var stalled time.Time // when the last stall ended
+	now := time.Now()
+	for end := now.Add(d); now.Before(end); {
+		next := now.Add(min(stallThreshold, end.Sub(now)))
+		time.Sleep(time.Until(next))
+		now = time.Now()
+		if now.Sub(next) > stallThreshold {
+			stalled = now
+		}
+	}
+	if now.Sub(stalled) < stallCatchUp {
+		time.Sleep(stallCatchUp)
+	}
+}
+
 // abandon answers the requests in progress without the results of their targets.
 func (h *Host) abandon() {
 	if open := h.openRequests.Load(); open > 0 {
