--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,10 +44,6 @@
 	// results of their targets.
 	exitReserve    = 400 * time.Millisecond
 	abandonReserve = 200 * time.Millisecond
-	// stallThreshold is how late a timer of a process may be that is neither paused nor starved,
-	// and stallCatchUp the time in which a host reads what has arrived in a stall.
-	stallThreshold = 50 * time.Millisecond
-	stallCatchUp   = 100 * time.Millisecond
 	// headerTimeout bounds the time for reading a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the time for which a caller's connection may be idle. It is
@@ -433,22 +429,17 @@
 	h.opts.Log.Info("stopped", "open", h.openRequests.Load())
 }
 
-// sleepAndCatchUp sleeps for d, and for stallCatchUp after a stall of the process that has just
-// ended: connections that are closed right after it would lose requests that are not read yet.
+// sleepAndCatchUp sleeps for d, and longer if the process has just been stalled.
 func sleepAndCatchUp(d time.Duration) {
-	var stalled time.Time // when the last stall ended
+	var stalls drain.Stalls
 	now := time.Now()
 	for end := now.Add(d); now.Before(end); {
-		next := now.Add(min(stallThreshold, end.Sub(now)))
-		time.Sleep(time.Until(next))
+		due := now.Add(min(drain.StallThreshold, end.Sub(now)))
+		time.Sleep(time.Until(due))
 		now = time.Now()
-		if now.Sub(next) > stallThreshold {
-			stalled = now
-		}
-	}
-	if now.Sub(stalled) < stallCatchUp {
-		time.Sleep(stallCatchUp)
+		stalls.Woke(due, now)
 	}
+	time.Sleep(stalls.CatchUp(now))
 }
 
 // abandon answers the requests in progress without the results of their targets.
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -6,7 +6,8 @@
 // it has expired. Only then does the host close its listener and wait for the open
 // requests.
 //
-// The package owns the phases, their deadlines and the admission of requests in them.
+// The package owns the phases, their deadlines, the admission of requests in them, and the
+// waits for other hosts' work and after stalls.
 // The caller closes the listener, counts the open requests and ends the process. A
 // Shutdown is not safe for concurrent use, but for its queries after Begin.
 package drain
