--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,9 +45,6 @@
 	// results of their targets.
 	exitReserve    = 400 * time.Millisecond
 	abandonReserve = 200 * time.Millisecond
-	// closingReserve is the part of the grace period before exitReserve in which a host accepts no
-	// connections. It covers the last that were opened ahead of requests.
-	closingReserve = 1100 * time.Millisecond
 	// aloneCheckInterval is the interval at which a host that waits for its last requests looks
 	// whether another host accepts callers.
 	aloneCheckInterval = 20 * time.Millisecond
@@ -426,7 +423,7 @@
 	h.gossip.Broadcast()
 	h.opts.Log.Info("leaving", "open", h.openRequests.Load(), "serves_ms", leaving.Milliseconds())
 	sleepAndCatchUp(phases.Remaining(time.Now(), int(h.openRequests.Load())))
-	for h.openRequests.Load() > 0 && phases.Remaining(time.Now(), 1) > closingReserve && h.isAlone() {
+	for phases.StaysOpen(time.Now(), int(h.openRequests.Load()), h.isAlone()) {
 		time.Sleep(aloneCheckInterval)
 	}
 	abandon := time.AfterFunc(phases.Remaining(time.Now(), 1), h.abandon)
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -8,14 +8,6 @@
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 )
 
-// leavingRetryAfter is the retry delay given to callers of a host that is shutting down:
-// other hosts take their requests now.
-const leavingRetryAfter = 10 * time.Millisecond
-
-// aloneRetryAfter replaces leavingRetryAfter while no other host takes them: the first hosts
-// are back after about this time.
-const aloneRetryAfter = 700 * time.Millisecond
-
 // shutdown is the shutdown of this host.
 type shutdown struct {
 	drain.Shutdown
@@ -30,11 +22,8 @@
 
 // leavingRefusal returns the refusal of a request by a host that is shutting down.
 func (e *Engine) leavingRefusal(text string) outcome.Outcome {
-	after := leavingRetryAfter
-	if s := e.shutdown.Load(); s != nil && s.isAlone() {
-		after = aloneRetryAfter
-	}
-	return e.refusal(outcome.Draining, after, "%s", text)
+	s := e.shutdown.Load()
+	return e.refusal(outcome.Draining, drain.RetryAfter(s != nil && s.isAlone()), "%s", text)
 }
 
 // Abandon ends all requests in progress with what their targets have answered so far. It
