JSON interface: admit no request that open requests' end would cut

A stopping host ends open requests 200 ms before its grace period does, and admitted requests until that end: a command that was admitted in between could end as unknown (by reading, found by review). The rule counts the reserve now.

--- a/internal/daemon/stopping.go
+++ b/internal/daemon/stopping.go
@@ -67,6 +67,7 @@
 func (e *entry) admits(ending context.Context, r drain.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	r.Limit, r.Objective = r.Limit+answerReserve, r.Objective+answerReserve
 	return e.shutdown.Admits(time.Now(), r) && ending.Err() == nil
 }
 
