Engine: count each send that may run once by its target too

A fan-out whose requests may run once, which the decoder allows, has several sends at a time; they overwrote each other's start (by reading, found by review).

--- a/internal/engine/route.go
+++ b/internal/engine/route.go
@@ -12,16 +12,22 @@
 // routeState holds this host's measurements of the requests of a route and the state of
 // the route's split.
 type routeState struct {
-	latencies  *hedge.Latencies             // of answers
-	once       *drain.Durations[*execution] // nil if all versions of the route so far allow repeats
-	expected   time.Duration                // expected service time, without the round trip
-	maxTimeout time.Duration                // longest timeout that callers stated in this window of requests
-	earlierMax time.Duration                // the same of the window before
-	timeouts   int                          // requests of this window
+	latencies  *hedge.Latencies           // of answers
+	once       *drain.Durations[onceSend] // nil if all versions of the route so far allow repeats
+	expected   time.Duration              // expected service time, without the round trip
+	maxTimeout time.Duration              // longest timeout that callers stated in this window of requests
+	earlierMax time.Duration              // the same of the window before
+	timeouts   int                        // requests of this window
 	split      splitter
 	margin     gather.Margin
 }
 
+// onceSend identifies a send in progress: an execution sends to a target once at a time.
+type onceSend struct {
+	execution *execution
+	target    *target
+}
+
 const (
 	// serviceTimeGain is the weight of one answer in the moving average of the service
 	// time.
@@ -50,7 +56,7 @@
 		e.routes[r.Name] = s
 	}
 	if !r.Repeatable && s.once == nil { // a later version of the configuration may say so first
-		s.once = drain.NewDurations[*execution]()
+		s.once = drain.NewDurations[onceSend]()
 	}
 	return s
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -243,7 +243,7 @@
 	}
 	state := x.e.stateOf(x.route)
 	if state.once != nil {
-		state.once.Sent(x, now)
+		state.once.Sent(onceSend{x, t}, now)
 	}
 	if x.route.Repeatable && x.route.Attempts > 1 {
 		rule := hedge.Rule{Quantile: hedgeQuantile, MinDelay: minHedgeDelay}
@@ -286,7 +286,7 @@
 	e.observeNotices(t, r, now)
 	rtt := e.rtt(t.place)
 	if once := e.stateOf(x.route).once; once != nil {
-		once.Ended(x, r.Duration, !r.Kind.NotRun())
+		once.Ended(onceSend{x, t}, r.Duration, !r.Kind.NotRun())
 	}
 	switch r.Kind {
 	case backend.Success:
