Specs: a caller that ended its side gets 502, and what a short stop answered

The first accepted no answer at all, which review showed with a mutation: the host writes one. The second failed once in 14 runs at a load average of 37 with another status, which was not kept; it is part of the failure now.

--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -218,7 +218,7 @@
 		h.stop()
 		reply := c.call(http.MethodGet, prefix+"short", "short", 4*time.Second)
 		Expect(reply.Err).NotTo(HaveOccurred())
-		Expect(reply.Status).To(Equal(http.StatusBadGateway), "it ran, and no target has answered")
+		Expect(reply.Status).To(Equal(http.StatusBadGateway), "it ran, and no target has answered: %s after %v", reply.Body, reply.Took)
 		Eventually(h.ended, shorter-time.Since(began)).Should(Receive(&err))
 		Expect(err).NotTo(HaveOccurred())
 		h.ended <- nil
--- a/internal/edge/halfclose_test.go
+++ b/internal/edge/halfclose_test.go
@@ -14,8 +14,8 @@
 )
 
 var _ = Describe("Caller that ends its side of the connection and reads on", func() {
-	// Guards against an empty success for a request that the host gives up.
-	DescribeTable("gets a failure, or the end of the connection", func(method, prefix string) {
+	// Guards against an empty success, or no answer, for a request that the host gives up.
+	DescribeTable("gets a failure", func(method, prefix string) {
 		f := newFixture(1)
 		for _, t := range f.targets {
 			t.SetServiceTime(500 * time.Millisecond)
@@ -30,9 +30,7 @@
 		Expect(c.c.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
 		answer, err := io.ReadAll(c.br)
 		Expect(err).NotTo(HaveOccurred())
-		if len(answer) > 0 {
-			Expect(string(answer)).To(HavePrefix("HTTP/1.1 502 "))
-		}
+		Expect(string(answer)).To(HavePrefix("HTTP/1.1 502 "), "it may have run")
 	},
 		Entry("to a fan-out", http.MethodGet, platformtest.SearchPrefix),
 		Entry("to a request that may run once", http.MethodPost, platformtest.AtMostOncePrefix),
