Specs of stopped hosts: no sleep of the race detector at the exit

The detector sleeps for a second at the exit of a process (atexit_sleep_ms); the host itself had answered at 2.6 s. The bound stays.

--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -51,7 +51,8 @@
 	p.file = filepath.Join(t.TempDir(), "settings.yaml")
 	g.Expect(os.WriteFile(p.file, []byte(p.Settings()), 0o600)).To(Succeed())
 	p.cmd = exec.Command(os.Args[0], "edge", "--settings", p.file)
-	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
+	// A process with the race detector sleeps for a second at its exit unless told not to.
+	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	if stdout != nil {
 		p.cmd.Stdout = stdout
