Spec of a shortened grace period: wait for the configuration with its route

A host that has just started may serve with the configuration of a peer, which may be older than the store's by less than the time a change has to come into force; the spec took its readiness for a sign that it had the new route. It now waits until the route is served, before the targets become slow.

--- a/internal/edge/grace_test.go
+++ b/internal/edge/grace_test.go
@@ -201,13 +201,14 @@
 		routes := config["routes"].([]map[string]any)
 		routes[len(routes)-1]["route_type"] = "idempotent"
 		f.store.Put(platformtest.ConfigKey, config)
-		for _, t := range f.targets {
-			t.SetServiceTime(3500 * time.Millisecond)
-		}
 		settings := f.hosts[0].HostSettings
 		settings.Name, settings.IP, settings.Grace = "host-reloaded", "127.0.0.9", 8*time.Second
 		h := f.start(settings)
-		Eventually(f.ready(h), 5*time.Second).Should(BeTrue())
+		// A host that has just started may have an earlier configuration of a peer.
+		Eventually(func() int { r, _, _ := f.call(h, http.MethodGet, prefix, nil); return r.Status }, 5*time.Second).Should(Equal(http.StatusOK))
+		for _, t := range f.targets {
+			t.SetServiceTime(3500 * time.Millisecond)
+		}
 		settings.Grace = shorter
 		changed, err := platform.ParseSettings([]byte(settings.Settings()))
 		Expect(err).NotTo(HaveOccurred())
