Targets: a write that passes the host's own time limit is no lost connection

A request whose bytes a target does not read ends with an i/o timeout of this host's own write deadline. It was reported as conn_lost, which the quarantine counts as the death of the target under the query: a slow host could make a query and a target suspect although the target had not crashed. It is now silence of the target, as when the answer is late, and as uncertain as before. TestWriteThatReachesTheProgressTimeoutIsSilence failed before with "conn_lost".

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,6 +170,9 @@
 	}
 	if err != nil {
 		c.abandon()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // this side's own limit: the connection is not broken
+			return nil, errSilent
+		}
 		return nil, err
 	}
 	select {
