Soak: count calls that crossed the close of their connections in a stop

The close of an idle connection may cross its next request, which then gets no answer although it has not run.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,12 +187,16 @@
 				c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once/" + id, Host: host, Sent: now.Add(time.Second)})
 				c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id)})
 			}
+			for id, err := range map[string]error{"crossed": io.EOF, "late": context.DeadlineExceeded, "no listener": &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}} {
+				c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once/" + id, Host: host, Sent: now.Add(time.Second)})
+				c.RecordReply(id, platformtest.Reply{Err: err})
+			}
 			c.EndStop(host, now.Add(2*time.Second))
 			c.RecordCall(soak.Call{ID: "e", Method: "POST", URI: "/once/e", Host: host, Sent: now.Add(2 * time.Second)})
 			c.RecordReply("e", platformtest.Reply{Status: 503})
 			repeatable, once := c.CountStops()
 			Expect(repeatable).To(Equal(soak.StopCounts{}))
-			Expect(once).To(Equal(soak.StopCounts{Calls: 3, Served: 1, Refused: 1, Failed: 1}))
+			Expect(once).To(Equal(soak.StopCounts{Calls: 3, Served: 1, Refused: 1, Failed: 1, Crossed: 1}))
 		})
 		It("allows the loss if a fault may be the cause", func() {
 			c.AddDisturbance(now, now.Add(time.Second))
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -73,27 +76,34 @@
 
 // StopCounts counts the calls that were sent to hosts while these were stopping, and what
 // became of them.
-type StopCounts struct{ Calls, Served, Refused, Failed int }
+type StopCounts struct {
+	Calls, Served, Refused, Failed int
+	Crossed                        int // further calls, which crossed the close of their connections
+}
 
 // String returns the counts as a part of a sentence.
 func (c StopCounts) String() string {
-	return fmt.Sprintf("%d calls to stopping hosts (%d served, %d refused, %d failed)", c.Calls, c.Served, c.Refused, c.Failed)
+	return fmt.Sprintf("%d calls to stopping hosts (%d served, %d refused, %d failed), %d crossed the close of their connections", c.Calls, c.Served, c.Refused, c.Failed, c.Crossed)
 }
 
 // CountStops returns the counts for calls that may be repeated and for those that may run once.
-// Calls whose connections ended without an answer are not counted: most crossed the close of
-// their connection.
 func (c *Checker) CountStops() (repeatable, once StopCounts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, call := range c.calls {
-		if call.Left || call.Killer || call.Reply.Status == 0 || !c.stopping(call.Host, call.Sent) {
+		if call.Left || call.Killer || !c.stopping(call.Host, call.Sent) {
 			continue
 		}
 		counts := &repeatable
 		if call.Method == http.MethodPost {
 			counts = &once
 		}
+		if call.Reply.Status == 0 {
+			if connectionEnded(&call.Reply) && !refusedConnection(call.Reply.Err) {
+				counts.Crossed++
+			}
+			continue
+		}
 		counts.Calls++
 		switch {
 		case call.Reply.Status == http.StatusOK:
@@ -107,6 +117,12 @@
 	return repeatable, once
 }
 
+// refusedConnection reports whether a call failed because its host took no connection.
+func refusedConnection(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
 // stopping reports whether a host was stopping at a time. The lock must be held.
 func (c *Checker) stopping(host string, at time.Time) bool {
 	return slices.ContainsFunc(c.stops, func(s plannedStop) bool {
