Stops: end the connections in use with an answer before the idle ones are closed

What callers saw: a request on a kept connection, sent while the stopping host closed its idle connections, ended without an answer. It had not run, but its caller could not tell.

Cause: until its listener closed, a stopping host kept connections open after each answer, and then closed all that happened to be idle at that moment. In the last second before, it now ends each connection with its next answer (Connection: close), on both interfaces. drain.Shutdown.UntilClosingAnswers decides when: not from the signal on, as callers that have the host's address cached would then open a connection for each request.

--- a/internal/callerconn/shutdown_test.go
+++ b/internal/callerconn/shutdown_test.go
@@ -44,4 +44,34 @@
 		Entry("on one that was opened ahead", "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
 		Entry("whose head was on its way", "GET / HT", "TP/1.1\r\nHost: h\r\n\r\n"),
 	)
+
+	// Guards against requests that cross the close of a connection which their callers still use.
+	It("end with the next answer before that, and none between two requests", func() {
+		conns := NewSet()
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		conns.Attach(server)
+		go func() { _ = server.Serve(conns.Listener(l)) }()
+		DeferCleanup(server.Close)
+		c, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		in := bufio.NewReader(c)
+		call := func() *http.Response {
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			return resp
+		}
+		Expect(call().Close).To(BeFalse())
+		conns.CloseAfterAnswers()
+		Consistently(conns.all, 100*time.Millisecond).Should(HaveLen(1))
+		Expect(call().Close).To(BeTrue())
+		_, err = in.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Eventually(conns.all).Should(BeEmpty())
+	})
 })
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -108,6 +108,8 @@
 	whole := policy.EntriesTTL + policy.DrainGrace
 	end := time.AfterFunc(whole-min(answerReserve, whole/4), d.endRequests)
 	defer end.Stop()
+	closeAfterAnswers := time.AfterFunc(d.entry.untilClosingAnswers(), d.callerConns.CloseAfterAnswers)
+	defer closeAfterAnswers.Stop()
 	phase, left := d.phase()
 	for ; phase == drain.Leaving; phase, left = d.phase() {
 		if !d.sleepUnlessAborted(left) {
@@ -179,6 +181,13 @@
 	e.shutdown.Begin(time.Now(), policy.EntriesTTL, policy.DrainGrace)
 }
 
+// untilClosingAnswers returns the time until answers end the connections of callers.
+func (e *entry) untilClosingAnswers() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shutdown.UntilClosingAnswers(time.Now())
+}
+
 // phase returns the phase of the shutdown and the time until the phase must have
 // ended. Commands that run here for other hosts count as open requests.
 func (d *Daemon) phase() (drain.Phase, time.Duration) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -422,6 +422,8 @@
 	h.leaving.Store(true)
 	h.gossip.Broadcast()
 	h.opts.Log.Info("leaving", "open", h.openRequests.Load(), "serves_ms", leaving.Milliseconds())
+	closeAfterAnswers := time.AfterFunc(phases.UntilClosingAnswers(time.Now()), conns.CloseAfterAnswers)
+	defer closeAfterAnswers.Stop()
 	sleepAndCatchUp(phases.Remaining(time.Now(), int(h.openRequests.Load())))
 	for phases.StaysOpen(time.Now(), int(h.openRequests.Load()), h.isAlone()) {
 		time.Sleep(aloneCheckInterval)
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -24,6 +24,7 @@
 	pause   time.Duration // between the halves of a body
 	c       net.Conn
 	br      *bufio.Reader
+	ended   bool // the last answer ended the connection
 }
 
 // newRawCaller returns a caller with an open connection to a host.
@@ -55,6 +56,7 @@
 	}
 	reply := platformtest.ReplyOf(resp, body)
 	reply.Took = time.Since(began)
+	r.ended = resp.Close
 	return reply
 }
 
@@ -136,4 +138,31 @@
 			Expect(aborted.Load()).To(BeZero())
 		}
 	})
+
+	// Guards against requests that get no answer because they cross the close of a kept
+	// connection that was idle just before.
+	It("ends the kept connections that are in use with an answer", func() {
+		f := newFixture(1)
+		h := f.hosts[0]
+		var callers sync.WaitGroup
+		for range 10 {
+			c := newRawCaller(h)
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for !c.ended {
+					id := fmt.Sprintf("used%06d", f.next.Add(1))
+					reply := c.call(http.MethodPost, platformtest.AtMostOncePrefix+id, id, time.Second)
+					Expect(reply.Err).NotTo(HaveOccurred())
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		h.stop()
+		callers.Wait()
+		var err error
+		Eventually(h.ended, 3*time.Second).Should(Receive(&err))
+		Expect(err).NotTo(HaveOccurred())
+		h.ended <- nil
+	})
 })
