--- a/cmd/lacewingyard/keptstop_test.go
+++ b/cmd/lacewingyard/keptstop_test.go
@@ -10,8 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	. "github.com/onsi/gomega"
 )
 
@@ -19,13 +18,7 @@
 // that was idle just before.
 func TestGracefulShutdownEndsKeptConnectionsWithAnAnswer(t *testing.T) {
 	g := NewWithT(t)
-	d := smallDeployment()
-	d.Document.Fleet.Settings["entries_ttl"] = json.RawMessage(`"1s"`)
-	f, err := fleet.StartStandins(d, hclog.NewNullLogger())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer f.Close()
-	north := startProcess(t, f, "north", 0)
-	g.Eventually(north.checkHealth, "15s", "20ms").Should(Succeed())
+	_, north, _ := startPlaces(t, settings.Overrides{"entries_ttl": json.RawMessage(`"1s"`)})
 	kept, err := net.Dial("tcp", north.settings.Listen.Callers)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer kept.Close()
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -25,7 +25,7 @@
 // next request may already be read; a connection of the set keeps such a request from being
 // passed on, or its answer from being cut off.
 type Set struct {
-	closesAfterAnswers atomic.Bool
+	endsWithAnswer atomic.Pointer[func() bool] // nil: never
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -66,10 +66,11 @@
 	return c, nil
 }
 
-// CloseAfterAnswers makes the server end each connection with its next answer, and says so in
-// that answer. A connection in use that Shutdown closes between two requests may lose the second
-// one: its caller cannot know that it was not read.
-func (s *Set) CloseAfterAnswers() { s.closesAfterAnswers.Store(true) }
+// EndWithAnswers makes the server end a connection with the answer to a request, and say so in
+// the answer, if ends returns true when the request has been read. A connection in use that
+// Shutdown closes between two requests may lose the second one: its caller cannot know that it
+// was not read.
+func (s *Set) EndWithAnswers(ends func() bool) { s.endsWithAnswer.Store(&ends) }
 
 // Shutdown closes the listeners and the idle connections, and returns once the other connections
 // have ended too, or with the context's error. Requests that arrive on them are answered, whereas
@@ -223,7 +224,7 @@
 		if !r.Context().Value(connKey{}).(*conn).begin() {
 			panic(http.ErrAbortHandler)
 		}
-		if s.closesAfterAnswers.Load() {
+		if ends := s.endsWithAnswer.Load(); ends != nil && (*ends)() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/callerconn/shutdown_test.go
+++ b/internal/callerconn/shutdown_test.go
@@ -67,7 +67,10 @@
 			return resp
 		}
 		Expect(call().Close).To(BeFalse())
-		conns.CloseAfterAnswers()
+		ends := false
+		conns.EndWithAnswers(func() bool { return ends })
+		Expect(call().Close).To(BeFalse())
+		ends = true
 		Consistently(conns.all, 100*time.Millisecond).Should(HaveLen(1))
 		Expect(call().Close).To(BeTrue())
 		_, err = in.ReadByte()
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -108,8 +108,7 @@
 	whole := policy.EntriesTTL + policy.DrainGrace
 	end := time.AfterFunc(whole-min(answerReserve, whole/4), d.endRequests)
 	defer end.Stop()
-	closeAfterAnswers := time.AfterFunc(d.entry.untilClosingAnswers(), d.callerConns.CloseAfterAnswers)
-	defer closeAfterAnswers.Stop()
+	d.callerConns.EndWithAnswers(d.entry.endsConnections)
 	phase, left := d.phase()
 	for ; phase == drain.Leaving; phase, left = d.phase() {
 		if !d.sleepUnlessAborted(left) {
@@ -181,11 +180,13 @@
 	e.shutdown.Begin(time.Now(), policy.EntriesTTL, policy.DrainGrace)
 }
 
-// untilClosingAnswers returns the time until answers end the connections of callers.
-func (e *entry) untilClosingAnswers() time.Duration {
+// endsConnections reports whether the shutdown ends the connection of a caller with the answer to
+// a request that is read now.
+func (e *entry) endsConnections() bool {
+	alone := len(e.Entries().Entries) == 0
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.shutdown.UntilClosingAnswers(time.Now())
+	return e.shutdown.EndsConnections(time.Now(), alone)
 }
 
 // phase returns the phase of the shutdown and the time until the phase must have
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -419,11 +419,10 @@
 	leaving := min(leavingPeriod, grace*2/3)
 	phases.Begin(time.Now(), leaving, grace-leaving)
 	h.engine.BeginShutdown(phases, h.isAlone)
+	conns.EndWithAnswers(func() bool { return phases.EndsConnections(time.Now(), h.isAlone()) })
 	h.leaving.Store(true)
 	h.gossip.Broadcast()
 	h.opts.Log.Info("leaving", "open", h.openRequests.Load(), "serves_ms", leaving.Milliseconds())
-	closeAfterAnswers := time.AfterFunc(phases.UntilClosingAnswers(time.Now()), conns.CloseAfterAnswers)
-	defer closeAfterAnswers.Stop()
 	sleepAndCatchUp(phases.Remaining(time.Now(), int(h.openRequests.Load())))
 	for phases.StaysOpen(time.Now(), int(h.openRequests.Load()), h.isAlone()) {
 		time.Sleep(aloneCheckInterval)
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -139,30 +139,51 @@
 		}
 	})
 
-	// Guards against requests that get no answer because they cross the close of a kept
-	// connection that was idle just before.
-	It("ends the kept connections that are in use with an answer", func() {
-		f := newFixture(1)
+	// callUntilEnded sends requests on kept connections while a host stops. It returns how many
+	// connections ended with an answer, and how long after the signal the first one ended.
+	callUntilEnded := func(f *fixture) (inOrder int, kept time.Duration) {
 		h := f.hosts[0]
 		var callers sync.WaitGroup
+		var mu sync.Mutex
+		var first time.Time
 		for range 10 {
 			c := newRawCaller(h)
 			callers.Go(func() {
-				defer GinkgoRecover()
-				for !c.ended {
+				for reply := (platformtest.Reply{}); reply.Err == nil && !c.ended; time.Sleep(100 * time.Millisecond) {
 					id := fmt.Sprintf("used%06d", f.next.Add(1))
-					reply := c.call(http.MethodPost, platformtest.AtMostOncePrefix+id, id, time.Second)
-					Expect(reply.Err).NotTo(HaveOccurred())
-					time.Sleep(100 * time.Millisecond)
+					reply = c.call(http.MethodPost, platformtest.AtMostOncePrefix+id, id, time.Second)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if first.IsZero() {
+					first = time.Now()
+				}
+				if c.ended {
+					inOrder++
 				}
 			})
 		}
 		time.Sleep(300 * time.Millisecond)
 		h.stop()
+		began := time.Now()
 		callers.Wait()
 		var err error
 		Eventually(h.ended, 3*time.Second).Should(Receive(&err))
 		Expect(err).NotTo(HaveOccurred())
 		h.ended <- nil
+		return inOrder, first.Sub(began)
+	}
+
+	// Guards against requests that get no answer because they cross the close of a kept
+	// connection that was idle just before.
+	It("ends the kept connections that are in use with an answer", func() {
+		inOrder, _ := callUntilEnded(newFixture(2))
+		Expect(inOrder).To(Equal(10))
+	})
+
+	// Guards against callers that are left without a connection while all hosts stop at once.
+	It("keeps them until its listener closes if no other host accepts callers", func() {
+		_, kept := callUntilEnded(newFixture(1))
+		Expect(kept).To(BeNumerically(">", 1700*time.Millisecond), "it closes its listener after two thirds of 2.6 s")
 	})
 })
--- a/pkg/drain/connections.go
+++ b/pkg/drain/connections.go
@@ -2,15 +2,18 @@
 
 import "time"
 
-// closingAnswersPeriod is the last part of Leaving, in which answers end the connections of
-// callers. It lets callers with a request a second or more end their connections in order.
-const closingAnswersPeriod = time.Second
+// endingAnswersPeriod is the last part of Leaving, in which answers end the connections of
+// callers. Callers with a request a second or more end their connections in order in it.
+const endingAnswersPeriod = time.Second
 
-// UntilClosingAnswers returns how long it takes until a host ends each connection of its callers
-// with the next answer on it. It closes the connections that are idle when its listener closes,
-// and a request that crosses such a close gets no answer. Callers that still have its address
-// cached would open a connection for each request if answers ended them from the signal on.
-func (s *Shutdown) UntilClosingAnswers(now time.Time) time.Duration {
-	leaving := s.addressesExpire.Sub(s.began)
-	return max(0, s.addressesExpire.Add(-min(closingAnswersPeriod, leaving/2)).Sub(now))
+// EndsConnections reports whether a host ends the connection of a caller with the answer to a
+// request that is read at now. alone means that no other host accepts callers.
+//
+// A host closes the connections that are idle when its listener closes, and a request that
+// crosses such a close gets no answer. Callers that still have its address cached would open a
+// connection for each request if answers ended them from the signal on, and callers that find no
+// other host keep theirs.
+func (s *Shutdown) EndsConnections(now time.Time, alone bool) bool {
+	period := min(endingAnswersPeriod, s.addressesExpire.Sub(s.began)/2)
+	return s.started && !alone && !now.Before(s.addressesExpire.Add(-period))
 }
--- a/pkg/drain/connections_test.go
+++ b/pkg/drain/connections_test.go
@@ -11,21 +11,33 @@
 
 var _ = Describe("Answers that end connections", func() {
 	start := time.Unix(1000, 0)
-	until := func(ttl, after time.Duration) time.Duration {
+	endsAfter := func(ttl, after time.Duration, alone bool) bool {
 		var s drain.Shutdown
 		s.Begin(start, ttl, time.Second)
-		return s.UntilClosingAnswers(start.Add(after))
+		return s.EndsConnections(start.Add(after), alone)
 	}
 
 	// Guards against callers that lose a request to the close of an idle connection, and against
 	// ones that open a connection for each request while they still find this host.
 	It("begin a second before the listener closes", func() {
-		Expect(until(3500*time.Millisecond, 0)).To(Equal(2500 * time.Millisecond))
-		Expect(until(3500*time.Millisecond, 2*time.Second)).To(Equal(500 * time.Millisecond))
-		Expect(until(3500*time.Millisecond, 3*time.Second)).To(BeZero())
+		Expect(endsAfter(3500*time.Millisecond, 0, false)).To(BeFalse())
+		Expect(endsAfter(3500*time.Millisecond, 2499*time.Millisecond, false)).To(BeFalse())
+		Expect(endsAfter(3500*time.Millisecond, 2500*time.Millisecond, false)).To(BeTrue())
+		Expect(endsAfter(3500*time.Millisecond, 4*time.Second, false)).To(BeTrue())
 	})
 
-	It("begin halfway if that is sooner", func() {
-		Expect(until(time.Second, 0)).To(Equal(500 * time.Millisecond))
+	It("begin halfway if that is later", func() {
+		Expect(endsAfter(time.Second, 499*time.Millisecond, false)).To(BeFalse())
+		Expect(endsAfter(time.Second, 500*time.Millisecond, false)).To(BeTrue())
+	})
+
+	// Guards against callers that have no connection left while all hosts stop at once.
+	It("are not sent while no other host accepts callers", func() {
+		Expect(endsAfter(3500*time.Millisecond, 3*time.Second, true)).To(BeFalse())
+	})
+
+	It("are not sent by a host that is not stopping", func() {
+		var s drain.Shutdown
+		Expect(s.EndsConnections(start, false)).To(BeFalse())
 	})
 })
