Soak: a target that took no connections forwards none of those opened meanwhile

Traced with the output of the hosts: all three were sent at 02:46:14.1, when once-4 had just stopped taking connections, on connections that were opened before the backlog was full, and given up at 18.1; the proxy forwarded their bytes when it accepted again, after the place of once-4 had been evacuated. So no host sent anything late: the stand-in did, against its own comment, "and so are those that were opened meanwhile".

The proxy now resets all connections that were opened while it accepted none. The check is unchanged.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
@@ -28,8 +30,12 @@
 	linkModes   // number of modes
 )
 
-// linkDelay is longer than a usual answer takes.
-const linkDelay = 120 * time.Millisecond
+const (
+	// linkDelay is longer than a usual answer takes.
+	linkDelay = 120 * time.Millisecond
+	// drainTimeout is how long a backlog may have no connection until it counts as empty.
+	drainTimeout = 20 * time.Millisecond
+)
 
 // Proxy forwards TCP connections to an address and injects the faults of its mode. It
 // is safe for concurrent use.
@@ -42,6 +48,7 @@
 	mode  LinkMode
 	conns map[net.Conn]bool // both sides of the open connections
 	down  time.Time         // until then connections are reset
+	stale bool              // the connection that accept holds was opened while none were accepted
 
 	accepting chan struct{} // holds a token while connections are accepted
 }
@@ -85,12 +92,30 @@
 	p.resetAll()
 	p.mu.Unlock()
 	waiting := platformtest.FillBacklog(p.Address)
-	return func() {
-		for _, c := range waiting {
-			reset(c)
+	return func() { p.resumeAccept(waiting) }
+}
+
+// resumeAccept accepts connections again. It resets those that fill the backlog and those that
+// were opened before it was full: a target would get the requests on them long after their hosts
+// have given them up.
+func (p *Proxy) resumeAccept(filling []net.Conn) {
+	for _, c := range filling {
+		reset(c)
+	}
+	p.mu.Lock()
+	p.stale = true
+	p.mu.Unlock()
+	listener := p.listener.(*net.TCPListener)
+	for {
+		_ = listener.SetDeadline(time.Now().Add(drainTimeout))
+		c, err := listener.Accept()
+		if err != nil {
+			break
 		}
-		p.accepting <- struct{}{}
+		reset(c)
 	}
+	_ = listener.SetDeadline(time.Time{})
+	p.accepting <- struct{}{}
 }
 
 // resetAll resets the open connections. The lock must be held.
@@ -129,14 +154,30 @@
 	return time.Now().Before(p.down)
 }
 
+// takeStale reports whether the connection that accept holds is stale. Later ones are not.
+func (p *Proxy) takeStale() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stale := p.stale
+	p.stale = false
+	return stale
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // of resumeAccept
+		}
 		if err != nil {
 			return
 		}
 		<-p.accepting
-		go p.serve(c)
+		if p.takeStale() {
+			reset(c)
+		} else {
+			go p.serve(c)
+		}
 		p.accepting <- struct{}{}
 	}
 }
