Callers' connections: answer the request on one that is being accepted

Cause: Shutdown looked at the open connections while Accept held one that was not yet in the set, found none and called http.Server.Shutdown, which drops each request that is read after its begin. It now waits for Accept to return before it looks.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,12 +47,15 @@
 
 type listener struct {
 	net.Listener
-	conns  *Set
-	closed atomic.Bool // by Shutdown
+	conns     *Set
+	closed    atomic.Bool // by Shutdown
+	accepting sync.Mutex  // held in Accept
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
 	nc, err := l.Listener.Accept()
 	switch {
 	case err != nil && l.closed.Load():
@@ -72,16 +76,25 @@
 // was not read.
 func (s *Set) EndWithAnswers(ends func() bool) { s.endsWithAnswer.Store(&ends) }
 
+// shutDown closes the listener. A connection that was accepted just before belongs to the set
+// when it returns.
+func (l *listener) shutDown() {
+	l.closed.Store(true)
+	_ = l.Close()
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
+}
+
 // Shutdown closes the listeners and the idle connections, and returns once the other connections
 // have ended too, or with the context's error. Requests that arrive on them are answered, whereas
 // http.Server.Shutdown drops each request that is read after its begin.
 func (s *Set) Shutdown(ctx context.Context, server *http.Server) error {
 	s.mu.Lock()
-	for _, l := range s.listeners {
-		l.closed.Store(true)
-		_ = l.Close()
-	}
+	listeners := slices.Clone(s.listeners)
 	s.mu.Unlock()
+	for _, l := range listeners {
+		l.shutDown()
+	}
 	server.SetKeepAlivesEnabled(false) // also closes idle connections
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
--- a/internal/callerconn/shutdown_test.go
+++ b/internal/callerconn/shutdown_test.go
@@ -12,6 +12,17 @@
 	. "github.com/onsi/gomega"
 )
 
+// slowListener returns each connection late, as an accept loop that waits for the processor does.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c, err
+}
+
 var _ = Describe("Connections of callers while the server shuts down", func() {
 	// Guards against requests that are read and whose connections then end without an answer.
 	DescribeTable("get the answer to a request that arrives before they are closed", func(before, after string) {
@@ -45,6 +56,31 @@
 		Entry("whose head was on its way", "GET / HT", "TP/1.1\r\nHost: h\r\n\r\n"),
 	)
 
+	// Guards against requests that are read and dropped because their connections were accepted
+	// just before the listener was closed.
+	It("get the answer on one that is being accepted", func() {
+		conns := NewSet()
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		conns.Attach(server)
+		go func() { _ = server.Serve(conns.Listener(slowListener{l})) }()
+		DeferCleanup(server.Close)
+		c, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		DeferCleanup(cancel)
+		Expect(conns.Shutdown(ctx, server)).To(Succeed())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	// Guards against requests that cross the close of a connection which their callers still use.
 	It("end with the next answer before that, and none between two requests", func() {
 		conns := NewSet()
