Stops: decide at the begin of an answer whether it ends the connection

The decision was taken when the request was read; it is now taken when the head of the answer is written.

"ends a connection with an answer shortly before its listener closes" failed 2 of 2 runs before, and passes 4 of 4 with the other specs of kept connections, with the race detector.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -70,8 +70,8 @@
 	return c, nil
 }
 
-// EndWithAnswers makes the server end a connection with the answer to a request, and say so in
-// the answer, if ends returns true when the request has been read. A connection in use that
+// EndWithAnswers makes the server end a connection with an answer, and say so in it, if ends
+// returns true when the answer begins. A connection in use that
 // Shutdown closes between two requests may lose the second one: its caller cannot know that it
 // was not read.
 func (s *Set) EndWithAnswers(ends func() bool) { s.endsWithAnswer.Store(&ends) }
@@ -237,9 +237,40 @@
 		if !r.Context().Value(connKey{}).(*conn).begin() {
 			panic(http.ErrAbortHandler)
 		}
-		if ends := s.endsWithAnswer.Load(); ends != nil && (*ends)() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		a := &answer{ResponseWriter: w, conns: s}
+		next.ServeHTTP(a, r)
+		a.begin() // the server writes the head if the handler has not
 	})
 }
+
+// answer says in the head of an answer that it ends the connection.
+type answer struct {
+	http.ResponseWriter
+	conns *Set
+	begun bool
+}
+
+func (a *answer) begin() {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	if ends := a.conns.endsWithAnswer.Load(); ends != nil && (*ends)() {
+		a.Header().Set("Connection", "close")
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	a.begin()
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (int, error) {
+	a.begin()
+	return a.ResponseWriter.Write(p)
+}
+
+// Unwrap supports http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -180,8 +180,8 @@
 	e.shutdown.Begin(time.Now(), policy.EntriesTTL, policy.DrainGrace)
 }
 
-// endsConnections reports whether the shutdown ends the connection of a caller with the answer to
-// a request that is read now.
+// endsConnections reports whether the shutdown ends the connection of a caller with an answer
+// that begins now.
 func (e *entry) endsConnections() bool {
 	alone := len(e.Entries().Entries) == 0
 	e.mu.Lock()
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -181,6 +181,22 @@
 		Expect(inOrder).To(Equal(10))
 	})
 
+	// Guards against the same after a request that was read long before its answer.
+	It("ends a connection with an answer shortly before its listener closes", func() {
+		f := newFixture(2)
+		h := f.hosts[0]
+		for _, t := range f.targets {
+			t.SetServiceTime(600 * time.Millisecond)
+		}
+		c := newRawCaller(h)
+		h.stop() // it closes its listener 1.73 s later
+		time.Sleep(750 * time.Millisecond)
+		id := fmt.Sprintf("long%06d", f.next.Add(1))
+		reply := c.call(http.MethodPost, platformtest.AtMostOncePrefix+id, id, time.Second)
+		Expect(reply.Err).NotTo(HaveOccurred())
+		Expect(c.ended).To(BeTrue())
+	})
+
 	// Guards against callers that are left without a connection while all hosts stop at once.
 	It("keeps them until its listener closes if no other host accepts callers", func() {
 		_, kept := callUntilEnded(newFixture(1))
--- a/pkg/drain/connections.go
+++ b/pkg/drain/connections.go
@@ -6,8 +6,8 @@
 // callers. Callers with a request a second or more end their connections in order in it.
 const endingAnswersPeriod = time.Second
 
-// EndsConnections reports whether a host ends the connection of a caller with the answer to a
-// request that is read at now. alone means that no other host accepts callers.
+// EndsConnections reports whether a host ends the connection of a caller with an answer that
+// begins at now. alone means that no other host accepts callers.
 //
 // A host closes the connections that are idle when its listener closes, and a request that
 // crosses such a close gets no answer. Callers that still have its address cached would open a
