Log sink: Close waits 100 ms at most for a reader that has stalled

Found by the review of the stops: an edge host whose output is a full pipe that nobody reads answered all its requests, and then waited in Close until it was killed.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -16,6 +16,8 @@
 const (
 	queueLines     = 2048
 	reportInterval = 5 * time.Second
+	// closeTimeout bounds the wait of Close for a reader of the log that has stalled.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Sink is an io.Writer that expects one complete line per call of Write.
@@ -49,10 +51,15 @@
 // Dropped returns the number of lines that were dropped since the last report.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// Close writes the queued lines and the count of dropped ones, and stops the sink.
+// Close writes the queued lines and the count of dropped ones, as far as the log takes them
+// within closeTimeout, and stops the sink. A host must not outlast its grace period for a log
+// that nobody reads.
 func (s *Sink) Close() {
 	close(s.closing)
-	<-s.done
+	select {
+	case <-s.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (s *Sink) run() {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/logsink"
 	. "github.com/onsi/gomega"
@@ -63,3 +64,18 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out.String()).NotTo(ContainSubstring("late"))
 }
+
+// Guards against a host that does not end because the reader of its log has stalled.
+func TestSinkCloseDoesNotWaitForAStalledReader(t *testing.T) {
+	g := NewWithT(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	defer close(out.release)
+	s := logsink.New(out)
+	_, _ = s.Write([]byte("line\n"))
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		s.Close()
+	}()
+	g.Eventually(closed, time.Second).Should(BeClosed())
+}
