JSON interface: a log that nobody reads stops no stop

Found by the review of the stops. What callers saw: a host whose log is a full pipe that nobody reads did not end after SIGTERM, and its open requests were cut when it was killed. Cause: serve wrote each line to standard error itself; the line "leaving" blocked the shutdown before it had set the timer that ends open requests. It now logs through the sink that edge uses.

--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -46,6 +46,11 @@
 
 // startProcess starts a host for an ordinal of a place and adds it to the host list.
 func startProcess(t *testing.T, f *fleet.Fleet, place string, ordinal int) *hostProcess {
+	return startProcessLogging(t, f, place, ordinal, nil)
+}
+
+// startProcessLogging is startProcess with a host that logs to a file, unless it is nil.
+func startProcessLogging(t *testing.T, f *fleet.Fleet, place string, ordinal int, log *os.File) *hostProcess {
 	g := NewWithT(t)
 	dir := t.TempDir()
 	files, err := f.Authority.WriteFiles(dir, "host")
@@ -60,8 +65,12 @@
 	file := filepath.Join(dir, "host.json")
 	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
 	p.cmd = exec.Command(os.Args[0], "serve", "--settings", file)
-	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
+	// A process with the race detector sleeps for a second at its exit unless told not to.
+	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	p.cmd.Stderr = &p.log
+	if log != nil {
+		p.cmd.Stderr = log
+	}
 	g.Expect(p.cmd.Start()).To(Succeed())
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
--- a/cmd/lacewingyard/serve.go
+++ b/cmd/lacewingyard/serve.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
+	"github.com/lacewingyard/lacewingyard/internal/logsink"
 	"github.com/lacewingyard/lacewingyard/internal/peer"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -57,8 +58,10 @@
 	if err != nil {
 		return usageError{fmt.Errorf("%s: tls: %w", file, err)}
 	}
+	sink := logsink.New(os.Stderr)
+	defer sink.Close()
 	log := hclog.New(&hclog.LoggerOptions{
-		Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: os.Stderr, JSONFormat: true,
+		Name: "lacewingyard", Level: hclog.LevelFromString(process.LogLevel), Output: sink, JSONFormat: true,
 	})
 	ignoreClosedOutput()
 	handleRepeatedSignals(log, syscall.SIGTERM)
