Callers' connections: end idle ones without dropping a request that was read

Cause: the close of an idle connection closed the socket, while net/http may have read the next request and not yet said so. A closed connection now only reads no more: net/http either has the next request, which is answered and ends the connection, or gives the connection up. Only abort, at the end of the grace period, still closes at once.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -125,10 +125,9 @@
 // of the latter.
 func (s *Set) Abort() (unanswered int) {
 	for _, c := range s.all() {
-		if c.inProgress() {
+		if c.abort() {
 			unanswered++
 		}
-		_ = c.Conn.Close()
 	}
 	return unanswered
 }
@@ -157,8 +156,10 @@
 	received atomic.Bool // any byte
 
 	mu     sync.Mutex
+	heard  bool // bytes were read since the last answer
 	busy   bool // a request is in progress
 	closed bool // Close was called
+	gone   bool // the connection is closed
 }
 
 // Read implements net.Conn.
@@ -166,20 +167,43 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received.Store(true)
+		c.mu.Lock()
+		c.heard = true
+		c.mu.Unlock()
 	}
 	return n, err
 }
 
-// Close closes the connection, or leaves that to the end of a request in progress.
+// SetReadDeadline implements net.Conn. After Close, a connection without a request reads no more.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed && !c.heard && !c.busy {
+		t = time.Now()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close ends the connection once a request that is in progress or being read has its answer. One
+// without a request reads no more, after which net/http gives it up. Closing it here would drop a
+// request that net/http has just read.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	if c.busy {
+	if c.heard || c.busy {
 		return nil
 	}
-	c.conns.remove(c)
-	return c.Conn.Close()
+	return c.Conn.SetReadDeadline(time.Now())
+}
+
+// abort closes the connection at once and reports whether a request was in progress.
+func (c *conn) abort() (inProgress bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = true
+	_ = c.Conn.Close()
+	return c.busy
 }
 
 // CloseWrite ends the sending side. net/http does so before it closes a connection on which
@@ -191,31 +215,32 @@
 	return nil
 }
 
-// begin reports whether a request that was read may be handled. After Close, it may not:
-// its caller would get no answer, and may send it again only if it did not run.
+// begin reports whether a request that was read may be handled. After abort, it may not: its
+// caller would get no answer, and may send it again only if it did not run.
 func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = !c.closed
+	c.busy = !c.gone
 	return c.busy
 }
 
-// inProgress reports whether a request is in progress on the connection.
-func (c *conn) inProgress() bool {
+// idle records the end of a request whose answer the server has written, if there is one.
+func (c *conn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	c.heard, c.busy = false, false
+	if c.closed {
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
 }
 
-// end ends a request whose answer the server has written, if there is one.
+// end closes the connection, which the server has given up.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
-	if c.closed {
-		c.conns.remove(c)
-		_ = c.Conn.Close() // nothing is left to be lost
-	}
+	c.conns.remove(c)
+	c.gone = true
+	_ = c.Conn.Close() // nothing is left to be lost
 }
 
 // connKey is the key of the conn in the context of its requests.
@@ -228,7 +253,10 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if state == http.StateIdle || state == http.StateClosed {
+		switch state {
+		case http.StateIdle:
+			c.(*conn).idle()
+		case http.StateClosed:
 			c.(*conn).end()
 		}
 	}
