--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -19,6 +19,10 @@
 // server stops. Callers open some connections ahead of requests.
 const unusedTimeout = time.Second
 
+// lingerTime is how long a shutdown leaves idle connections to callers that may be about to use
+// them.
+const lingerTime = 200 * time.Millisecond
+
 // pollInterval is the time between two looks at the connections that are left in a shutdown.
 const pollInterval = 20 * time.Millisecond
 
@@ -85,9 +89,10 @@
 	defer l.accepting.Unlock()
 }
 
-// Shutdown closes the listeners and the idle connections, and returns once the other connections
-// have ended too, or with the context's error. Requests that arrive on them are answered, whereas
-// http.Server.Shutdown drops each request that is read after its begin.
+// Shutdown closes the listeners and the connections, and returns once all have ended, or with the
+// context's error. Requests that arrive meanwhile are answered, whereas http.Server.Shutdown drops
+// each request that is read after its begin. For lingerTime at most, connections end only with an
+// answer, so that few requests of callers in the middle of a series cross a close.
 func (s *Set) Shutdown(ctx context.Context, server *http.Server) error {
 	s.mu.Lock()
 	listeners := slices.Clone(s.listeners)
@@ -95,6 +100,15 @@
 	for _, l := range listeners {
 		l.shutDown()
 	}
+	s.EndWithAnswers(func() bool { return true })
+	linger := lingerTime
+	if end, ok := ctx.Deadline(); ok {
+		linger = min(linger, time.Until(end)/4)
+	}
+	for end := time.Now().Add(linger); time.Now().Before(end) && len(s.all()) > 0; {
+		s.CloseUnused(time.Now())
+		time.Sleep(min(pollInterval, time.Until(end)))
+	}
 	server.SetKeepAlivesEnabled(false) // also closes idle connections
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
