--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -27,8 +27,7 @@
 const pollInterval = 20 * time.Millisecond
 
 // Set is the set of a server's open connections. net/http closes an idle connection while its
-// next request may already be read; a connection of the set keeps such a request from being
-// passed on, or its answer from being cut off.
+// next request may already be read; a connection of the set then answers that request first.
 type Set struct {
 	endsWithAnswer atomic.Pointer[func() bool] // nil: never
 
--- a/pkg/drain/connections.go
+++ b/pkg/drain/connections.go
@@ -9,7 +9,7 @@
 // EndsConnections reports whether a host ends the connection of a caller with an answer that
 // begins at now. alone means that no other host accepts callers.
 //
-// A host closes the connections that are idle when its listener closes, and a request that
+// A host closes the connections that are idle after its listener has closed, and a request that
 // crosses such a close gets no answer. Callers that still have its address cached would open a
 // connection for each request if answers ended them from the signal on, and callers that find no
 // other host keep theirs.
