--- a/internal/soak/backlog_test.go
+++ b/internal/soak/backlog_test.go
@@ -9,6 +9,26 @@
 	. "github.com/onsi/gomega"
 )
 
+// Guards against a connection that is reset although it was opened after the target took
+// connections again.
+func TestProxyForwardsTheFirstConnectionAfterAcceptResumed(t *testing.T) {
+	g := NewWithT(t)
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = upstream.Close() }()
+	p, err := NewProxy(upstream.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer p.Close()
+	<-p.accepting // as SuspendAccept does, with no connection opened meanwhile
+	p.resumeAccept(nil)
+	c, err := net.Dial("tcp", p.Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	g.Expect(upstream.(*net.TCPListener).SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = upstream.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against requests that reach a target long after their hosts have given them up.
 func TestProxyForwardsNothingOfConnectionsOpenedWhileItAcceptedNone(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,7 +48,8 @@
 	mode  LinkMode
 	conns map[net.Conn]bool // both sides of the open connections
 	down  time.Time         // until then connections are reset
-	stale bool              // the connection that accept holds was opened while none were accepted
+	// resumed is when SuspendAccept last ended. Connections that were accepted before are stale.
+	resumed time.Time
 
 	accepting chan struct{} // holds a token while connections are accepted
 }
@@ -102,9 +103,6 @@
 	for _, c := range filling {
 		reset(c)
 	}
-	p.mu.Lock()
-	p.stale = true
-	p.mu.Unlock()
 	listener := p.listener.(*net.TCPListener)
 	for {
 		_ = listener.SetDeadline(time.Now().Add(drainTimeout))
@@ -115,6 +113,9 @@
 		reset(c)
 	}
 	_ = listener.SetDeadline(time.Time{})
+	p.mu.Lock()
+	p.resumed = time.Now()
+	p.mu.Unlock()
 	p.accepting <- struct{}{}
 }
 
@@ -154,13 +155,11 @@
 	return time.Now().Before(p.down)
 }
 
-// takeStale reports whether the connection that accept holds is stale. Later ones are not.
-func (p *Proxy) takeStale() bool {
+// isStale reports whether a connection was accepted before SuspendAccept last ended.
+func (p *Proxy) isStale(accepted time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stale := p.stale
-	p.stale = false
-	return stale
+	return accepted.Before(p.resumed)
 }
 
 func (p *Proxy) accept() {
@@ -172,8 +171,9 @@
 		if err != nil {
 			return
 		}
+		accepted := time.Now()
 		<-p.accepting
-		if p.takeStale() {
+		if p.isStale(accepted) {
 			reset(c)
 		} else {
 			go p.serve(c)
