Drain: how long idle connections are kept beside the other decisions of a stop

The rule stood in internal/callerconn, which owns connections and decides nothing; it is drain.Linger now, with a spec, and behaves as before.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -7,22 +7,21 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lacewingyard/lacewingyard/pkg/drain"
 )
 
 // unusedTimeout is how long a caller's connection may wait for its first byte while the
 // server stops. Callers open some connections ahead of requests.
 const unusedTimeout = time.Second
 
-// lingerTime is how long a shutdown leaves idle connections to callers that may be about to use
-// them.
-const lingerTime = 200 * time.Millisecond
-
 // pollInterval is the time between two looks at the connections that are left in a shutdown.
 const pollInterval = 20 * time.Millisecond
 
@@ -90,8 +89,8 @@
 
 // Shutdown closes the listeners and the connections, and returns once all have ended, or with the
 // context's error. Requests that arrive meanwhile are answered, whereas http.Server.Shutdown drops
-// each request that is read after its begin. For lingerTime at most, connections end only with an
-// answer, so that few requests of callers in the middle of a series cross a close.
+// each request that is read after its begin. For the time of drain.Linger, connections end only
+// with an answer.
 func (s *Set) Shutdown(ctx context.Context, server *http.Server) error {
 	s.mu.Lock()
 	listeners := slices.Clone(s.listeners)
@@ -100,11 +99,11 @@
 		l.shutDown()
 	}
 	s.EndWithAnswers(func() bool { return true })
-	linger := lingerTime
+	left := time.Duration(math.MaxInt64)
 	if end, ok := ctx.Deadline(); ok {
-		linger = min(linger, time.Until(end)/4)
+		left = time.Until(end)
 	}
-	for end := time.Now().Add(linger); time.Now().Before(end) && len(s.all()) > 0; {
+	for end := time.Now().Add(drain.Linger(left)); time.Now().Before(end) && len(s.all()) > 0; {
 		s.CloseUnused(time.Now())
 		time.Sleep(min(pollInterval, time.Until(end)))
 	}
--- a/pkg/drain/connections_test.go
+++ b/pkg/drain/connections_test.go
@@ -41,3 +41,12 @@
 		Expect(s.EndsConnections(start, false)).To(BeFalse())
 	})
 })
+
+var _ = Describe("Idle connections after the listener has closed", func() {
+	// Guards against a stop that outlasts a short grace period for callers that send nothing.
+	It("are kept for a moment, and for a fraction of a short rest", func() {
+		Expect(drain.Linger(time.Minute)).To(Equal(200 * time.Millisecond))
+		Expect(drain.Linger(400 * time.Millisecond)).To(Equal(100 * time.Millisecond))
+		Expect(drain.Linger(-time.Second)).To(BeZero())
+	})
+})
