--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,6 +97,7 @@
 	gossip       *gossip.Gossip
 	follower     *follower
 	load         *loadMeter
+	quotas       *quotas
 	reloadMu     sync.Mutex
 	applied      site.Settings // settings in force; guarded by reloadMu
 	leaving      atomic.Bool   // set when the shutdown begins; reported in heartbeats
@@ -122,10 +123,11 @@
 		debug.SetMemoryLimit(int64(goMemoryFraction * float64(o.Site.MemoryLimitBytes)))
 	}
 	seed := uint64(h.incarnation)
+	h.quotas = newQuotas(h, seed)
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
 		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Tracer: o.Tracer, Seed: seed, OnSend: h.load.count,
-		MemoryBytes: o.Site.MemoryLimitBytes, DrainBound: o.Site.DrainBound,
+		MemoryBytes: o.Site.MemoryLimitBytes, DrainBound: o.Site.DrainBound, Quota: h.quotas,
 	})
 	h.follower = newFollower(&h.opts.Site, o.Store, gossip.NewPuller(), o.Log.Named("state"), h.readsStore, h.activate)
 	var err error
@@ -133,6 +135,7 @@
 		Address: h.gossipAddress(), Port: o.Site.GossipPort, Seeds: o.Site.Seeds, Self: h.selfState,
 		Log: o.Log.Named("gossip"), RandSeed: seed, Crashes: h.engine.CrashReport, OnCrashes: h.engine.ImportCrashes,
 		Notices: h.engine.NoticeReports, OnNotices: h.engine.ImportNotices, RecentUpdates: h.follower.recentUpdates,
+		OnQuota: h.quotas.receive,
 		OnUpdate: func(from roster.State, update *gossip.Update) {
 			h.follower.observePeer(context.Background(), from, update)
 		},
@@ -237,6 +240,7 @@
 // else to the receivers of a regular heartbeat.
 func (h *Host) activate(v *catalog.View) {
 	old := h.engine.View()
+	h.quotas.configure(v.Config)
 	h.engine.SetView(v)
 	if old == nil || old.Config != v.Config {
 		version := uint64(0)
@@ -321,6 +325,7 @@
 	go h.gossip.Run(background)
 	go h.follower.run(background)
 	go h.housekeeping(background)
+	go h.quotas.run(background)
 	go h.preconnect(background)
 	h.opts.Log.Info("started", "host", h.opts.Site.Name, "place", h.opts.Site.Place, "callers", h.opts.Site.CallerAddress, "incarnation", h.incarnation)
 	<-ctx.Done()
@@ -392,6 +397,7 @@
 	})
 	h.follower.expire()
 	h.engine.Refresh()
+	h.quotas.refresh(now, h.directedHere.Load())
 	h.load.update(now)
 }
 
@@ -421,6 +427,7 @@
 	h.engine.BeginShutdown(phases, h.isAlone)
 	conns.EndWithAnswers(func() bool { return phases.EndsConnections(time.Now(), h.isAlone()) })
 	h.leaving.Store(true)
+	h.quotas.handOver()
 	h.gossip.Broadcast()
 	h.opts.Log.Info("leaving", "open", h.openRequests.Load(), "serves_ms", leaving.Milliseconds())
 	sleepAndCatchUp(phases.Remaining(time.Now(), int(h.openRequests.Load())))
--- /dev/null
+++ b/internal/edge/quota.go
@@ -0,0 +1,267 @@
+package edge
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lacewingyard/lacewingyard/internal/edge/site"
+	"github.com/lacewingyard/lacewingyard/internal/gossip"
+	"github.com/lacewingyard/lacewingyard/internal/guard"
+	"github.com/lacewingyard/lacewingyard/pkg/catalog"
+	"github.com/lacewingyard/lacewingyard/pkg/quota"
+	"github.com/lacewingyard/lacewingyard/pkg/roster"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
+)
+
+const (
+	// maxStanding is the largest number of tenants of which hosts hold a token ahead of the
+	// first request. With more tenants, only those with recent requests have one.
+	maxStanding = 1000
+	// quotaBatch is how long asks are collected for one message.
+	quotaBatch = time.Millisecond
+	// pauseThreshold is the difference between the clocks from which the process counts as
+	// paused.
+	pauseThreshold = time.Second
+)
+
+// quotas applies the rate limits of tenants on this host, and grants tokens to other hosts. It
+// implements engine.Quota.
+type quotas struct {
+	host *Host
+	wake chan struct{} // an ask may be due
+
+	mu       sync.Mutex
+	holder   *quota.Holder
+	granter  *quota.Granter
+	limits   map[uint64]quota.Limit // of the tenants with a limit
+	names    map[uint64]string
+	config   *catalog.Config // from which limits were made
+	hosts    []string        // that grant, this one included if it does
+	majority bool            // whether this host sees at least half of the fleet
+	leaving  bool
+	seen     time.Time // last call of refresh
+}
+
+func quotaBounds(s *site.Settings) quota.Bounds {
+	return quota.Bounds{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack}
+}
+
+func newQuotas(h *Host, seed uint64) *quotas {
+	b := quotaBounds(&h.opts.Site)
+	return &quotas{host: h, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
+}
+
+// setBounds replaces the bounds after a reload of the settings.
+func (q *quotas) setBounds(s *site.Settings) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.SetBounds(quotaBounds(s))
+	q.granter.SetBounds(quotaBounds(s))
+}
+
+// configure puts the tenants of a configuration in force.
+func (q *quotas) configure(c *catalog.Config) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c == nil || c == q.config {
+		return
+	}
+	q.config = c
+	q.limits, q.names = make(map[uint64]quota.Limit), make(map[uint64]string)
+	for i := range c.Tenants {
+		if t := &c.Tenants[i]; t.Rate > 0 {
+			key := quota.Key(t.Name)
+			q.limits[key], q.names[key] = quota.Limit{Rate: t.Rate, Burst: t.Burst}, t.Name
+		}
+	}
+}
+
+// Admit implements engine.Quota.
+func (q *quotas) Admit(now time.Time, t *tenant.Tenant) (bool, time.Duration) {
+	key := quota.Key(t.Name)
+	q.mu.Lock()
+	ok, retryAfter := q.holder.Admit(now, key, quota.Limit{Rate: t.Rate, Burst: t.Burst})
+	_, due := q.holder.NextAsk(now)
+	q.mu.Unlock()
+	if due {
+		q.wakeUp()
+	}
+	return ok, retryAfter
+}
+
+// GiveBack implements engine.Quota.
+func (q *quotas) GiveBack(_ time.Time, t *tenant.Tenant) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.GiveBack(quota.Key(t.Name))
+}
+
+func (q *quotas) wakeUp() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends asks until the context ends.
+func (q *quotas) run(ctx context.Context) {
+	timer := time.NewTimer(math.MaxInt64)
+	defer timer.Stop()
+	for {
+		select {
+		case <-q.wake:
+			sleep(ctx, quotaBatch)
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		guard.Run(q.host.opts.Log, "quota", q.ask)
+		q.mu.Lock()
+		wait, ok := q.holder.NextAsk(time.Now())
+		q.mu.Unlock()
+		if ok {
+			timer.Reset(max(wait, quotaBatch))
+		}
+	}
+}
+
+// ask sends the asks that are due to the granting hosts of their tenants.
+func (q *quotas) ask() {
+	now := time.Now()
+	self := q.host.opts.Site.Name
+	q.mu.Lock()
+	byHost := map[string][]quota.Ask{}
+	for _, a := range q.holder.Asks(now) {
+		to := quota.GrantingHost(a.Tenant, q.hosts)
+		byHost[to] = append(byHost[to], a)
+	}
+	if own := byHost[self]; len(own) > 0 {
+		q.holder.Granted(now, q.grant(now, self, own))
+		delete(byHost, self)
+	}
+	q.mu.Unlock()
+	for to, asks := range byHost {
+		for batch := range slices.Chunk(asks, gossip.MaxQuotaItems) {
+			q.host.gossip.SendQuota(to, gossip.QuotaMessage{From: self, Asks: batch})
+		}
+	}
+}
+
+// grant answers the asks of a host if this host may grant. The lock must be held.
+func (q *quotas) grant(now time.Time, host string, asks []quota.Ask) []quota.Grant {
+	if !q.majority || q.leaving {
+		return nil
+	}
+	asks = slices.DeleteFunc(slices.Clone(asks), func(a quota.Ask) bool {
+		return quota.GrantingHost(a.Tenant, q.hosts) != q.host.opts.Site.Name
+	})
+	return q.granter.Grant(now, host, asks, q.limitOf)
+}
+
+// limitOf returns the limit of a tenant. The lock must be held.
+func (q *quotas) limitOf(key uint64) (quota.Limit, bool) {
+	l, ok := q.limits[key]
+	return l, ok
+}
+
+// receive handles a message of another host.
+func (q *quotas) receive(m *gossip.QuotaMessage) {
+	now := time.Now()
+	q.mu.Lock()
+	q.holder.Granted(now, m.Grants)
+	if !q.leaving {
+		q.granter.Adopt(now, m.Handovers, q.limitOf)
+	}
+	grants := q.grant(now, m.From, m.Asks)
+	q.mu.Unlock()
+	for batch := range slices.Chunk(grants, gossip.MaxQuotaItems) {
+		q.host.gossip.SendQuota(m.From, gossip.QuotaMessage{From: q.host.opts.Site.Name, Grants: batch})
+	}
+}
+
+// refresh adopts the hosts that grant now and renews the leases. directed tells whether
+// callers are directed to this host.
+func (q *quotas) refresh(now time.Time, directed bool) {
+	hosts, majority := q.host.grantingHosts(now)
+	q.mu.Lock()
+	if paused(q.seen, now) {
+		q.holder.Reset()
+		q.granter.Reset(now)
+	}
+	q.seen = now
+	if !slices.Equal(hosts, q.hosts) || majority != q.majority {
+		q.hosts, q.majority = hosts, majority
+		q.granter.HostsChanged(now)
+	}
+	standing := q.limits
+	if !directed || len(standing) > maxStanding {
+		standing = nil
+	}
+	q.holder.Stand(now, standing)
+	q.holder.Renew(now)
+	q.granter.Forget(now)
+	_, due := q.holder.NextAsk(now)
+	q.mu.Unlock()
+	if due {
+		q.wakeUp()
+	}
+}
+
+// paused reports whether the process was paused between two times: the monotonic clock stands
+// still meanwhile, but the wall clock does not.
+func paused(from, to time.Time) bool {
+	return !from.IsZero() && to.Round(0).Sub(from.Round(0))-to.Sub(from) > pauseThreshold
+}
+
+// handOver passes the buckets of this host to the next granting hosts. It grants no more.
+func (q *quotas) handOver() {
+	q.mu.Lock()
+	q.leaving = true
+	self := q.host.opts.Site.Name
+	others := slices.DeleteFunc(slices.Clone(q.hosts), func(name string) bool { return name == self })
+	byHost := map[string][]quota.Handover{}
+	for _, h := range q.granter.HandOver() {
+		to := quota.GrantingHost(h.Tenant, others)
+		byHost[to] = append(byHost[to], h)
+	}
+	q.mu.Unlock()
+	for to, handovers := range byHost {
+		for batch := range slices.Chunk(handovers, gossip.MaxQuotaItems) {
+			q.host.gossip.SendQuota(to, gossip.QuotaMessage{From: self, Handovers: batch})
+		}
+	}
+}
+
+// grantingHosts returns the names of the hosts that may grant tokens, in order, and whether
+// this host sees at least half of the fleet. They are the large hosts: they are few, and the
+// set changes less than that to which callers are directed.
+func (h *Host) grantingHosts(now time.Time) (names []string, majority bool) {
+	capacities := map[string]float64{}
+	if h.ready() {
+		capacities[h.opts.Site.Name] = h.load.capacity
+	}
+	h.gossip.WithRoster(func(r *roster.Roster) {
+		all, _ := r.FleetSize(now)
+		alive := r.Alive(now)
+		majority = 2*(len(alive)+1) >= all
+		for _, peer := range alive {
+			if peer.Ready && !peer.Leaving {
+				capacities[peer.Name] = peer.Capacity
+			}
+		}
+	})
+	largest := 0.0
+	for _, c := range capacities {
+		largest = max(largest, c)
+	}
+	for name, c := range capacities {
+		if c >= roster.LargeCapacityRatio*largest {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, majority
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -63,6 +63,8 @@
 	// Update is an encoded wireUpdate with the latest changes, which spares each
 	// receiver a pull.
 	Update []byte `cbor:"4,keyasint,omitempty"`
+	// Quota is set in a message that is no heartbeat and has nothing else.
+	Quota *QuotaMessage `cbor:"8,keyasint,omitempty"`
 }
 
 // Options of a Gossip.
@@ -89,6 +91,8 @@
 	// called with what was received.
 	Notices   func() []notice.Report
 	OnNotices func([]notice.Report)
+	// OnQuota is called with quota messages of other hosts.
+	OnQuota func(*QuotaMessage)
 	RandSeed  uint64 // of the choice of receivers and relayed states
 }
 
@@ -366,6 +370,10 @@
 		g.countDecodeError(from, err)
 		return
 	}
+	if m.Quota != nil {
+		g.handleQuota(from, m.Quota)
+		return
+	}
 	newer, seen := g.observe(m)
 	if len(m.Crashes) > 0 || len(m.Refusals) > 0 {
 		g.opts.OnCrashes(quarantine.Report{Crashes: m.Crashes, Refusals: m.Refusals})
--- /dev/null
+++ b/pkg/quota/holder.go
@@ -0,0 +1,294 @@
+package quota
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Holder decides on the requests of one host from the tokens that it holds, and on what to
+// ask for.
+type Holder struct {
+	bounds  Bounds
+	rng     *rand.Rand
+	tenants map[uint64]*holding
+	due     map[uint64]struct{} // tenants for which an ask may be due
+	counts  HolderCounts
+}
+
+// HolderCounts counts what a Holder did, in tokens or requests.
+type HolderCounts struct {
+	Admitted, Refused, Asked, Granted, Lapsed int64
+}
+
+// holding is what a host holds for a tenant.
+type holding struct {
+	limit    Limit
+	tokens   float64
+	lapses   time.Time // when the tokens lapse unless they are renewed
+	demand   float64   // requests per second, moving average as of lastSeen
+	lastSeen time.Time // last request
+	seq      uint32    // of the latest ask
+	asked    time.Time // when it was sent
+	answered bool      // a grant for it has arrived
+	moreAt   time.Time // when the granting host expects to have a token
+	refused  time.Time // last refusal
+	standing bool      // a token is held although there is no demand
+}
+
+// NewHolder returns a Holder without tokens.
+func NewHolder(b Bounds, seed uint64) *Holder {
+	return &Holder{bounds: b.withDefaults(), rng: rand.New(rand.NewPCG(seed, ^seed)), tenants: map[uint64]*holding{}, due: map[uint64]struct{}{}}
+}
+
+// SetBounds replaces the bounds.
+func (h *Holder) SetBounds(b Bounds) { h.bounds = b.withDefaults() }
+
+// Counts returns the counters since the start.
+func (h *Holder) Counts() HolderCounts { return h.counts }
+
+// Admit reports whether a request of a tenant may run, and takes a token for it. Otherwise it
+// returns after which time the caller should come back.
+func (h *Holder) Admit(now time.Time, tenant uint64, l Limit) (ok bool, retryAfter time.Duration) {
+	x := h.holding(now, tenant, l)
+	x.demand = x.demandAt(now) + 1/demandTime.Seconds()
+	x.lastSeen = now
+	h.lapse(now, x)
+	admitted := x.tokens >= 1
+	if admitted {
+		x.tokens--
+		h.counts.Admitted++
+	} else {
+		x.refused = now
+		h.counts.Refused++
+	}
+	if x.missing(now) > 0 {
+		h.due[tenant] = struct{}{}
+	}
+	if admitted {
+		return true, 0
+	}
+	return false, h.retryAfter(now, x)
+}
+
+// retryAfter returns a retry delay: the time until the granting host has a token, if that is
+// known, or else the time in which the tenant earns one; and a random part as long, because
+// the callers of a tenant are often refused together.
+func (h *Holder) retryAfter(now time.Time, x *holding) time.Duration {
+	after := x.moreAt.Sub(now)
+	if after <= 0 {
+		after = seconds(1 / max(x.limit.Rate, 1e-3))
+	}
+	after = min(max(after, minRetryAfter), maxRetryAfter)
+	return after + time.Duration(h.rng.Int64N(int64(after)))
+}
+
+// GiveBack returns the token of a request that did not run.
+func (h *Holder) GiveBack(tenant uint64) {
+	if x, ok := h.tenants[tenant]; ok {
+		x.tokens = min(x.tokens+1, x.maxTokens())
+	}
+}
+
+// Stand makes the host hold a token of each of the given tenants although it has no requests
+// of them, so that their first one is not refused. It replaces the tenants of the call
+// before.
+func (h *Holder) Stand(now time.Time, limits map[uint64]Limit) {
+	for key, x := range h.tenants {
+		if _, ok := limits[key]; !ok {
+			x.standing = false
+		}
+	}
+	for key, l := range limits {
+		x := h.holding(now, key, l)
+		x.standing = true
+	}
+}
+
+// holding returns what is held for a tenant, within its present limit.
+func (h *Holder) holding(now time.Time, tenant uint64, l Limit) *holding {
+	x, ok := h.tenants[tenant]
+	if !ok {
+		x = &holding{answered: true}
+		h.tenants[tenant] = x
+	}
+	if x.limit != l {
+		x.limit = l
+		x.tokens = min(x.tokens, x.maxTokens())
+	}
+	return x
+}
+
+// maxTokens is the largest number of tokens that a host has a use for.
+func (x *holding) maxTokens() float64 {
+	return math.Ceil(x.limit.Rate*holdTime.Seconds()) + x.limit.Burst + 1
+}
+
+func (x *holding) demandAt(now time.Time) float64 {
+	if x.lastSeen.IsZero() {
+		return 0
+	}
+	return x.demand * math.Exp(-now.Sub(x.lastSeen).Seconds()/demandTime.Seconds())
+}
+
+// target returns how many tokens the host should hold.
+func (x *holding) target(now time.Time) float64 {
+	least := 0.0
+	if x.standing || now.Sub(x.lastSeen) < idleTime {
+		least = 1
+	}
+	return min(max(least, math.Ceil(x.demandAt(now)*holdTime.Seconds())), x.maxTokens())
+}
+
+// missing returns how many tokens the host should ask for.
+func (x *holding) missing(now time.Time) float64 { return max(0, x.target(now)-x.tokens) }
+
+// lapse drops the tokens of a lease that has run out.
+func (h *Holder) lapse(now time.Time, x *holding) {
+	if x.tokens > 0 && now.After(x.lapses) {
+		h.counts.Lapsed += int64(x.tokens)
+		x.tokens = 0
+	}
+}
+
+// Renew marks the tenants whose leases are to be renewed, and forgets those without use. It
+// should be called about as often as RenewInterval.
+func (h *Holder) Renew(now time.Time) {
+	for key, x := range h.tenants {
+		h.lapse(now, x)
+		if !x.standing && now.Sub(x.lastSeen) > idleTime {
+			delete(h.tenants, key)
+			delete(h.due, key)
+			continue
+		}
+		// What is held beyond the target is of more use at other hosts.
+		x.tokens = min(x.tokens, max(1, x.target(now)))
+		if now.Sub(x.asked) >= RenewInterval-repeatAfter {
+			h.due[key] = struct{}{}
+		}
+	}
+}
+
+// Asks returns the asks that are due, by tenant. The calling code sends each to the granting
+// host of its tenant.
+func (h *Holder) Asks(now time.Time) []Ask {
+	var asks []Ask
+	for key := range h.due {
+		x := h.tenants[key]
+		h.lapse(now, x)
+		if now.Before(x.nextAsk(now)) {
+			continue
+		}
+		if x.answered && x.missing(now) == 0 && now.Sub(x.asked) < RenewInterval-repeatAfter {
+			delete(h.due, key)
+			continue
+		}
+		x.seq++
+		x.asked, x.answered = now, false
+		h.counts.Asked++
+		asks = append(asks, Ask{Tenant: key, Seq: x.seq, Held: float32(x.tokens), Want: float32(x.missing(now)), Demand: float32(x.demandFor(now))})
+	}
+	slices.SortFunc(asks, func(a, b Ask) int {
+		if a.Tenant < b.Tenant {
+			return -1
+		}
+		return 1
+	})
+	return asks
+}
+
+// demandFor returns the demand to tell the granting host: none if the last request was longer
+// ago than tokens are held for.
+func (x *holding) demandFor(now time.Time) float64 {
+	if d := x.demandAt(now); d >= 0.05 {
+		return d
+	}
+	return 0
+}
+
+// nextAsk returns when the tenant may be asked for at the earliest.
+func (x *holding) nextAsk(now time.Time) time.Time {
+	next := x.asked
+	if !x.answered {
+		next = x.asked.Add(repeatAfter)
+	}
+	// A renewal does not wait for tokens.
+	if x.moreAt.After(next) && now.Sub(x.asked) < RenewInterval-repeatAfter {
+		next = x.moreAt
+	}
+	return next
+}
+
+// NextAsk returns the time until the next call of Asks is of use, false if none is due.
+func (h *Holder) NextAsk(now time.Time) (time.Duration, bool) {
+	wait, ok := time.Duration(math.MaxInt64), false
+	for key := range h.due {
+		wait, ok = min(wait, max(0, h.tenants[key].nextAsk(now).Sub(now))), true
+	}
+	return wait, ok
+}
+
+// Granted records grants. Those that do not answer the latest ask of their tenant are ignored:
+// the granting host may count the tokens of an older one as lapsed.
+func (h *Holder) Granted(now time.Time, grants []Grant) {
+	for _, g := range grants {
+		x, ok := h.tenants[g.Tenant]
+		if !ok || x.answered || g.Seq != x.seq || now.Sub(x.asked) > RenewInterval || !valid(g.Tokens) {
+			continue
+		}
+		x.answered = true
+		h.lapse(now, x)
+		x.lapses = x.asked.Add(LeaseTime)
+		x.tokens = min(x.tokens+float64(g.Tokens), x.maxTokens())
+		x.moreAt = time.Time{}
+		if g.MoreAfterMS > 0 {
+			x.moreAt = now.Add(min(time.Duration(g.MoreAfterMS)*time.Millisecond, maxRetryAfter))
+		}
+		h.counts.Granted += int64(g.Tokens)
+		if x.missing(now) == 0 {
+			delete(h.due, g.Tenant)
+		}
+	}
+}
+
+// Reset drops all tokens: after a pause of the process, their leases may have run out by the
+// clocks of other hosts.
+func (h *Holder) Reset() {
+	for _, x := range h.tenants {
+		x.tokens = 0
+	}
+}
+
+// Holding describes what the host holds for a tenant.
+type Holding struct {
+	Tenant uint64
+	Tokens float64
+	Demand float64 // requests per second
+	// OverLimit is set if a request was refused within the last second.
+	OverLimit bool
+}
+
+// Holdings returns what the host holds for tenants with recent requests, those with the
+// highest demand first.
+func (h *Holder) Holdings(now time.Time) []Holding {
+	var out []Holding
+	for key, x := range h.tenants {
+		if now.Sub(x.lastSeen) < idleTime {
+			out = append(out, Holding{Tenant: key, Tokens: x.tokens, Demand: x.demandAt(now), OverLimit: !x.refused.IsZero() && now.Sub(x.refused) < time.Second})
+		}
+	}
+	slices.SortFunc(out, func(a, b Holding) int {
+		switch {
+		case a.Demand > b.Demand:
+			return -1
+		case a.Demand < b.Demand:
+			return 1
+		case a.Tenant < b.Tenant:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return out
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -187,6 +187,9 @@
 	return alive
 }
 
+// Find returns another host by its name, or nil if it is not in the roster.
+func (r *Roster) Find(name string) *Host { return r.hosts[name] }
+
 // Known returns all hosts of the roster, silent ones included, in the order of
 // their names.
 func (r *Roster) Known() []*Host {
