--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -80,16 +80,16 @@
 }
 
 // Admit implements engine.Quota.
-func (q *quotas) Admit(now time.Time, t *tenant.Tenant) (bool, time.Duration) {
+func (q *quotas) Admit(now time.Time, t *tenant.Tenant) (quota.Decision, time.Duration) {
 	key := quota.Key(t.Name)
 	q.mu.Lock()
-	ok, retryAfter := q.holder.Admit(now, key, quota.Limit{Rate: t.Rate, Burst: t.Burst})
+	decision, retryAfter := q.holder.Admit(now, key, quota.Limit{Rate: t.Rate, Burst: t.Burst})
 	_, due := q.holder.NextAsk(now)
 	q.mu.Unlock()
 	if due {
 		q.wakeUp()
 	}
-	return ok, retryAfter
+	return decision, retryAfter
 }
 
 // GiveBack implements engine.Quota.
@@ -185,7 +185,7 @@
 // refresh adopts the hosts that grant now and renews the leases. directed tells whether
 // callers are directed to this host.
 func (q *quotas) refresh(now time.Time, directed bool) {
-	hosts, majority := q.host.grantingHosts(now)
+	hosts, majority, restarted := q.host.grantingHosts(now)
 	q.mu.Lock()
 	if paused(q.seen, now) {
 		q.holder.Reset()
@@ -194,7 +194,7 @@
 	q.seen = now
 	if !slices.Equal(hosts, q.hosts) || majority != q.majority {
 		q.hosts, q.majority = hosts, majority
-		q.granter.HostsChanged(now)
+		q.granter.HostsChanged(now, restarted)
 	}
 	standing := q.limits
 	if !directed || len(standing) > maxStanding {
@@ -235,10 +235,14 @@
 	}
 }
 
-// grantingHosts returns the names of the hosts that may grant tokens, in order, and whether
-// this host sees at least half of the fleet. They are the large hosts: they are few, and the
-// set changes less than that to which callers are directed.
-func (h *Host) grantingHosts(now time.Time) (names []string, majority bool) {
+// recentStart is the age of a process up to which it counts as just started.
+const recentStart = 10 * time.Second
+
+// grantingHosts returns the names of the hosts that may grant tokens, in order, whether this
+// host sees at least half of the fleet, and whether most of that has just started. They are
+// the large hosts: they are few, and the set changes less than that to which callers are
+// directed.
+func (h *Host) grantingHosts(now time.Time) (names []string, majority, restarted bool) {
 	capacities := map[string]float64{}
 	if h.ready() {
 		capacities[h.opts.Site.Name] = h.load.capacity
@@ -247,6 +251,13 @@
 		all, _ := r.FleetSize(now)
 		alive := r.Alive(now)
 		majority = 2*(len(alive)+1) >= all
+		started := 0
+		for _, peer := range alive {
+			if now.UnixNano()-peer.Incarnation < int64(recentStart) {
+				started++
+			}
+		}
+		restarted = now.Sub(h.started) < recentStart && 4*started >= 3*len(alive)
 		for _, peer := range alive {
 			if peer.Ready && !peer.Leaving {
 				capacities[peer.Name] = peer.Capacity
@@ -263,5 +274,5 @@
 		}
 	}
 	slices.Sort(names)
-	return names, majority
+	return names, majority, restarted
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -290,7 +290,7 @@
 	a := Answer{Outcome: o}
 	fields := []any{
 		"request", r.ID, "host", r.Host, "path", r.Path, "config", config,
-		"outcome", o.Kind.String(), "reason", string(o.Reason), "retry_after_ms", o.RetryAfter.Milliseconds(),
+		"outcome", o.Kind.String(), "reason", string(o.Reason), "retry_after_ms", o.RetryAfter.Milliseconds(), "message", o.Message,
 	}
 	if r.Tenant != "" {
 		fields = append(fields, "tenant", r.Tenant)
--- a/internal/engine/tenant.go
+++ b/internal/engine/tenant.go
@@ -5,15 +5,16 @@
 
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
+	"github.com/lacewingyard/lacewingyard/pkg/quota"
 	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // Quota limits the rates of tenants' requests. Its methods must not block and must be safe
 // for concurrent use.
 type Quota interface {
-	// Admit reports whether a request of a tenant may run now, and otherwise when its caller
-	// may send it again.
-	Admit(now time.Time, t *tenant.Tenant) (ok bool, retryAfter time.Duration)
+	// Admit decides whether a request of a tenant may run now, and otherwise returns when its
+	// caller may send it again.
+	Admit(now time.Time, t *tenant.Tenant) (d quota.Decision, retryAfter time.Duration)
 	// GiveBack undoes Admit for a request that did not run.
 	GiveBack(now time.Time, t *tenant.Tenant)
 }
@@ -62,11 +63,16 @@
 	if t == nil || t.Rate <= 0 || e.cfg.Quota == nil {
 		return outcome.Outcome{}, false
 	}
-	ok, retryAfter := e.cfg.Quota.Admit(now, t)
-	if ok {
+	decision, retryAfter := e.cfg.Quota.Admit(now, t)
+	var o outcome.Outcome
+	switch decision {
+	case quota.Admitted:
 		return outcome.Outcome{}, false
+	case quota.OverLimit:
+		o = outcome.Refused(OverQuota, "tenant %s exceeds %g requests per second", t.Name, t.Rate)
+	default:
+		o = outcome.Refused(NoToken, "this host has no token for a request of tenant %s yet", t.Name)
 	}
-	o := outcome.Refused(OverQuota, "tenant %s exceeds %g requests per second", t.Name, t.Rate)
 	o.RetryAfter = retryAfter
 	return o, true
 }
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -23,6 +23,7 @@
 	NoRoute    outcome.Reason = "no_route"    // no route matches the request
 	UnknownKey outcome.Reason = "unknown_key" // the request carries no valid key
 	OverQuota  outcome.Reason = "over_quota"  // the request exceeds the rate limit of its tenant
+	NoToken    outcome.Reason = "no_token"    // this host does not know whether the rate limit allows the request
 )
 
 // Answer is the answer to a caller. Exactly one of Forwarded and Merged is set if the
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -13,7 +13,10 @@
 type Granter struct {
 	bounds  Bounds
 	changed time.Time // when the hosts that grant last changed, or this host started
-	tenants map[uint64]*account
+	// restarted is set if the hosts that granted before have restarted, so that none of them
+	// grants beside this one.
+	restarted bool
+	tenants   map[uint64]*account
 }
 
 // account is the bucket of a tenant and the leases from it.
@@ -41,8 +44,11 @@
 func (g *Granter) SetBounds(b Bounds) { g.bounds = b.withDefaults() }
 
 // HostsChanged records that other hosts grant than before, so that this host may have become
-// the granting host of some tenants.
-func (g *Granter) HostsChanged(now time.Time) { g.changed = now }
+// the granting host of some tenants. restarted is set if most hosts have just started: those
+// that granted before have lost their buckets then.
+func (g *Granter) HostsChanged(now time.Time, restarted bool) {
+	g.changed, g.restarted = now, restarted
+}
 
 // Reset forgets all buckets: during a pause of the process, other hosts may have granted.
 func (g *Granter) Reset(now time.Time) {
@@ -84,8 +90,8 @@
 		most = max(1, most/2)
 	}
 	available := min(a.tokens, most-leased)
-	if ask.Demand == 0 && a.tokens < g.bounds.bucketSize(l) {
-		available = 0 // hosts with requests come first
+	if ask.Demand == 0 {
+		available = min(available, a.tokens-standingReserve*g.bounds.bucketSize(l))
 	}
 	tokens = max(0, math.Floor(min(want, available)))
 	a.tokens -= tokens
@@ -108,8 +114,10 @@
 	if !ok || now.Sub(a.lastAsk) > continuous && now.Sub(g.changed) < g.bounds.Window+continuous {
 		a = &account{tokens: size, filled: now, leases: map[string]*lease{}}
 		if now.Sub(g.changed) < g.bounds.Window+continuous {
-			a.since = now
-			a.tokens = max(1, min(size/2, takeoverSlack*g.bounds.Slack))
+			a.tokens = max(1, min(size, takeoverSlack*g.bounds.Slack))
+			if !g.restarted {
+				a.since = now
+			}
 		}
 		g.tenants[tenant] = a
 	}
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -48,9 +48,9 @@
 // Counts returns the counters since the start.
 func (h *Holder) Counts() HolderCounts { return h.counts }
 
-// Admit reports whether a request of a tenant may run, and takes a token for it. Otherwise it
-// returns after which time the caller should come back.
-func (h *Holder) Admit(now time.Time, tenant uint64, l Limit) (ok bool, retryAfter time.Duration) {
+// Admit decides whether a request of a tenant may run, and takes a token for it if it may.
+// Otherwise it returns after which time the caller should come back.
+func (h *Holder) Admit(now time.Time, tenant uint64, l Limit) (d Decision, retryAfter time.Duration) {
 	x := h.holding(now, tenant, l)
 	x.demand = x.demandAt(now) + 1/demandTime.Seconds()
 	x.lastSeen = now
@@ -66,21 +66,24 @@
 	if x.missing(now) > 0 {
 		h.due[tenant] = struct{}{}
 	}
-	if admitted {
-		return true, 0
+	switch {
+	case admitted:
+		return Admitted, 0
+	case x.short(now):
+		return OverLimit, h.spread(min(max(x.moreAt.Sub(now), minRetryAfter), maxRetryAfter))
+	case !x.answered && now.Sub(x.asked) > repeatAfter || x.asked.IsZero():
+		return NoToken, h.spread(unansweredRetryAfter)
+	default:
+		return NoToken, h.spread(minRetryAfter)
 	}
-	return false, h.retryAfter(now, x)
 }
 
-// retryAfter returns a retry delay: the time until the granting host has a token, if that is
-// known, or else the time in which the tenant earns one; and a random part as long, because
-// the callers of a tenant are often refused together.
-func (h *Holder) retryAfter(now time.Time, x *holding) time.Duration {
-	after := x.moreAt.Sub(now)
-	if after <= 0 {
-		after = seconds(1 / max(x.limit.Rate, 1e-3))
-	}
-	after = min(max(after, minRetryAfter), maxRetryAfter)
+// short reports whether the granting host had fewer tokens than were asked for lately.
+func (x *holding) short(now time.Time) bool { return x.moreAt.After(now.Add(-repeatAfter)) }
+
+// spread adds a random part to a retry delay, because the callers of a tenant are often
+// refused together.
+func (h *Holder) spread(after time.Duration) time.Duration {
 	return after + time.Duration(h.rng.Int64N(int64(after)))
 }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -25,22 +25,36 @@
 	idleTime = time.Minute
 
 	// burstSlack is the fraction of Bounds.Slack by which a bucket exceeds the burst, so that
-	// a small tenant whose requests come unevenly is not refused below its limit, and
-	// leasedSlack the fraction that may be leased to hosts without demand.
-	burstSlack  = 0.3
-	leasedSlack = 0.35
-	// leasedOvershoot is the fraction of Bounds.Overshoot that may be leased.
-	leasedOvershoot = 0.5
+	// a small tenant whose requests come unevenly is not refused below its limit.
+	burstSlack = 0.25
+	// leasedTolerance is the fraction of Bounds.Slack and of Bounds.Overshoot that hosts may
+	// hold as leases.
+	leasedTolerance = 0.3
 	// takeoverSlack is the fraction of Bounds.Slack that a bucket holds at most when its host
 	// has just become the granting host, and takeoverRate the fraction of the rate at which it
 	// fills for the first window: the granting host before it may still be granting.
-	takeoverSlack = 0.125
+	takeoverSlack = 0.3
 	takeoverRate  = 0.5
+	// standingReserve is the fraction of a bucket that is kept for hosts with requests when
+	// other hosts ask for tokens ahead.
+	standingReserve = 0.5
 
 	// minRetryAfter and maxRetryAfter bound the retry delay of a refused request before its
-	// random part.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = time.Second
+	// random part. unansweredRetryAfter is the delay while no granting host answers, as after
+	// a restart of all hosts, which then takes some tenths of a second to find one.
+	minRetryAfter        = 50 * time.Millisecond
+	maxRetryAfter        = time.Second
+	unansweredRetryAfter = 200 * time.Millisecond
+)
+
+// Decision is the decision on a request.
+type Decision uint8
+
+// The decisions.
+const (
+	Admitted  Decision = iota
+	OverLimit          // the tenant uses all that its limit allows
+	NoToken            // this host has no token; the tenant may be below its limit
 )
 
 // Limit is the limit of a tenant: requests per second, and requests above it at once.
@@ -70,7 +84,7 @@
 
 // maxLeased returns how many tokens all hosts may hold at a time.
 func (b Bounds) maxLeased(l Limit) float64 {
-	return max(1, leasedSlack*b.Slack+leasedOvershoot*b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst))
+	return max(1, leasedTolerance*(b.Slack+b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst)))
 }
 
 // Ask is what a host sends to the granting host of a tenant. It renews the lease of the tokens
