--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -326,6 +326,7 @@
 	go h.follower.run(background)
 	go h.housekeeping(background)
 	go h.quotas.run(background)
+	go h.quotas.refreshUntilSettled(background)
 	go h.preconnect(background)
 	h.opts.Log.Info("started", "host", h.opts.Site.Name, "place", h.opts.Site.Place, "callers", h.opts.Site.CallerAddress, "incarnation", h.incarnation)
 	<-ctx.Done()
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -22,6 +22,9 @@
 	maxStanding = 1000
 	// quotaBatch is how long asks are collected for one message.
 	quotaBatch = time.Millisecond
+	// minKnownLarge is the number of large hosts from which a host that is one of them takes
+	// them for most of the hosts that callers use.
+	minKnownLarge = 3
 	// pauseThreshold is the difference between the clocks from which the process counts as
 	// paused.
 	pauseThreshold = time.Second
@@ -42,6 +45,8 @@
 	hosts    []string        // that grant, this one included if it does
 	majority bool            // whether this host sees at least half of the fleet
 	leaving  bool
+	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
+	startHosts int
 	seen     time.Time // last call of refresh
 }
 
@@ -51,7 +56,7 @@
 
 func newQuotas(h *Host, seed uint64) *quotas {
 	b := quotaBounds(&h.opts.Site)
-	return &quotas{host: h, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
+	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
 }
 
 // setBounds replaces the bounds after a reload of the settings.
@@ -84,6 +89,10 @@
 	key := quota.Key(t.Name)
 	q.mu.Lock()
 	decision, retryAfter := q.holder.Admit(now, key, quota.Limit{Rate: t.Rate, Burst: t.Burst})
+	if decision == quota.NoToken && now.Sub(q.host.started) < roster.SettleTime &&
+		q.holder.TakeStart(key, quota.Limit{Rate: t.Rate, Burst: t.Burst}, q.startHosts) {
+		decision = quota.Admitted
+	}
 	_, due := q.holder.NextAsk(now)
 	q.mu.Unlock()
 	if due {
@@ -106,6 +115,21 @@
 	}
 }
 
+// startRefresh is the interval of refresh until a host knows the fleet, when hosts of which it
+// hears change who grants.
+const startRefresh = 100 * time.Millisecond
+
+// refreshUntilSettled calls refresh often after a start of the host.
+func (q *quotas) refreshUntilSettled(ctx context.Context) {
+	for now := time.Now(); ctx.Err() == nil && now.Sub(q.host.started) < roster.SettleTime; now = time.Now() {
+		guard.Run(q.host.opts.Log, "quota", func() { q.refresh(now, true) })
+		sleep(ctx, startRefresh)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.EndStart()
+}
+
 // run sends asks until the context ends.
 func (q *quotas) run(ctx context.Context) {
 	timer := time.NewTimer(math.MaxInt64)
@@ -192,10 +216,17 @@
 		q.granter.Reset(now)
 	}
 	q.seen = now
+	if majority != q.majority && len(q.limits) > 0 {
+		q.host.opts.Log.Info("hosts that grant the tokens of tenants", "hosts", len(hosts), "majority", majority, "restarted", restarted)
+	}
 	if !slices.Equal(hosts, q.hosts) || majority != q.majority {
 		q.hosts, q.majority = hosts, majority
 		q.granter.HostsChanged(now, restarted)
 	}
+	q.startHosts = roster.AssumedFleetHosts
+	if len(hosts) >= minKnownLarge && slices.Contains(hosts, q.host.opts.Site.Name) {
+		q.startHosts = 2 * len(hosts)
+	}
 	standing := q.limits
 	if !directed || len(standing) > maxStanding {
 		standing = nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -92,8 +92,8 @@
 	Notices   func() []notice.Report
 	OnNotices func([]notice.Report)
 	// OnQuota is called with quota messages of other hosts.
-	OnQuota func(*QuotaMessage)
-	RandSeed  uint64 // of the choice of receivers and relayed states
+	OnQuota  func(*QuotaMessage)
+	RandSeed uint64 // of the choice of receivers and relayed states
 }
 
 // Gossip sends and receives heartbeats and owns the roster. It is safe for
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -14,6 +14,8 @@
 	rng     *rand.Rand
 	tenants map[uint64]*holding
 	due     map[uint64]struct{} // tenants for which an ask may be due
+	started map[uint64]struct{} // tenants whose start token was used
+	salt    uint64              // of the choice of start tokens
 	counts  HolderCounts
 }
 
@@ -39,7 +41,8 @@
 
 // NewHolder returns a Holder without tokens.
 func NewHolder(b Bounds, seed uint64) *Holder {
-	return &Holder{bounds: b.withDefaults(), rng: rand.New(rand.NewPCG(seed, ^seed)), tenants: map[uint64]*holding{}, due: map[uint64]struct{}{}}
+	return &Holder{bounds: b.withDefaults(), rng: rand.New(rand.NewPCG(seed, ^seed)), tenants: map[uint64]*holding{}, due: map[uint64]struct{}{},
+		started: map[uint64]struct{}{}, salt: seed}
 }
 
 // SetBounds replaces the bounds.
@@ -87,6 +90,28 @@
 	return after + time.Duration(h.rng.Int64N(int64(after)))
 }
 
+// TakeStart admits a request of a tenant for which Admit found NoToken although this host has
+// just started. Hosts do not know each other then, and none grants for a second or more. Each
+// host may admit one request of a tenant in that time, with a probability such that the hosts
+// of a fleet together stay within the tolerance of the limit. fleet is the number of hosts
+// that may do so.
+func (h *Holder) TakeStart(tenant uint64, l Limit, fleet int) bool {
+	if _, used := h.started[tenant]; used || fleet <= 0 {
+		return false
+	}
+	drawn := float64(mix(tenant^h.salt)>>11) / (1 << 53)
+	if drawn >= startTolerance*h.bounds.tolerance(l)/float64(fleet) {
+		return false
+	}
+	h.started[tenant] = struct{}{}
+	h.counts.Admitted++
+	h.counts.Refused--
+	return true
+}
+
+// EndStart ends the time in which TakeStart may be called.
+func (h *Holder) EndStart() { clear(h.started) }
+
 // GiveBack returns the token of a request that did not run.
 func (h *Holder) GiveBack(tenant uint64) {
 	if x, ok := h.tenants[tenant]; ok {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -30,6 +30,9 @@
 	// leasedTolerance is the fraction of Bounds.Slack and of Bounds.Overshoot that hosts may
 	// hold as leases.
 	leasedTolerance = 0.3
+	// startTolerance is the fraction of the same tolerance that hosts admit before they know
+	// each other after a restart of all. Nothing is granted in that time.
+	startTolerance = 0.5
 	// takeoverSlack is the fraction of Bounds.Slack that a bucket holds at most when its host
 	// has just become the granting host, and takeoverRate the fraction of the rate at which it
 	// fills for the first window: the granting host before it may still be granting.
@@ -84,7 +87,12 @@
 
 // maxLeased returns how many tokens all hosts may hold at a time.
 func (b Bounds) maxLeased(l Limit) float64 {
-	return max(1, leasedTolerance*(b.Slack+b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst)))
+	return max(1, leasedTolerance*b.tolerance(l))
+}
+
+// tolerance returns by how many requests a tenant may exceed its limit in a window.
+func (b Bounds) tolerance(l Limit) float64 {
+	return b.Slack + b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst)
 }
 
 // Ask is what a host sends to the granting host of a tenant. It renews the lease of the tokens
@@ -132,8 +140,9 @@
 }
 
 // rank mixes the hashes of a tenant and of a host.
-func rank(tenant uint64, host string) uint64 {
-	x := tenant ^ xxhash.Sum64String(host)
+func rank(tenant uint64, host string) uint64 { return mix(tenant ^ xxhash.Sum64String(host)) }
+
+func mix(x uint64) uint64 {
 	x = (x ^ x>>31) * 0x7fb5d329728ea185
 	x = (x ^ x>>27) * 0x81dadef4bc2dd44d
 	return x ^ x>>33
