Quota: start tokens by the size of the limit, no shortage from asks ahead of requests

Cause: after a restart of all hosts each host refused the first requests of every tenant until hosts knew each other, and asks that only hold a token ahead made later requests look over the limit.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -47,7 +47,7 @@
 	leaving  bool
 	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
 	startHosts int
-	seen     time.Time // last call of refresh
+	seen       time.Time // last call of refresh
 }
 
 func quotaBounds(s *site.Settings) quota.Bounds {
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -102,9 +102,9 @@
 			mine.unmet = now
 		}
 		short := max(0, 1-a.tokens) + float64(waiting)
-		moreAfter = max(time.Millisecond, seconds(short/max(l.Rate, 1e-3)))
+		moreAfter = min(max(time.Millisecond, seconds(short/max(l.Rate, 1e-3))), maxRetryAfter)
 	}
-	return tokens, min(moreAfter, maxRetryAfter)
+	return tokens, moreAfter
 }
 
 // account returns the filled bucket of a tenant.
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -14,7 +14,7 @@
 	rng     *rand.Rand
 	tenants map[uint64]*holding
 	due     map[uint64]struct{} // tenants for which an ask may be due
-	started map[uint64]struct{} // tenants whose start token was used
+	started map[uint64]int      // start tokens used, by tenant
 	salt    uint64              // of the choice of start tokens
 	counts  HolderCounts
 }
@@ -35,6 +35,7 @@
 	asked    time.Time // when it was sent
 	answered bool      // a grant for it has arrived
 	moreAt   time.Time // when the granting host expects to have a token
+	ahead    bool      // the latest ask was for tokens ahead of any request
 	refused  time.Time // last refusal
 	standing bool      // a token is held although there is no demand
 }
@@ -42,7 +43,7 @@
 // NewHolder returns a Holder without tokens.
 func NewHolder(b Bounds, seed uint64) *Holder {
 	return &Holder{bounds: b.withDefaults(), rng: rand.New(rand.NewPCG(seed, ^seed)), tenants: map[uint64]*holding{}, due: map[uint64]struct{}{},
-		started: map[uint64]struct{}{}, salt: seed}
+		started: map[uint64]int{}, salt: seed}
 }
 
 // SetBounds replaces the bounds.
@@ -81,8 +82,10 @@
 	}
 }
 
-// short reports whether the granting host had fewer tokens than were asked for lately.
-func (x *holding) short(now time.Time) bool { return x.moreAt.After(now.Add(-repeatAfter)) }
+// short reports whether the granting host had fewer tokens than requests needed lately.
+func (x *holding) short(now time.Time) bool {
+	return !x.ahead && x.moreAt.After(now.Add(-repeatAfter))
+}
 
 // spread adds a random part to a retry delay, because the callers of a tenant are often
 // refused together.
@@ -92,18 +95,17 @@
 
 // TakeStart admits a request of a tenant for which Admit found NoToken although this host has
 // just started. Hosts do not know each other then, and none grants for a second or more. Each
-// host may admit one request of a tenant in that time, with a probability such that the hosts
-// of a fleet together stay within the tolerance of the limit. fleet is the number of hosts
-// that may do so.
+// host may admit its share of a part of the tolerance of the limit in that time; a share below
+// one request is a probability. fleet is the number of hosts that may do so.
 func (h *Holder) TakeStart(tenant uint64, l Limit, fleet int) bool {
-	if _, used := h.started[tenant]; used || fleet <= 0 {
+	if fleet <= 0 {
 		return false
 	}
 	drawn := float64(mix(tenant^h.salt)>>11) / (1 << 53)
-	if drawn >= startTolerance*h.bounds.tolerance(l)/float64(fleet) {
+	if float64(h.started[tenant])+drawn >= startTolerance*h.bounds.tolerance(l)/float64(fleet) {
 		return false
 	}
-	h.started[tenant] = struct{}{}
+	h.started[tenant]++
 	h.counts.Admitted++
 	h.counts.Refused--
 	return true
@@ -213,9 +215,10 @@
 			continue
 		}
 		x.seq++
-		x.asked, x.answered = now, false
+		demand := x.demandFor(now)
+		x.asked, x.answered, x.ahead = now, false, demand == 0
 		h.counts.Asked++
-		asks = append(asks, Ask{Tenant: key, Seq: x.seq, Held: float32(x.tokens), Want: float32(x.missing(now)), Demand: float32(x.demandFor(now))})
+		asks = append(asks, Ask{Tenant: key, Seq: x.seq, Held: float32(x.tokens), Want: float32(x.missing(now)), Demand: float32(demand)})
 	}
 	slices.SortFunc(asks, func(a, b Ask) int {
 		if a.Tenant < b.Tenant {
@@ -241,10 +244,14 @@
 	if !x.answered {
 		next = x.asked.Add(repeatAfter)
 	}
-	// A renewal does not wait for tokens.
-	if x.moreAt.After(next) && now.Sub(x.asked) < RenewInterval-repeatAfter {
+	// Requests that came since do not wait for the answer to an ask ahead of them, and
+	// renewals do not wait for tokens.
+	if x.moreAt.After(next) && !(x.ahead && x.lastSeen.After(x.asked)) {
 		next = x.moreAt
 	}
+	if renewal := x.asked.Add(RenewInterval); renewal.Before(next) {
+		next = renewal
+	}
 	return next
 }
 
