--- a/pkg/quota/doc.go
+++ b/pkg/quota/doc.go
@@ -11,9 +11,10 @@
 // exceeds the limit while hosts disagree on the fleet: of two granting hosts at most one sees
 // half of the fleet, and one that has just taken over grants less.
 //
-// In any window, requests that run are at most those granted in it and those leased before
-// it: Rate × window + Burst + heldBurst × Slack from the bucket, and maxLeased from leases.
-// The rest of the tolerance in Bounds covers a change of the granting host.
+// In any window, the requests that run are at most those granted in it and those leased before
+// it. The tolerance in Bounds is divided: rateTolerance is added to the rate, leasedTolerance
+// may be held as leases, and the rest covers a change of the granting host and a restart of
+// all hosts.
 //
 // Time, the random source and messages are passed in. The types are not safe for concurrent
 // use.
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -91,7 +91,7 @@
 	}
 	available := min(a.tokens, most-leased)
 	if ask.Demand == 0 {
-		available = min(available, a.tokens-standingReserve*g.bounds.bucketSize(l))
+		available = min(available, a.tokens-standingReserve*bucketSize(l))
 	}
 	tokens = max(0, math.Floor(min(want, available)))
 	a.tokens -= tokens
@@ -102,7 +102,7 @@
 			mine.unmet = now
 		}
 		short := max(0, 1-a.tokens) + float64(waiting)
-		moreAfter = min(max(time.Millisecond, seconds(short/max(l.Rate, 1e-3))), maxRetryAfter)
+		moreAfter = min(max(time.Millisecond, seconds(short/max(g.bounds.fillRate(l), 1e-3))), maxRetryAfter)
 	}
 	return tokens, moreAfter
 }
@@ -110,18 +110,18 @@
 // account returns the filled bucket of a tenant.
 func (g *Granter) account(now time.Time, tenant uint64, l Limit) *account {
 	a, ok := g.tenants[tenant]
-	size := g.bounds.bucketSize(l)
+	size := bucketSize(l)
 	if !ok || now.Sub(a.lastAsk) > continuous && now.Sub(g.changed) < g.bounds.Window+continuous {
 		a = &account{tokens: size, filled: now, leases: map[string]*lease{}}
 		if now.Sub(g.changed) < g.bounds.Window+continuous {
-			a.tokens = max(1, min(size, takeoverSlack*g.bounds.Slack))
+			a.tokens = max(1, min(size, takeoverTolerance*g.bounds.tolerance(l)))
 			if !g.restarted {
 				a.since = now
 			}
 		}
 		g.tenants[tenant] = a
 	}
-	rate := l.Rate
+	rate := g.bounds.fillRate(l)
 	if g.takesOver(now, a) {
 		rate *= takeoverRate
 	}
@@ -178,7 +178,7 @@
 			continue
 		}
 		a := g.account(now, h.Tenant, l)
-		a.tokens = min(float64(h.Tokens), g.bounds.bucketSize(l))
+		a.tokens = min(float64(h.Tokens), bucketSize(l))
 		a.since, a.lastAsk = time.Time{}, now
 	}
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -24,20 +24,20 @@
 	// idleTime is how long a tenant without requests is kept.
 	idleTime = time.Minute
 
-	// burstSlack is the fraction of Bounds.Slack by which a bucket exceeds the burst, so that
-	// a small tenant whose requests come unevenly is not refused below its limit.
-	burstSlack = 0.25
-	// leasedTolerance is the fraction of Bounds.Slack and of Bounds.Overshoot that hosts may
-	// hold as leases.
-	leasedTolerance = 0.3
-	// startTolerance is the fraction of the same tolerance that hosts admit before they know
-	// each other after a restart of all. Nothing is granted in that time.
-	startTolerance = 0.5
-	// takeoverSlack is the fraction of Bounds.Slack that a bucket holds at most when its host
-	// has just become the granting host, and takeoverRate the fraction of the rate at which it
-	// fills for the first window: the granting host before it may still be granting.
-	takeoverSlack = 0.3
-	takeoverRate  = 0.5
+	// rateTolerance is the fraction of the tolerance that a bucket adds to the rate in each
+	// window: to refuse a request below the limit costs its caller, while one above it within
+	// the tolerance is allowed.
+	rateTolerance = 0.5
+	// leasedTolerance is the fraction of the tolerance that hosts may hold as leases.
+	leasedTolerance = 0.25
+	// startTolerance is the fraction of the tolerance that hosts admit before they know each
+	// other after a restart of all. Nothing is granted in that time.
+	startTolerance = 0.4
+	// takeoverTolerance is the fraction of the tolerance that a bucket holds at most when its
+	// host has just become the granting host, and takeoverRate the fraction of the rate at
+	// which it fills for the first window: the granting host before it may still be granting.
+	takeoverTolerance = 0.2
+	takeoverRate      = 0.5
 	// standingReserve is the fraction of a bucket that is kept for hosts with requests when
 	// other hosts ask for tokens ahead.
 	standingReserve = 0.5
@@ -83,7 +83,12 @@
 
 // bucketSize returns how many tokens a bucket holds at most: one at least, or no request
 // would ever run.
-func (b Bounds) bucketSize(l Limit) float64 { return max(1, l.Burst+burstSlack*b.Slack) }
+func bucketSize(l Limit) float64 { return max(1, l.Burst) }
+
+// fillRate returns how many tokens a bucket gets a second.
+func (b Bounds) fillRate(l Limit) float64 {
+	return l.Rate + rateTolerance*b.tolerance(l)/b.Window.Seconds()
+}
 
 // maxLeased returns how many tokens all hosts may hold at a time.
 func (b Bounds) maxLeased(l Limit) float64 {
