Quota: only hosts that callers use hold tokens ahead, others keep one for 3 s

Cause: for seconds after a restart of all hosts each of 71 hosts held a token of each tenant, so that the leases left none for the hosts that had the requests.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -122,7 +122,7 @@
 // refreshUntilSettled calls refresh often after a start of the host.
 func (q *quotas) refreshUntilSettled(ctx context.Context) {
 	for now := time.Now(); ctx.Err() == nil && now.Sub(q.host.started) < roster.SettleTime; now = time.Now() {
-		guard.Run(q.host.opts.Log, "quota", func() { q.refresh(now, true) })
+		guard.Run(q.host.opts.Log, "quota", func() { q.refresh(now, q.host.isOneOf(q.host.directed(now))) })
 		sleep(ctx, startRefresh)
 	}
 	q.mu.Lock()
@@ -228,7 +228,8 @@
 		q.startHosts = 2 * len(hosts)
 	}
 	standing := q.limits
-	if !directed || len(standing) > maxStanding {
+	// Without a majority of the fleet, each host takes callers to be directed to itself.
+	if !directed || !majority || len(standing) > maxStanding {
 		standing = nil
 	}
 	q.holder.Stand(now, standing)
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -91,7 +91,7 @@
 	}
 	available := min(a.tokens, most-leased)
 	if ask.Demand == 0 {
-		available = min(available, a.tokens-standingReserve*bucketSize(l))
+		available = min(available, a.tokens-standingReserve*bucketSize(l), (1-standingReserve)*most-leased)
 	}
 	tokens = max(0, math.Floor(min(want, available)))
 	a.tokens -= tokens
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -165,7 +165,7 @@
 // target returns how many tokens the host should hold.
 func (x *holding) target(now time.Time) float64 {
 	least := 0.0
-	if x.standing || now.Sub(x.lastSeen) < idleTime {
+	if x.standing || now.Sub(x.lastSeen) < keepTime {
 		least = 1
 	}
 	return min(max(least, math.Ceil(x.demandAt(now)*holdTime.Seconds())), x.maxTokens())
@@ -193,7 +193,7 @@
 			continue
 		}
 		// What is held beyond the target is of more use at other hosts.
-		x.tokens = min(x.tokens, max(1, x.target(now)))
+		x.tokens = min(x.tokens, x.target(now))
 		if now.Sub(x.asked) >= RenewInterval-repeatAfter {
 			h.due[key] = struct{}{}
 		}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -21,6 +21,9 @@
 	holdTime = 300 * time.Millisecond
 	// demandTime is the time constant of the moving average of demand.
 	demandTime = time.Second
+	// keepTime is how long a host that holds no token ahead keeps one after a request. Tokens
+	// that are kept longer are missing at the hosts that the tenant uses now.
+	keepTime = 3 * time.Second
 	// idleTime is how long a tenant without requests is kept.
 	idleTime = time.Minute
 
@@ -29,7 +32,7 @@
 	// the tolerance is allowed.
 	rateTolerance = 0.5
 	// leasedTolerance is the fraction of the tolerance that hosts may hold as leases.
-	leasedTolerance = 0.25
+	leasedTolerance = 0.3
 	// startTolerance is the fraction of the tolerance that hosts admit before they know each
 	// other after a restart of all. Nothing is granted in that time.
 	startTolerance = 0.4
@@ -38,9 +41,9 @@
 	// which it fills for the first window: the granting host before it may still be granting.
 	takeoverTolerance = 0.2
 	takeoverRate      = 0.5
-	// standingReserve is the fraction of a bucket that is kept for hosts with requests when
-	// other hosts ask for tokens ahead.
-	standingReserve = 0.5
+	// standingReserve is the fraction of a bucket and of the leases that is kept for hosts with
+	// requests when other hosts ask for tokens ahead.
+	standingReserve = 0.3
 
 	// minRetryAfter and maxRetryAfter bound the retry delay of a refused request before its
 	// random part. unansweredRetryAfter is the delay while no granting host answers, as after
