Soak: tenants with keys and limits, checked by what targets and callers see

The soak has no tenants so far, so a tier that leaks keys, accepts withdrawn ones or ignores limits passes. Callers now carry keys, some of them wrong, withdrawn, malformed or absent; the injector adds, withdraws and moves keys and changes limits. Checked are keys at targets, the tenant of each request, keys added or withdrawn for longer than config_apply_ms at hosts in contact with the store, the cap in each sliding window, and refusals below it in calm times.

--- a/cmd/lacewingyard/soak.go
+++ b/cmd/lacewingyard/soak.go
@@ -12,7 +12,7 @@
 
 func newSoak() *cobra.Command {
 	var seed uint64
-	var seeds, hosts, callers, keepers int
+	var seeds, hosts, callers, keepers, heldBodies int
 	var faultDuration, grace time.Duration
 	var planned bool
 	var binary string
@@ -40,13 +40,14 @@
 					return err
 				}
 				report, err := soak.Run(cmd.Context(), soak.Options{
-					Binary: binary, Dir: dir, Seed: seed + i, Hosts: hosts, Callers: callers, Keepers: keepers, Grace: grace, FaultDuration: faultDuration, PlannedOnly: planned,
+					Binary: binary, Dir: dir, Seed: seed + i, Hosts: hosts, Callers: callers, Keepers: keepers, HeldBodies: heldBodies, Grace: grace, FaultDuration: faultDuration, PlannedOnly: planned,
 					Logf: func(format string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", args...) },
 				})
 				if err != nil {
 					return errors.Wrapf(err, "seed %d (output of the hosts in %s)", seed+i, dir)
 				}
 				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d calls, %d served, %d runs, %d changes checked, peak memory of a host %d MB, %d violations\n", seed+i, report.Calls, report.Served, report.Runs, report.CheckedChanges, report.PeakMemory>>20, len(report.Violations))
+				fmt.Fprintf(cmd.ErrOrStderr(), "tenants: %v\n", report.Tenants)
 				if report.RepeatableInStops.Calls+report.OnceInStops.Calls > 0 {
 					fmt.Fprintf(cmd.ErrOrStderr(), "repeatable: %v; run once: %v\n", report.RepeatableInStops, report.OnceInStops)
 				}
@@ -73,6 +74,7 @@
 	cmd.Flags().IntVar(&hosts, "hosts", 6, "number of host processes")
 	cmd.Flags().IntVar(&callers, "callers", 12, "number of concurrent callers")
 	cmd.Flags().IntVar(&keepers, "keepers", 6, "number of callers that open connections ahead and use them until a host closes them")
+	cmd.Flags().IntVar(&heldBodies, "held-bodies", 0, "number of callers that hold large bodies open, in each such fault; 0: no such fault")
 	cmd.Flags().BoolVar(&planned, "planned", false, "make planned changes only, among them stops of hosts, and inject no faults")
 	cmd.Flags().StringVar(&binary, "host-binary", "", "executable of the hosts, to check another build; default: this one")
 	cmd.Flags().DurationVar(&grace, "grace", 3*time.Second, "time between SIGTERM and SIGKILL of a host that is stopped")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,6 +31,7 @@
 	rng    *rand.Rand
 	client *http.Client
 	nextID *atomic.Int64 // shared by all callers
+	tenant int           // whose keys it uses, modulo the number of tenants
 
 	addresses   []string
 	cachedUntil time.Time // expiry of addresses
@@ -47,7 +48,7 @@
 		if len(c.addresses) > 0 {
 			c.call(c.addresses[c.rng.IntN(len(c.addresses))])
 		}
-		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanInterval)))
+		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(c.interval())))
 	}
 }
 
@@ -78,12 +79,20 @@
 	case c.rng.IntN(3) == 0:
 		call.Method, call.URI, call.Body = "POST", platformtest.AtMostOncePrefix+id+"?n=1", "body of "+id
 	}
+	c.authorize(&call)
 	return call
 }
 
 func (c *caller) call(address string) {
 	call := c.newCall(address)
-	c.fleet.checker.RecordCall(call)
 	// Calls are not cancelled at the end of the run, so that each one has an outcome.
-	c.fleet.checker.RecordReply(call.ID, platformtest.Call(context.Background(), c.client, address, call.Method, call.URI, call.ID, []byte(call.Body), callTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := platformtest.NewRequest(ctx, address, call.Method, call.URI, call.ID, []byte(call.Body), callTimeout)
+	if err != nil {
+		return
+	}
+	call.setHeader(req)
+	c.fleet.checker.RecordCall(call)
+	c.fleet.checker.RecordReply(call.ID, platformtest.Send(c.client, req))
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,9 +13,12 @@
 // Call is a request of a caller and the reply to it.
 type Call struct {
 	ID, Method, URI, Body string
-	Host                  string // address of the host that it was sent to
-	Killer                bool   // it ends the targets that run it
-	Left                  bool   // its caller ended its side of the connection, and is owed no answer
+	Host                  string   // address of the host that it was sent to
+	Killer                bool     // it ends the targets that run it
+	Left                  bool     // its caller ended its side of the connection, and is owed no answer
+	Authorization         []string // values of its Authorization header
+	Key                   string   // that Authorization presents; empty if it presents none
+	ClaimedTenant         string   // value of its Tenant header
 	Sent                  time.Time
 	Reply                 platformtest.Reply
 }
@@ -39,6 +42,8 @@
 	hostFaults   map[string][]interval // by address of a host
 	stops        []plannedStop
 	disturbances []interval
+
+	tenants tenantChecks
 }
 
 // interval is an open interval of time, without an end if until is zero.
@@ -50,7 +55,7 @@
 
 // NewChecker returns a checker without calls and sets of shards.
 func NewChecker() *Checker {
-	return &Checker{calls: map[string]*Call{}, forbidden: map[string][]interval{}, retired: map[string]time.Time{}, hostFaults: map[string][]interval{}}
+	return &Checker{calls: map[string]*Call{}, forbidden: map[string][]interval{}, retired: map[string]time.Time{}, hostFaults: map[string][]interval{}, tenants: newTenantChecks()}
 }
 
 // AddShardSet records a set of shards. It must be called before a configuration that
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,8 @@
 	// the time after that within which the last change has been checked.
 	changePeriod = 5 * time.Second
 	checkPeriod  = evacuationDeadline + 3*time.Second
+	// One fault in crowdFaults, on average, is a crowd of callers that hold bodies open.
+	crowdFaults = 8
 )
 
 // injector injects faults and makes planned changes.
@@ -41,6 +43,8 @@
 	logf  func(format string, args ...any)
 
 	plannedOnly bool // no faults
+	crowd       int  // callers that hold bodies open, in each such fault; 0: no such fault
+	crowds      int  // such faults so far
 
 	mu             sync.Mutex
 	wg             sync.WaitGroup
@@ -106,6 +110,10 @@
 // injectFault starts one fault or change.
 func (f *injector) injectFault(ctx context.Context) {
 	length := f.randomDuration(500*time.Millisecond, 4*time.Second)
+	if f.crowd > 0 && f.rng.IntN(crowdFaults) == 0 {
+		f.holdBodies(ctx, length)
+		return
+	}
 	switch f.rng.IntN(15) {
 	case 0:
 		f.processFault(ctx, "pause", length, func(h *host) { h.signal(syscall.SIGSTOP) }, func(h *host) { h.signal(syscall.SIGCONT) })
@@ -134,7 +142,9 @@
 
 // makeChange makes one planned change.
 func (f *injector) makeChange(ctx context.Context) {
-	switch f.rng.IntN(6) {
+	switch f.rng.IntN(9) {
+	case 6, 7, 8:
+		f.changeTenants(ctx)
 	case 0:
 		f.drain(ctx, f.target())
 	case 4, 5:
@@ -235,9 +245,11 @@
 	mode := platformtest.Unavailable + platformtest.Mode(f.rng.IntN(2))
 	f.logf("store in mode %d for %v", mode, length)
 	f.wg.Go(func() {
+		from := time.Now()
 		f.fleet.store.SetMode(mode)
 		sleep(ctx, length)
 		f.fleet.store.SetMode(platformtest.Healthy)
+		f.fleet.checker.AddStoreFault(from, time.Now())
 	})
 }
 
--- a/internal/soak/keeper.go
+++ b/internal/soak/keeper.go
@@ -67,7 +67,7 @@
 			_ = k.open[i].conn.Close()
 			k.open = slices.Delete(k.open, i, i+1)
 		}
-		sleep(ctx, time.Duration(k.rng.ExpFloat64()*float64(meanInterval)))
+		sleep(ctx, time.Duration(k.rng.ExpFloat64()*float64(k.interval())))
 	}
 }
 
@@ -99,6 +99,7 @@
 	if err != nil {
 		return false
 	}
+	call.setHeader(req)
 	call.Left = k.rng.IntN(leavingCalls) == 0
 	k.fleet.checker.RecordCall(call)
 	if call.Left {
@@ -144,7 +145,7 @@
 // startKeepers starts keepers until the context ends.
 func (s *testFleet) startKeepers(ctx context.Context, group *sync.WaitGroup, count int, seed uint64, nextID *atomic.Int64) {
 	for i := range count {
-		k := &keeper{caller: caller{fleet: s, place: fmt.Sprint("p", i%places), rng: rand.New(rand.NewPCG(seed, 1<<33+uint64(i))), nextID: nextID}}
+		k := &keeper{caller: caller{fleet: s, place: fmt.Sprint("p", i%places), rng: rand.New(rand.NewPCG(seed, 1<<33+uint64(i))), nextID: nextID, tenant: i + 2}}
 		group.Go(func() { k.run(ctx) })
 	}
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -36,6 +36,7 @@
 	targets []*target // all that were started, at-most-once targets first
 	hosts   []*host
 	checker *Checker
+	book    *tenantBook
 	version uint64   // of the last published configuration
 	shards  []string // set of shards in the last published configuration
 	client  *http.Client
@@ -67,7 +68,7 @@
 )
 
 func newTestFleet(binary, dir string, hosts int, grace time.Duration) (*testFleet, error) {
-	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), client: &http.Client{Timeout: routeTimeout}}
+	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), book: newTenantBook(), client: &http.Client{Timeout: routeTimeout}}
 	var err error
 	if s.raceDetector, err = hasRaceDetector(binary); err != nil {
 		return nil, errors.Wrapf(err, "read the build settings of %s", binary)
@@ -145,14 +146,22 @@
 	return nil
 }
 
-// publish writes the next version of the configuration.
-func (s *testFleet) publish() {
+// publish writes the next version of the configuration, with the same tenants.
+func (s *testFleet) publish() { s.publishTenants(s.book.published()) }
+
+// publishTenants writes the next version of the configuration.
+func (s *testFleet) publishTenants(tenants []platformtest.Tenant) {
 	s.version += 3
 	s.checker.AddShardSet(s.shards)
 	config := platformtest.ConfigWithRoute(s.version, s.shards, routeTimeout, fetchPrefix)
 	routes := config["routes"].([]map[string]any)
 	routes[len(routes)-1]["route_type"] = "idempotent"
+	config["limits"].(map[string]any)["max_body_bytes"] = maxBodyBytes
+	platformtest.SetTenants(config, tenants, further)
+	before := time.Now()
 	s.store.Put(platformtest.ConfigKey, config)
+	s.checker.PublishTenants(before, time.Now(), tenants)
+	s.book.adopt(tenants)
 }
 
 func (s *testFleet) startHost(h *host) error {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,7 @@
 	Keepers       int           // callers that open connections ahead and keep them until they are closed
 	Grace         time.Duration // between SIGTERM and SIGKILL when a host is stopped
 	FaultDuration time.Duration // time during which faults are injected
+	HeldBodies    int           // callers that hold bodies open, in each such fault; 0: no such fault
 	PlannedOnly   bool          // make planned changes, among them stops of hosts, and inject no faults
 	Logf          func(format string, args ...any)
 }
@@ -43,6 +44,7 @@
 	PeakMemory          int64 // most memory that a host used, in bytes
 	RepeatableInStops   StopCounts
 	OnceInStops         StopCounts
+	Tenants             TenantCounts
 	CheckedChanges      int // planned changes for which the time to take effect was checked
 	Violations          []string
 }
@@ -70,12 +72,12 @@
 	var nextID atomic.Int64
 	for i := range o.Callers {
 		c := &caller{fleet: s, place: fmt.Sprint("p", i%places), rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
-			client: &http.Client{Transport: &http.Transport{}}, nextID: &nextID}
+			client: &http.Client{Transport: &http.Transport{}}, nextID: &nextID, tenant: i}
 		callers.Go(func() { c.run(calling) })
 	}
 	s.startKeepers(calling, &callers, o.Keepers, o.Seed, &nextID)
 	faults, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
-	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, plannedOnly: o.PlannedOnly, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
+	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), logf: o.Logf, plannedOnly: o.PlannedOnly, crowd: o.HeldBodies, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
 	inj.run(faults)
 	stopFaults()
 	sleep(ctx, recoveryTime)
@@ -108,10 +110,13 @@
 	for _, t := range s.targets {
 		received = append(received, t.Arrivals()...)
 	}
-	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.CheckNotices(received)}
+	s.checker.CheckNotices(received)
+	s.checker.CheckKeys(received)
+	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.CheckCaps(runs)}
 	r.Calls, r.Served = s.checker.Served(time.Time{})
+	r.Tenants = s.checker.CountTenants()
 	r.RepeatableInStops, r.OnceInStops = s.checker.CountStops()
-	if sent, served := s.checker.Served(recovered); float64(served) < minServedRatio*float64(sent) || sent == 0 {
+	if sent, served := s.checker.ServedOfEntitled(recovered); float64(served) < minServedRatio*float64(sent) || sent == 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("of %d calls after the recovery time only %d were served", sent, served))
 	}
 	return r
