Operators see requests by tenant, tokens, and tenants over their limits

Nothing tells operators who exceeds a limit, nor which host grants its tokens. Keys appear in none of them.

--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/edge"
@@ -59,6 +61,9 @@
 	}
 	fmt.Fprintf(w, "\nconnections closed under requests\t%d\ncrashes counted\t%d, and %d reported by others\nrequests refused for them\t%d\n",
 		s.Crashes.ClosedSends, s.Crashes.Crashes, s.Crashes.FromPeers, s.Crashes.Refused)
+	if s.Quota != nil {
+		printQuota(w, s.Quota)
+	}
 	if len(s.Crashes.Quarantined) > 0 {
 		fmt.Fprintln(w, "\nREQUEST THAT CRASHES TARGETS\tREFUSED FOR\tTIMES")
 	}
@@ -67,6 +72,25 @@
 	}
 }
 
+func printQuota(w io.Writer, q *edge.QuotaStatus) {
+	fmt.Fprintf(w, "\ntenants with a limit\t%d\nthis host grants tokens\t%t, %d tenants\ngranting hosts\t%s\nsees most of the hosts\t%t\ntokens held\t%.1f for %d tenants\ntokens asked\t%.0f\ntokens granted\t%d\ntokens lapsed\t%d\ntenants over their limits\t%d\n",
+		q.LimitedTenants, q.Grants, q.Buckets, strings.Join(q.GrantingHosts, " "), q.Majority, q.TokensHeld, q.TenantsHeld, q.TokensAsked, q.TokensGiven, q.TokensLapsed, q.OverLimitCount)
+	if len(q.OverLimit) > 0 {
+		fmt.Fprintln(w, "\nTENANT OVER ITS LIMIT\tRATE\tBURST\tFOR\tREFUSED\tGRANTING HOST")
+	}
+	for _, t := range q.OverLimit {
+		fmt.Fprintf(w, "%s\t%g/s\t%g\t%s\t%d\t%s\n", t.Tenant, t.RatePerS, t.Burst, time.Duration(t.OverMS)*time.Millisecond, t.Refused, orNone(t.GrantingHost))
+	}
+	if len(q.Largest) > 0 {
+		fmt.Fprintln(w, "\nTENANT WITH A LIMIT\tREQUESTS\tTOKENS HELD\tGRANTING HOST")
+	}
+	for _, t := range q.Largest {
+		fmt.Fprintf(w, "%s\t%.1f/s\t%.1f\t%s\n", t.Tenant, t.DemandPerS, t.Tokens, orNone(t.GrantingHost))
+	}
+}
+
+func orNone(name string) string { return cmp.Or(name, "none") }
+
 func printTargets(w io.Writer, targets []engine.TargetReport) {
 	fmt.Fprintln(w, "\nTARGET\tSERVICE\tPLACE\tSTATE\tSLOWNESS\tFAILURES\tREFUSALS\tOPEN\tCONNECTIONS")
 	for _, t := range targets {
--- a/cmd/lacewingyard/edgestatus_test.go
+++ b/cmd/lacewingyard/edgestatus_test.go
@@ -39,8 +39,15 @@
 					{Target: "t3", Service: "s", State: engine.TargetBacksOff, AwayMS: 2500},
 					{Target: "t4", Service: "s", State: engine.TargetAvoided, Heard: []notice.Kind{notice.Leaving, notice.Limit}}},
 				Crashes: edge.CrashStatus{Quarantined: []edge.QuarantinedRequest{{Fingerprint: 77, LeftMS: 1500, Level: 2}}},
+				Quota: &edge.QuotaStatus{Grants: true, GrantingHosts: []string{"host-1", "host-2"}, TokensHeld: 4.5, TenantsHeld: 3,
+					OverLimit: []edge.OverLimitStatus{{Tenant: "alder", RatePerS: 8, Burst: 5, OverMS: 1500, Refused: 12, GrantingHost: "host-2"}},
+					Largest:   []edge.HeldStatus{{Tenant: "birch", Tokens: 2, DemandPerS: 6.25}}},
 				Budgets: []engine.BudgetReport{{Service: "s", Left: 4.5}}})
 		case edge.ExplainPath:
+			if name := r.URL.Query().Get(edge.TenantParam); name != "" {
+				api.WriteJSON(w, http.StatusOK, edge.TenantExplanation{Tenant: name, Keys: 2, RatePerS: 8, Burst: 5, GrantingHost: "host-2", Tokens: 1, OverLimit: true, Refused: 12})
+				return
+			}
 			if r.URL.Query().Get(edge.PathParam) != "/a/b" {
 				api.WriteOutcome(w, outcome.Refused(engine.NoRoute, "configuration 7 has no route"))
 				return
@@ -60,6 +67,16 @@
 	g.Expect(out).To(MatchRegexp(`t3 +s +backs off, wants none for 2\.5s`))
 	g.Expect(out).To(MatchRegexp(`t4 +s +avoided, told others: \[leaving limit\]`))
 	g.Expect(out).To(MatchRegexp(`77 +1\.5s +2`))
+	g.Expect(out).To(MatchRegexp(`tokens held +4\.5 for 3 tenants`))
+	g.Expect(out).To(MatchRegexp(`alder +8/s +5 +1\.5s +12 +host-2`))
+	g.Expect(out).To(MatchRegexp(`birch +6\.2/s +2\.0 +none`))
+
+	out, err = runCommand("edge-explain", "--operators", address, "--tenant", "alder")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(MatchRegexp(`limit +8/s, burst 5`))
+	g.Expect(out).To(MatchRegexp(`granting host +host-2`))
+	_, err = runCommand("edge-explain", "--operators", address, "--tenant", "alder", "h.example", "/a/b")
+	g.Expect(err).To(HaveOccurred())
 
 	out, err = runCommand("edge-explain", "--operators", address, "h.example", "/a/b")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -39,6 +39,7 @@
 	next    atomic.Int64
 	codec   backend.Codec
 	tracer  *telemetry.Tracer // for the hosts started after it is set
+	logger  hclog.Logger      // likewise; nil for none
 }
 
 // running is a host that has been started.
@@ -103,12 +104,17 @@
 func (f *fixture) start(h platformtest.HostSettings) *running {
 	s, err := platform.ParseSettings([]byte(h.Settings()))
 	Expect(err).NotTo(HaveOccurred())
+	logger, metrics := f.logger, edge.NewMetrics()
+	if logger == nil {
+		logger = hclog.NewNullLogger()
+	}
 	host, err := edge.New(edge.Options{
-		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: f.codec, Observer: edge.NewMetrics(), Tracer: f.tracer,
-		Log: hclog.NewNullLogger(), OperatorsAddress: h.Address(h.Ports.Operators),
-		Handlers: edge.Handlers{Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
+		Site: s, Store: platform.NewStore(s.StoreAddress, time.Second), Codec: f.codec, Observer: metrics, Tracer: f.tracer,
+		Log: logger, OperatorsAddress: h.Address(h.Ports.Operators),
+		Handlers: edge.Handlers{Metrics: metrics.Handler(), Callers: platform.CallerHandler, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler},
 	})
 	Expect(err).NotTo(HaveOccurred())
+	metrics.RegisterHost(host)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{HostSettings: h, host: host, stop: cancel, ended: make(chan error, 1)}
 	go func() { r.ended <- host.Run(ctx) }()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	notices  *prometheus.CounterVec
+	tenants  *tenantMetrics
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -45,11 +46,12 @@
 	}
 	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.tenants = newTenantMetrics(m.registry)
 	return m
 }
 
 // RegisterHost adds metrics of a host: its connections to targets, store calls,
-// undecodable heartbeats, fleet size, open requests, and the age and configuration
+// undecodable heartbeats, tokens of tenants, fleet size, open requests, and the age and configuration
 // version of its published state. It panics if called twice.
 func (m *Metrics) RegisterHost(h *Host) {
 	counter := func(name, help string, value func() int64) {
@@ -89,6 +91,7 @@
 			Name: "lacewingyard_targets_under_notice", Help: "Targets whose notices are in force, by kind.", ConstLabels: prometheus.Labels{"kind": string(kind)},
 		}, func() float64 { return float64(h.engine.UnderNotice()[kind]) }))
 	}
+	m.registerQuota(h.quotas)
 	gauge("lacewingyard_requests_open", "Requests of callers in progress.", func() float64 { return float64(h.openRequests.Load()) })
 }
 
@@ -106,6 +109,9 @@
 // Finished implements engine.Observer. It counts a request of a caller.
 func (m *Metrics) Finished(_ string, a *engine.Answer, took time.Duration) {
 	m.requests.WithLabelValues(a.Outcome.Kind.String(), string(a.Outcome.Reason)).Inc()
+	if a.Tenant != "" {
+		m.tenants.count(time.Now(), a.Tenant, a.Outcome.Reason)
+	}
 	m.duration.WithLabelValues(a.Outcome.Kind.String()).Observe(took.Seconds())
 }
 
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -7,6 +7,7 @@
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -20,8 +21,9 @@
 
 // Query parameters of ExplainPath.
 const (
-	HostParam = "host"
-	PathParam = "path"
+	HostParam   = "host"
+	PathParam   = "path"
+	TenantParam = "tenant" // in place of both
 )
 
 // Status is the response of StatusPath: the state of a host, its peers and targets.
@@ -45,6 +47,8 @@
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
+	// Quota is nil if no tenant has a limit.
+	Quota *QuotaStatus `json:"quota,omitempty"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
@@ -101,12 +105,17 @@
 }
 
 // explain responds with the route of a host name and a path and the targets that
-// the engine would choose now. It refuses a request without both query parameters, or
-// for which the configuration has no route.
+// the engine would choose now, or with a tenant, its limit and its tokens. It refuses a
+// request without the query parameters of either, or for which the configuration has no route
+// or no tenant.
 func (h *Host) explain(w http.ResponseWriter, r *http.Request) {
+	if name := r.URL.Query().Get(TenantParam); name != "" {
+		h.explainTenant(w, name)
+		return
+	}
 	host, path := r.URL.Query().Get(HostParam), r.URL.Query().Get(PathParam)
 	if host == "" || path == "" {
-		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "query parameters %s and %s are required", HostParam, PathParam))
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "query parameters %s and %s, or %s, are required", HostParam, PathParam, TenantParam))
 		return
 	}
 	explanation, ok := h.engine.Explain(host, path)
@@ -117,6 +126,20 @@
 	api.WriteJSON(w, http.StatusOK, explanation)
 }
 
+// explainTenant responds with the explanation of a tenant.
+func (h *Host) explainTenant(w http.ResponseWriter, name string) {
+	var config *catalog.Config
+	if v := h.engine.View(); v != nil {
+		config = v.Config
+	}
+	explanation, ok := h.quotas.explain(time.Now(), config, name)
+	if !ok {
+		api.WriteOutcome(w, outcome.Refused(outcome.Invalid, "configuration %d has no tenant %q", explanation.Config, name))
+		return
+	}
+	api.WriteJSON(w, http.StatusOK, explanation)
+}
+
 // status returns the host's Status at the given time.
 func (h *Host) status(now time.Time) Status {
 	revision, age := h.follower.revisionAge()
@@ -128,7 +151,7 @@
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
 		},
-		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(),
+		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(), Quota: h.quotas.status(now),
 	}
 	crashes := h.engine.CrashCounts()
 	s.Crashes = CrashStatus{ClosedSends: crashes.BrokenSends.Load(), Crashes: crashes.Crashes.Load(), FromPeers: crashes.FromPeers.Load(), Refused: crashes.Refused.Load()}
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -47,7 +47,9 @@
 	leaving  bool
 	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
 	startHosts int
-	seen       time.Time // last call of refresh
+	seen       time.Time             // last call of refresh
+	over       map[uint64]*overLimit // tenants over their limits, at most maxOverLimit
+	counts     quotaCounts           // without those of the holder
 }
 
 func quotaBounds(s *site.Settings) quota.Bounds {
@@ -56,7 +58,8 @@
 
 func newQuotas(h *Host, seed uint64) *quotas {
 	b := quotaBounds(&h.opts.Site)
-	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
+	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now()),
+		over: map[uint64]*overLimit{}}
 }
 
 // setBounds replaces the bounds after a reload of the settings.
@@ -93,8 +96,12 @@
 		q.holder.TakeStart(key, quota.Limit{Rate: t.Rate, Burst: t.Burst}, q.startHosts) {
 		decision = quota.Admitted
 	}
+	goesOver := decision == quota.OverLimit && q.noteOverLimit(now, key, t)
 	_, due := q.holder.NextAsk(now)
 	q.mu.Unlock()
+	if goesOver {
+		q.logOverLimit(t)
+	}
 	if due {
 		q.wakeUp()
 	}
@@ -159,6 +166,7 @@
 	q.mu.Lock()
 	byHost := map[string][]quota.Ask{}
 	for _, a := range q.holder.Asks(now) {
+		q.counts.asked += float64(a.Want)
 		to := quota.GrantingHost(a.Tenant, q.hosts)
 		byHost[to] = append(byHost[to], a)
 	}
@@ -169,7 +177,7 @@
 	q.mu.Unlock()
 	for to, asks := range byHost {
 		for batch := range slices.Chunk(asks, gossip.MaxQuotaItems) {
-			q.host.gossip.SendQuota(to, gossip.QuotaMessage{From: self, Asks: batch})
+			q.send(to, gossip.QuotaMessage{From: self, Asks: batch})
 		}
 	}
 }
@@ -195,6 +203,7 @@
 func (q *quotas) receive(m *gossip.QuotaMessage) {
 	now := time.Now()
 	q.mu.Lock()
+	q.counts.received++
 	q.holder.Granted(now, m.Grants)
 	if !q.leaving {
 		q.granter.Adopt(now, m.Handovers, q.limitOf)
@@ -202,13 +211,26 @@
 	grants := q.grant(now, m.From, m.Asks)
 	q.mu.Unlock()
 	for batch := range slices.Chunk(grants, gossip.MaxQuotaItems) {
-		q.host.gossip.SendQuota(m.From, gossip.QuotaMessage{From: q.host.opts.Site.Name, Grants: batch})
+		q.send(m.From, gossip.QuotaMessage{From: q.host.opts.Site.Name, Grants: batch})
+	}
+}
+
+// send sends a message to another host.
+func (q *quotas) send(to string, m gossip.QuotaMessage) {
+	sent := q.host.gossip.SendQuota(to, m)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if sent {
+		q.counts.sent++
+	} else {
+		q.counts.unsent++
 	}
 }
 
 // refresh adopts the hosts that grant now and renews the leases. directed tells whether
 // callers are directed to this host.
 func (q *quotas) refresh(now time.Time, directed bool) {
+	q.expireOverLimit(now)
 	hosts, majority, restarted := q.host.grantingHosts(now)
 	q.mu.Lock()
 	if paused(q.seen, now) {
@@ -261,7 +283,7 @@
 	q.mu.Unlock()
 	for to, handovers := range byHost {
 		for batch := range slices.Chunk(handovers, gossip.MaxQuotaItems) {
-			q.host.gossip.SendQuota(to, gossip.QuotaMessage{From: self, Handovers: batch})
+			q.send(to, gossip.QuotaMessage{From: self, Handovers: batch})
 		}
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -279,7 +279,7 @@
 	}
 	x := e.plan(r, route, v)
 	a := x.run(ctx)
-	a.execution = x
+	a.execution, a.Tenant = x, r.Tenant
 	e.returnQuota(t, &a.Outcome)
 	e.cfg.Observer.Finished(route.Name, &a, time.Since(r.Received))
 	return a
@@ -287,7 +287,7 @@
 
 // reject logs and answers a request that is refused before execution is planned.
 func (e *Engine) reject(r *Request, config uint64, o outcome.Outcome) Answer {
-	a := Answer{Outcome: o}
+	a := Answer{Outcome: o, Tenant: r.Tenant}
 	fields := []any{
 		"request", r.ID, "host", r.Host, "path", r.Path, "config", config,
 		"outcome", o.Kind.String(), "reason", string(o.Reason), "retry_after_ms", o.RetryAfter.Milliseconds(), "message", o.Message,
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -32,6 +32,7 @@
 	Outcome   outcome.Outcome
 	Forwarded *backend.Result
 	Merged    *Merged
+	Tenant    string     // of the request; empty if it has none
 	execution *execution // nil for a request that was refused before its execution
 }
 
