--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -73,8 +73,8 @@
 }
 
 func printQuota(w io.Writer, q *edge.QuotaStatus) {
-	fmt.Fprintf(w, "\ntenants with a limit\t%d\nthis host grants tokens\t%t, %d tenants\ngranting hosts\t%s\nsees most of the hosts\t%t\ntokens held\t%.1f for %d tenants\ntokens asked\t%.0f\ntokens granted\t%d\ntokens lapsed\t%d\ntenants over their limits\t%d\n",
-		q.LimitedTenants, q.Grants, q.Buckets, strings.Join(q.GrantingHosts, " "), q.Majority, q.TokensHeld, q.TenantsHeld, q.TokensAsked, q.TokensGiven, q.TokensLapsed, q.OverLimitCount)
+	fmt.Fprintf(w, "\ntenants with a limit\t%d\nlimits hold\tin %d ms, up to %g of the limit and %g requests above it\nthis host grants tokens\t%t, %d tenants\ngranting hosts\t%s\nsees most of the hosts\t%t\ntokens held\t%.1f for %d tenants\ntokens asked\t%.0f\ntokens granted\t%d\ntokens lapsed\t%d\ntenants over their limits\t%d\n",
+		q.LimitedTenants, q.WindowMS, q.Overshoot, q.Slack, q.Grants, q.Buckets, strings.Join(q.GrantingHosts, " "), q.Majority, q.TokensHeld, q.TenantsHeld, q.TokensAsked, q.TokensGiven, q.TokensLapsed, q.OverLimitCount)
 	if len(q.OverLimit) > 0 {
 		fmt.Fprintln(w, "\nTENANT OVER ITS LIMIT\tRATE\tBURST\tFOR\tREFUSED\tGRANTING HOST")
 	}
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -47,6 +47,7 @@
 	leaving  bool
 	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
 	startHosts int
+	bounds     quota.Bounds
 	seen       time.Time             // last call of refresh
 	over       map[uint64]*overLimit // tenants over their limits, at most maxOverLimit
 	counts     quotaCounts           // without those of the holder
@@ -58,7 +59,7 @@
 
 func newQuotas(h *Host, seed uint64) *quotas {
 	b := quotaBounds(&h.opts.Site)
-	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now()),
+	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), bounds: b, holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now()),
 		over: map[uint64]*overLimit{}}
 }
 
@@ -66,8 +67,9 @@
 func (q *quotas) setBounds(s *site.Settings) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.holder.SetBounds(quotaBounds(s))
-	q.granter.SetBounds(quotaBounds(s))
+	q.bounds = quotaBounds(s)
+	q.holder.SetBounds(q.bounds)
+	q.granter.SetBounds(q.bounds)
 }
 
 // configure puts the tenants of a configuration in force.
--- a/internal/edge/quotareport.go
+++ b/internal/edge/quotareport.go
@@ -28,6 +28,11 @@
 
 // QuotaStatus describes the limits of tenants and the tokens on a host.
 type QuotaStatus struct {
+	// In any window, a tenant may have (rate × window + burst) × (1 + overshoot) + slack requests.
+	WindowMS  int64   `json:"window_ms"`
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+
 	LimitedTenants int      `json:"limited_tenants"`
 	Grants         bool     `json:"grants"` // whether this host grants tokens, for some of the tenants
 	GrantingHosts  []string `json:"granting_hosts"`
@@ -73,6 +78,7 @@
 	}
 	counts := q.holder.Counts()
 	s := &QuotaStatus{
+		WindowMS: q.bounds.Window.Milliseconds(), Overshoot: q.bounds.Overshoot, Slack: q.bounds.Slack,
 		LimitedTenants: len(q.limits), Grants: q.grants(), GrantingHosts: slices.Clone(q.hosts), Majority: q.majority, Buckets: q.granter.Tenants(),
 		TokensAsked: q.counts.asked, TokensGiven: counts.Granted, TokensLapsed: counts.Lapsed, OverLimitCount: len(q.over),
 	}
--- a/internal/edge/tenantreport_test.go
+++ b/internal/edge/tenantreport_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/edge"
+	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -106,3 +107,29 @@
 		}
 	})
 })
+
+// Guards against bounds of the limits that stay those of the start until the next one.
+var _ = It("Reload applies changed bounds of the limits of tenants", func() {
+	f := newFixture(1)
+	h := f.hosts[0]
+	config := platformtest.Config(2, shards, 2*time.Second)
+	platformtest.SetTenants(config, []platformtest.Tenant{{Name: "alder", Rate: 2, Burst: 2}})
+	f.store.Put(platformtest.ConfigKey, config)
+	slack := func() float64 {
+		resp, err := f.client.Get("http://" + h.Address(h.Ports.Operators) + edge.StatusPath)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		var status edge.Status
+		Expect(json.NewDecoder(resp.Body).Decode(&status)).To(Succeed())
+		if status.Quota == nil {
+			return 0
+		}
+		return status.Quota.Slack
+	}
+	Eventually(slack, 5*time.Second).Should(Equal(20.0))
+	changed, err := platform.ParseSettings([]byte(h.Settings()))
+	Expect(err).NotTo(HaveOccurred())
+	changed.QuotaSlack = 5
+	h.host.Reload(changed)
+	Expect(slack()).To(Equal(5.0))
+})
