Soak: tenants change all the time, beside faults and planned changes

A run of 20 s had one to eleven changes of keys and limits, because tenants were one of the injector's many changes. They change every 0.3 to 2 s now, drawn from a source of their own.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,8 +39,10 @@
 // injector injects faults and makes planned changes.
 type injector struct {
 	fleet *testFleet
-	rng   *rand.Rand
-	logf  func(format string, args ...any)
+	rng   *rand.Rand // of run
+	// tenantRng draws the changes of tenants, which go on beside all else.
+	tenantRng *rand.Rand
+	logf      func(format string, args ...any)
 
 	plannedOnly bool // no faults
 	crowd       int  // callers that hold bodies open, in each such fault; 0: no such fault
@@ -65,6 +67,7 @@
 	if f.plannedOnly {
 		faultsUntil = time.Now()
 	}
+	f.wg.Go(func() { f.changeTenants(ctx) })
 	for ctx.Err() == nil {
 		if time.Now().Before(faultsUntil) {
 			f.injectFault(ctx)
@@ -142,9 +145,7 @@
 
 // makeChange makes one planned change.
 func (f *injector) makeChange(ctx context.Context) {
-	switch f.rng.IntN(9) {
-	case 6, 7, 8:
-		f.changeTenants(ctx)
+	switch f.rng.IntN(6) {
 	case 0:
 		f.drain(ctx, f.target())
 	case 4, 5:
--- a/internal/soak/tenants.go
+++ b/internal/soak/tenants.go
@@ -19,6 +19,9 @@
 	// several, and one in claimCalls names a tenant by itself.
 	oddCalls   = 15
 	claimCalls = 20
+	// minTenantPause and maxTenantPause bound the time between two changes of the tenants.
+	minTenantPause = 300 * time.Millisecond
+	maxTenantPause = 2 * time.Second
 	// gentleInterval is the mean pause between two requests of a caller of the gentle tenant.
 	gentleInterval = 100 * time.Millisecond
 	// further is the name of the route with fetchPrefix, whose requests may come without a key.
@@ -150,16 +153,24 @@
 	return meanInterval
 }
 
-// changeTenants publishes a configuration with one change of the tenants: a key is added,
+// changeTenants changes the tenants now and then until the context ends.
+func (f *injector) changeTenants(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, minTenantPause+time.Duration(f.tenantRng.Int64N(int64(maxTenantPause-minTenantPause))))
+		f.changeTenant()
+	}
+}
+
+// changeTenant publishes a configuration with one change of the tenants: a key is added,
 // withdrawn, replaced or moved to another tenant, or a limit changes.
-func (f *injector) changeTenants(_ context.Context) {
+func (f *injector) changeTenant() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	tenants := f.fleet.book.published()
-	t := &tenants[f.rng.IntN(len(tenants))]
-	drawn := f.rng.IntN(len(t.Keys))
+	t := &tenants[f.tenantRng.IntN(len(tenants))]
+	drawn := f.tenantRng.IntN(len(t.Keys))
 	what := ""
-	switch f.rng.IntN(5) {
+	switch f.tenantRng.IntN(5) {
 	case 0, 1:
 		if len(t.Keys) < maxKeys {
 			what = "has one more key"
@@ -172,7 +183,7 @@
 		what = "has another key"
 		t.Keys[drawn] = f.fleet.book.issue()
 	case 3:
-		to := &tenants[f.rng.IntN(len(tenants))]
+		to := &tenants[f.tenantRng.IntN(len(tenants))]
 		if to == t {
 			return
 		}
@@ -181,7 +192,7 @@
 		t.Keys[drawn] = f.fleet.book.issue()
 	default:
 		t = &tenants[changingTenant]
-		l := changingLimits[f.rng.IntN(len(changingLimits))]
+		l := changingLimits[f.tenantRng.IntN(len(changingLimits))]
 		t.Rate, t.Burst = l.Rate, l.Burst
 		what = fmt.Sprintf("has a limit of %g/s", l.Rate)
 	}
