Soak: no key in the output of hosts, retry delays of refusals by limits, use of caps

Adds the checks that no key appears in the output of hosts and that each 429 states a delay, and prints how much of what a limit allows ran in the fullest window.

--- a/internal/soak/capcheck.go
+++ b/internal/soak/capcheck.go
@@ -114,6 +114,9 @@
 			allowed, has := l.allowed()
 			most, limited = max(most, allowed), limited && has
 		}
+		if limited {
+			c.tenants.counts.CapUse = max(c.tenants.counts.CapUse, float64(count)/most)
+		}
 		if limited && float64(count) > most {
 			c.failTenants("cap", "%d requests of tenant %s ran in %v from %s on, more than the %.0f that its limit allows",
 				count, tenant, quotaWindow, from.Format("15:04:05.000"), most)
@@ -208,10 +211,11 @@
 
 // TenantCounts counts what the checks of tenants had to judge.
 type TenantCounts struct {
-	Below, BelowRefused int // requests below the limits of tenants in calm times, and the refused ones of these
-	OverLimit           int // other requests that were refused because of a limit
-	UnknownKey          int // requests answered with status 401
-	Versions            int // spans of time in which a tenant held a key, or had a limit
+	Below, BelowRefused int     // requests below the limits of tenants in calm times, and the refused ones of these
+	CapUse              float64 // most requests in a window, as a fraction of what the limit allows
+	OverLimit           int     // other requests that were refused because of a limit
+	UnknownKey          int     // requests answered with status 401
+	Versions            int     // spans of time in which a tenant held a key, or had a limit
 }
 
 // CountTenants returns the counts. It must be called after CheckCaps.
@@ -239,7 +243,7 @@
 
 // String returns the counts as a part of a sentence.
 func (c TenantCounts) String() string {
-	return fmt.Sprintf("%d of %d requests below limits refused in calm times, %d others refused by limits, %d by their keys, %d keys and limits", c.BelowRefused, c.Below, c.OverLimit, c.UnknownKey, c.Versions)
+	return fmt.Sprintf("%d of %d requests below limits refused in calm times, at most %.2f of what a limit allows ran, %d others refused by limits, %d by their keys, %d keys and limits", c.BelowRefused, c.Below, c.CapUse, c.OverLimit, c.UnknownKey, c.Versions)
 }
 
 // ServedOfEntitled is Served for the calls that hosts have no reason to refuse by the keys and
--- a/internal/soak/keycheck.go
+++ b/internal/soak/keycheck.go
@@ -184,6 +184,9 @@
 		}
 		return
 	}
+	if r.Status == http.StatusTooManyRequests && r.RetryAfter <= 0 {
+		c.failTenants("retry delay", "call %s was answered with status 429 without a retry delay", id)
+	}
 	if r.Status == 0 || call.anonymous() || r.NotRun() && r.Status != http.StatusTooManyRequests {
 		return
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -111,6 +111,7 @@
 		received = append(received, t.Arrivals()...)
 	}
 	s.checker.CheckNotices(received)
+	s.checkOutput()
 	s.checker.CheckKeys(received)
 	r := Report{Runs: len(runs), PeakMemory: s.peakMemory, Violations: s.checker.CheckCaps(runs)}
 	r.Calls, r.Served = s.checker.Served(time.Time{})
--- a/internal/soak/tenantcheck_test.go
+++ b/internal/soak/tenantcheck_test.go
@@ -30,7 +30,7 @@
 		next++
 		call := soak.Call{ID: fmt.Sprint("t", next), Method: "POST", URI: uri, Host: host, Key: key, Sent: start.Add(at)}
 		c.RecordCall(call)
-		c.RecordReply(call.ID, platformtest.Reply{Status: status, Challenge: "Bearer", Digest: platformtest.Digest(platformtest.AtMostOnceService, call.ID)})
+		c.RecordReply(call.ID, platformtest.Reply{Status: status, Challenge: "Bearer", RetryAfter: time.Second, Digest: platformtest.Digest(platformtest.AtMostOnceService, call.ID)})
 		if status != 200 {
 			return nil
 		}
@@ -94,6 +94,12 @@
 		c.RecordReply(id, platformtest.Reply{Status: 401})
 		Expect(check()).To(HaveLen(4)) // the last call also has a valid key
 	})
+	It("reports a refusal by a limit that states no delay", func() {
+		send(10*time.Second, "/once/", "ka", "", 429)
+		Expect(check()).To(BeEmpty())
+		c.RecordReply(fmt.Sprint("t", next), platformtest.Reply{Status: 429})
+		Expect(check()).To(HaveLen(1))
+	})
 	It("reports a key that was moved and still identifies its former tenant", func() {
 		publish(10*time.Second, []platformtest.Tenant{{Name: "a"}, {Name: "b", Keys: []string{"ka", "kb"}}})
 		send(12*time.Second, "/once/", "ka", "a", 200)
