Soak: longer calm time after the last fault, a crowd in each run that asks for one

A tier that refuses one request in twenty of a small tenant passed: disturbances count for the longest time that their faults may take, which left no calm time at the end of a run of 12 s (335 requests judged). The end of the faults now ends them for this check, and the small tenant's callers send twice as often. A run with held bodies drew none of these faults.

--- a/internal/soak/capcheck.go
+++ b/internal/soak/capcheck.go
@@ -21,9 +21,10 @@
 	// times, and minCounted the number of such requests from which it is checked.
 	maxLost    = 0.02
 	minCounted = 100
-	// calmMargin is how long after the end of a fault or a stop hosts may refuse requests below
-	// a limit: a granting host that has taken over grants less for one window.
-	calmMargin = contactTime + quotaWindow
+	// calmMargin is how long after the end of a fault or a stop, and of disturbanceMargin, hosts
+	// may refuse requests below a limit: a granting host that has taken over grants less for
+	// one window.
+	calmMargin = quotaWindow
 )
 
 // tenantLimit is the limit of a tenant since a configuration was written between two times.
@@ -136,13 +137,23 @@
 func (c *Checker) calm(from, until time.Time) bool {
 	from = from.Add(-calmMargin)
 	for host := range c.hostFaults {
-		if c.faultedSince(host, from, until) {
+		if c.faultedSince(host, from.Add(-disturbanceMargin), until) {
 			return false
 		}
 	}
+	if ended := c.tenants.faultsEnded; !ended.IsZero() && from.After(ended.Add(disturbanceMargin)) {
+		return true // disturbances are recorded for the longest time that their faults may take
+	}
 	return !c.disturbed(from, until)
 }
 
+// EndFaults records that no fault lasts beyond a time, nor begins after it.
+func (c *Checker) EndFaults(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tenants.faultsEnded = at
+}
+
 // checkLosses reports tenants of whose requests below the limit too many were refused. These
 // are the requests that find a token in a bucket that is never empty in quotaWindow before.
 func (c *Checker) checkLosses() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,7 +32,8 @@
 	// the time after that within which the last change has been checked.
 	changePeriod = 5 * time.Second
 	checkPeriod  = evacuationDeadline + 3*time.Second
-	// One fault in crowdFaults, on average, is a crowd of callers that hold bodies open.
+	// The first fault, and one in crowdFaults of the others on average, is a crowd of callers
+	// that hold bodies open, if there are to be any.
 	crowdFaults = 8
 )
 
@@ -113,7 +114,7 @@
 // injectFault starts one fault or change.
 func (f *injector) injectFault(ctx context.Context) {
 	length := f.randomDuration(500*time.Millisecond, 4*time.Second)
-	if f.crowd > 0 && f.rng.IntN(crowdFaults) == 0 {
+	if f.crowd > 0 && (f.crowds == 0 || f.rng.IntN(crowdFaults) == 0) {
 		f.holdBodies(ctx, length)
 		return
 	}
--- a/internal/soak/keycheck.go
+++ b/internal/soak/keycheck.go
@@ -25,6 +25,7 @@
 	keys        map[string][]keyHolding
 	limits      map[string][]tenantLimit // by tenant, in order of time
 	storeFaults []interval
+	faultsEnded time.Time       // zero if not known
 	below       map[string]bool // calls within the limits of their tenants, by ID
 	counts      TenantCounts
 	reports     map[string]int // violations by check
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,6 +79,7 @@
 	faults, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
 	inj := &injector{fleet: s, rng: rand.New(rand.NewPCG(o.Seed, 1<<32)), tenantRng: rand.New(rand.NewPCG(o.Seed, 1<<34)), logf: o.Logf, plannedOnly: o.PlannedOnly, crowd: o.HeldBodies, faulted: map[*host]bool{}, drained: map[string]bool{}, noticed: map[*target]bool{}}
 	inj.run(faults)
+	s.checker.EndFaults(time.Now())
 	stopFaults()
 	sleep(ctx, recoveryTime)
 	recovered := time.Now()
--- a/internal/soak/tenantcheck_test.go
+++ b/internal/soak/tenantcheck_test.go
@@ -150,7 +150,11 @@
 		burst(16*time.Second, 2*time.Second, 150, 429)
 		burst(30*time.Second, 2*time.Second, 600, 429)
 		Expect(check()).To(BeEmpty())
+		c.AddDisturbance(start.Add(35*time.Second), start.Add(50*time.Second))
 		burst(45*time.Second, 2*time.Second, 150, 429)
+		Expect(check()).To(BeEmpty())
+		c.EndFaults(start.Add(36 * time.Second))
+		burst(44500*time.Millisecond, 100*time.Millisecond, 1, 429) // still within the margin
 		Expect(check()).To(HaveLen(1))
 	})
 })
--- a/internal/soak/tenants.go
+++ b/internal/soak/tenants.go
@@ -23,7 +23,7 @@
 	minTenantPause = 300 * time.Millisecond
 	maxTenantPause = 2 * time.Second
 	// gentleInterval is the mean pause between two requests of a caller of the gentle tenant.
-	gentleInterval = 100 * time.Millisecond
+	gentleInterval = 50 * time.Millisecond
 	// further is the name of the route with fetchPrefix, whose requests may come without a key.
 	further = "further"
 )
@@ -36,7 +36,7 @@
 	{Name: "birch", Rate: 400, Burst: 100, Priority: 1},
 	{Name: "cedar", Rate: 8, Burst: 5, Priority: 2},
 	{Name: "elder", Rate: changingLimits[0].Rate, Burst: changingLimits[0].Burst, Priority: 1},
-	{Name: gentleTenant, Rate: 40, Burst: 10},
+	{Name: gentleTenant, Rate: 100, Burst: 20},
 }
 
 const (
