--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,15 +32,22 @@
 	// the time after that within which the last change has been checked.
 	changePeriod = 5 * time.Second
 	checkPeriod  = evacuationDeadline + 3*time.Second
+	// The first fault, and one in crowdFaults of the others on average, is a crowd of callers
+	// that hold bodies open, if there are to be any.
+	crowdFaults = 8
 )
 
 // injector injects faults and makes planned changes.
 type injector struct {
 	fleet *testFleet
-	rng   *rand.Rand
-	logf  func(format string, args ...any)
+	rng   *rand.Rand // of run
+	// tenantRng draws the changes of tenants, which go on beside all else.
+	tenantRng *rand.Rand
+	logf      func(format string, args ...any)
 
 	plannedOnly bool // no faults
+	crowd       int  // callers that hold bodies open, in each such fault; 0: no such fault
+	crowds      int  // such faults so far
 
 	mu             sync.Mutex
 	wg             sync.WaitGroup
@@ -61,6 +68,7 @@
 	if f.plannedOnly {
 		faultsUntil = time.Now()
 	}
+	f.wg.Go(func() { f.changeTenants(ctx) })
 	for ctx.Err() == nil {
 		if time.Now().Before(faultsUntil) {
 			f.injectFault(ctx)
@@ -106,6 +114,10 @@
 // injectFault starts one fault or change.
 func (f *injector) injectFault(ctx context.Context) {
 	length := f.randomDuration(500*time.Millisecond, 4*time.Second)
+	if f.crowd > 0 && (f.crowds == 0 || f.rng.IntN(crowdFaults) == 0) {
+		f.holdBodies(ctx, length)
+		return
+	}
 	switch f.rng.IntN(15) {
 	case 0:
 		f.processFault(ctx, "pause", length, func(h *host) { h.signal(syscall.SIGSTOP) }, func(h *host) { h.signal(syscall.SIGCONT) })
@@ -235,9 +247,11 @@
 	mode := platformtest.Unavailable + platformtest.Mode(f.rng.IntN(2))
 	f.logf("store in mode %d for %v", mode, length)
 	f.wg.Go(func() {
+		from := time.Now()
 		f.fleet.store.SetMode(mode)
 		sleep(ctx, length)
 		f.fleet.store.SetMode(platformtest.Healthy)
+		f.fleet.checker.AddStoreFault(from, time.Now())
 	})
 }
 
