Tenants: keys, names and rate limits for the JSON interface

Callers of serve were all alike: no key told one customer from another. The configuration document takes tenants with digests of keys, services may be anonymous, and a request without a known key gets 401. Targets get the name in the header Tenant; hosts pass the name, never the key. A command's record belongs to its tenant.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // Header names of the caller protocol.
@@ -29,6 +30,9 @@
 	HeaderDeadline  = "Deadline-Ms" // milliseconds from now
 	HeaderPriority  = "Priority"
 	HeaderTrace     = "Traceparent"
+	// HeaderAuthorization carries the key of a tenant, as "Bearer KEY".
+	HeaderAuthorization = "Authorization"
+	headerChallenge     = "WWW-Authenticate"
 )
 
 // Limits of requests.
@@ -46,6 +50,8 @@
 	Priority    settings.Priority // valid if HasPriority
 	HasPriority bool
 	Traceparent string
+	// Credential is the digest of the key that the request carries, if any.
+	Credential tenant.Credential
 }
 
 // SearchRequest is the body of POST /v1/services/{service}/search.
@@ -134,6 +140,9 @@
 // WriteOutcome writes an outcome that is not an answer as an error body, with
 // Retry-After in whole seconds if the outcome has a retry delay.
 func WriteOutcome(w http.ResponseWriter, o outcome.Outcome) {
+	if o.Reason == outcome.UnknownKey {
+		w.Header().Set(headerChallenge, tenant.Scheme)
+	}
 	if o.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(o.RetryAfter.Seconds())+1))
 	}
@@ -145,11 +154,13 @@
 // status maps an outcome to an HTTP status.
 func status(o outcome.Outcome) int {
 	switch {
+	case o.Reason == outcome.UnknownKey:
+		return http.StatusUnauthorized // also if an earlier send of a command may have run
 	case o.Kind != outcome.NotRun:
 		return http.StatusGatewayTimeout
 	case o.Reason == outcome.Invalid:
 		return http.StatusBadRequest
-	case o.Reason == outcome.Overload:
+	case o.Reason == outcome.Overload, o.Reason == outcome.OverQuota:
 		return http.StatusTooManyRequests
 	default:
 		return http.StatusServiceUnavailable
@@ -160,7 +171,7 @@
 // request identifier that is too long, a deadline that is not a positive number of
 // milliseconds, and an unknown priority.
 func ReadMeta(h http.Header) (Meta, error) {
-	m := Meta{RequestID: h.Get(HeaderRequestID), Traceparent: h.Get(HeaderTrace)}
+	m := Meta{RequestID: h.Get(HeaderRequestID), Traceparent: h.Get(HeaderTrace), Credential: tenant.ParseBearer(h[HeaderAuthorization])}
 	if len(m.RequestID) > maxIDBytes {
 		return m, errors.Newf("header %s has %d bytes, the limit is %d", HeaderRequestID, len(m.RequestID), maxIDBytes)
 	}
--- a/internal/api/commands/commands.go
+++ b/internal/api/commands/commands.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // Backend is the part of an entry host that this package calls. It must be safe for
@@ -38,7 +39,11 @@
 
 type handler struct{ backend Backend }
 
-func (h handler) ticket(w http.ResponseWriter, _ *http.Request) {
+func (h handler) ticket(w http.ResponseWriter, r *http.Request) {
+	if refused, ok := h.backend.KeyRefusal("", tenant.ParseBearer(r.Header[api.HeaderAuthorization])); ok {
+		api.WriteOutcome(w, refused)
+		return
+	}
 	api.WriteJSON(w, http.StatusOK, h.backend.Ticket())
 }
 
--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // Services provides the configuration of services and the outcome of refused requests.
@@ -23,6 +24,9 @@
 	// before it reaches the service: normally o, which is "not run", but the outcome
 	// "unknown" if an earlier send of the same command may have run.
 	RefusalOutcome(requestID string, o outcome.Outcome) outcome.Outcome
+	// KeyRefusal returns the refusal of a request that lacks a known key and true, or
+	// false if the service takes the request. The empty service is for tickets.
+	KeyRefusal(service string, c tenant.Credential) (outcome.Outcome, bool)
 }
 
 // Body is the body of a request to a service.
@@ -41,6 +45,10 @@
 // request with an error and returns false.
 func accept(w http.ResponseWriter, r *http.Request, services Services, operation Operation, body Body) (service string, meta Meta, ok bool) {
 	service = mux.Vars(r)["service"]
+	if refused, ok := services.KeyRefusal(service, tenant.ParseBearer(r.Header[HeaderAuthorization])); ok {
+		WriteOutcome(w, services.RefusalOutcome(r.Header.Get(HeaderRequestID), refused))
+		return service, meta, false
+	}
 	kind, policy, known := services.Service(service)
 	if !known {
 		o := services.RefusalOutcome(r.Header.Get(HeaderRequestID), outcome.Refused(outcome.Invalid, "service %s does not exist", service))
--- a/internal/api/queries/queries_test.go
+++ b/internal/api/queries/queries_test.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api/queries"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // backend answers every search and counts them.
@@ -36,6 +37,10 @@
 
 func (b *backend) RefusalOutcome(_ string, o outcome.Outcome) outcome.Outcome { return o }
 
+func (b *backend) KeyRefusal(string, tenant.Credential) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, false
+}
+
 func request(path, body string, header ...string) *http.Request {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	for i := 0; i+1 < len(header); i += 2 {
--- a/internal/bench/scatter.go
+++ b/internal/bench/scatter.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // ScatterOptions are the parameters of a Flat or Naive host.
@@ -57,6 +58,11 @@
 // the commands that ran.
 func (s *scatter) RefusalOutcome(_ string, o outcome.Outcome) outcome.Outcome { return o }
 
+// KeyRefusal returns false, because these policies know no tenants.
+func (s *scatter) KeyRefusal(string, tenant.Credential) (outcome.Outcome, bool) {
+	return outcome.Outcome{}, false
+}
+
 // Close closes the idle connections to targets.
 func (s *scatter) Close() {
 	s.mu.Lock()
--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -216,7 +216,7 @@
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
 			}
-			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: parent}, body)
+			answer, status, o := c.Search(ctx, target.Request{ID: req.QueryID, Timeout: timeout, Traceparent: parent, Tenant: req.Tenant}, body)
 			result.Version, result.Covered, result.Records = answer.Version, answer.Covered, answer.Records
 			return status, o
 		},
@@ -267,7 +267,7 @@
 				defer stop()
 				c.SetProgressTimeout(timeout + lateReplyTimeout)
 			}
-			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: parent},
+			answer, status, o := c.Lookup(ctx, target.Request{ID: req.RequestID, Timeout: timeout, Traceparent: parent, Tenant: req.Tenant},
 				target.LookupBody{Service: req.Service, ID: req.ID})
 			reply.Found, reply.Record, reply.Version = answer.Found, answer.Record, answer.Version
 			return status, o
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -32,7 +32,7 @@
 		}
 		reply, sent := e.sendLookup(ctx, tree, group, tried, &wire.LookupRequest{
 			RequestID: req.RequestID, Service: req.Service, ID: req.ID,
-			Class: req.Class, Once: true, Traceparent: req.Traceparent, MaxWaitServiceTimes: maxWaitServiceTimes(attempt, limit),
+			Class: req.Class, Once: true, Traceparent: req.Traceparent, Tenant: req.Tenant, MaxWaitServiceTimes: maxWaitServiceTimes(attempt, limit),
 		})
 		if !sent {
 			break
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -29,7 +29,10 @@
 	ready func() bool
 	// confirmed reports whether the state of this host is fully confirmed; nil means
 	// always.
-	confirmed func() bool
+	confirmed  func() bool
+	hadTenants atomic.Bool // a configuration in force had tenants
+	// onTenants is called with each configuration that comes into force; may be nil.
+	onTenants func(tree *settings.Tree)
 	// onInForce is called with each version that comes into force; may be nil.
 	onInForce func(version uint64)
 	// historyAgreed reports whether all hosts agree on the configuration of a history
@@ -83,7 +86,7 @@
 // check validates a document and returns its version. It is called with published.mu
 // held, as activate is.
 func (c *config) check(raw []byte) (uint64, error) {
-	tree, err := settings.Parse(raw)
+	tree, err := c.parse(raw)
 	if err != nil {
 		c.log.Error("configuration refused", "error", err)
 		return 0, err
@@ -92,6 +95,17 @@
 	return tree.Doc.Version, nil
 }
 
+// parse decodes a document and adds the keys of this host's settings to its tenants.
+func (c *config) parse(raw []byte) (*settings.Tree, error) {
+	tree, err := settings.Parse(raw)
+	if err == nil {
+		for _, k := range tree.AddKeys(c.self.LocalKeys) {
+			c.log.Warn("a key of the settings has no effect: the configuration does not have its tenant, or gives the key to another one", "tenant", k.Tenant)
+		}
+	}
+	return tree, err
+}
+
 // activate puts the newest accepted document in force.
 func (c *config) activate() {
 	// checked may be another document, which passed validation but is older than the
@@ -99,16 +113,22 @@
 	tree := c.checked
 	if digest := c.state.Position().Digest; tree.Digest != digest {
 		var err error
-		if tree, err = settings.Parse(c.state.Raw()); err != nil {
+		if tree, err = c.parse(c.state.Raw()); err != nil {
 			panic(err) // unreachable: the state holds only documents that passed validation
 		}
 	}
 	old := c.current.Load()
 	c.updateShareAssignments(old, tree)
 	c.current.Store(tree)
+	if tree.HasTenants() {
+		c.hadTenants.Store(true)
+	}
 	c.inForceSince.Store(time.Now().UnixNano())
 	c.checked = nil
 	c.log.Info("configuration in force", "version", tree.Doc.Version)
+	if c.onTenants != nil {
+		c.onTenants(tree)
+	}
 	if c.onInForce != nil {
 		c.onInForce(tree.Doc.Version)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,6 +141,11 @@
 	d.branch.admits = func(limit time.Duration) bool { return d.entry.admits(d.ending, drain.Request{Limit: limit}) }
 	d.rateLimit = api.NewRateLimiter(func() int { return d.config.tree().Effective(opts.Process.Place, "").CallerRateLimit }, d.entry.RefusalOutcome)
 	d.entry.peerState, d.entry.incarnation, d.entry.connLost = d.control.peerState, d.control.incarnation, d.transport.Lost
+	d.connectQuotas()
+	d.config.onTenants = func(tree *settings.Tree) {
+		d.entry.tenants.configure(tree)
+		d.entry.quotas.configure(tree)
+	}
 	close(d.initialized)
 	return d, nil
 }
@@ -164,6 +169,7 @@
 		wg.Wait()
 		return errors.CombineErrors(err, d.transport.Close())
 	}
+	wg.Go(func() { d.entry.quotas.run(background) })
 	err := d.serve(ctx)
 	stop()
 	wg.Wait()
@@ -230,6 +236,8 @@
 		d.serveCommand(ctx, s)
 	case wire.ExchangeLookupOnce:
 		d.serveOnce(ctx, s)
+	case wire.ExchangeQuota:
+		d.serveQuota(ctx, s)
 	case wire.ExchangeHandover:
 		d.serveHandover(s)
 	default:
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -36,6 +36,8 @@
 	// membership protocol.
 	incarnation func(name string) uint64
 	observer    observer
+	tenants     *tenantUse
+	quotas      *quotas
 
 	mu                  sync.Mutex // guards what follows
 	router              *routing.Router
@@ -55,6 +57,8 @@
 		router:   routing.NewRouter(self.Place, self.Ordinal, rng),
 		versions: snapshot.NewVersions(),
 		services: map[string]*serviceState{},
+		tenants:  newTenantUse(),
+		quotas:   newQuotas(self.Name, rand.Uint64(), time.Now()),
 	}
 }
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -53,7 +53,7 @@
 		decision.Answer.Outcome = decision.Outcome
 		return decision.Answer, ok
 	}
-	return wire.CommandReply{Outcome: decision.Outcome}, ok
+	return wire.CommandReply{Outcome: h.entry.asOtherCaller(req, decision.Outcome)}, ok
 }
 
 // cacheForwardedAnswer caches an answer that this host forwarded to a caller, in
@@ -74,7 +74,7 @@
 	answer := wire.CommandReply{Outcome: reply.Outcome, Found: reply.Found, Record: reply.Record, Version: reply.Version}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.handovers.CacheAnswer(time.Now(), id, bodyDigest(req.Service, req.ID), answer.Outcome, answer)
+	h.handovers.CacheAnswer(time.Now(), id, bodyDigest(req.Service, req.ID, req.Tenant), answer.Outcome, answer)
 }
 
 // askSuccessors asks other hosts for the result of a command whose home does not
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -92,7 +92,7 @@
 	}
 	switch decision.Action {
 	case atmostonce.Refuse:
-		return wire.CommandReply{Outcome: decision.Outcome}
+		return wire.CommandReply{Outcome: h.entry.asOtherCaller(req, decision.Outcome)}
 	case atmostonce.Replay:
 		if decision.Outcome.Kind == outcome.Unknown {
 			return h.recoverAnswer(ctx, id, req, decision.Answer)
@@ -179,11 +179,16 @@
 	close(run.done)
 }
 
-// digest identifies the body of a command.
-func digest(req *wire.CommandRequest) uint64 { return bodyDigest(req.Service, req.ID) }
+// digest identifies the body and the tenant of a command, so that no tenant gets the answer to
+// a command of another one.
+func digest(req *wire.CommandRequest) uint64 { return bodyDigest(req.Service, req.ID, req.Tenant) }
 
-func bodyDigest(service, record string) uint64 {
-	return xxhash.Sum64String(service + "\x00" + record)
+func bodyDigest(service, record, tenant string) uint64 {
+	body := service + "\x00" + record
+	if tenant != "" {
+		body += "\x00" + tenant
+	}
+	return xxhash.Sum64String(body)
 }
 
 // serve answers a command stream of another host.
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -62,21 +62,30 @@
 		return nil, e.RefusalOutcome(meta.RequestID, serviceGone(service))
 	}
 	policy := tree.Effective(e.self.Place, service)
+	from, ok := e.identify(tree, service, meta.Credential)
+	if !ok {
+		return nil, e.RefusalOutcome(meta.RequestID, unknownKey())
+	}
+	from.applyPriority(&meta)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
 	var reply wire.CommandReply
-	if tree.Doc.Services[service].Kind == settings.KindCommand {
+	if refused, ok := e.config.refusal(); ok && tree.Doc.Services[service].Kind != settings.KindCommand {
+		reply.Outcome = refused
+	} else if refused, ok := e.admitTenant(from); ok {
+		reply.Outcome = e.RefusalOutcome(meta.RequestID, refused)
+	} else if tree.Doc.Services[service].Kind == settings.KindCommand {
 		reply = e.routeCommand(ctx, &wire.CommandRequest{
 			RequestID: meta.RequestID, Service: service, ID: req.ID, TimeoutMS: remaining(ctx).Milliseconds(),
-			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent, Tenant: from.name(),
 		})
-	} else if refused, ok := e.config.refusal(); ok {
-		reply.Outcome = refused
+		e.returnToken(from, reply.Outcome)
 	} else {
-		reply = e.lookupWithRetry(ctx, tree, policy, &wire.LookupRequest{
+		reply = e.lookupWithRetry(ctx, tree, policy, from, &wire.LookupRequest{
 			RequestID: requestID(meta), Service: service, ID: req.ID,
-			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent,
+			Class: uint8(class(meta, policy)), Traceparent: meta.Traceparent, Tenant: from.name(),
 		})
+		e.returnToken(from, reply.Outcome)
 	}
 	if reply.Outcome.Kind != outcome.Answered {
 		return nil, reply.Outcome
@@ -106,11 +115,15 @@
 
 // lookupWithRetry answers a lookup that may be repeated. After any failure it tries
 // another target. An attempt without a reply does not use up the whole deadline.
-func (e *entry) lookupWithRetry(ctx context.Context, tree *settings.Tree, policy *settings.Policy, req *wire.LookupRequest) wire.CommandReply {
+func (e *entry) lookupWithRetry(ctx context.Context, tree *settings.Tree, policy *settings.Policy, from *caller, req *wire.LookupRequest) wire.CommandReply {
 	group := groupOf(tree.Doc.Services[req.Service].Groups, keyspace.KeyOf(req.ID))
 	last := outcome.Refused(outcome.Unavailable, "no target of service %s is usable", req.Service)
 	tried := map[string]bool{}
 	for attemptsLeft := policy.RetryLimit + 1; attemptsLeft > 0 && ctx.Err() == nil; attemptsLeft-- {
+		if !from.mayStillSend() {
+			last = worseOutcome(last, unknownKey())
+			break
+		}
 		limit := remaining(ctx)
 		if attemptsLeft > 1 {
 			limit = limit * attemptQuarters / 4
--- a/internal/daemon/search.go
+++ b/internal/daemon/search.go
@@ -25,6 +25,11 @@
 		return nil, serviceGone(service)
 	}
 	policy := tree.Effective(e.self.Place, service)
+	from, ok := e.identify(tree, service, meta.Credential)
+	if !ok {
+		return nil, unknownKey()
+	}
+	from.applyPriority(&meta)
 	ctx, cancel := context.WithTimeout(ctx, deadline(meta, policy))
 	defer cancel()
 	query, refusal := e.admission.admit(service, class(meta, policy), deadline(meta, policy))
@@ -32,14 +37,20 @@
 		return nil, refusal
 	}
 	defer func() { query.end(errors.Is(ctx.Err(), context.Canceled)) }()
+	if refused, ok := e.admitTenant(from); ok {
+		return nil, refused
+	}
 	g := newGather(ctx, e, tree, policy, service, meta, req)
+	g.caller = from
 	g.admitted = query
 	g.start()
 	g.runLoop()
 	e.observer.countHedges(service, g.groups)
 	g.markCleared()
 	g.canary.notifications.Wait()
-	return g.response(start)
+	answer, o := g.response(start)
+	e.returnToken(from, o)
+	return answer, o
 }
 
 // gather is one search in progress. Its event loop runs on one goroutine, so its
@@ -69,6 +80,8 @@
 	mayHaveRun   bool // at least one target may have run the query
 	admitted     *admittedQuery
 	canary       canaryState
+	caller       *caller
+	keyWithdrawn bool // the caller's key was withdrawn before a send
 }
 
 // groupState is the progress of one group in a search.
@@ -162,7 +175,7 @@
 	g := &gather{
 		ctx: ctx, entry: e, policy: policy, service: service, meta: meta, req: req,
 		id: requestID(meta), started: time.Now(), byID: map[string]*groupState{},
-		events: make(chan batchEvent, 64),
+		events: make(chan batchEvent, 64), caller: &caller{config: e.config, service: service, identifiedBy: tree},
 	}
 	e.mu.Lock()
 	g.state = e.service(tree, service)
@@ -339,6 +352,9 @@
 		answer.Warnings = append(answer.Warnings, api.Warning{Group: state.planned.group.ID, Reason: state.lastOutcome.Reason, Message: state.lastOutcome.Message})
 	}
 	if answer.Coverage == 0 && !g.mayHaveRun {
+		if g.keyWithdrawn {
+			return nil, unknownKey()
+		}
 		return nil, outcome.Outcome{Kind: outcome.NotRun, Reason: missing.Reason, Message: missing.Message}
 	}
 	answer.Records = g.merger.Records(g.req.Limit)
--- a/internal/daemon/searchgap.go
+++ b/internal/daemon/searchgap.go
@@ -46,7 +46,10 @@
 // group if no target is left.
 func (g *gather) fillGap(state *groupState) {
 	now := time.Now()
-	plan := g.planGap(now, state)
+	var plan []routing.Assignment
+	if !g.withdrawn() {
+		plan = g.planGap(now, state)
+	}
 	for _, a := range plan {
 		g.sendBatch(now, ordinalID{a.Path.Place, a.Path.Ordinal}, []routing.Assignment{a}, wire.CauseGap)
 	}
--- a/internal/daemon/searchhedge.go
+++ b/internal/daemon/searchhedge.go
@@ -64,7 +64,7 @@
 
 // hedge sends another attempt for a group whose answer is late.
 func (g *gather) hedge(now time.Time, state *groupState) {
-	if state.hedges >= maxHedges || g.canary.crashSuspected {
+	if state.hedges >= maxHedges || g.canary.crashSuspected || g.withdrawn() {
 		return // a query that may have crashed a target is not sent to another replica
 	}
 	if g.canary.holdsGroups || !g.mayHedge() {
--- a/internal/daemon/searchsend.go
+++ b/internal/daemon/searchsend.go
@@ -75,14 +75,25 @@
 
 // usable reports whether the target of a candidate, given by its index, may be asked
 // for a group: the target may serve the query's version, the query's canary rules
-// allow the target, and its place has not refused the group as out.
+// allow the target, its place has not refused the group as out, and the caller's key was
+// not withdrawn.
 func (g *gather) usable(state *groupState, candidate int) bool {
+	if g.withdrawn() {
+		return false
+	}
 	p := state.planned
 	o := &p.routingGroup.Candidates[candidate]
 	return p.targets[candidate].MayServe(g.merger.Version()) && state.maySend(o.Target) &&
 		(state.outPlace == "" || state.outPlace != o.Place)
 }
 
+// withdrawn reports whether the caller's key was withdrawn since the query began. Nothing more
+// is sent then.
+func (g *gather) withdrawn() bool {
+	g.keyWithdrawn = g.keyWithdrawn || !g.caller.mayStillSend()
+	return g.keyWithdrawn
+}
+
 // avoidTrial replaces a trial that gets no second attempt by another target, if one
 // can be asked. The caller holds entry.mu.
 func (g *gather) avoidTrial(now time.Time, state *groupState, a *routing.Assignment) {
@@ -125,7 +136,7 @@
 	}
 	req := &wire.SearchRequest{
 		QueryID: g.id, Service: g.service, Terms: g.req.Terms, Limit: g.req.Limit, Version: g.merger.Version(),
-		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent,
+		TimeoutMS: remaining(g.ctx).Milliseconds(), Class: uint8(class(g.meta, g.policy)), Traceparent: g.meta.Traceparent, Tenant: g.caller.name(),
 		Canary: g.isSuspectCanary() || g.byID[assignments[0].Group].restricted,
 	}
 	maxWait := g.firstMaxWait(now)
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -25,7 +25,12 @@
 	Services         []ServiceStatus    `json:"services"`
 	Targets          []TargetStatus     `json:"targets"` // those that this host owns
 	Quarantined      []QuarantineStatus `json:"quarantined"`
-	Control          ControlStatus      `json:"control"`
+	// Tenants are those of the configuration with the most requests to this host, and
+	// UnknownKeys the requests refused since its start for want of a known key.
+	HasTenants  bool           `json:"has_tenants"`
+	Tenants     []TenantStatus `json:"tenants,omitempty"`
+	UnknownKeys int64          `json:"unknown_keys,omitempty"`
+	Control     ControlStatus  `json:"control"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -86,6 +91,9 @@
 	markSuspects(status.Targets, status.Quarantined)
 	status.Places = placeStatus(tree, status.Hosts, d.opts.Process.Place, status.Targets)
 	status.Services = d.serviceStatus(tree)
+	status.HasTenants = tree.HasTenants()
+	status.Tenants, status.UnknownKeys = d.entry.tenants.status(tree)
+	d.entry.quotas.describe(time.Now(), status.Tenants)
 	return status
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -34,6 +34,7 @@
 	HeaderDeadline  = "Deadline-Ms" // milliseconds left until the deadline
 	HeaderRequestID = "Request-Id"
 	HeaderTrace     = "Traceparent"
+	HeaderTenant    = "Tenant" // name of the caller's tenant
 )
 
 const (
@@ -116,6 +117,7 @@
 	ID          string
 	Timeout     time.Duration // time left until the deadline, sent in HeaderDeadline; the context ends the request
 	Traceparent string
+	Tenant      string // "" for none
 }
 
 // Search sends a search. The TargetStatus is zero unless an answer or a Refusal
@@ -156,6 +158,9 @@
 	if r.Traceparent != "" {
 		req.Header.Set(HeaderTrace, r.Traceparent)
 	}
+	if r.Tenant != "" {
+		req.Header.Set(HeaderTenant, r.Tenant)
+	}
 	resp, maySent, err := c.roundTrip(req)
 	if err != nil {
 		return wire.TargetStatus{}, failureOutcome(ctx, err, maySent)
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -21,7 +21,8 @@
 	Class       uint8  `cbor:"5,keyasint"` // settings.Priority
 	Traceparent string `cbor:"6,keyasint,omitempty"`
 	// Relay asks a host that is not the home to forward the request to the home.
-	Relay bool `cbor:"7,keyasint,omitempty"`
+	Relay  bool   `cbor:"7,keyasint,omitempty"`
+	Tenant string `cbor:"16,keyasint,omitempty"` // name of the caller's tenant; "" for none
 }
 
 // CommandReply is the acknowledgement, the result or the refusal of a command by
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -50,7 +50,8 @@
 	// Borrow is set if the sender is the other owner of the targets and has no free
 	// slot. A part runs only if a slot is free at once, and is refused as Overload
 	// otherwise.
-	Borrow bool `cbor:"17,keyasint,omitempty"`
+	Borrow bool   `cbor:"17,keyasint,omitempty"`
+	Tenant string `cbor:"18,keyasint,omitempty"` // name of the caller's tenant; "" for none
 }
 
 // PartRequest names one group and the target that is to answer for it.
@@ -124,7 +125,8 @@
 	Traceparent string `cbor:"8,keyasint,omitempty"`
 	Cause       Cause  `cbor:"9,keyasint,omitempty"` // for traces
 	// MaxWaitServiceTimes is the longest wait for a slot, in service times; 0 is unbounded.
-	MaxWaitServiceTimes uint8 `cbor:"10,keyasint,omitempty"`
+	MaxWaitServiceTimes uint8  `cbor:"10,keyasint,omitempty"`
+	Tenant              string `cbor:"16,keyasint,omitempty"` // name of the caller's tenant; "" for none
 }
 
 // LookupReply is the result of a lookup.
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -63,12 +63,16 @@
 	Canceled    Reason = "canceled"     // the caller or the entry host canceled the request
 	Invalid     Reason = "invalid"      // the request or its ticket is malformed or not valid
 	Internal    Reason = "internal"     // a fault of a host or the target
+	UnknownKey  Reason = "unknown_key"  // the request carries no key, or one that no tenant holds
+	OverQuota   Reason = "over_quota"   // the tenant uses all that its rate limit allows
+	NoToken     Reason = "no_token"     // the host has no token of the tenant yet, which may be below its limit
 )
 
 // Reasons returns every reason but None, in the order above.
 func Reasons() []Reason {
 	return []Reason{
 		Overload, Busy, Deadline, Draining, PlaceOut, Quarantined, VersionGone, Unavailable, ConnLost, Silent, Canceled, Invalid, Internal,
+		UnknownKey, OverQuota, NoToken,
 	}
 }
 
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -50,6 +50,25 @@
 	Services        map[string]Service `json:"services"`
 	HostsOut        []string           `json:"hosts_out,omitempty"`   // names of hosts taken out of service
 	TargetsOut      []string           `json:"targets_out,omitempty"` // identifiers of targets taken out of service
+	// Tenants are the customers whose requests are accepted. Requests need no key if it is
+	// nil; with an empty list, only anonymous services take requests.
+	Tenants []Tenant `json:"tenants,omitzero"`
+}
+
+// Tenant is a customer whose callers present one of its keys. A document holds only
+// digests of keys, because hosts exchange documents byte by byte and compare them by a hash
+// of the bytes, so that none of them can replace a key by its digest.
+type Tenant struct {
+	Name       string   `json:"name"`
+	KeyDigests []string `json:"key_digests,omitempty"` // SHA-256 in hexadecimal
+	// Priority is the class of the tenant's requests; "" for that of the service.
+	Priority string `json:"priority,omitempty"`
+	// RatePerS and Burst limit the requests to all hosts together; a RatePerS of 0 is no
+	// limit.
+	RatePerS float64 `json:"rate_per_s,omitempty"`
+	Burst    float64 `json:"burst,omitempty"`
+	// Keys is refused; the field exists for the text of the fault.
+	Keys json.RawMessage `json:"keys,omitempty"`
 }
 
 // Node is one node of the settings tree.
@@ -70,6 +89,7 @@
 	Kind           ServiceKind `json:"kind"`
 	PartitionEpoch uint64      `json:"partition_epoch"` // higher after each change of the groups' ranges
 	Groups         []Group     `json:"groups"`
+	Anonymous      bool        `json:"anonymous,omitempty"` // takes requests without a known key
 }
 
 // Group is the replica set of one shard: a key range and the targets that hold it.
--- a/pkg/settings/process.go
+++ b/pkg/settings/process.go
@@ -17,6 +17,16 @@
 	TLS      TLSFiles `json:"tls"`
 	LogLevel string   `json:"log_level,omitempty"`
 	Traces   Traces   `json:"traces,omitzero"`
+	// TenantKeys names where further keys of tenants are read from. LocalKeys are their
+	// digests, which LoadProcess reads.
+	TenantKeys KeySources `json:"tenant_keys,omitzero"`
+	LocalKeys  []LocalKey `json:"-"`
+}
+
+// KeySources name a file and an environment variable with lines of the form name:key.
+type KeySources struct {
+	File string `json:"file,omitempty"`
+	Env  string `json:"env,omitempty"`
 }
 
 // Traces configures the export of spans. If neither Endpoint nor File is set, no
@@ -91,6 +101,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("process settings %s: %w", file, err)
 	}
+	if p.LocalKeys, err = p.TenantKeys.read(); err != nil {
+		return nil, fmt.Errorf("process settings %s: %w", file, err)
+	}
 	return p, nil
 }
 
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/ownership"
+	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
 
 // Tree is a validated configuration document with its effective settings.
@@ -20,6 +21,8 @@
 	Raw     []byte // the document as published
 	policy  map[policyKey]*Policy
 	targets map[string]*TargetInfo
+	tenants []tenant.Tenant   // with the keys of the document
+	keys    *tenant.Directory // nil if the document has no tenants
 }
 
 type policyKey struct{ place, service string }
@@ -62,6 +65,7 @@
 	var found faults
 	t.checkSettings(&found)
 	t.checkTopology(&found)
+	t.decodeTenants(&found)
 	if err := found.err(); err != nil {
 		return nil, err
 	}
--- a/pkg/tenant/tenant.go
+++ b/pkg/tenant/tenant.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"slices"
+	"strings"
 )
 
 // KeyDigest is the SHA-256 digest of a key.
@@ -82,6 +83,23 @@
 	Digest KeyDigest // if State is Presented
 }
 
+// Scheme is the authentication scheme of a key in the header Authorization.
+const Scheme = "Bearer"
+
+// ParseBearer returns the credential in the values of the header Authorization. Only one
+// value with one key in the Bearer scheme, whose name may have any case, presents a key.
+func ParseBearer(values []string) Credential {
+	if len(values) == 0 {
+		return Credential{}
+	}
+	scheme, key, _ := strings.Cut(values[0], " ")
+	key = strings.Trim(key, " ")
+	if len(values) > 1 || !strings.EqualFold(scheme, Scheme) || key == "" || strings.ContainsAny(key, " \t,") {
+		return Credential{State: Malformed}
+	}
+	return Credential{State: Presented, Digest: Digest(key)}
+}
+
 // Identify returns the tenant of a request, nil if the request has none. It returns false
 // if the request must be refused: only requests of anonymous routes may come without a
 // known key. A nil Directory means that the configuration has no tenants, and admits all.
