--- a/cmd/lacewingyard/check.go
+++ b/cmd/lacewingyard/check.go
@@ -13,11 +13,14 @@
 // checkReport is the output of check: a summary of a valid document or, as JSON
 // only, the faults of an invalid one.
 type checkReport struct {
-	Version  uint64           `json:"version"`
-	Places   int              `json:"places"`
-	Services int              `json:"services"`
-	Targets  int              `json:"targets"`
-	Faults   []settings.Fault `json:"faults,omitempty"`
+	Version  uint64         `json:"version"`
+	Places   int            `json:"places"`
+	Services int            `json:"services"`
+	Targets  int            `json:"targets"`
+	Tenants  []tenantReport `json:"tenants,omitempty"`
+	// Anonymous are the services that take requests without a key; only with tenants.
+	Anonymous []string         `json:"anonymous,omitempty"`
+	Faults    []settings.Fault `json:"faults,omitempty"`
 }
 
 func newCheck() *cobra.Command {
@@ -45,8 +48,12 @@
 		}
 		report := checkReport{Version: tree.Doc.Version, Places: len(tree.Doc.Places), Services: len(tree.Doc.Services)}
 		tree.Targets(func(*settings.TargetInfo) { report.Targets++ })
+		report.Tenants, report.Anonymous = tenantReports(tree), anonymousServices(tree)
 		return format.print(cmd.OutOrStdout(), report, func(w io.Writer) {
 			fmt.Fprintf(w, "version %d is valid: %d places, %d services, %d targets\n", report.Version, report.Places, report.Services, report.Targets)
+			if tree.HasTenants() {
+				printTenantReports(w, report.Tenants, report.Anonymous)
+			}
 		})
 	}
 	return cmd
--- a/cmd/lacewingyard/demo.go
+++ b/cmd/lacewingyard/demo.go
@@ -44,6 +44,7 @@
 type demoFlags struct {
 	dir      string
 	queries  int
+	tenants  bool
 	session  demo.Session
 	format   *outputFormat
 	logLevel *logLevel
@@ -73,6 +74,7 @@
 	f.logLevel = logLevelFlag(cmd, "warn")
 	flags := cmd.Flags()
 	flags.StringVar(&f.dir, "settings", "", "directory with config.json and model.json")
+	flags.BoolVar(&f.tenants, "tenants", false, "give the deployment two tenants; their keys are written to the directory tenants in that of --dir")
 	flags.IntVar(&f.queries, "queries", 50, "number of queries to each service")
 	flags.DurationVar(&f.session.Duration, "for", 0, "time for which the deployment keeps running after the check, such as 10m")
 	flags.StringVar(&f.session.Dir, "dir", "", "directory for the files of a deployment that keeps running; empty for a new temporary directory")
@@ -111,6 +113,10 @@
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*f.logLevel)), Output: os.Stderr}),
 		Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
 	}
+	if f.tenants {
+		f.session.Keys = demo.AddTenants(deployment)
+		opts.HTTPClient = f.session.Keys.Client()
+	}
 	opts.AfterCheck = func(ctx context.Context, running *fleet.Fleet, report *demo.Report) error {
 		err := f.format.print(cmd.OutOrStdout(), report, func(w io.Writer) { printDemo(w, report) })
 		if err != nil || f.session.Duration == 0 {
@@ -141,6 +147,10 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.4f\t%v\t%.1f\t%.1f\t%.1f\n",
 			name, s.Kind, s.Sent, s.Equal, s.Wrong, s.Refused, s.Coverage, s.Snapshots, s.P50MS, s.P90MS, s.P99MS)
 	}
+	if len(report.Tenants) > 0 {
+		fmt.Fprintln(w)
+		printTenants(w, report.Tenants)
+	}
 	for _, name := range names {
 		if sample := report.Services[name].Sample; sample != "" {
 			fmt.Fprintf(w, "\n%s: %s", name, sample)
--- a/cmd/lacewingyard/explain.go
+++ b/cmd/lacewingyard/explain.go
@@ -18,7 +18,8 @@
 		GroupID: "queries",
 		Short:   "Show the effective settings and the level that sets each",
 		Long: "Show for one service in one place the effective value of each setting, the level\n" +
-			"that sets it and the values of other levels that it overrules.",
+			"that sets it and the values of other levels that it overrules. If the document has\n" +
+			"tenants, the table also shows the class and the rate limit of each one's requests.",
 		Example: "  lacewingyard explain --config examples/riga/config.json --place riga-a --service order-desk",
 		Args:    cobra.NoArgs,
 	}
@@ -44,6 +45,9 @@
 				}
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Field, e.Value, e.Level, strings.Join(overruled, ", "))
 			}
+			if tree.HasTenants() {
+				explainTenants(w, tree, place, service)
+			}
 		})
 	}
 	cmd.Flags().StringVar(&file, "config", "", "configuration document (JSON)")
--- a/cmd/lacewingyard/lookup.go
+++ b/cmd/lacewingyard/lookup.go
@@ -15,7 +15,7 @@
 
 // lookupFlags holds the flags of the lookup command.
 type lookupFlags struct {
-	entry, service, id, requestID string
+	entry, service, id, requestID, keyFile string
 
 	deadline time.Duration
 	traced   bool
@@ -40,6 +40,7 @@
 	flags.StringVar(&f.service, "service", "", "service that holds the record")
 	flags.StringVar(&f.id, "id", "", "identifier of the record")
 	flags.StringVar(&f.requestID, "request-id", "", "identifier of an earlier request to send again; empty for a new request")
+	keyFlag(cmd, &f.keyFile)
 	flags.BoolVar(&f.traced, "trace", false, "trace the request and write the trace identifier to standard error")
 	flags.DurationVar(&f.deadline, "deadline", 0, "maximum time for the answer, such as 250ms; absent for the service's default")
 	for _, name := range []string{"entry", "service", "id"} {
@@ -54,12 +55,15 @@
 		return usageError{err}
 	}
 	header := http.Header{}
+	if err := setKey(header, f.keyFile); err != nil {
+		return usageError{err}
+	}
 	if err := setDeadline(cmd, header, f.deadline); err != nil {
 		return usageError{err}
 	}
 	if f.requestID == "" {
 		var ticket api.TicketResponse
-		if err := callHost(cmd.Context(), http.MethodPost, f.entry, "/v1/tickets", nil, nil, &ticket); err != nil {
+		if err := callHost(cmd.Context(), http.MethodPost, f.entry, "/v1/tickets", header, nil, &ticket); err != nil {
 			return err
 		}
 		f.requestID = ticket.TicketPrefix + uuid.NewString()
--- a/cmd/lacewingyard/main.go
+++ b/cmd/lacewingyard/main.go
@@ -84,7 +84,7 @@
 	)
 	root.AddCommand(
 		newServe(), newEdge(), newEdgeStatus(), newEdgeExplain(), newSoak(), newStory(), newDrain(), newDemo(), newBench(), newLookup(),
-		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newTrace(), newVersion(),
+		newCheck(), newExplain(), newEntries(), newQuery(), newStatus(), newKeyDigest(), newTrace(), newVersion(),
 	)
 	for _, cmd := range root.Commands() {
 		wrapRunErrors(cmd)
--- a/cmd/lacewingyard/query.go
+++ b/cmd/lacewingyard/query.go
@@ -15,7 +15,7 @@
 
 // queryFlags holds the flags of the query command.
 type queryFlags struct {
-	entry, service, priority string
+	entry, service, priority, keyFile string
 
 	terms       []string
 	limit       int
@@ -48,6 +48,7 @@
 	flags.Float64Var(&f.minCoverage, "min-coverage", 0, "coverage, 0 to 1, that the search must reach before it may end early")
 	flags.DurationVar(&f.deadline, "deadline", 0, "maximum time for the answer, such as 250ms; absent for the service's default")
 	flags.BoolVar(&f.traced, "trace", false, "trace the request and write the trace identifier to standard error")
+	keyFlag(cmd, &f.keyFile)
 	flags.StringVar(&f.priority, "priority", "", "critical, interactive or batch; empty for the service's default")
 	for _, name := range []string{"entry", "service", "term"} {
 		_ = cmd.MarkFlagRequired(name)
@@ -61,6 +62,9 @@
 		return usageError{err}
 	}
 	header := http.Header{}
+	if err := setKey(header, f.keyFile); err != nil {
+		return usageError{err}
+	}
 	if err := setDeadline(cmd, header, f.deadline); err != nil {
 		return usageError{err}
 	}
--- a/cmd/lacewingyard/status.go
+++ b/cmd/lacewingyard/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -59,6 +60,11 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", v.Service, v.Kind, v.Groups, len(v.Unusable), v.Answers, v.Failed, mean, lowest)
 	}
+	if s.HasTenants {
+		fmt.Fprintln(w)
+		printTenants(w, s.Tenants)
+		fmt.Fprintf(w, "requests without a known key\t%d\n", s.UnknownKeys)
+	}
 	fmt.Fprintln(w, "\nHOST\tPLACE\tORDINAL\tLIST\tPHASE\tLAST MESSAGE\tLOAD\tCONFIGURATION")
 	for _, h := range s.Hosts {
 		age := "never"
@@ -89,6 +95,18 @@
 	}
 }
 
+// printTenants prints tenants with their limits and their use.
+func printTenants(w io.Writer, tenants []daemon.TenantStatus) {
+	fmt.Fprintln(w, "TENANT\tKEYS\tPRIORITY\tRATE/s\tBURST\tREQUESTS\tOVER RATE\tTOKENS HERE\tGRANTED BY")
+	for _, t := range tenants {
+		rate, burst, tokens, granter := "-", "-", "-", "-"
+		if t.RatePerS > 0 {
+			rate, burst, tokens, granter = fmt.Sprintf("%g", t.RatePerS), fmt.Sprintf("%g", t.Burst), fmt.Sprintf("%.0f", t.Tokens), cmp.Or(t.GrantingHost, "no host")
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", t.Name, t.Keys, cmp.Or(t.Priority, "-"), rate, burst, t.Requests, t.Refused, tokens, granter)
+	}
+}
+
 // formatEstimate formats an estimated time in milliseconds; 0 means that there is no
 // estimate yet.
 func formatEstimate(ms float64) string {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -104,7 +104,7 @@
 	policy := d.config.tree().Effective(d.opts.Process.Place, "")
 	d.entry.beginShutdown(policy)
 	d.control.announceLeave()
-	d.entry.quotas.handOver(context.Background())
+	go d.entry.quotas.handOver(context.Background())
 	d.log.Info("leaving", "accepting_for", policy.EntriesTTL, "open", d.openRequests.count.Load())
 	whole := policy.EntriesTTL + policy.DrainGrace
 	end := time.AfterFunc(whole-min(answerReserve, whole/4), d.endRequests)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -25,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -56,6 +57,8 @@
 	Hosts     int                       `json:"hosts"`
 	Searchers int                       `json:"searchers"`
 	Services  map[string]*ServiceReport `json:"services"`
+	// Tenants are the tenants of the configuration with their requests to all hosts.
+	Tenants []daemon.TenantStatus `json:"tenants,omitempty"`
 }
 
 // ServiceReport is the result for one service. Latencies include refused requests and,
@@ -136,6 +139,7 @@
 		}
 		s.summarise()
 	}
+	report.Tenants = tenantUse(f)
 	return report, nil
 }
 
--- a/internal/demo/session.go
+++ b/internal/demo/session.go
@@ -37,6 +37,7 @@
 	Dir      string        // of the files that operators read and edit; created if missing
 	Rate     float64       // total searches/s of the background load over all search services; 0 for none
 	Output   io.Writer
+	Keys     Keys // of tenants, written to files; nil without tenants
 }
 
 // publishedFile is a file that is published when its content changes.
@@ -86,6 +87,9 @@
 			return nil, errors.Wrap(err, "create directory of the deployment")
 		}
 	}
+	if err := s.Keys.write(s.Dir); err != nil {
+		return nil, err
+	}
 	hostList := f.HostList()
 	config := &publishedFile{path: filepath.Join(s.Dir, configFile), key: fleet.ConfigKey, version: f.Tree().Doc.Version}
 	hosts := &publishedFile{path: filepath.Join(s.Dir, hostsFile), key: fleet.HostsKey, version: hostList.Version}
