--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -32,6 +32,11 @@
 // startEdge starts a host, whose standard output goes to stdout if that is not nil, and waits
 // until it is ready.
 func startEdge(t *testing.T, stdout *os.File) *edgeProcess {
+	return startEdgeWith(t, stdout, func(_ map[string]any, settings string) string { return settings })
+}
+
+// startEdgeWith is startEdge with a change of the configuration and of the settings file.
+func startEdgeWith(t *testing.T, stdout *os.File, change func(config map[string]any, settings string) string) *edgeProcess {
 	g := NewWithT(t)
 	store, err := platformtest.NewStore("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -43,13 +48,13 @@
 	store.Put(p.target.Key(), p.target.Entry("ready"))
 	config := platformtest.Config(1, nil, 4*time.Second)
 	config["routes"] = config["routes"].([]map[string]any)[1:]
-	store.Put(platformtest.ConfigKey, config)
 	const ip = "127.0.9.1"
 	ports, err := platformtest.FreePorts(ip)
 	g.Expect(err).NotTo(HaveOccurred())
 	p.HostSettings = platformtest.HostSettings{Name: "host-1", IP: ip, Place: "a", Ports: ports, Store: store.Address, Seeds: []string{ip}, Grace: edgeGrace}
 	p.file = filepath.Join(t.TempDir(), "settings.yaml")
-	g.Expect(os.WriteFile(p.file, []byte(p.Settings()), 0o600)).To(Succeed())
+	g.Expect(os.WriteFile(p.file, []byte(change(config, p.Settings())), 0o600)).To(Succeed())
+	store.Put(platformtest.ConfigKey, config)
 	p.cmd = exec.Command(os.Args[0], "edge", "--settings", p.file)
 	// A process with the race detector sleeps for a second at its exit unless told not to.
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -37,6 +37,10 @@
 	os.Exit(m.Run())
 }
 
+// descriptorsVariable is the environment variable with the descriptor limit of the hosts that
+// startProcess starts.
+const descriptorsVariable = "LACEWINGYARD_TEST_DESCRIPTORS"
+
 // hostProcess is a running `lacewingyard serve`.
 type hostProcess struct {
 	cmd      *exec.Cmd
@@ -65,6 +69,10 @@
 	file := filepath.Join(dir, "host.json")
 	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
 	p.cmd = exec.Command(os.Args[0], "serve", "--settings", file)
+	if f := os.Getenv(descriptorsVariable); f != "" {
+		// A Go process raises its soft limit to the hard one, which only a shell sets for one process.
+		p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, f, os.Args[0], "serve", "--settings", file)
+	}
 	// A process with the race detector sleeps for a second at its exit unless told not to.
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	p.cmd.Stderr = &p.log
