Bound the memory and the connections that callers of an edge host hold

Each body was read into memory of its own and nothing bounded the sum. Add limit.CallerBytes (an eighth of the memory limit), internal/callerbody, which reads bodies within it and with a least progress of 5 KB in 5 s, and a bound of connections in callerconn.Set, half of the descriptors without those for files. Refusals: 503 with Retry-After (no room), 408 (too slow); 413 stays.

--- a/cmd/lacewingyard/edgestatus.go
+++ b/cmd/lacewingyard/edgestatus.go
@@ -46,6 +46,10 @@
 		s.Host, s.Place, s.Started.Format(time.RFC3339), s.Ready, s.Leaving, s.OpenRequests, s.Load, s.Capacity, s.Directed, s.ExtraShare)
 	fmt.Fprintf(w, "configuration\t%d\nrevision\t%d, confirmed %d ms ago\nstore calls\t%d\nreads the store for all\t%t\nhosts assumed\t%d\n",
 		s.State.Config, s.State.Revision, s.State.ConfirmedAgeMS, s.State.StoreCalls, s.State.ReadsStore, s.State.AssumedHosts)
+	c := &s.Callers
+	fmt.Fprintf(w, "held by callers\t%d of %d bytes, %d requests being read\nrequests given up, without room, too slow\t%d, %d, %d\n",
+		c.Bytes, c.BytesLimit, c.Reading, c.GivenUp, c.NoRoom, c.TooSlow)
+	fmt.Fprintf(w, "connections of callers\t%d of %d, %d closed for others, %d refused\n", c.Connections, c.ConnectionsLimit, c.ConnectionsShed, c.ConnectionsRefused)
 	fmt.Fprintln(w, "\nHOST\tPLACE\tHEARD\tALIVE\tREADY\tLEAVING\tREVISION\tLOAD")
 	for _, p := range s.Peers {
 		fmt.Fprintf(w, "%s\t%s\t%d ms ago\t%t\t%t\t%t\t%d\t%.2f\n", p.Host, p.Place, p.LastHeardMS, p.Alive, p.Ready, p.Leaving, p.Revision, p.Load)
--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -31,12 +31,12 @@
 
 // startEdge starts a host, whose standard output goes to stdout if that is not nil, and waits
 // until it is ready.
-func startEdge(t *testing.T, stdout *os.File) *edgeProcess {
+func startEdge(t testing.TB, stdout *os.File) *edgeProcess {
 	return startEdgeWith(t, stdout, func(_ map[string]any, settings string) string { return settings })
 }
 
 // startEdgeWith is startEdge with a change of the configuration and of the settings file.
-func startEdgeWith(t *testing.T, stdout *os.File, change func(config map[string]any, settings string) string) *edgeProcess {
+func startEdgeWith(t testing.TB, stdout *os.File, change func(config map[string]any, settings string) string) *edgeProcess {
 	g := NewWithT(t)
 	store, err := platformtest.NewStore("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -6,6 +6,7 @@
 package callerconn
 
 import (
+	"container/list"
 	"context"
 	"math"
 	"net"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/callerbody"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 )
 
@@ -29,9 +31,11 @@
 // next request may already be read; a connection of the set then answers that request first.
 type Set struct {
 	endsWithAnswer atomic.Pointer[func() bool] // nil: never
+	bounds         bounds
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
+	byUse     list.List // of *conn, the longest without a request first
 	listeners []*listener
 }
 
@@ -59,6 +63,10 @@
 	l.accepting.Lock()
 	defer l.accepting.Unlock()
 	nc, err := l.Listener.Accept()
+	for err == nil && !l.conns.admit() {
+		_ = nc.Close() // nothing was read from it
+		nc, err = l.Listener.Accept()
+	}
 	switch {
 	case err != nil && l.closed.Load():
 		return nil, http.ErrServerClosed
@@ -69,6 +77,7 @@
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[c] = struct{}{}
+	c.element = l.conns.byUse.PushBack(c)
 	return c, nil
 }
 
@@ -157,7 +166,10 @@
 func (s *Set) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, c)
+	if _, ok := s.open[c]; ok {
+		delete(s.open, c)
+		s.byUse.Remove(c.element)
+	}
 }
 
 // conn is a connection of a caller, which carries one request at a time.
@@ -166,12 +178,18 @@
 	conns    *Set
 	opened   time.Time
 	received atomic.Bool // any byte
+	element  *list.Element
+	hold     callerbody.Hold // of a long head
+	charged  bool            // hold is in use; only the server's goroutine uses it
 
-	mu     sync.Mutex
-	heard  bool // bytes were read since the last answer
-	busy   bool // a request is in progress
-	closed bool // Close was called
-	gone   bool // the connection is closed
+	mu        sync.Mutex
+	heard     bool // bytes were read since the last answer
+	busy      bool // a request is in progress
+	closed    bool // Close was called
+	gone      bool // the connection is closed
+	shed      bool // it closes for others unless a head is read whole
+	headRead  bool // the server has read a whole head or only its begin
+	headBytes int  // of the head that is being read
 }
 
 // Read implements net.Conn.
@@ -182,6 +200,7 @@
 		c.mu.Lock()
 		c.heard = true
 		c.mu.Unlock()
+		c.charge(n)
 	}
 	return n, err
 }
@@ -190,7 +209,8 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed && !c.heard && !c.busy {
+	c.headRead = c.heard && t.IsZero() // net/http clears the deadline after the head
+	if c.closed && !c.heard && !c.busy || c.shed && !c.busy && !c.headRead {
 		t = time.Now()
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -230,6 +250,9 @@
 // begin reports whether a request that was read may be handled. After abort, it may not: its
 // caller would get no answer, and may send it again only if it did not run.
 func (c *conn) begin() bool {
+	if c.charged {
+		c.hold.PassOn()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = !c.gone
@@ -238,9 +261,11 @@
 
 // idle records the end of a request whose answer the server has written, if there is one.
 func (c *conn) idle() {
+	c.discharge()
+	c.conns.used(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard, c.busy = false, false
+	c.heard, c.busy, c.headRead, c.headBytes = false, false, false, 0
 	if c.closed {
 		_ = c.Conn.SetReadDeadline(time.Now())
 	}
@@ -248,6 +273,7 @@
 
 // end closes the connection, which the server has given up.
 func (c *conn) end() {
+	c.discharge()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns.remove(c)
@@ -274,10 +300,11 @@
 	}
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !r.Context().Value(connKey{}).(*conn).begin() {
+		c := r.Context().Value(connKey{}).(*conn)
+		if !c.begin() {
 			panic(http.ErrAbortHandler)
 		}
-		a := &answer{ResponseWriter: w, conns: s}
+		a := &answer{ResponseWriter: w, conns: s, conn: c}
 		next.ServeHTTP(a, r)
 		a.begin() // the server writes the head if the handler has not
 	})
@@ -287,6 +314,7 @@
 type answer struct {
 	http.ResponseWriter
 	conns *Set
+	conn  *conn
 	begun bool
 }
 
@@ -295,7 +323,7 @@
 		return
 	}
 	a.begun = true
-	if ends := a.conns.endsWithAnswer.Load(); ends != nil && (*ends)() {
+	if ends := a.conns.endsWithAnswer.Load(); ends != nil && (*ends)() || a.conn.isShed() {
 		a.Header().Set("Connection", "close")
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,6 +98,7 @@
 	follower     *follower
 	load         *loadMeter
 	quotas       *quotas
+	callers      *callerLimits
 	reloadMu     sync.Mutex
 	applied      site.Settings // settings in force; guarded by reloadMu
 	leaving      atomic.Bool   // set when the shutdown begins; reported in heartbeats
@@ -124,6 +125,7 @@
 	}
 	seed := uint64(h.incarnation)
 	h.quotas = newQuotas(h, seed)
+	h.callers = newCallerLimits(&o.Site, o.Log.Named("callers"))
 	h.engine = engine.New(engine.Config{
 		Place: o.Site.Place, RetryRatio: o.Site.RetryRatio, RetrySlack: o.Site.RetrySlack, RetryWindow: o.Site.RetryWindow,
 		Codec: o.Codec, Fleet: h, Log: o.Log.Named("engine"), Observer: o.Observer, Tracer: o.Tracer, Seed: seed, OnSend: h.load.count,
@@ -286,9 +288,9 @@
 func (h *Host) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	conns := callerconn.NewSet()
+	conns := h.callers.conns
 	callers := &http.Server{
-		Handler: limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.callers.budget.Handler(limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits))), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	conns.Attach(callers)
 	servers := []struct {
@@ -314,6 +316,8 @@
 		}
 		if s.server == callers {
 			listener = conns.Listener(listener)
+		} else {
+			listener = h.callers.sideListener(s.server, listener)
 		}
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -400,6 +404,7 @@
 	h.engine.Refresh()
 	h.quotas.refresh(now, h.directedHere.Load())
 	h.load.update(now)
+	h.callers.refresh(now)
 }
 
 // logTotals logs the connections to targets that were opened, could not be opened and
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -89,6 +89,16 @@
 			Name: "lacewingyard_targets_under_notice", Help: "Targets whose notices are in force, by kind.", ConstLabels: prometheus.Labels{"kind": string(kind)},
 		}, func() float64 { return float64(h.engine.UnderNotice()[kind]) }))
 	}
+	callers := h.callers
+	gauge("lacewingyard_caller_bytes", "Bytes that callers hold with long heads and bodies.", func() float64 { return float64(callers.budget.Use().Used) })
+	gauge("lacewingyard_caller_bytes_limit", "Greatest number of these bytes.", func() float64 { return float64(callers.parts.Bytes) })
+	counter("lacewingyard_caller_requests_given_up_total", "Requests given up for others while they were read.", func() int64 { return callers.budget.Use().GivenUp })
+	counter("lacewingyard_caller_requests_no_room_total", "Requests that found no room for their bodies or heads.", func() int64 { return callers.budget.Use().Refused })
+	counter("lacewingyard_caller_requests_too_slow_total", "Requests given up because their bodies made no progress.", func() int64 { return callers.budget.Use().TooSlow })
+	gauge("lacewingyard_caller_connections", "Open connections of callers.", func() float64 { return float64(callers.conns.Use().Open) })
+	gauge("lacewingyard_caller_connections_limit", "Greatest number of open connections of callers; 0 for no bound.", func() float64 { return float64(callers.parts.Conns) })
+	counter("lacewingyard_caller_connections_shed_total", "Connections of callers without a request closed for new ones.", func() int64 { return callers.conns.Use().Shed })
+	counter("lacewingyard_caller_connections_refused_total", "Connections of callers closed on accept.", func() int64 { return callers.conns.Use().Refused })
 	gauge("lacewingyard_requests_open", "Requests of callers in progress.", func() float64 { return float64(h.openRequests.Load()) })
 }
 
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -45,6 +45,7 @@
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
+	Callers CallerStatus          `json:"callers"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
@@ -128,7 +129,7 @@
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
 		},
-		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(),
+		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(), Callers: h.callers.status(),
 	}
 	crashes := h.engine.CrashCounts()
 	s.Crashes = CrashStatus{ClosedSends: crashes.BrokenSends.Load(), Crashes: crashes.Crashes.Load(), FromPeers: crashes.FromPeers.Load(), Refused: crashes.Refused.Load()}
--- a/internal/edge/site/site.go
+++ b/internal/edge/site/site.go
@@ -28,6 +28,7 @@
 	Seeds []string
 
 	MemoryLimitBytes   int64   // memory limit of the process; 0 if not stated
+	MaxDescriptors     int     // limit of open descriptors; 0 if not stated
 	CPUCores           float64 // CPU limit of the process; may be fractional
 	LinkBytesPerSecond float64 // bandwidth of the host's link; 0 if not stated
 
