--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -48,7 +48,8 @@
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
 	// Quota is nil if no tenant has a limit.
-	Quota *QuotaStatus `json:"quota,omitempty"`
+	Quota   *QuotaStatus `json:"quota,omitempty"`
+	Callers CallerStatus `json:"callers"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
@@ -151,7 +152,7 @@
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
 		},
-		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(), Quota: h.quotas.status(now),
+		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(), Quota: h.quotas.status(now), Callers: h.callers.status(),
 	}
 	crashes := h.engine.CrashCounts()
 	s.Crashes = CrashStatus{ClosedSends: crashes.BrokenSends.Load(), Crashes: crashes.Crashes.Load(), FromPeers: crashes.FromPeers.Load(), Refused: crashes.Refused.Load()}
