--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -47,7 +47,8 @@
 	leaving  bool
 	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
 	startHosts int
-	seen       time.Time // last call of refresh
+	fleet      *quota.Fleet
+	seen       time.Time // last call of dropAfterPause
 }
 
 func quotaBounds(s *site.Settings) quota.Bounds {
@@ -56,7 +57,7 @@
 
 func newQuotas(h *Host, seed uint64) *quotas {
 	b := quotaBounds(&h.opts.Site)
-	return &quotas{host: h, startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
+	return &quotas{host: h, fleet: quota.NewFleet(h.opts.Site.Name), startHosts: roster.AssumedFleetHosts, wake: make(chan struct{}, 1), holder: quota.NewHolder(b, seed), granter: quota.NewGranter(b, time.Now())}
 }
 
 // setBounds replaces the bounds after a reload of the settings.
@@ -82,18 +83,21 @@
 			q.limits[key], q.names[key] = quota.Limit{Rate: t.Rate, Burst: t.Burst}, t.Name
 		}
 	}
+	q.holder.Retain(q.limits)
+	q.granter.Retain(q.limits)
 }
 
 // Admit implements engine.Quota.
 func (q *quotas) Admit(now time.Time, t *tenant.Tenant) (quota.Decision, time.Duration) {
 	key := quota.Key(t.Name)
 	q.mu.Lock()
+	q.dropAfterPause(now)
 	decision, retryAfter := q.holder.Admit(now, key, quota.Limit{Rate: t.Rate, Burst: t.Burst})
 	if decision == quota.NoToken && now.Sub(q.host.started) < roster.SettleTime &&
 		q.holder.TakeStart(key, quota.Limit{Rate: t.Rate, Burst: t.Burst}, q.startHosts) {
 		decision = quota.Admitted
 	}
-	_, due := q.holder.NextAsk(now)
+	due := q.holder.AskDue(now, key)
 	q.mu.Unlock()
 	if due {
 		q.wakeUp()
@@ -102,10 +106,11 @@
 }
 
 // GiveBack implements engine.Quota.
-func (q *quotas) GiveBack(_ time.Time, t *tenant.Tenant) {
+func (q *quotas) GiveBack(now time.Time, t *tenant.Tenant) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.holder.GiveBack(quota.Key(t.Name))
+	q.dropAfterPause(now)
+	q.holder.GiveBack(now, quota.Key(t.Name))
 }
 
 func (q *quotas) wakeUp() {
@@ -157,6 +162,7 @@
 	now := time.Now()
 	self := q.host.opts.Site.Name
 	q.mu.Lock()
+	q.dropAfterPause(now)
 	byHost := map[string][]quota.Ask{}
 	for _, a := range q.holder.Asks(now) {
 		to := quota.GrantingHost(a.Tenant, q.hosts)
@@ -195,9 +201,13 @@
 func (q *quotas) receive(m *gossip.QuotaMessage) {
 	now := time.Now()
 	q.mu.Lock()
+	q.dropAfterPause(now)
 	q.holder.Granted(now, m.Grants)
 	if !q.leaving {
-		q.granter.Adopt(now, m.Handovers, q.limitOf)
+		others := without(q.hosts, m.From)
+		q.granter.Adopt(now, slices.DeleteFunc(m.Handovers, func(h quota.Handover) bool {
+			return quota.GrantingHost(h.Tenant, others) != q.host.opts.Site.Name
+		}), q.limitOf)
 	}
 	grants := q.grant(now, m.From, m.Asks)
 	q.mu.Unlock()
@@ -209,13 +219,9 @@
 // refresh adopts the hosts that grant now and renews the leases. directed tells whether
 // callers are directed to this host.
 func (q *quotas) refresh(now time.Time, directed bool) {
-	hosts, majority, restarted := q.host.grantingHosts(now)
 	q.mu.Lock()
-	if paused(q.seen, now) {
-		q.holder.Reset()
-		q.granter.Reset(now)
-	}
-	q.seen = now
+	q.dropAfterPause(now)
+	hosts, majority, restarted := q.host.grantingHosts(now, q.fleet)
 	if majority != q.majority && len(q.limits) > 0 {
 		q.host.opts.Log.Info("hosts that grant the tokens of tenants", "hosts", len(hosts), "majority", majority, "restarted", restarted)
 	}
@@ -241,6 +247,23 @@
 	}
 }
 
+// dropAfterPause drops tokens and buckets if the process was paused since the last call: other
+// hosts may have granted the same tokens meanwhile. The lock must be held.
+func (q *quotas) dropAfterPause(now time.Time) {
+	if paused(q.seen, now) {
+		q.holder.Reset()
+		q.granter.Reset(now)
+	}
+	if now.After(q.seen) {
+		q.seen = now
+	}
+}
+
+// without returns the names other than one.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
+
 // paused reports whether the process was paused between two times: the monotonic clock stands
 // still meanwhile, but the wall clock does not.
 func paused(from, to time.Time) bool {
@@ -252,9 +275,12 @@
 	q.mu.Lock()
 	q.leaving = true
 	self := q.host.opts.Site.Name
-	others := slices.DeleteFunc(slices.Clone(q.hosts), func(name string) bool { return name == self })
+	others := without(q.hosts, self)
 	byHost := map[string][]quota.Handover{}
 	for _, h := range q.granter.HandOver() {
+		if !q.majority || quota.GrantingHost(h.Tenant, q.hosts) != self {
+			continue // another host grants its tokens by now
+		}
 		to := quota.GrantingHost(h.Tenant, others)
 		byHost[to] = append(byHost[to], h)
 	}
@@ -270,18 +296,31 @@
 const recentStart = 10 * time.Second
 
 // grantingHosts returns the names of the hosts that may grant tokens, in order, whether this
-// host sees at least half of the fleet, and whether most of that has just started. They are
+// host sees most of the fleet, and whether most of that has just started. They are
 // the large hosts: they are few, and the set changes less than that to which callers are
 // directed.
-func (h *Host) grantingHosts(now time.Time) (names []string, majority, restarted bool) {
+func (h *Host) grantingHosts(now time.Time, fleet *quota.Fleet) (names []string, majority, restarted bool) {
 	capacities := map[string]float64{}
 	if h.ready() {
 		capacities[h.opts.Site.Name] = h.load.capacity
 	}
 	h.gossip.WithRoster(func(r *roster.Roster) {
-		all, _ := r.FleetSize(now)
+		least := 0
+		if now.Sub(h.started) < roster.SettleTime {
+			least = roster.AssumedFleetHosts
+		}
 		alive := r.Alive(now)
-		majority = 2*(len(alive)+1) >= all
+		var running, left []string
+		for _, peer := range r.Known() {
+			switch {
+			case r.IsAlive(now, peer):
+				running = append(running, peer.Name)
+			case peer.Leaving:
+				left = append(left, peer.Name)
+			}
+		}
+		fleet.Observe(now, running, left)
+		majority = fleet.Majority(least)
 		started := 0
 		for _, peer := range alive {
 			if now.UnixNano()-peer.Incarnation < int64(recentStart) {
--- a/pkg/quota/doc.go
+++ b/pkg/quota/doc.go
@@ -9,7 +9,7 @@
 // that equal shares of the limit would refuse most of their requests; and a tenant that sends
 // many times its usual rate through all hosts at once. It guards against a sum of shares that
 // exceeds the limit while hosts disagree on the fleet: of two granting hosts at most one sees
-// half of the fleet, and one that has just taken over grants less.
+// most of the fleet (Fleet), and one that has just taken over grants less.
 //
 // In any window, the requests that run are at most those granted in it and those leased before
 // it. The tolerance in Bounds is divided: rateTolerance is added to the rate, leasedTolerance
--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -52,7 +53,7 @@
 
 // Reset forgets all buckets: during a pause of the process, other hosts may have granted.
 func (g *Granter) Reset(now time.Time) {
-	g.changed = now
+	g.changed, g.restarted = now, false
 	clear(g.tenants)
 }
 
@@ -85,13 +86,13 @@
 	mine.tokens, mine.lapses = held, now.Add(LeaseTime+RenewInterval)
 	want := min(math.Ceil(float64(ask.Want)), l.Rate+l.Burst+1)
 	leased, waiting := a.leased(now)
-	most := g.bounds.maxLeased(l)
+	most := g.bounds.outstanding(l)
 	if g.takesOver(now, a) {
 		most = max(1, most/2)
 	}
 	available := min(a.tokens, most-leased)
 	if ask.Demand == 0 {
-		available = min(available, a.tokens-standingReserve*bucketSize(l))
+		available = min(available, a.tokens-standingReserve*bucketSize(l), standingReserve*most-leased)
 	}
 	tokens = max(0, math.Floor(min(want, available)))
 	a.tokens -= tokens
@@ -125,7 +126,8 @@
 	if g.takesOver(now, a) {
 		rate *= takeoverRate
 	}
-	a.tokens = min(a.tokens+rate*now.Sub(a.filled).Seconds(), size)
+	leased, _ := a.leased(now)
+	a.tokens = min(a.tokens+rate*now.Sub(a.filled).Seconds(), size, max(0, g.bounds.outstanding(l)-leased))
 	a.filled = now
 	return a
 }
@@ -159,6 +161,11 @@
 	}
 }
 
+// Retain drops the buckets of tenants without a limit.
+func (g *Granter) Retain(limits map[uint64]Limit) {
+	maps.DeleteFunc(g.tenants, func(tenant uint64, _ *account) bool { _, ok := limits[tenant]; return !ok })
+}
+
 // HandOver empties the buckets and returns what was in them, for the next granting hosts.
 func (g *Granter) HandOver() []Handover {
 	var out []Handover
@@ -170,16 +177,20 @@
 }
 
 // Adopt takes over buckets from a granting host that shuts down. That host grants no more, so
-// the buckets fill at the full rate.
+// the buckets fill at the full rate. A bucket from which this host has granted keeps its own
+// tokens: the message may be late or a repetition.
 func (g *Granter) Adopt(now time.Time, handovers []Handover, limitOf func(uint64) (Limit, bool)) {
 	for _, h := range handovers {
 		l, ok := limitOf(h.Tenant)
 		if !ok || !valid(h.Tokens) {
 			continue
 		}
+		_, known := g.tenants[h.Tenant]
 		a := g.account(now, h.Tenant, l)
-		a.tokens = min(float64(h.Tokens), bucketSize(l))
-		a.since, a.lastAsk = time.Time{}, now
+		if !known {
+			a.tokens, a.lastAsk = min(float64(h.Tokens), bucketSize(l)), now
+		}
+		a.since = time.Time{}
 	}
 }
 
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -34,6 +35,7 @@
 	seq      uint32    // of the latest ask
 	asked    time.Time // when it was sent
 	answered bool      // a grant for it has arrived
+	repeats  int       // asks without an answer before the latest
 	moreAt   time.Time // when the granting host expects to have a token
 	ahead    bool      // the latest ask was for tokens ahead of any request
 	refused  time.Time // last refusal
@@ -114,13 +116,20 @@
 // EndStart ends the time in which TakeStart may be called.
 func (h *Holder) EndStart() { clear(h.started) }
 
-// GiveBack returns the token of a request that did not run.
-func (h *Holder) GiveBack(tenant uint64) {
-	if x, ok := h.tenants[tenant]; ok {
-		x.tokens = min(x.tokens+1, x.maxTokens())
+// GiveBack returns the token of a request that did not run. Tokens beyond the need are dropped:
+// those of many requests that waited long and are refused together would exceed the leases.
+func (h *Holder) GiveBack(now time.Time, tenant uint64) {
+	if x, ok := h.tenants[tenant]; ok && !now.After(x.lapses) && x.tokens < x.target(now) {
+		x.tokens++
 	}
 }
 
+// Retain forgets the tenants without a limit, for which no host grants tokens.
+func (h *Holder) Retain(limits map[uint64]Limit) {
+	maps.DeleteFunc(h.tenants, func(tenant uint64, _ *holding) bool { _, ok := limits[tenant]; return !ok })
+	maps.DeleteFunc(h.due, func(tenant uint64, _ struct{}) bool { _, ok := limits[tenant]; return !ok })
+}
+
 // Stand makes the host hold a token of each of the given tenants although it has no requests
 // of them, so that their first one is not refused. It replaces the tenants of the call
 // before.
@@ -168,7 +177,8 @@
 	if x.standing || now.Sub(x.lastSeen) < idleTime {
 		least = 1
 	}
-	return min(max(least, math.Ceil(x.demandAt(now)*holdTime.Seconds())), x.maxTokens())
+	mean := x.demandAt(now) * holdTime.Seconds()
+	return min(max(least, math.Ceil(mean+holdDeviations*math.Sqrt(mean))), x.maxTokens())
 }
 
 // missing returns how many tokens the host should ask for.
@@ -215,6 +225,9 @@
 			continue
 		}
 		x.seq++
+		if x.repeats++; x.answered {
+			x.repeats = 0
+		}
 		demand := x.demandFor(now)
 		x.asked, x.answered, x.ahead = now, false, demand == 0
 		h.counts.Asked++
@@ -242,7 +255,7 @@
 func (x *holding) nextAsk(now time.Time) time.Time {
 	next := x.asked
 	if !x.answered {
-		next = x.asked.Add(repeatAfter)
+		next = x.asked.Add(min(repeatAfter<<min(x.repeats, 8), maxRepeatAfter))
 	}
 	// Requests that came since do not wait for the answer to an ask ahead of them, and
 	// renewals do not wait for tokens.
@@ -255,6 +268,12 @@
 	return next
 }
 
+// AskDue reports whether Asks would ask for a tenant now.
+func (h *Holder) AskDue(now time.Time, tenant uint64) bool {
+	_, due := h.due[tenant]
+	return due && !now.Before(h.tenants[tenant].nextAsk(now))
+}
+
 // NextAsk returns the time until the next call of Asks is of use, false if none is due.
 func (h *Holder) NextAsk(now time.Time) (time.Duration, bool) {
 	wait, ok := time.Duration(math.MaxInt64), false
@@ -288,10 +307,10 @@
 }
 
 // Reset drops all tokens: after a pause of the process, their leases may have run out by the
-// clocks of other hosts.
+// clocks of other hosts. Grants for earlier asks may have waited as long and are ignored.
 func (h *Holder) Reset() {
 	for _, x := range h.tenants {
-		x.tokens = 0
+		x.tokens, x.lapses, x.answered = 0, time.Time{}, true
 	}
 }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -14,11 +14,17 @@
 	// RenewInterval is the time between two renewals of the tokens of a tenant.
 	RenewInterval = time.Second
 	// repeatAfter is the least time between two asks for the same tenant without a grant in
-	// between. It is a few round trips between places.
-	repeatAfter = 50 * time.Millisecond
+	// between. It is a few round trips between places. It doubles with each repetition up to
+	// maxRepeatAfter: a grant is accepted until the ask is repeated, so that an answer slower
+	// than every repetition would never be accepted.
+	repeatAfter    = 50 * time.Millisecond
+	maxRepeatAfter = 200 * time.Millisecond
 	// holdTime is the time for which a holder keeps tokens ahead, at its recent demand. It
 	// covers a lost message and its repetition.
 	holdTime = 300 * time.Millisecond
+	// holdDeviations is how many standard deviations of the requests in holdTime a holder keeps
+	// beyond their mean: two requests of a small tenant often arrive within a round trip.
+	holdDeviations = 2
 	// demandTime is the time constant of the moving average of demand.
 	demandTime = time.Second
 	// idleTime is how long a tenant without requests is kept.
@@ -28,7 +34,8 @@
 	// window: to refuse a request below the limit costs its caller, while one above it within
 	// the tolerance is allowed.
 	rateTolerance = 0.5
-	// leasedTolerance is the fraction of the tolerance that hosts may hold as leases.
+	// leasedTolerance is the fraction of the tolerance that hosts may hold as leases beside a
+	// full bucket.
 	leasedTolerance = 0.25
 	// startTolerance is the fraction of the tolerance that hosts admit before they know each
 	// other after a restart of all. Nothing is granted in that time.
@@ -38,8 +45,8 @@
 	// which it fills for the first window: the granting host before it may still be granting.
 	takeoverTolerance = 0.2
 	takeoverRate      = 0.5
-	// standingReserve is the fraction of a bucket that is kept for hosts with requests when
-	// other hosts ask for tokens ahead.
+	// standingReserve is the fraction of a bucket, and of the tokens that may be leased, that
+	// is kept for hosts with requests when other hosts ask for tokens ahead.
 	standingReserve = 0.5
 
 	// minRetryAfter and maxRetryAfter bound the retry delay of a refused request before its
@@ -90,9 +97,10 @@
 	return l.Rate + rateTolerance*b.tolerance(l)/b.Window.Seconds()
 }
 
-// maxLeased returns how many tokens all hosts may hold at a time.
-func (b Bounds) maxLeased(l Limit) float64 {
-	return max(1, leasedTolerance*b.tolerance(l))
+// outstanding returns how many tokens there may be at a time, in the bucket and as leases. A
+// burst may come from either, so that hosts may hold all of them.
+func (b Bounds) outstanding(l Limit) float64 {
+	return bucketSize(l) + leasedTolerance*b.tolerance(l)
 }
 
 // tolerance returns by how many requests a tenant may exceed its limit in a window.
--- a/pkg/tenant/tenant.go
+++ b/pkg/tenant/tenant.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"slices"
+	"strings"
 )
 
 // KeyDigest is the SHA-256 digest of a key.
@@ -43,7 +45,8 @@
 type keyRef struct{ tenant, key int32 }
 
 // NewDirectory returns the directory of the tenants, which must not be changed afterwards.
-// A key that several tenants hold identifies the first of them.
+// A key that several tenants hold identifies the one whose name sorts first: the order of
+// tenants may differ between a document and a patch of it.
 func NewDirectory(tenants []Tenant) *Directory {
 	d := &Directory{tenants: tenants}
 	for i := range tenants {
@@ -51,7 +54,9 @@
 			d.keys = append(d.keys, keyRef{int32(i), int32(k)})
 		}
 	}
-	slices.SortStableFunc(d.keys, func(a, b keyRef) int { return bytes.Compare(d.digest(a)[:], d.digest(b)[:]) })
+	slices.SortFunc(d.keys, func(a, b keyRef) int {
+		return cmp.Or(bytes.Compare(d.digest(a)[:], d.digest(b)[:]), strings.Compare(d.tenants[a.tenant].Name, d.tenants[b.tenant].Name))
+	})
 	return d
 }
 
