--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -20,9 +20,19 @@
 )
 
 var (
-	modelSizes   = []int{7, 71, 300, 1300}
 	small, large = quota.Limit{Rate: 4, Burst: 8}, quota.Limit{Rate: 200, Burst: 100}
-	modelCases   = []struct {
+	calmCases    = []struct {
+		size     int
+		limit    quota.Limit
+		callers  string
+		duration time.Duration
+	}{
+		{7, small, "one host", 300 * time.Second}, {7, small, "even", 300 * time.Second}, {7, large, "even", 20 * time.Second},
+		{71, small, "one host", 300 * time.Second}, {71, small, "uneven", 300 * time.Second}, {71, large, "even", 20 * time.Second},
+		{300, small, "one host", 100 * time.Second}, {300, small, "uneven", 100 * time.Second}, {300, large, "even", 20 * time.Second},
+		{1300, small, "uneven", 60 * time.Second}, {1300, large, "even", 15 * time.Second}, {1300, large, "one host", 15 * time.Second},
+	}
+	modelCases = []struct {
 		size    int
 		limit   quota.Limit
 		callers string
