--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -103,7 +103,7 @@
 	if decision == quota.NoToken && now.Sub(q.started) < quotaSettleTime && q.holder.TakeStart(key, limit, q.current.listed) {
 		decision = quota.Admitted
 	}
-	_, due := q.holder.NextAsk(now)
+	due := q.holder.AskDue(now, key)
 	q.mu.Unlock()
 	if due {
 		q.wakeUp()
@@ -128,7 +128,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.holder.GiveBack(quota.Key(t.Name))
+	q.holder.GiveBack(time.Now(), quota.Key(t.Name))
 }
 
 func (q *quotas) wakeUp() {
