Apply the bounds of callers to the JSON interface, read bodies into pieces

Cause: api.DecodeBody read and copied each body without a common bound. It now uses callerbody.Read; the listeners for callers and operators have the budget and bounds of connections from GOMEMLIMIT and RLIMIT_NOFILE, and answers that are not taken end after 10 s, as on the platform.

Bodies are now read into pieces of 16 KB that are used again.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -9,15 +9,16 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/callerbody"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -184,17 +185,18 @@
 	return m, nil
 }
 
-// DecodeBody decodes a JSON body. It returns an error if the body exceeds limit bytes,
-// has unknown fields or is followed by other data.
-func DecodeBody(r io.Reader, limit int, body any) error {
-	data, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return errors.Wrap(err, "read body")
-	}
-	if len(data) > limit {
+// decodeBody decodes the JSON body of a request. It returns an error if the body exceeds limit
+// bytes, has unknown fields or is followed by other data, or one of package callerbody.
+func decodeBody(w http.ResponseWriter, r *http.Request, limit int, body any) error {
+	data, err := callerbody.Read(w, r, int64(limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return errors.Newf("body exceeds %d bytes", limit)
+	case err != nil:
+		return errors.Wrap(err, "read body")
 	}
-	dec := json.NewDecoder(strings.NewReader(string(data)))
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(body); err != nil {
 		return errors.Wrap(err, "body is not the expected JSON")
--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
+	"github.com/lacewingyard/lacewingyard/internal/callerbody"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -47,14 +48,18 @@
 		WriteJSON(w, http.StatusNotFound, Error{Outcome: o.Kind, Reason: o.Reason, Message: o.Message})
 		return service, meta, false
 	}
-	meta, err := readRequest(r, policy, body)
+	meta, err := readRequest(w, r, policy, body)
 	if !slices.Contains(operation.Kinds, kind) {
 		err = fmt.Errorf("service %s is a %s service and does not %s", service, kind, operation.Verb)
 	}
 	if err != nil {
 		refused := outcome.Refused(outcome.Invalid, "%v", err)
-		if errors.Is(err, os.ErrDeadlineExceeded) { // set only when the host stops
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded): // set only when the host stops
 			refused = outcome.Refused(outcome.Draining, "the host stops and has not read the whole request: %v", err)
+		case errors.Is(err, callerbody.ErrNoRoom), errors.Is(err, callerbody.ErrTooSlow):
+			refused = outcome.Refused(outcome.Overload, "%v", err)
+			refused.RetryAfter = callerbody.RetryAfter
 		}
 		WriteOutcome(w, services.RefusalOutcome(r.Header.Get(HeaderRequestID), refused))
 		return service, meta, false
@@ -83,10 +88,10 @@
 	WriteJSON(w, http.StatusOK, answer)
 }
 
-func readRequest(r *http.Request, policy *settings.Policy, body Body) (Meta, error) {
+func readRequest(w http.ResponseWriter, r *http.Request, policy *settings.Policy, body Body) (Meta, error) {
 	meta, err := ReadMeta(r.Header)
 	if err == nil {
-		err = DecodeBody(r.Body, policy.MaxBodyBytes, body)
+		err = decodeBody(w, r, policy.MaxBodyBytes, body)
 	}
 	if err == nil {
 		err = body.Validate()
--- a/internal/edge/slowcallers.go
+++ b/internal/callerbody/answers.go
@@ -1,17 +1,17 @@
-package edge
+package callerbody
 
 import (
 	"net/http"
 	"time"
 )
 
-// callerAnswerTimeout bounds the time in which a caller takes an answer that is ready.
-const callerAnswerTimeout = 10 * time.Second
+// AnswerTimeout bounds the time in which a caller takes an answer that is ready.
+const AnswerTimeout = 10 * time.Second
 
-// limitSlowCallers ends the connections of callers that take an answer too slowly: each of them
+// LimitSlowAnswers ends the connections of callers that take an answer too slowly: each of them
 // holds a goroutine and the bytes until then. The server's own timeout does not fit, because it
 // also runs while a request waits for its targets.
-func limitSlowCallers(next http.Handler) http.Handler {
+func LimitSlowAnswers(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		next.ServeHTTP(&timedWriter{ResponseWriter: w, connection: http.NewResponseController(w)}, r)
 	})
@@ -27,7 +27,7 @@
 func (w *timedWriter) begin() {
 	if !w.begun {
 		w.begun = true
-		_ = w.connection.SetWriteDeadline(time.Now().Add(callerAnswerTimeout))
+		_ = w.connection.SetWriteDeadline(time.Now().Add(AnswerTimeout))
 	}
 }
 
--- a/internal/callerbody/body.go
+++ b/internal/callerbody/body.go
@@ -21,8 +21,10 @@
 	// renewInterval is the least time between two changes of the deadline, so that a body that
 	// arrives fast sets it once.
 	renewInterval = time.Second
-	// firstBytes is the first buffer of a body of unknown or greater length.
+	// firstBytes is the first buffer of a body of unknown or greater length. What follows is read
+	// into pieces of pieceBytes until the length is known.
 	firstBytes = 4 << 10
+	pieceBytes = 16 << 10
 	// requestBytes is what a request with a body takes without it: the reader, its buffers and
 	// the state of the chunked encoding.
 	requestBytes = 2 << 10
@@ -134,7 +136,9 @@
 	if s != nil {
 		hold = &s.hold
 	}
-	data, err := readAll(in, length, hold)
+	reading := reader{in: in, hold: hold}
+	data, err := reading.all(length)
+	reading.recycle()
 	if err == nil && hold != nil && !hold.PassOn() {
 		err = ErrNoRoom
 	}
@@ -147,43 +151,3 @@
 	}
 	return data, nil
 }
-
-// readAll reads to the end. The buffer is never more than half as large again as what has arrived,
-// apart from firstBytes; while it grows, the room covers the old and the new one. A length of -1
-// is unknown.
-func readAll(in io.Reader, length int64, hold *Hold) ([]byte, error) {
-	grow := func(size int) bool { return hold == nil || hold.Grow(requestBytes+int64(size)) }
-	first := firstBytes
-	if length >= 0 && length < firstBytes {
-		first = int(length) + 1 // the end is read without another buffer
-	}
-	if !grow(first) {
-		return nil, ErrNoRoom
-	}
-	data := make([]byte, 0, first)
-	for {
-		if len(data) == cap(data) {
-			next := cap(data) + cap(data)/2
-			if length >= 0 && next > int(length) {
-				next = max(int(length)+1, cap(data)+1)
-			}
-			if !grow(cap(data) + next) {
-				return nil, ErrNoRoom
-			}
-			larger := make([]byte, len(data), next)
-			copy(larger, data)
-			data = larger
-			if !grow(cap(data)) {
-				return nil, ErrNoRoom
-			}
-		}
-		n, err := in.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
--- a/internal/callerbody/budget.go
+++ b/internal/callerbody/budget.go
@@ -24,7 +24,7 @@
 // calmPeriod is the time without a refusal after which a shortage counts as over.
 const calmPeriod = 5 * time.Second
 
-// Budget is the bytes that the callers of a host hold. A nil Budget has no limit.
+// Budget is the bytes that the callers of a host hold.
 type Budget struct {
 	log hclog.Logger
 
@@ -35,11 +35,12 @@
 	before    limit.CallerUse
 
 	tooSlow atomic.Int64
+	pieces  pieces
 }
 
 // NewBudget returns a Budget of a number of bytes. It logs the begin and the end of shortages.
 func NewBudget(bytes int64, log hclog.Logger) *Budget {
-	return &Budget{log: log, bytes: limit.NewCallerBytes(bytes)}
+	return &Budget{log: log, bytes: limit.NewCallerBytes(bytes), pieces: pieces{max: int(bytes / pieceBytes)}}
 }
 
 // Use describes the use of a Budget.
@@ -106,7 +107,7 @@
 	h.budget.bytes.Release(&h.room)
 }
 
-// Refresh logs the end of a shortage. It is called periodically.
+// Refresh logs the end of a shortage and frees buffers. It is called periodically.
 func (b *Budget) Refresh(now time.Time) {
 	b.mu.Lock()
 	ended := !b.shortFrom.IsZero() && now.Sub(b.shortAt) >= calmPeriod
@@ -114,7 +115,11 @@
 	if ended {
 		b.shortFrom = time.Time{}
 	}
+	short := !b.shortFrom.IsZero()
 	b.mu.Unlock()
+	if !short {
+		b.pieces.trim()
+	}
 	if ended {
 		b.log.Info("memory for requests of callers suffices again", "short_ms", now.Sub(from).Milliseconds(), "given_up", use.GivenUp-before.GivenUp, "refused", use.Refused-before.Refused, "used", use.Used)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	transport      *peer.Transport
 	callerServer   *http.Server
 	callerConns    *callerconn.Set
+	callerLimits   *callerLimits
 	operatorServer *http.Server
 	openRequests   openRequests
 	rateLimit      *api.RateLimiter
@@ -105,6 +106,7 @@
 	d := &Daemon{opts: opts, log: opts.Logger.With("host", opts.Process.Name), ready: make(chan struct{}), initialized: make(chan struct{}), aborted: make(chan struct{}),
 		drainRequested: make(chan struct{})}
 	d.callerConns = callerconn.NewSet()
+	d.callerLimits = newCallerLimits(d.callerConns, d.log.Named("callers"))
 	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.config = newConfig(opts.Process, d.log)
 	d.directory = newDirectory(d.log)
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -44,6 +44,7 @@
 		})
 	m.Counter("rate_limited_total", "Requests refused because their caller address exceeded its rate.", func() float64 { return float64(d.rateLimit.Refused()) })
 	m.Gauge("open_requests", "Requests of callers in progress.", func() float64 { return float64(d.openRequests.count.Load()) })
+	d.registerCallerGauges(m)
 	d.control.registerGauges(m)
 	d.registerEntryGauges(m)
 	d.branch.registerGauges(m)
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/callerbody"
 	"github.com/lacewingyard/lacewingyard/pkg/drain"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -22,7 +24,9 @@
 		o.count.Add(1)
 		defer o.count.Add(-1)
 		defer context.AfterFunc(ending, func() {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails if the caller has left
+			if !callerbody.Cut(r, os.ErrDeadlineExceeded) {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails if the caller has left
+			}
 		})()
 		next.ServeHTTP(w, r)
 	})
@@ -73,12 +77,16 @@
 		_ = callers.Close()
 		return errors.Wrap(err, "listen for operators")
 	}
-	d.callerServer = newServer(d.openRequests.track(d.ending, d.callerRoutes()))
+	d.callerServer = newServer(d.callerLimits.budget.Handler(callerbody.LimitSlowAnswers(d.openRequests.track(d.ending, d.callerRoutes()))))
 	d.callerConns.Attach(d.callerServer)
-	d.operatorServer = newServer(d.operatorRoutes())
+	d.operatorServer = newServer(d.callerLimits.budget.Handler(callerbody.LimitSlowAnswers(d.operatorRoutes())))
+	d.callerLimits.operators.Attach(d.operatorServer)
+	refreshing, stopRefresh := context.WithCancel(context.Background())
+	defer stopRefresh()
+	go d.callerLimits.refresh(refreshing, d.callerConns)
 	failed := make(chan error, 2)
 	go func() { failed <- d.callerServer.Serve(d.callerConns.Listener(callers)) }()
-	go func() { failed <- d.operatorServer.Serve(operators) }()
+	go func() { failed <- d.operatorServer.Serve(d.callerLimits.operators.Listener(operators)) }()
 	d.log.Info("serving", "callers", callers.Addr(), "peers", d.opts.Process.Listen.Peers, "operators", operators.Addr())
 	close(d.ready)
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -26,6 +27,7 @@
 	Targets          []TargetStatus     `json:"targets"` // those that this host owns
 	Quarantined      []QuarantineStatus `json:"quarantined"`
 	Control          ControlStatus      `json:"control"`
+	Callers          callerconn.Status  `json:"callers"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -71,7 +73,7 @@
 	status := Status{
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
 		Phase: phase.String(), Open: d.openRequests.count.Load(), Control: d.control.status(),
-		ConfigAgeSeconds: d.config.timeInForce().Seconds(), Quarantined: d.branch.guard.status(),
+		ConfigAgeSeconds: d.config.timeInForce().Seconds(), Quarantined: d.branch.guard.status(), Callers: d.callerStatus(),
 	}
 	tree, hosts := d.config.tree(), d.directory.hosts()
 	if hosts != nil {
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -47,25 +47,4 @@
 	}
 }
 
-// CallerStatus describes what callers hold of a host's memory and descriptors, with counts since
-// the start.
-type CallerStatus struct {
-	Bytes              int64 `json:"bytes"`
-	BytesLimit         int64 `json:"bytes_limit"`
-	Reading            int   `json:"requests_reading"`
-	GivenUp            int64 `json:"requests_given_up"`
-	NoRoom             int64 `json:"requests_no_room"`
-	TooSlow            int64 `json:"requests_too_slow"`
-	Connections        int   `json:"connections"`
-	ConnectionsLimit   int   `json:"connections_limit"` // 0 for none
-	ConnectionsShed    int64 `json:"connections_shed"`
-	ConnectionsRefused int64 `json:"connections_refused"`
-}
-
-func (l *callerLimits) status() CallerStatus {
-	b, c := l.budget.Use(), l.conns.Use()
-	return CallerStatus{
-		Bytes: b.Used, BytesLimit: b.Limit, Reading: b.Reading, GivenUp: b.GivenUp, NoRoom: b.Refused, TooSlow: b.TooSlow,
-		Connections: c.Open, ConnectionsLimit: c.Max, ConnectionsShed: c.Shed, ConnectionsRefused: c.Refused,
-	}
-}
+func (l *callerLimits) status() callerconn.Status { return callerconn.StatusOf(l.budget, l.conns) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/callerbody"
 	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
@@ -290,7 +291,7 @@
 	defer stop()
 	conns := h.callers.conns
 	callers := &http.Server{
-		Handler: h.callers.budget.Handler(limitSlowCallers(h.opts.Handlers.Callers(h.handle, h.limits))), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.callers.budget.Handler(callerbody.LimitSlowAnswers(h.opts.Handlers.Callers(h.handle, h.limits))), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	conns.Attach(callers)
 	servers := []struct {
@@ -345,7 +346,7 @@
 // short requests.
 func newSmallServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout + callerAnswerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout + callerbody.AnswerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
@@ -45,7 +46,7 @@
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
-	Callers CallerStatus          `json:"callers"`
+	Callers callerconn.Status     `json:"callers"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
