--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -16,6 +16,8 @@
 	headCost = 10
 	// idleCandidates bounds the connections that are looked at for one that may be closed.
 	idleCandidates = 64
+	// closingShare divides the bound into the connections that may be open beyond it.
+	closingShare = 8
 	// calmPeriod is the time without a refusal after which connections count as below their bound.
 	calmPeriod = 5 * time.Second
 )
@@ -73,7 +75,7 @@
 }
 
 // admit reports whether a new connection may be opened, and closes an idle one for it at the bound.
-// A connection that closes still counts until its server has given it up, so up to an eighth more
+// A connection that closes still counts until its server has given it up, so a closingShare more
 // may be open for a moment.
 func (s *Set) admit() bool {
 	s.mu.Lock()
@@ -87,7 +89,7 @@
 		candidates = append(candidates, e.Value.(*conn))
 	}
 	s.mu.Unlock()
-	if open < s.bounds.max+s.bounds.max/8 {
+	if open < s.bounds.max+max(s.bounds.max/closingShare, 1) {
 		for _, c := range candidates {
 			if c.shedIdle() {
 				s.bounds.shed.Add(1)
