--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/configsync"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
@@ -27,10 +28,11 @@
 	Quarantined      []QuarantineStatus `json:"quarantined"`
 	// Tenants are those of the configuration with the most requests to this host, and
 	// UnknownKeys the requests refused since its start for want of a known key.
-	HasTenants  bool           `json:"has_tenants"`
-	Tenants     []TenantStatus `json:"tenants,omitempty"`
-	UnknownKeys int64          `json:"unknown_keys,omitempty"`
-	Control     ControlStatus  `json:"control"`
+	HasTenants  bool              `json:"has_tenants"`
+	Tenants     []TenantStatus    `json:"tenants,omitempty"`
+	UnknownKeys int64             `json:"unknown_keys,omitempty"`
+	Control     ControlStatus     `json:"control"`
+	Callers     callerconn.Status `json:"callers"`
 }
 
 // ControlStatus is the state of the control plane of a host.
@@ -76,7 +78,7 @@
 	status := Status{
 		Host: d.opts.Process.Name, Place: d.opts.Process.Place, Ordinal: d.opts.Process.Ordinal,
 		Phase: phase.String(), Open: d.openRequests.count.Load(), Control: d.control.status(),
-		ConfigAgeSeconds: d.config.timeInForce().Seconds(), Quarantined: d.branch.guard.status(),
+		ConfigAgeSeconds: d.config.timeInForce().Seconds(), Quarantined: d.branch.guard.status(), Callers: d.callerStatus(),
 	}
 	tree, hosts := d.config.tree(), d.directory.hosts()
 	if hosts != nil {
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/callerconn"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -48,8 +49,8 @@
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
 	// Quota is nil if no tenant has a limit.
-	Quota   *QuotaStatus `json:"quota,omitempty"`
-	Callers CallerStatus `json:"callers"`
+	Quota   *QuotaStatus      `json:"quota,omitempty"`
+	Callers callerconn.Status `json:"callers"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
