--- a/cmd/lacewingyard/output_test.go
+++ b/cmd/lacewingyard/output_test.go
@@ -61,17 +61,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer f.Close()
 	entry, operators, config := f.Hosts[0].Entry.Callers, f.Hosts[0].Operators, filepath.Join(dir, "config.json")
+	keyFile := filepath.Join(dir, "tenant.key")
+	g.Expect(os.WriteFile(keyFile, []byte("a-key\n"), 0o600)).To(Succeed())
 	commands := map[string][]string{
-		"check":   {config},
-		"explain": {"--config", config, "--place", "north", "--service", "tags"},
-		"entries": {"--entry", entry},
-		"query":   {"--entry", entry, "--service", "tags", "--term", "red", "--trace"},
-		"lookup":  {"--entry", entry, "--service", "slips", "--id", "slip-000007", "--trace"},
-		"status":  {"--operators", operators},
-		"version": {},
-		"demo":    {"--settings", dir, "--queries", "2", "--for", "1s", "--dir", filepath.Join(dir, "session")},
-		"bench":   {"--settings", dir, "--case-file", filepath.Join(dir, "case.json"), "--seconds", "1"},
-		"drain":   {"--operators", f.Hosts[1].Operators},
+		"check":      {config},
+		"explain":    {"--config", config, "--place", "north", "--service", "tags"},
+		"entries":    {"--entry", entry},
+		"query":      {"--entry", entry, "--service", "tags", "--term", "red", "--trace"},
+		"lookup":     {"--entry", entry, "--service", "slips", "--id", "slip-000007", "--trace"},
+		"status":     {"--operators", operators},
+		"key-digest": {keyFile},
+		"version":    {},
+		"demo":       {"--settings", dir, "--queries", "2", "--for", "1s", "--dir", filepath.Join(dir, "session")},
+		"bench":      {"--settings", dir, "--case-file", filepath.Join(dir, "case.json"), "--seconds", "1"},
+		"drain":      {"--operators", f.Hosts[1].Operators},
 	}
 	run := func(name string, args ...string) (stdout, stderr string) {
 		cmd, out, errs := newCommand(append([]string{name}, args...)...)
