--- a/pkg/settings/tenants_test.go
+++ b/pkg/settings/tenants_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/hex"
+	"os"
+	"path/filepath"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -81,6 +83,26 @@
 		}
 	})
 
+	// Guards against keys that a host does not read, and against a host that starts without
+	// the keys that its settings name.
+	It("get keys from a file and the environment", func() {
+		dir := GinkgoT().TempDir()
+		keys, file := filepath.Join(dir, "keys"), filepath.Join(dir, "host.json")
+		text := `{"name": "a", "place": "north", "ordinal": 0, "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:1", "operators": "127.0.0.1:2"},
+			"platform": {"config_url": "http://x/c", "hosts_url": "http://x/h"}, "tls": {"cert_file": "c", "key_file": "k", "ca_file": "a"},
+			"tenant_keys": {"file": "` + keys + `", "env": "LACEWINGYARD_TEST_KEYS"}}`
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		_, err := settings.LoadProcess(file)
+		Expect(err).To(MatchError(ContainSubstring("tenant_keys.file")))
+		Expect(os.WriteFile(keys, []byte("a:k1\n"), 0o600)).To(Succeed())
+		_, err = settings.LoadProcess(file)
+		Expect(err).To(MatchError(ContainSubstring("tenant_keys.env: the environment variable LACEWINGYARD_TEST_KEYS is not set")))
+		GinkgoT().Setenv("LACEWINGYARD_TEST_KEYS", "b:k2")
+		p, err := settings.LoadProcess(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.LocalKeys).To(Equal([]settings.LocalKey{{Tenant: "a", Digest: tenant.Digest("k1")}, {Tenant: "b", Digest: tenant.Digest("k2")}}))
+	})
+
 	// Guards against a faulty line that is passed over, and against a key in its error.
 	DescribeTable("refuse faulty lines of keys",
 		func(lines, problem string) {
