--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -36,6 +36,11 @@
 	host *Host
 	wake chan struct{} // an ask may be due
 
+	// refreshing is held during refresh, which looks through the roster before it takes mu:
+	// admissions must not wait for that.
+	refreshing sync.Mutex
+	fleet      *quota.Fleet
+
 	mu       sync.Mutex
 	holder   *quota.Holder
 	granter  *quota.Granter
@@ -47,8 +52,9 @@
 	leaving  bool
 	// startHosts is the number of hosts that may use start tokens, as far as this host knows.
 	startHosts int
-	fleet      *quota.Fleet
-	seen       time.Time // last call of dropAfterPause
+	// clockBehind is by how much the monotonic clock was behind the wall clock, both since the
+	// start of the host, at the last call of dropAfterPause.
+	clockBehind time.Duration
 }
 
 func quotaBounds(s *site.Settings) quota.Bounds {
@@ -219,9 +225,11 @@
 // refresh adopts the hosts that grant now and renews the leases. directed tells whether
 // callers are directed to this host.
 func (q *quotas) refresh(now time.Time, directed bool) {
+	q.refreshing.Lock()
+	defer q.refreshing.Unlock()
+	hosts, majority, restarted := q.host.grantingHosts(now, q.fleet)
 	q.mu.Lock()
 	q.dropAfterPause(now)
-	hosts, majority, restarted := q.host.grantingHosts(now, q.fleet)
 	if majority != q.majority && len(q.limits) > 0 {
 		q.host.opts.Log.Info("hosts that grant the tokens of tenants", "hosts", len(hosts), "majority", majority, "restarted", restarted)
 	}
@@ -250,13 +258,12 @@
 // dropAfterPause drops tokens and buckets if the process was paused since the last call: other
 // hosts may have granted the same tokens meanwhile. The lock must be held.
 func (q *quotas) dropAfterPause(now time.Time) {
-	if paused(q.seen, now) {
+	behind := clockBehind(q.host.started, now)
+	if behind-q.clockBehind > pauseThreshold {
 		q.holder.Reset()
 		q.granter.Reset(now)
 	}
-	if now.After(q.seen) {
-		q.seen = now
-	}
+	q.clockBehind = behind
 }
 
 // without returns the names other than one.
@@ -264,10 +271,10 @@
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 }
 
-// paused reports whether the process was paused between two times: the monotonic clock stands
-// still meanwhile, but the wall clock does not.
-func paused(from, to time.Time) bool {
-	return !from.IsZero() && to.Round(0).Sub(from.Round(0))-to.Sub(from) > pauseThreshold
+// clockBehind returns by how much the monotonic clock has advanced less than the wall clock
+// between two times: the former stands still while the process is paused.
+func clockBehind(from, to time.Time) time.Duration {
+	return to.Round(0).Sub(from.Round(0)) - to.Sub(from)
 }
 
 // handOver passes the buckets of this host to the next granting hosts. It grants no more.
