--- a/internal/edge/tenants_test.go
+++ b/internal/edge/tenants_test.go
@@ -82,7 +82,7 @@
 				Expect(status).To(Equal(200))
 				for _, r := range f.arrivals(id) {
 					sends++
-					Expect(r.Tenant).To(Equal([]string{"a"}))
+					Expect(r.Tenant).To(Equal("a"))
 					Expect(r.Authorization).To(BeEmpty())
 				}
 			}
@@ -107,8 +107,8 @@
 		status, _, id := f.callWith(f.hosts[0], "GET", platformtest.SearchPrefix, http.Header{"Authorization": {"Basic x"}, "Tenant": {"mine"}})
 		Expect(status).To(Equal(200))
 		for _, r := range f.arrivals(id) {
-			Expect(r.Tenant).To(Equal([]string{"mine"}))
-			Expect(r.Authorization).To(Equal([]string{"Basic x"}))
+			Expect(r.Tenant).To(Equal("mine"))
+			Expect(r.Authorization).To(Equal("Basic x"))
 		}
 	})
 
