Engine: plan needs no published state

Cause: plan read the configuration of the view, which a spec leaves out, so that it panicked since the tenants were added. go test ./internal/engine passes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -278,6 +278,7 @@
 		return e.reject(r, v.Config.Version, o)
 	}
 	x := e.plan(r, route, v)
+	x.identifiedBy = v.Config
 	a := x.run(ctx)
 	a.execution, a.Tenant = x, r.Tenant
 	e.returnQuota(t, &a.Outcome)
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -91,7 +91,7 @@
 
 // plan returns the execution of a request on a route.
 func (e *Engine) plan(r *Request, route *catalog.Route, v *catalog.View) *execution {
-	x := &execution{e: e, r: r, route: route, view: v, identifiedBy: v.Config}
+	x := &execution{e: e, r: r, route: route, view: v}
 	x.deadline = deadlineOf(r, route)
 	e.mu.Lock()
 	defer e.mu.Unlock()
