Quota: half the rate at a granting host that holders have left

Cause: with rosters that disagree, hosts ask another host while the one before still grants to itself at the full rate. Change: silence of all holders but one counts as a change of the granting host.

--- a/pkg/quota/granter.go
+++ b/pkg/quota/granter.go
@@ -10,6 +10,15 @@
 // granting host all the while: the holders renew their leases more often.
 const continuous = 3 * RenewInterval
 
+const (
+	// desertedAfter is the silence after which a holder counts as asking another host. It is
+	// longer than the interval of renewals and a repetition.
+	desertedAfter = RenewInterval + 2*maxRepeatAfter
+	// minDeserted is the number of hosts with leases from which their silence is taken for
+	// that: a tenant of one or two hosts may just have stopped.
+	minDeserted = 3
+)
+
 // Granter grants the tokens of the tenants for which this host is the granting host.
 type Granter struct {
 	bounds  Bounds
@@ -32,6 +41,7 @@
 // lease is what a host holds.
 type lease struct {
 	tokens float64
+	asked  time.Time // last ask
 	lapses time.Time
 	unmet  time.Time // last ask that was not granted in full, despite demand
 }
@@ -83,7 +93,7 @@
 	}
 	// A host holds no more than it was granted, unless another host granted it.
 	held := min(float64(ask.Held), l.Rate+l.Burst+1)
-	mine.tokens, mine.lapses = held, now.Add(LeaseTime+RenewInterval)
+	mine.tokens, mine.asked, mine.lapses = held, now, now.Add(LeaseTime+RenewInterval)
 	want := min(math.Ceil(float64(ask.Want)), l.Rate+l.Burst+1)
 	leased, waiting := a.leased(now)
 	most := g.bounds.outstanding(l)
@@ -123,6 +133,9 @@
 		g.tenants[tenant] = a
 	}
 	rate := g.bounds.fillRate(l)
+	if a.deserted(now) {
+		a.since = now
+	}
 	if g.takesOver(now, a) {
 		rate *= takeoverRate
 	}
@@ -137,6 +150,18 @@
 	return !a.since.IsZero() && now.Sub(a.since) < g.bounds.Window
 }
 
+// deserted reports whether all but one of several hosts with leases have stopped asking: they
+// may take this host for dead and ask another one, while this host still grants to itself.
+func (a *account) deserted(now time.Time) bool {
+	asking := 0
+	for _, l := range a.leases {
+		if now.Sub(l.asked) < desertedAfter {
+			asking++
+		}
+	}
+	return len(a.leases) >= minDeserted && asking <= 1
+}
+
 // leased returns the tokens that hosts hold, and the number of hosts that wait for tokens.
 func (a *account) leased(now time.Time) (tokens float64, waiting int) {
 	for host, l := range a.leases {
