Edge: apply the bounds of limits at a reload of the settings

Cause: quotas.setBounds was called by nobody, so that a reload kept the bounds of the start. Change: Reload calls it. Measured: the spec with the reload passes; 6 s.

--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -8,8 +8,9 @@
 	"github.com/lacewingyard/lacewingyard/internal/edge/site"
 )
 
-// Reload applies changed seeds, a changed ratio and slack of the budget of extra sends, and a
-// changed grace period for a later shutdown while the host serves. Changes of other settings
+// Reload applies changed seeds, a changed ratio and slack of the budget of extra sends, changed
+// bounds of the rate limits of tenants, and a changed grace period for a later shutdown while
+// the host serves. Changes of other settings
 // take effect at the next start; Reload logs a warning for them, except for FirstStart.
 func (h *Host) Reload(s site.Settings) {
 	h.reloadMu.Lock()
@@ -17,10 +18,12 @@
 	old := h.applied
 	applied := old
 	applied.Seeds, applied.RetryRatio, applied.RetrySlack, applied.GracePeriod = s.Seeds, s.RetryRatio, s.RetrySlack, s.GracePeriod
+	applied.QuotaWindow, applied.QuotaOvershoot, applied.QuotaSlack = s.QuotaWindow, s.QuotaOvershoot, s.QuotaSlack
 	if !slices.Equal(old.Seeds, s.Seeds) {
 		h.gossip.SetSeeds(s.Seeds)
 	}
 	h.engine.SetBudget(s.RetryRatio, s.RetrySlack)
+	h.quotas.setBounds(&s)
 	h.applied = applied
 	if needsRestart(applied, s) {
 		h.opts.Log.Warn("settings reloaded; some changes need a restart of the host", "seeds", s.Seeds)
--- a/internal/edge/tenants_test.go
+++ b/internal/edge/tenants_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/platform"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -175,6 +176,23 @@
 		Expect(f.statusWith(h, "old")()).To(Equal(401))
 	})
 
+	// Guards against bounds that stay those of the start after a reload of the settings.
+	It("applies reloaded bounds of limits", func() {
+		f := newFixture(1)
+		h := f.hosts[0]
+		limited := withKeys("a", "key-a")
+		limited["rate_per_s"], limited["burst"] = 0.01, 1
+		f.putTenants(2, limited)
+		Eventually(f.statusWith(h, "none"), configApply).Should(Equal(401))
+		Eventually(f.statusWith(h, "key-a"), 5*time.Second).Should(Equal(200))
+		Expect(f.statusWith(h, "key-a")()).NotTo(Equal(200))
+		s, err := platform.ParseSettings([]byte(h.Settings()))
+		Expect(err).NotTo(HaveOccurred())
+		s.QuotaSlack = 400
+		h.host.Reload(s)
+		Eventually(f.statusWith(h, "key-a"), 3*time.Second).Should(Equal(200))
+	})
+
 	// Guards against a tenant over its limit that is served or gets no time to come back, and
 	// against one that takes from another.
 	It("answers 429 with a time to come back over the limit", func() {
