--- a/cmd/lacewingyard/callerbodies_test.go
+++ b/cmd/lacewingyard/callerbodies_test.go
@@ -29,6 +29,7 @@
 		})
 		calls := 0
 		return &crowdHost{
+			log: p.output.String,
 			pid: p.cmd.Process.Pid, callers: p.Address(p.Ports.Callers), memoryBytes: crowdMemoryMB << 20, maxFDs: maxFDs,
 			head: func(id string) string {
 				return "POST " + platformtest.AtMostOncePrefix + id + " HTTP/1.1\r\nHost: " + platformtest.HostName + "\r\nRequest-Id: " + id + "\r\n"
@@ -67,6 +68,7 @@
 		_, hosts := startDeployment(t, smallDeployment(), settings.Overrides{"max_body_bytes": json.RawMessage(strconv.Itoa(crowdBodyBytes))}, "north", "south")
 		north := hosts[0]
 		return &crowdHost{
+			log: north.log.String,
 			pid: north.cmd.Process.Pid, callers: north.settings.Listen.Callers, memoryBytes: crowdMemoryMB << 20, maxFDs: maxFDs,
 			head: func(string) string { return "POST /v1/services/tags/search HTTP/1.1\r\nHost: site.example\r\n" },
 			ordinary: func() error {
--- a/cmd/lacewingyard/callercrowd_test.go
+++ b/cmd/lacewingyard/callercrowd_test.go
@@ -37,6 +37,7 @@
 	memoryBytes int64
 	maxFDs      int
 	ordinary    func() error // one ordinary request
+	log         func() string
 }
 
 // crowd is what each caller of a crowd writes; the connection then stays open.
@@ -151,7 +152,13 @@
 func runCrowds(t *testing.T, crowds map[string]crowd, start func(t *testing.T) *crowdHost) {
 	for name, c := range crowds {
 		t.Run(name, func(t *testing.T) {
-			start(t).meet(t, c)
+			h := start(t)
+			defer func() {
+				if t.Failed() {
+					t.Log(h.log())
+				}
+			}()
+			h.meet(t, c)
 		})
 	}
 }
