--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
 	"github.com/lacewingyard/lacewingyard/internal/guard"
+	"github.com/lacewingyard/lacewingyard/pkg/admission"
 	"github.com/lacewingyard/lacewingyard/pkg/notice"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -22,6 +24,8 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	notices  *prometheus.CounterVec
+	limited  *prometheus.CounterVec
+	waits    prometheus.Histogram
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -42,8 +46,12 @@
 			Name: "lacewingyard_request_duration_seconds", Help: "Time from the head of a request to its answer.", Buckets: latencyBuckets}, []string{"outcome"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingyard_target_notices_total", Help: "Starts and changes of notices that targets give about themselves, by kind."}, []string{"kind", "service"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingyard_admission_total", Help: "Requests that waited for capacity of this host or were refused for lack of it, by priority and decision."}, []string{"priority", "decision"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lacewingyard_admission_wait_seconds", Help: "Time that such requests waited.", Buckets: latencyBuckets}),
 	}
-	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration,
+	m.registry.MustRegister(m.limited, m.waits, m.notices, m.sends, m.sendTime, m.requests, m.duration,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -89,6 +97,7 @@
 			Name: "lacewingyard_targets_under_notice", Help: "Targets whose notices are in force, by kind.", ConstLabels: prometheus.Labels{"kind": string(kind)},
 		}, func() float64 { return float64(h.engine.UnderNotice()[kind]) }))
 	}
+	gauge("lacewingyard_admission_limit_sends", "Sends that may be in progress; 0 if there is no limit now.", func() float64 { return float64(h.engine.Admission().Limit) })
 	gauge("lacewingyard_requests_open", "Requests of callers in progress.", func() float64 { return float64(h.openRequests.Load()) })
 }
 
@@ -116,6 +125,17 @@
 	}
 }
 
+// Limited implements engine.Observer. It counts a request that waited for capacity of this
+// host or was refused for lack of it. Low priorities are counted together.
+func (m *Metrics) Limited(priority int, refused bool, waited time.Duration) {
+	decision := "run"
+	if refused {
+		decision = "refuse"
+	}
+	m.limited.WithLabelValues(strconv.Itoa(min(max(0, priority), admission.Levels-1)), decision).Inc()
+	m.waits.Observe(waited.Seconds())
+}
+
 // Handler returns the handler of the metrics endpoint.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/edge/operators.go
+++ b/internal/edge/operators.go
@@ -7,6 +7,7 @@
 	"github.com/gorilla/mux"
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/engine"
+	"github.com/lacewingyard/lacewingyard/pkg/admission"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/roster"
 )
@@ -45,6 +46,8 @@
 	// services in use.
 	Budgets []engine.BudgetReport `json:"budgets"`
 	Crashes CrashStatus           `json:"crashes"`
+	// Admission is the limit on this host's work and the requests by priority.
+	Admission admission.Report `json:"admission"`
 }
 
 // CrashStatus counts the evidence of requests that crash their targets, since the start, and
@@ -128,7 +131,7 @@
 			Revision: revision, ConfirmedAgeMS: min(age, time.Hour).Milliseconds(), StoreCalls: h.follower.callCount(),
 			ReadsStore: h.readsStore(now), AssumedHosts: int(h.fleetHosts.Load()),
 		},
-		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(),
+		Peers: h.peers(now), Targets: h.engine.Targets(), Budgets: h.engine.Budgets(), Admission: h.engine.Admission(),
 	}
 	crashes := h.engine.CrashCounts()
 	s.Crashes = CrashStatus{ClosedSends: crashes.BrokenSends.Load(), Crashes: crashes.Crashes.Load(), FromPeers: crashes.FromPeers.Load(), Refused: crashes.Refused.Load()}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/backend"
 	"github.com/lacewingyard/lacewingyard/internal/telemetry"
+	"github.com/lacewingyard/lacewingyard/pkg/admission"
 	"github.com/lacewingyard/lacewingyard/pkg/balance"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/hedge"
@@ -72,6 +73,9 @@
 	Finished(route string, a *Answer, took time.Duration)
 	// Noticed is called for each start, change and end of a notice of a target.
 	Noticed(service string, c notice.Change)
+	// Limited is called for each request that waited for the capacity of this host or was
+	// refused for lack of it, with its priority and the time that it waited.
+	Limited(priority int, refused bool, waited time.Duration)
 }
 
 // Engine executes requests. It is safe for concurrent use.
@@ -96,7 +100,10 @@
 	routes     map[string]*routeState
 	budgets    map[string]*hedge.WindowBudget // by service
 	rtts       map[string]time.Duration       // round-trip time by place
-	waiting    map[string]int                 // shards of fan-outs that wait for a target, by service
+	waiting    map[waitKey]int                // shards of fan-outs that wait for a target
+	admission  *admission.Queue
+	// admissionWaits has the channels of the requests that wait for admission.
+	admissionWaits map[*admission.Ticket]chan admission.Decision
 
 	preconnect    balance.Preconnect
 	lastUsed      map[string]time.Time // time of the last send, by service
@@ -106,6 +113,8 @@
 	crashCounter *quarantine.CrashCounter
 	crashCounts  CrashCounts
 	backends     *backend.Shared
+	// overloaded is set while the limit of admission is in force.
+	overloaded atomic.Bool
 }
 
 // Connections returns the counters of connections to targets.
@@ -144,7 +153,7 @@
 	return &Engine{
 		cfg: cfg, configured: make(chan struct{}), abandoned: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
 		targets: map[string]*target{}, byProcess: map[uint64]*target{}, departed: map[processKey]departedTarget{}, routes: map[string]*routeState{},
-		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[string]int{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
+		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[waitKey]int{}, admission: admission.NewQueue(), admissionWaits: map[*admission.Ticket]chan admission.Decision{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
 		backends: &backend.Shared{Codec: cfg.Codec, Bodies: backend.NewBodies(cfg.MemoryBytes)},
 	}
 }
@@ -274,12 +283,19 @@
 		o.RetryAfter = left
 		return e.reject(r, v.Config.Version, o)
 	}
+	x := e.plan(r, route, v)
+	if o, refused := x.admit(ctx, t); refused {
+		x.cancel()
+		return e.reject(r, v.Config.Version, o)
+	}
 	if o, refused := e.admitTenant(time.Now(), t); refused {
+		x.admissionDone(time.Now(), false)
+		x.cancel()
 		return e.reject(r, v.Config.Version, o)
 	}
-	x := e.plan(r, route, v)
 	a := x.run(ctx)
 	a.execution = x
+	x.admissionDone(x.decided, a.Outcome.Kind == outcome.Answered || a.Outcome.Kind == outcome.Partial)
 	e.returnQuota(t, &a.Outcome)
 	e.cfg.Observer.Finished(route.Name, &a, time.Since(r.Received))
 	return a
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -60,6 +60,12 @@
 	// refusedRetryDelay is the first retry delay after all targets refused; it doubles
 	// each time.
 	refusedRetryDelay = 15 * time.Millisecond
+	// yieldingShare is the part of a target's window that less urgent requests may fill under
+	// overload. A window is mostly two to six requests; one or two places stay free.
+	yieldingShare = 0.7
+	// roomWaitDivisor divides the objective into the time for which the most urgent fan-outs
+	// wait for room at targets before they are refused: an eighth, a queued request or two.
+	roomWaitDivisor = 8
 	// maxSends bounds the sends of one shard, including those that did not run.
 	maxSends = 8
 )
--- a/internal/engine/notices_test.go
+++ b/internal/engine/notices_test.go
@@ -18,6 +18,7 @@
 func (silentObserver) Sent(string, *backend.Result, bool)      {}
 func (silentObserver) Finished(string, *Answer, time.Duration) {}
 func (silentObserver) Noticed(string, notice.Change)           {}
+func (silentObserver) Limited(int, bool, time.Duration)        {}
 
 var _ = Describe("The notice of a target that leaves", func() {
 	var e *Engine
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/pkg/admission"
 	"github.com/lacewingyard/lacewingyard/pkg/catalog"
 	"github.com/lacewingyard/lacewingyard/pkg/gather"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -31,7 +31,9 @@
 	sendCtx      context.Context // of the sends, which may continue after the answer
 	cancel       context.CancelFunc
 	expected     time.Duration // expected service time of the route
-	history      []sendRecord  // sends so far, for the log line
+	ticket       admission.Ticket
+	late         bool         // the time of the answer has passed
+	history      []sendRecord // sends so far, for the log line
 	// requestFingerprint is 0 until it is needed; guarded by the engine's lock.
 	requestFingerprint quarantine.Fingerprint
 
@@ -149,21 +151,6 @@
 	}
 }
 
-// setWaiting sets whether a shard of a fan-out waits for a target that takes a request.
-func (x *execution) setWaiting(s *shard, waiting bool) {
-	if s.waiting == waiting || len(x.shards) == 1 {
-		return
-	}
-	s.waiting = waiting
-	x.e.mu.Lock()
-	defer x.e.mu.Unlock()
-	if waiting {
-		x.e.waiting[s.service]++
-	} else if x.e.waiting[s.service]--; x.e.waiting[s.service] == 0 {
-		delete(x.e.waiting, s.service)
-	}
-}
-
 // deliver passes a result to answer, or frees its memory if the request has been
 // answered.
 func (x *execution) deliver(r sendResult) {
@@ -178,13 +165,12 @@
 
 // answer sends the request and returns its answer.
 func (x *execution) answer(ctx context.Context) Answer {
-	now := time.Now()
-	reachable, free := x.available(now)
-	switch gather.Admit(x.progress(), reachable, free) {
+	verdict, free := x.awaitRoom(ctx)
+	switch verdict {
 	case gather.Unreachable:
 		return Answer{Outcome: x.e.refusal(outcome.Unavailable, outageRetryAfter, "too few services have a target that can be reached")}
 	case gather.Overloaded:
-		return Answer{Outcome: x.e.refusal(outcome.Overload, max(x.overloadRetryAfter(), x.enoughAfter(now, free)), "too few services have a target that takes a request now")}
+		return Answer{Outcome: x.e.refusal(outcome.Overload, max(x.overloadRetryAfter(), x.enoughAfter(time.Now(), free)), "too few services have a target that takes a request now")}
 	}
 	x.lastPart = time.Now()
 	for i := range x.shards {
@@ -199,6 +185,9 @@
 			x.releaseSends()
 			return a
 		}
+		if !now.Before(x.answerBy) {
+			x.admissionLate(now)
+		}
 		timer.Reset(max(0, x.nextEvent(now).Sub(now)))
 		select {
 		case result := <-x.results:
@@ -213,76 +202,6 @@
 	}
 }
 
-// available returns the number of shards with a target that may get a request, and of
-// those with one that takes a request at once. A shard for which other requests wait takes
-// none.
-func (x *execution) available(now time.Time) (reachable, free int) {
-	x.e.mu.Lock()
-	defer x.e.mu.Unlock()
-	for i := range x.shards {
-		service := x.shards[i].service
-		usable, takes := false, false
-		for _, entry := range x.view.Usable(service) {
-			t := x.e.targets[entry.ID]
-			if t == nil || t.wrongTarget || t.state.Down(now) || !x.e.coldSendAllowed(t, now) {
-				continue
-			}
-			decision := x.e.decide(t, now)
-			if decision.Wait > 0 {
-				x.shards[i].postpone(now.Add(decision.Wait))
-			}
-			usable = usable || decision.Allowed || decision.Wait > 0
-			takes = takes || decision.Allowed && !t.state.Full(now)
-		}
-		if usable {
-			reachable++
-		}
-		if takes {
-			x.shards[i].notBefore = time.Time{}
-		}
-		if takes && x.e.waiting[service] == 0 {
-			free++
-		}
-	}
-	return reachable, free
-}
-
-// enoughAfter returns how long it takes until enough shards have a target that wants a request
-// of this host, if targets said when they do; free shards have one now.
-func (x *execution) enoughAfter(now time.Time, free int) time.Duration {
-	var waits []time.Duration
-	for i := range x.shards {
-		if s := &x.shards[i]; !s.notBefore.IsZero() {
-			waits = append(waits, s.notBefore.Sub(now))
-		}
-	}
-	slices.Sort(waits)
-	missing := x.progress().Required() - free
-	if missing <= 0 || len(waits) == 0 {
-		return 0
-	}
-	return waits[min(missing, len(waits))-1]
-}
-
-// overloadRetryAfter returns the shortest retry delay of a caller whose fan-out is refused
-// for load; the longest is twice as long. The delays spread over much of the time that
-// the caller has left, because an overload lasts longer than a queue.
-func (x *execution) overloadRetryAfter() time.Duration {
-	return max(minRetryAfter, time.Until(x.deadline)/overloadRetryDivisor)
-}
-
-// retryAfter returns the shortest retry delay of a caller whose request no target took: the
-// time until one takes requests of this host again, if targets said so.
-func (x *execution) retryAfter(now time.Time) time.Duration {
-	after := outageRetryAfter
-	for i := range x.shards {
-		if s := &x.shards[i]; s.notBefore.Sub(now) > after {
-			after = s.notBefore.Sub(now)
-		}
-	}
-	return after
-}
-
 // releaseSends frees the context of the sends if none is open. Open sends run to their
 // own end.
 func (x *execution) releaseSends() {
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -30,6 +30,10 @@
 		s.exhausted, s.reason = len(s.open) == 0, UnknownKey
 		return
 	}
+	if x.givesUpLate(now) {
+		s.exhausted, s.reason = len(s.open) == 0, outcome.Overload
+		return
+	}
 	switch x.sendNow(i, now) {
 	case sent:
 		x.setWaiting(s, false)
@@ -137,6 +141,10 @@
 	if x.quarantined(now) {
 		return
 	}
+	if x.yields() {
+		s.hedgeAt = now.Add(max(minHedgeDelay, x.expected))
+		return
+	}
 	t, _ := x.e.chooseTarget(x, s, now, true)
 	if t == nil || !x.chargeBudget(s, now, true, hedgeReserve*x.e.slack()) {
 		s.hedgeAt = now.Add(max(minHedgeDelay, x.expected))
@@ -191,7 +199,7 @@
 		}
 		candidate, capacity := e.candidate(t)
 		candidate.Preference = int(decision.Preference)
-		if t.state.Full(now) || !capacity {
+		if x.full(t, now) || !capacity {
 			busy = true
 			continue
 		}
@@ -213,22 +221,6 @@
 	return balance.Candidate{Target: t.state, RTT: e.rtt(t.entry.Place), Unconnected: !idle}, capacity
 }
 
-// rtt returns the round-trip time to a place, measured when connections were opened.
-// Without a measurement it returns 0 for this host's place and defaultRTT for any other.
-// The engine's lock must be held.
-func (e *Engine) rtt(place string) time.Duration {
-	if rtt, ok := e.rtts[place]; ok {
-		return rtt
-	}
-	if place == e.cfg.Place {
-		return 0
-	}
-	return defaultRTT
-}
-
-// defaultRTT is the round-trip time assumed for another place without a measurement.
-const defaultRTT = 8 * time.Millisecond
-
 // launch starts a send and plans a hedge if the route allows one. The engine's lock must be held.
 func (x *execution) launch(i int, t *target, now time.Time, extra bool) {
 	s := &x.shards[i]
@@ -255,14 +247,14 @@
 		budgetLevel := min(1, max(0, x.e.budget(s.service).Left(now, x.e.cfg.RetryRatio, slack)/max(1, slack)))
 		s.hedgeAt = now.Add(state.latencies.Delay("", rule, budgetLevel))
 	}
-	go x.send(i, t, extra)
+	go x.send(i, t, now, extra)
 }
 
 // errPanicked is the error of a send that panicked. The request may have run.
 var errPanicked = errors.New("unexpected error")
 
 // send sends the request to a target, records the result and passes it to run.
-func (x *execution) send(i int, t *target, extra bool) {
+func (x *execution) send(i int, t *target, began time.Time, extra bool) {
 	result := backend.Result{Err: errPanicked}
 	guard.Run(x.e.cfg.Log, "send", func() {
 		x.e.cfg.OnSend()
@@ -271,14 +263,15 @@
 		endSendSpan(span, &result)
 	})
 	guard.Run(x.e.cfg.Log, "result of a send", func() {
-		x.e.record(x, t, &result)
+		x.e.record(x, t, &result, began)
 		x.e.cfg.Observer.Sent(t.service, &result, extra)
 	})
 	x.deliver(sendResult{shard: i, target: t, result: result})
 }
 
-// record updates the state of a target and of the route with the result of a send.
-func (e *Engine) record(x *execution, t *target, r *backend.Result) {
+// record updates the state of a target and of the route with the result of a send that began
+// at the given time.
+func (e *Engine) record(x *execution, t *target, r *backend.Result, began time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -300,6 +293,8 @@
 		}
 		t.state.Answered(now, max(0, r.Duration-rtt), state.expected)
 		state.observe(r.Duration, rtt)
+		e.admission.Part(now, &x.ticket, now.Sub(began))
+		e.admissionChanged(now)
 	case backend.Refused:
 		t.state.Refused(now)
 	case backend.WrongTarget:
@@ -327,18 +322,6 @@
 	}
 }
 
-// observeRTT updates the round-trip time to a place: the shortest time to open a
-// connection, which rises slowly, by a 64th of the difference, with longer ones. The
-// engine's lock must be held.
-func (e *Engine) observeRTT(place string, dialTime time.Duration) {
-	current, ok := e.rtts[place]
-	if !ok || dialTime < current {
-		e.rtts[place] = dialTime
-		return
-	}
-	e.rtts[place] += (dialTime - current) / 64
-}
-
 // handleResult updates the execution with the result of a send and retries if allowed.
 func (x *execution) handleResult(result sendResult) {
 	s := &x.shards[result.shard]
--- /dev/null
+++ b/pkg/admission/limit.go
@@ -0,0 +1,112 @@
+package admission
+
+import "time"
+
+const (
+	// sampleWindow is the shortest time between two adjustments of the limit, and
+	// minSamples the number of ended sends below which it is extended, up to
+	// maxSampleWindow. A burst must be noticed within a few objectives of 60 to 150 ms.
+	sampleWindow    = 50 * time.Millisecond
+	maxSampleWindow = 500 * time.Millisecond
+	minSamples      = 20
+	// delayedFraction is the fraction of sends that must be delayed before the limit acts.
+	// Where 35 % of the targets are slow or 40 % have crashed, most sends are still as fast
+	// as usual and fewer requests would not help.
+	delayedFraction = 0.5
+	// delayedWindows is the number of windows in a row with delayed sends after which the
+	// limit comes into force. A pause of the process delays all sends of one window.
+	delayedWindows = 2
+	// delayDivisor divides the shortest objective in use into the delay from which a send
+	// counts as delayed: an urgent request survives a delay of a quarter of its objective.
+	delayDivisor = 4
+	// growth is the growth of a limit that is reached without delays, and shrink the least
+	// reduction by a window with delays.
+	growth = 1.05
+	shrink = 0.9
+	// releaseTime is the time without delays and without reaching the limit after which the
+	// limit is no longer in force.
+	releaseTime = time.Second
+	// rateWindows is the number of windows of which the highest rate counts. A window with a
+	// pause has a low rate.
+	rateWindows = 4
+	// floorRequests is the least limit in the largest requests: one that waits for its last
+	// parts must not keep the host from starting the next one.
+	floorRequests = 2
+)
+
+// limiter learns how many sends a host may have in progress. By Little's law, sends that are
+// answered at a rate R and take the time T on average are R×T in progress: with T the calm
+// time plus the tolerated delay, more in progress would only wait longer.
+type limiter struct {
+	size    float64 // sends; 0 before it was in force
+	inForce bool
+
+	start     time.Time // of the window
+	samples   int
+	delayed   int
+	answered  int
+	calmTime  time.Duration // sum of the calm times of the samples
+	reached   bool          // the limit kept a request from running in this window
+	evident   int           // windows in a row with delayed sends
+	rates     [rateWindows]float64
+	next      int       // index in rates
+	lastCause time.Time // the last window with delays or a limit that was reached
+}
+
+// observe records a send that was answered, or that was not within the objective.
+func (l *limiter) observe(calm time.Duration, answered, delayed bool) {
+	l.samples++
+	l.calmTime += calm
+	if answered {
+		l.answered++
+	}
+	if delayed {
+		l.delayed++
+	}
+}
+
+// due reports whether the window ends.
+func (l *limiter) due(now time.Time) bool {
+	if l.start.IsZero() {
+		l.start = now
+	}
+	length := now.Sub(l.start)
+	return length >= sampleWindow && l.samples >= minSamples || length >= maxSampleWindow
+}
+
+// adjust ends a window. floor is the least limit and delay the tolerated delay of a send. It
+// reports whether sends are slow at the least limit.
+func (l *limiter) adjust(now time.Time, floor float64, delay time.Duration) (slowAtFloor bool) {
+	l.rates[l.next] = float64(l.answered) / now.Sub(l.start).Seconds()
+	l.next = (l.next + 1) % rateWindows
+	if l.samples >= minSamples && float64(l.delayed) > delayedFraction*float64(l.samples) {
+		l.evident++
+	} else {
+		l.evident = 0
+	}
+	switch {
+	case l.evident >= delayedWindows, l.evident > 0 && l.inForce:
+		calm := l.calmTime / time.Duration(l.samples)
+		useful := l.rate() * (calm + delay).Seconds()
+		if l.inForce {
+			useful = min(useful, shrink*l.size)
+		}
+		slowAtFloor = l.inForce && l.size <= floor
+		l.size, l.inForce, l.lastCause = max(floor, useful), true, now
+	case l.inForce && l.reached:
+		l.size, l.lastCause = max(floor, l.size*growth), now
+	case l.inForce && now.Sub(l.lastCause) >= releaseTime:
+		l.inForce = false
+	}
+	l.start, l.samples, l.delayed, l.answered, l.calmTime, l.reached = now, 0, 0, 0, 0, false
+	return slowAtFloor
+}
+
+// rate returns the number of sends that are answered per second.
+func (l *limiter) rate() float64 {
+	highest := 0.0
+	for _, r := range l.rates {
+		highest = max(highest, r)
+	}
+	return highest
+}
--- a/pkg/balance/window.go
+++ b/pkg/balance/window.go
@@ -77,3 +77,9 @@
 func (t *Target) Full(now time.Time) bool {
 	return t.window.inForce(now) && t.outstanding > 0 && float64(t.outstanding) >= t.window.size
 }
+
+// FullFor is Full for requests that may use only a part of the window, 0 to 1, but always one
+// request.
+func (t *Target) FullFor(now time.Time, part float64) bool {
+	return t.window.inForce(now) && t.outstanding > 0 && float64(t.outstanding) >= max(1, part*t.window.size)
+}
