--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -106,22 +106,23 @@
 	}
 }
 
-// admissionLate gives back the capacity of a request that can no longer be in time.
-func (x *execution) admissionLate(now time.Time) {
+// admissionLate gives back the capacity of a request that has passed the time of its answer.
+// late is set if it has too few parts to be answered.
+func (x *execution) admissionLate(now time.Time, late bool) {
 	if x.late {
 		return
 	}
 	x.late = true
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
-	x.e.admission.Late(now, &x.ticket)
+	x.e.admission.Late(now, &x.ticket, late)
 	x.e.admissionChanged(now)
 }
 
 // admissionDone gives back the capacity of a request that ends.
 func (x *execution) admissionDone(now time.Time, answered bool) {
 	if !now.Before(x.answerBy) {
-		x.admissionLate(now)
+		x.admissionLate(now, !answered)
 	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -186,7 +186,7 @@
 			return a
 		}
 		if !now.Before(x.answerBy) {
-			x.admissionLate(now)
+			x.admissionLate(now, true)
 		}
 		timer.Reset(max(0, x.nextEvent(now).Sub(now)))
 		select {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -40,6 +40,7 @@
 	held    int // sends not given back
 	started time.Time
 	waiting bool
+	late    bool
 }
 
 // Level returns the priority, at most Levels-1.
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -16,6 +16,11 @@
 	// delayedWindows is the number of windows in a row with delayed sends after which the
 	// limit comes into force. A pause of the process delays all sends of one window.
 	delayedWindows = 2
+	// lateFraction is the fraction of requests that must be late instead, and minRequests the
+	// number of requests below which it says nothing: if some shards lack capacity, most sends
+	// are fast and most fan-outs late.
+	lateFraction = 0.25
+	minRequests  = 4
 	// delayDivisor divides the shortest objective in use into the delay from which a send
 	// counts as delayed: an urgent request survives a delay of a quarter of its objective.
 	delayDivisor = 4
@@ -45,6 +50,8 @@
 	samples   int
 	delayed   int
 	answered  int
+	ended     int // requests, late ones when they become late
+	late      int
 	calmTime  time.Duration // sum of the calm times of the samples
 	reached   bool          // the limit kept a request from running in this window
 	evident   int           // windows in a row with delayed sends
@@ -79,7 +86,9 @@
 func (l *limiter) adjust(now time.Time, floor float64, delay time.Duration) (slowAtFloor bool) {
 	l.rates[l.next] = float64(l.answered) / now.Sub(l.start).Seconds()
 	l.next = (l.next + 1) % rateWindows
-	if l.samples >= minSamples && float64(l.delayed) > delayedFraction*float64(l.samples) {
+	mostDelayed := l.samples >= minSamples && float64(l.delayed) > delayedFraction*float64(l.samples)
+	manyLate := l.ended >= minRequests && float64(l.late) > lateFraction*float64(l.ended)
+	if l.samples > 0 && (mostDelayed || manyLate) {
 		l.evident++
 	} else {
 		l.evident = 0
@@ -98,7 +107,7 @@
 	case l.inForce && now.Sub(l.lastCause) >= releaseTime:
 		l.inForce = false
 	}
-	l.start, l.samples, l.delayed, l.answered, l.calmTime, l.reached = now, 0, 0, 0, 0, false
+	l.start, l.samples, l.delayed, l.answered, l.ended, l.late, l.calmTime, l.reached = now, 0, 0, 0, 0, 0, 0, false
 	return slowAtFloor
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -132,8 +132,13 @@
 }
 
 // Late gives back the sends of a request that has passed the time of its answer. They count as
-// delayed.
-func (q *Queue) Late(now time.Time, t *Ticket) {
+// delayed, and the request as late if it has too few parts to be answered.
+func (q *Queue) Late(now time.Time, t *Ticket, late bool) {
+	if late {
+		q.limit.ended++
+		q.limit.late++
+		t.late = true
+	}
 	for range t.held {
 		q.limit.observe(t.class.send, false, true)
 	}
@@ -144,7 +149,10 @@
 // Done ends a request that ran. answered is set if it was answered.
 func (q *Queue) Done(now time.Time, t *Ticket, answered bool) {
 	q.release(t, t.held)
-	if answered && !q.limit.inForce {
+	if answered && !t.late {
+		q.limit.ended++
+	}
+	if answered && !t.late && !q.limit.inForce {
 		t.class.observeRequest(now.Sub(t.started))
 	}
 	q.adjust(now)
