--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -16,18 +16,22 @@
 	// delayedWindows is the number of windows in a row with delayed sends after which the
 	// limit comes into force. A pause of the process delays all sends of one window.
 	delayedWindows = 2
-	// lateFraction is the fraction of requests that must be late instead, and minRequests the
-	// number of requests below which it says nothing: if some shards lack capacity, most sends
-	// are fast and most fan-outs late.
-	lateFraction = 0.25
+	// lateFraction is the fraction of the requests of a priority that must be late instead, and
+	// minRequests the number of requests below which it says nothing. If some shards lack
+	// capacity, most sends are fast and most fan-outs late; urgent requests with a short
+	// objective are late while the sends of most others are not delayed.
+	lateFraction = 0.2
 	minRequests  = 4
 	// delayDivisor divides the shortest objective in use into the delay from which a send
 	// counts as delayed: an urgent request survives a delay of a quarter of its objective.
-	delayDivisor = 4
-	// growth is the growth of a limit that is reached without delays, and shrink the least
-	// reduction by a window with delays.
-	growth = 1.05
-	shrink = 0.9
+	delayDivisor = 8
+	// growth is the growth of a limit that is reached in a window without delays, and
+	// fastGrowth that after calmTime without any, so that a low limit does not outlast a burst.
+	// shrink is the least reduction by a window with delays.
+	growth     = 1.03
+	fastGrowth = 1.25
+	calmTime   = time.Second
+	shrink     = 0.8
 	// releaseTime is the time without delays and without reaching the limit after which the
 	// limit is no longer in force.
 	releaseTime = time.Second
@@ -50,13 +54,13 @@
 	samples   int
 	delayed   int
 	answered  int
-	ended     int // requests, late ones when they become late
-	late      int
+	manyLate  bool          // the requests of some priority were late in this window
 	calmTime  time.Duration // sum of the calm times of the samples
 	reached   bool          // the limit kept a request from running in this window
 	evident   int           // windows in a row with delayed sends
 	rates     [rateWindows]float64
 	next      int       // index in rates
+	lastDelay time.Time // the last window with delays
 	lastCause time.Time // the last window with delays or a limit that was reached
 }
 
@@ -87,8 +91,7 @@
 	l.rates[l.next] = float64(l.answered) / now.Sub(l.start).Seconds()
 	l.next = (l.next + 1) % rateWindows
 	mostDelayed := l.samples >= minSamples && float64(l.delayed) > delayedFraction*float64(l.samples)
-	manyLate := l.ended >= minRequests && float64(l.late) > lateFraction*float64(l.ended)
-	if l.samples > 0 && (mostDelayed || manyLate) {
+	if l.samples > 0 && (mostDelayed || l.manyLate) {
 		l.evident++
 	} else {
 		l.evident = 0
@@ -102,12 +105,17 @@
 		}
 		slowAtFloor = l.inForce && l.size <= floor
 		l.size, l.inForce, l.lastCause = max(floor, useful), true, now
+		l.lastDelay = now
 	case l.inForce && l.reached:
-		l.size, l.lastCause = max(floor, l.size*growth), now
+		factor := growth
+		if now.Sub(l.lastDelay) > calmTime {
+			factor = fastGrowth
+		}
+		l.size, l.lastCause = max(floor, l.size*factor), now
 	case l.inForce && now.Sub(l.lastCause) >= releaseTime:
 		l.inForce = false
 	}
-	l.start, l.samples, l.delayed, l.answered, l.ended, l.late, l.calmTime, l.reached = now, 0, 0, 0, 0, 0, 0, false
+	l.start, l.samples, l.delayed, l.answered, l.calmTime, l.reached, l.manyLate = now, 0, 0, 0, 0, false, false
 	return slowAtFloor
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -32,10 +32,12 @@
 
 // level is the state of one priority.
 type level struct {
-	held    int           // sends in progress
-	offered int           // sends of the requests offered in this window
-	largest int           // sends of the largest request, while there is demand
-	demand  float64       // average sends offered per second
+	held    int     // sends in progress
+	offered int     // sends of the requests offered in this window
+	largest int     // sends of the largest request, while there is demand
+	demand  float64 // average sends offered per second
+	ended   float64 // recent requests, late ones when they become late
+	late    float64
 	calm    time.Duration // calm time of a send of the latest class
 
 	run, waited, refused int64
@@ -135,8 +137,10 @@
 // delayed, and the request as late if it has too few parts to be answered.
 func (q *Queue) Late(now time.Time, t *Ticket, late bool) {
 	if late {
-		q.limit.ended++
-		q.limit.late++
+		l := &q.levels[t.level]
+		l.ended++
+		l.late++
+		q.limit.manyLate = q.limit.manyLate || l.ended >= minRequests && l.late > lateFraction*l.ended
 		t.late = true
 	}
 	for range t.held {
@@ -150,7 +154,7 @@
 func (q *Queue) Done(now time.Time, t *Ticket, answered bool) {
 	q.release(t, t.held)
 	if answered && !t.late {
-		q.limit.ended++
+		q.levels[t.level].ended++
 	}
 	if answered && !t.late && !q.limit.inForce {
 		t.class.observeRequest(now.Sub(t.started))
@@ -295,6 +299,8 @@
 		l := &q.levels[p]
 		l.demand += gain * (float64(l.offered)/elapsed - l.demand)
 		l.offered = 0
+		l.ended *= 1 - gain
+		l.late *= 1 - gain
 		if l.demand < 1 {
 			l.largest = 0
 		}
