--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -247,14 +247,14 @@
 		budgetLevel := min(1, max(0, x.e.budget(s.service).Left(now, x.e.cfg.RetryRatio, slack)/max(1, slack)))
 		s.hedgeAt = now.Add(state.latencies.Delay("", rule, budgetLevel))
 	}
-	go x.send(i, t, now, extra)
+	go x.send(i, t, extra)
 }
 
 // errPanicked is the error of a send that panicked. The request may have run.
 var errPanicked = errors.New("unexpected error")
 
 // send sends the request to a target, records the result and passes it to run.
-func (x *execution) send(i int, t *target, began time.Time, extra bool) {
+func (x *execution) send(i int, t *target, extra bool) {
 	result := backend.Result{Err: errPanicked}
 	guard.Run(x.e.cfg.Log, "send", func() {
 		x.e.cfg.OnSend()
@@ -263,15 +263,14 @@
 		endSendSpan(span, &result)
 	})
 	guard.Run(x.e.cfg.Log, "result of a send", func() {
-		x.e.record(x, t, &result, began)
+		x.e.record(x, t, &result)
 		x.e.cfg.Observer.Sent(t.service, &result, extra)
 	})
 	x.deliver(sendResult{shard: i, target: t, result: result})
 }
 
-// record updates the state of a target and of the route with the result of a send that began
-// at the given time.
-func (e *Engine) record(x *execution, t *target, r *backend.Result, began time.Time) {
+// record updates the state of a target and of the route with the result of a send.
+func (e *Engine) record(x *execution, t *target, r *backend.Result) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -293,7 +292,7 @@
 		}
 		t.state.Answered(now, max(0, r.Duration-rtt), state.expected)
 		state.observe(r.Duration, rtt)
-		e.admission.Part(now, &x.ticket, now.Sub(began))
+		e.admission.Part(now, &x.ticket)
 		e.admissionChanged(now)
 	case backend.Refused:
 		t.state.Refused(now)
--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -4,10 +4,15 @@
 
 const (
 	// sendGainDown and sendGainUp are the weights of a shorter and of a longer send in the
-	// calm time of a send. A low value is tracked, about the fifth of the sends that is
-	// fastest, because it changes little when some targets are slow.
-	sendGainDown = 0.05
-	sendGainUp   = 0.008
+	// calm time of a send. A low value is tracked, which changes little when some targets are
+	// slow. A host sends a few hundred times before the limit is in force: with ten times
+	// these weights, the calm time had risen by most of the delay by then.
+	sendGainDown = 0.004
+	sendGainUp   = 0.0005
+	// learningSends is the number of sends of a class in which the first ones weigh more, by
+	// learningSends over their number and at most maxLearning. The first send is no estimate.
+	learningSends = 400
+	maxLearning   = 50
 	// requestGainUp and requestGainDown are the weights of a longer and of a shorter request
 	// in the calm time of a request. A high value is tracked: a request that starts with less
 	// time is mostly late.
@@ -30,7 +35,8 @@
 
 // class holds the times of the requests of a class without overload.
 type class struct {
-	send      time.Duration // of a send, from the attempt to its answer; 0 if unknown
+	send      time.Duration // of a send, from the start of its request; 0 if unknown
+	sends     int64         // that were learnt from
 	request   time.Duration // of a whole request
 	objective time.Duration
 	seen      time.Time // the last request
@@ -38,13 +44,15 @@
 
 // observeSend updates the calm time of a send.
 func (c *class) observeSend(took time.Duration) {
+	c.sends++
+	learning := min(maxLearning, max(1, learningSends/float64(c.sends)))
 	switch {
 	case c.send == 0:
 		c.send = took
 	case took < c.send:
-		c.send -= time.Duration(sendGainDown * float64(c.send-took))
+		c.send -= time.Duration(learning * sendGainDown * float64(c.send-took))
 	default:
-		c.send += time.Duration(sendGainUp * float64(min(took, 4*c.send)-c.send))
+		c.send += time.Duration(learning * sendGainUp * float64(min(took, 4*c.send)-c.send))
 	}
 	c.send = max(c.send, 100*time.Microsecond)
 }
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -6,7 +6,7 @@
 	// sampleWindow is the shortest time between two adjustments of the limit, and
 	// minSamples the number of ended sends below which it is extended, up to
 	// maxSampleWindow. A burst must be noticed within a few objectives of 60 to 150 ms.
-	sampleWindow    = 50 * time.Millisecond
+	sampleWindow    = 25 * time.Millisecond
 	maxSampleWindow = 500 * time.Millisecond
 	minSamples      = 20
 	// delayedFraction is the fraction of sends that must be delayed before the limit acts.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -119,11 +119,13 @@
 	return verdicts
 }
 
-// Part gives back a send whose answer took the given time from its attempt.
-func (q *Queue) Part(now time.Time, t *Ticket, took time.Duration) {
+// Part gives back a send that was answered. Its time runs from the start of the request, so
+// that it includes waits for a target and the delay of the host's own goroutines.
+func (q *Queue) Part(now time.Time, t *Ticket) {
 	if t.held == 0 {
 		return
 	}
+	took := now.Sub(t.started)
 	q.release(t, 1)
 	if !q.limit.inForce {
 		t.class.observeSend(took)
