Admission: leave room only at services that more urgent requests use

Less urgent requests of services that no urgent request uses lost room at targets and hedges for nothing. Late fan-outs stop sending only while the limit has kept a request from running in the last 200 ms.

--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -100,6 +100,7 @@
 		r := e.admission.Report()
 		text := "most sends are delayed; the work in progress is limited"
 		if !inForce {
+			clear(e.recentUse)
 			text = "the work in progress is no longer limited"
 		}
 		e.cfg.Log.Info(text, "limit_sends", r.Limit, "sends", r.InProgress, "answered_per_s", int(r.Rate))
@@ -137,16 +138,30 @@
 	return !x.e.admission.Outranked(x.ticket.Level())
 }
 
-// yields reports whether the execution leaves capacity of targets and extra sends to more
-// urgent requests. The engine's lock must be held.
-func (x *execution) yields() bool {
-	return x.e.overloaded.Load() && x.e.admission.Outranked(x.ticket.Level())
+// yields reports whether the execution leaves capacity of the targets of a service and extra
+// sends to more urgent requests, which have lately been sent to it. The engine's lock must be
+// held.
+func (x *execution) yields(service string, now time.Time) bool {
+	if !x.e.overloaded.Load() {
+		return false
+	}
+	for level := range x.ticket.Level() {
+		if used, ok := x.e.recentUse[waitKey{service, level}]; ok && now.Sub(used) < recentUseTime {
+			return true
+		}
+	}
+	return false
 }
 
 // givesUpLate reports whether the shards of a fan-out that are not sent yet are given up,
 // because its answer is late and others compete for the capacity.
 func (x *execution) givesUpLate(now time.Time) bool {
-	return len(x.shards) > 1 && x.e.overloaded.Load() && !now.Before(x.answerBy)
+	if len(x.shards) == 1 || !x.e.overloaded.Load() || now.Before(x.answerBy) {
+		return false
+	}
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
+	return x.e.admission.Contended(now)
 }
 
 // Admission reports on the limit on this host's work.
--- a/internal/engine/capacity.go
+++ b/internal/engine/capacity.go
@@ -49,7 +49,7 @@
 // execution. Under overload less urgent requests leave a part of what the target took lately
 // to more urgent ones. The engine's lock must be held.
 func (x *execution) full(t *target, now time.Time) bool {
-	if x.yields() {
+	if x.yields(t.service, now) {
 		return t.state.FullFor(now, yieldingShare)
 	}
 	return t.state.Full(now)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -102,6 +102,8 @@
 	rtts       map[string]time.Duration       // round-trip time by place
 	waiting    map[waitKey]int                // shards of fan-outs that wait for a target
 	admission  *admission.Queue
+	// recentUse has the last send to a service by priority while the limit is in force.
+	recentUse map[waitKey]time.Time
 	// admissionWaits has the channels of the requests that wait for admission.
 	admissionWaits map[*admission.Ticket]chan admission.Decision
 
@@ -153,7 +155,7 @@
 	return &Engine{
 		cfg: cfg, configured: make(chan struct{}), abandoned: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)),
 		targets: map[string]*target{}, byProcess: map[uint64]*target{}, departed: map[processKey]departedTarget{}, routes: map[string]*routeState{},
-		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[waitKey]int{}, admission: admission.NewQueue(), admissionWaits: map[*admission.Ticket]chan admission.Decision{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
+		budgets: map[string]*hedge.WindowBudget{}, rtts: map[string]time.Duration{}, waiting: map[waitKey]int{}, admission: admission.NewQueue(), recentUse: map[waitKey]time.Time{}, admissionWaits: map[*admission.Ticket]chan admission.Decision{}, lastUsed: map[string]time.Time{}, crashCounter: quarantine.NewCrashCounter(),
 		backends: &backend.Shared{Codec: cfg.Codec, Bodies: backend.NewBodies(cfg.MemoryBytes)},
 	}
 }
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -63,6 +63,9 @@
 	// yieldingShare is the part of a target's window that less urgent requests may fill under
 	// overload. A window is mostly two to six requests; one or two places stay free.
 	yieldingShare = 0.7
+	// recentUseTime is the time after a send in which less urgent requests leave room at
+	// targets of its service: longer than between two arrivals of an urgent kind at a host.
+	recentUseTime = time.Second
 	// roomWaitDivisor divides the objective into the time for which the most urgent fan-outs
 	// wait for room at targets before they are refused: an eighth, a queued request or two.
 	roomWaitDivisor = 8
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -141,7 +141,7 @@
 	if x.quarantined(now) {
 		return
 	}
-	if x.yields() {
+	if x.yields(s.service, now) {
 		s.hedgeAt = now.Add(max(minHedgeDelay, x.expected))
 		return
 	}
@@ -234,6 +234,9 @@
 	t.state.Sent(now)
 	t.notices.Sent(now)
 	x.e.lastUsed[t.service] = now
+	if x.e.overloaded.Load() {
+		x.e.recentUse[waitKey{t.service, x.ticket.Level()}] = now
+	}
 	if now.Before(t.coldUntil()) {
 		t.lastColdSend = now
 	}
--- a/pkg/admission/fanout_test.go
+++ b/pkg/admission/fanout_test.go
@@ -91,7 +91,7 @@
 	waits := best < 0 && x.m.now.Before(x.answerBy)
 	x.setWaiting(shard, waits)
 	if best < 0 {
-		if !(x.m.limited && x.h.queue.InForce() && x.m.now.After(x.answerBy)) {
+		if !(x.m.limited && x.h.queue.Contended(x.m.now) && x.m.now.After(x.answerBy)) {
 			x.m.after(5*time.Millisecond, func() { x.send(shard) })
 		}
 		return
@@ -109,8 +109,7 @@
 		return
 	}
 	sent := x.m.now
-	var run func()
-	run = func() {
+	run := func() {
 		target.busy++
 		took := time.Duration(float64(x.k.service) * target.slow * (0.7 + 0.6*x.m.rng.Float64()))
 		x.m.after(took, func() {
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -50,18 +50,19 @@
 	size    float64 // sends; 0 before it was in force
 	inForce bool
 
-	start     time.Time // of the window
-	samples   int
-	delayed   int
-	answered  int
-	manyLate  bool          // the requests of some priority were late in this window
-	calmTime  time.Duration // sum of the calm times of the samples
-	reached   bool          // the limit kept a request from running in this window
-	evident   int           // windows in a row with delayed sends
-	rates     [rateWindows]float64
-	next      int       // index in rates
-	lastDelay time.Time // the last window with delays
-	lastCause time.Time // the last window with delays or a limit that was reached
+	start       time.Time // of the window
+	samples     int
+	delayed     int
+	answered    int
+	manyLate    bool          // the requests of some priority were late in this window
+	calmTime    time.Duration // sum of the calm times of the samples
+	reached     bool          // the limit kept a request from running in this window
+	lastReached time.Time
+	evident     int // windows in a row with delayed sends
+	rates       [rateWindows]float64
+	next        int       // index in rates
+	lastDelay   time.Time // the last window with delays
+	lastCause   time.Time // the last window with delays or a limit that was reached
 }
 
 // observe records a send that was answered, or that was not within the objective.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -25,6 +25,9 @@
 	tenantDecay = 0.9
 	// demandTime is the time constant of the average demand of a priority: a few windows.
 	demandTime = 200 * time.Millisecond
+	// contentionTime is the time after the limit was reached in which requests compete: about
+	// one objective, in which those that were refused may come back.
+	contentionTime = 200 * time.Millisecond
 	// maxWaiting bounds the waiting requests of a host. In a quarter of an objective of
 	// 150 ms a host of one core starts about ten fan-outs.
 	maxWaiting = 256
@@ -98,6 +101,11 @@
 	return Wait
 }
 
+// Contended reports whether the limit has lately kept a request from running.
+func (q *Queue) Contended(now time.Time) bool {
+	return q.limit.inForce && now.Sub(q.limit.lastReached) < contentionTime
+}
+
 // Outranked reports whether there are requests more urgent than those of a level.
 func (q *Queue) Outranked(level int) bool {
 	for p := range level {
@@ -229,7 +237,7 @@
 			q.verdicts = append(q.verdicts, Verdict{t, Run})
 			continue
 		}
-		q.limit.reached = true
+		q.limit.reached, q.limit.lastReached = true, now
 		wait := q.drainTime(t, ahead)
 		if len(left) >= maxWaiting || now.Add(wait).After(t.Latest) {
 			t.waiting, t.RetryAfter = false, wait
