--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -23,8 +23,12 @@
 	lateFraction = 0.2
 	minRequests  = 4
 	// delayDivisor divides the shortest objective in use into the delay from which a send
-	// counts as delayed: an urgent request survives a delay of a quarter of its objective.
+	// counts as delayed. The slowest of the 36 sends of an urgent fan-out with an objective of
+	// 60 ms is delayed several times as long as most.
 	delayDivisor = 8
+	// entryFactor multiplies the tolerated delay until the limit is in force. Bursts of three
+	// times the load delay most sends for some tens of milliseconds without a late request.
+	entryFactor = 3
 	// growth is the growth of a limit that is reached in a window without delays, and
 	// fastGrowth that after calmTime without any, so that a low limit does not outlast a burst.
 	// shrink is the least reduction by a window with delays.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -138,8 +138,11 @@
 	if !q.limit.inForce {
 		t.class.observeSend(took)
 	}
-	calm := t.class.send
-	q.limit.observe(calm, true, took > calm+max(q.delay, calm))
+	calm, tolerated := t.class.send, q.delay
+	if !q.limit.inForce {
+		tolerated *= entryFactor
+	}
+	q.limit.observe(calm, true, took > calm+max(tolerated, calm))
 	q.adjust(now)
 }
 
