Admission: the most urgent requests may use twice the limit beside others

A limit of two fan-outs refused urgent requests that would have been in time. They may use twice the limit if less urgent requests ask for as many sends.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -15,6 +15,9 @@
 	// ownShareDivisor divides the limit into the part that each priority may use whatever
 	// the more urgent ones need, so that none is starved.
 	ownShareDivisor = 8
+	// urgentFactor multiplies the limit for the most urgent requests if others ask for as much:
+	// not they cause the overload, and a refusal costs them more than a short queue.
+	urgentFactor = 2
 	// maxReserve is the largest part of the limit that is kept free for more urgent requests.
 	maxReserve = 0.5
 	// reserveFactor is the capacity kept free for more urgent requests relative to what they
@@ -280,7 +283,20 @@
 			reserve += max(0, max(float64(l.largest), reserveFactor*l.demand*l.calm.Seconds())-float64(l.held))
 		}
 	}
-	return float64(used+t.Sends) + min(reserve, maxReserve*q.limit.size) - q.limit.size
+	size := q.limit.size
+	if !q.Outranked(t.level) && q.isMinor(t.level) {
+		size *= urgentFactor
+	}
+	return float64(used+t.Sends) + min(reserve, maxReserve*size) - size
+}
+
+// isMinor reports whether less urgent requests ask for as much as those of a level.
+func (q *Queue) isMinor(level int) bool {
+	below := 0.0
+	for p := level + 1; p < Levels; p++ {
+		below += q.levels[p].demand
+	}
+	return below >= q.levels[level].demand
 }
 
 // drainTime returns the time until a request fits with the given sends ahead of it.
