Admission: requests that start too late say nothing about the load

Resends of callers whose objective was nearly over counted as late requests of this host and could bring the limit into force after the loss of other hosts.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -150,8 +150,14 @@
 }
 
 // Late gives back the sends of a request that has passed the time of its answer. They count as
-// delayed, and the request as late if it has too few parts to be answered.
+// delayed, and the request as late if it has too few parts to be answered, unless it started
+// too late to be in time: its caller had tried other hosts before, which says nothing of this.
 func (q *Queue) Late(now time.Time, t *Ticket, late bool) {
+	if t.started.Add(t.class.need()).After(t.AnswerBy) {
+		q.release(t, t.held)
+		q.adjust(now)
+		return
+	}
 	if late {
 		l := &q.levels[t.level]
 		l.ended++
