--- a/internal/edge/tenants_test.go
+++ b/internal/edge/tenants_test.go
@@ -182,7 +182,7 @@
 		f := newFixture(1)
 		h := f.hosts[0]
 		limited := withKeys("a", "key-a")
-		limited.Rate, limited.Burst = 4, 4
+		limited.Rate, limited.Burst = 0.01, 1
 		f.putTenants(2, limited)
 		Eventually(f.statusWith(h, "none"), configApply).Should(Equal(401))
 		Eventually(f.statusWith(h, "key-a"), 5*time.Second).Should(Equal(200))
