--- a/cmd/lacewingyard/callercrowd_test.go
+++ b/cmd/lacewingyard/callercrowd_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -148,16 +150,28 @@
 	return kb << 10
 }
 
+// buildPlain builds the command without the race detector, whose memory would count several
+// times that of the process against the limits, and returns its path.
+func buildPlain(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "lacewingyard")
+	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(output))
+	return program
+}
+
 // runCrowds meets each crowd with a new process, one at a time.
 func runCrowds(t *testing.T, crowds map[string]crowd, start func(t *testing.T) *crowdHost) {
+	t.Setenv(programVariable, buildPlain(t))
 	for name, c := range crowds {
 		t.Run(name, func(t *testing.T) {
-			h := start(t)
-			defer func() {
-				if t.Failed() {
+			var h *crowdHost
+			// Registered before the start, so that it runs after the end of the process.
+			t.Cleanup(func() {
+				if t.Failed() && h != nil {
 					t.Log(h.log())
 				}
-			}()
+			})
+			h = start(t)
 			h.meet(t, c)
 		})
 	}
--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -55,7 +55,7 @@
 	p.file = filepath.Join(t.TempDir(), "settings.yaml")
 	g.Expect(os.WriteFile(p.file, []byte(change(config, p.Settings())), 0o600)).To(Succeed())
 	store.Put(platformtest.ConfigKey, config)
-	p.cmd = exec.Command(os.Args[0], "edge", "--settings", p.file)
+	p.cmd = exec.Command(testProgram(), "edge", "--settings", p.file)
 	// A process with the race detector sleeps for a second at its exit unless told not to.
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -68,10 +68,10 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	file := filepath.Join(dir, "host.json")
 	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
-	p.cmd = exec.Command(os.Args[0], "serve", "--settings", file)
+	p.cmd = exec.Command(testProgram(), "serve", "--settings", file)
 	if f := os.Getenv(descriptorsVariable); f != "" {
 		// A Go process raises its soft limit to the hard one, which only a shell sets for one process.
-		p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, f, os.Args[0], "serve", "--settings", file)
+		p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, f, testProgram(), "serve", "--settings", file)
 	}
 	// A process with the race detector sleeps for a second at its exit unless told not to.
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1", "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
@@ -93,6 +93,16 @@
 	return p
 }
 
+// programVariable names the program that tests start in place of this test binary.
+const programVariable = "LACEWINGYARD_TEST_PROGRAM"
+
+func testProgram() string {
+	if program := os.Getenv(programVariable); program != "" {
+		return program
+	}
+	return os.Args[0]
+}
+
 // checkHealth returns an error while the operators' listener does not answer.
 func (p *hostProcess) checkHealth() error {
 	resp, err := http.Get("http://" + p.settings.Listen.Operators + "/healthz")
