--- /dev/null
+++ b/review/harness2/recover.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	calmBefore    = 10 * time.Second
+	hostsDown     = 800 * time.Millisecond // down_s of the final fault
+	darkAfter     = 3 * time.Second        // from the return of the hosts
+	darkTime      = 4500 * time.Millisecond
+	entryLapse    = 3 * 1200 * time.Millisecond // three heartbeats
+	recoveryTime  = 12 * time.Second            // recovery_s
+	judgedTime    = 15 * time.Second
+	popularPath   = "/goka902/2f"
+	popularInHalf = 9 // of ten requests
+)
+
+// playRecover kills all hosts at once. While they recover, the searchers of the service go dark
+// for a few seconds and come back. Most callers send the same request.
+func playRecover(record string, trouble bool) (int, error) {
+	d, err := newDeployment(record, 2)
+	if err != nil {
+		return notRun, err
+	}
+	defer d.close()
+	var searchers []*searcher
+	defer func() {
+		for _, s := range searchers {
+			s.end()
+		}
+	}()
+	start := func(generation string) error {
+		for i := range 3 {
+			s, err := d.newSearcher(fmt.Sprintf("i-%s%d", generation, i), "renewals", 160*time.Millisecond)
+			if err != nil {
+				return err
+			}
+			searchers = append(searchers, s)
+		}
+		return nil
+	}
+	if err := start("a"); err != nil {
+		return notRun, err
+	}
+	d.putConfig(1, "idempotent", "/goka902/", "renewals")
+	if err := d.startAll(); err != nil {
+		return notRun, err
+	}
+	kills, darkens := trouble, trouble && os.Getenv("SEARCHERS") != "sound"
+	d.log("%d hosts run; all hosts are killed: %v; the searchers go dark: %v", len(d.hosts), kills, darkens)
+	all := newCallers()
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	began := time.Now()
+	steps := []struct {
+		at   time.Duration
+		do   func()
+		done bool
+	}{
+		{at: calmBefore, do: func() {
+			if !kills {
+				return
+			}
+			for _, h := range d.hosts {
+				h.kill()
+			}
+			d.log("all hosts are killed")
+		}},
+		{at: calmBefore + hostsDown, do: func() {
+			if !kills {
+				return
+			}
+			for _, h := range d.hosts {
+				_ = h.start()
+			}
+			d.log("all hosts have been started again")
+		}},
+		{at: calmBefore + hostsDown + darkAfter, do: func() {
+			if !darkens {
+				return
+			}
+			for i, s := range searchers {
+				s.goDark()
+				// The last heartbeat of each was at its own time.
+				time.AfterFunc(entryLapse-time.Duration(100+400*i)*time.Millisecond, func() {
+					d.store.remove(s.key())
+					d.log("the entry of %s has lapsed", s.id)
+				})
+			}
+			d.log("all searchers of the service are dark")
+		}},
+		{at: calmBefore + hostsDown + darkAfter + darkTime, do: func() {
+			if !darkens {
+				return
+			}
+			if err := start("b"); err != nil {
+				d.log("%v", err)
+			}
+			d.log("the searchers are back")
+		}},
+	}
+	back := began.Add(calmBefore + hostsDown)
+	end := back.Add(recoveryTime + judgedTime)
+	for i := 0; time.Now().Before(end); i++ {
+		<-tick.C
+		for k := range steps {
+			if s := &steps[k]; !s.done && time.Since(began) >= s.at {
+				s.done = true
+				s.do()
+			}
+		}
+		path := popularPath
+		if i%10 >= popularInHalf {
+			path = fmt.Sprintf("/goka902/%x", i)
+		}
+		all.send(d.hosts[i/3%2], http.MethodGet, path, "", 4*time.Second)
+	}
+	attempts := all.wait()
+	d.logAttempts(attempts, searchers)
+	var before, after, other counts
+	for _, a := range attempts {
+		switch {
+		case a.sent.Before(began.Add(calmBefore - time.Second)):
+			before.add(a)
+		case a.sent.After(back.Add(recoveryTime)):
+			after.add(a)
+			if a.path != popularPath {
+				other.add(a)
+			}
+		}
+	}
+	d.log("before the final fault: %d of %d requests served", before.served, before.sent)
+	d.log("later than recovery_s after the machines are back: %d of %d requests served; of those with other paths: %d of %d", after.served, after.sent, other.served, other.sent)
+	if 4*before.served >= before.sent && 4*after.served < after.sent {
+		d.log("BROKEN: less than a quarter is served")
+		return broken, nil
+	}
+	d.log("held")
+	return held, nil
+}
+
+type counts struct{ sent, served int }
+
+func (c *counts) add(a attempt) {
+	c.sent++
+	if a.status == http.StatusOK {
+		c.served++
+	}
+}
