--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -260,6 +260,9 @@
 	return false
 }
 
+// limits are the limits of the configuration.
+var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+
 // service is a service of the configuration.
 func service(name string) map[string]any {
 	return map[string]any{"name": name, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0}
@@ -279,6 +282,19 @@
 	}
 	d.store.put("op/config", map[string]any{
 		"config_version": version, "routes": routes, "services": []map[string]any{service(serviceName)},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": limits,
+	})
+}
+
+// putShards writes a configuration with one route to all of the given shards.
+func (d *deployment) putShards(version int, prefix string, shards []string) {
+	var services []map[string]any
+	for _, s := range shards {
+		services = append(services, service(s))
+	}
+	d.store.put("op/config", map[string]any{
+		"config_version": version, "services": services, "limits": limits,
+		"routes": []map[string]any{{"name": "r-shards", "hostname": hostName, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 800,
+			"target_latency_ms": 200, "priority": 1, "gather": shards, "attempts": 2, "top_k": 50, "min_shard_ratio": 0.89}},
 	})
 }
--- a/review/harness2/recover.go
+++ b/review/harness2/recover.go
@@ -15,12 +15,13 @@
 	entryLapse    = 3 * 1200 * time.Millisecond // three heartbeats
 	recoveryTime  = 12 * time.Second            // recovery_s
 	judgedTime    = 15 * time.Second
-	popularPath   = "/goka902/2f"
+	popularPath   = "/rany330/2f"
+	shardCount    = 10
 	popularInHalf = 9 // of ten requests
 )
 
-// playRecover kills all hosts at once. While they recover, the searchers of the service go dark
-// for a few seconds and come back. Most callers send the same request.
+// playRecover kills all hosts at once. While they recover, the searchers of one shard of ten go
+// dark for a few seconds and come back. Most callers send the same request to all shards.
 func playRecover(record string, trouble bool) (int, error) {
 	d, err := newDeployment(record, 2)
 	if err != nil {
@@ -33,9 +34,9 @@
 			s.end()
 		}
 	}()
-	start := func(generation string) error {
+	start := func(shard string, generation string) error {
 		for i := range 3 {
-			s, err := d.newSearcher(fmt.Sprintf("i-%s%d", generation, i), "renewals", 160*time.Millisecond)
+			s, err := d.newSearcher(fmt.Sprintf("i-%s-%s%d", shard, generation, i), shard, 20*time.Millisecond)
 			if err != nil {
 				return err
 			}
@@ -43,15 +44,19 @@
 		}
 		return nil
 	}
-	if err := start("a"); err != nil {
-		return notRun, err
+	var shards []string
+	for i := range shardCount {
+		shards = append(shards, fmt.Sprintf("tagdesk%d", i))
+		if err := start(shards[i], "a"); err != nil {
+			return notRun, err
+		}
 	}
-	d.putConfig(1, "idempotent", "/goka902/", "renewals")
+	d.putShards(1, "/rany330/", shards)
 	if err := d.startAll(); err != nil {
 		return notRun, err
 	}
 	kills, darkens := trouble, trouble && os.Getenv("SEARCHERS") != "sound"
-	d.log("%d hosts run; all hosts are killed: %v; the searchers go dark: %v", len(d.hosts), kills, darkens)
+	d.log("%d hosts run; all hosts are killed: %v; the searchers of %s go dark: %v", len(d.hosts), kills, shards[0], darkens)
 	all := newCallers()
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
@@ -83,7 +88,7 @@
 			if !darkens {
 				return
 			}
-			for i, s := range searchers {
+			for i, s := range searchers[:3] {
 				s.goDark()
 				// The last heartbeat of each was at its own time.
 				time.AfterFunc(entryLapse-time.Duration(100+400*i)*time.Millisecond, func() {
@@ -91,16 +96,16 @@
 					d.log("the entry of %s has lapsed", s.id)
 				})
 			}
-			d.log("all searchers of the service are dark")
+			d.log("all searchers of %s are dark", shards[0])
 		}},
 		{at: calmBefore + hostsDown + darkAfter + darkTime, do: func() {
 			if !darkens {
 				return
 			}
-			if err := start("b"); err != nil {
+			if err := start(shards[0], "b"); err != nil {
 				d.log("%v", err)
 			}
-			d.log("the searchers are back")
+			d.log("the searchers of %s are back", shards[0])
 		}},
 	}
 	back := began.Add(calmBefore + hostsDown)
@@ -115,12 +120,18 @@
 		}
 		path := popularPath
 		if i%10 >= popularInHalf {
-			path = fmt.Sprintf("/goka902/%x", i)
+			path = fmt.Sprintf("/rany330/%x", i)
 		}
-		all.send(d.hosts[i/3%2], http.MethodGet, path, "", 4*time.Second)
+		all.send(d.hosts[i/3%2], http.MethodGet, path, "", 800*time.Millisecond)
 	}
 	attempts := all.wait()
-	d.logAttempts(attempts, searchers)
+	var shown []*searcher // the runs at one shard; the others have as many
+	for _, s := range searchers {
+		if s.service == shards[0] {
+			shown = append(shown, s)
+		}
+	}
+	d.logAttempts(attempts, shown)
 	var before, after, other counts
 	for _, a := range attempts {
 		switch {
