--- a/review/harness2/memory.go
+++ b/review/harness2/memory.go
@@ -61,6 +61,11 @@
 		return notRun, err
 	}
 	d.log("%d hosts run with memory_mb %d and max_fds %d; trouble: %v", len(d.hosts), memoryMB, maxDescriptors, trouble)
+	if trouble {
+		d.log("after %v, %d callers a host send, %d of them with heads of %d bytes: %q... and a chunk of %d bytes without its last %d, and wait", calmTime, crowdSize,
+			longHeads, longHeadBytes, crowdHead(longHeads, 0, shortHeadBytes)[:180], bodyStated, bodyStated-bodySent)
+	}
+	d.log("beside them one caller a host sends GET /goka902/2f, again 200 ms after each answer")
 	stop := make(chan struct{})
 	var work sync.WaitGroup
 	watches := make([]*memoryWatch, len(d.hosts))
