--- a/review/harness2/recover.go
+++ b/review/harness2/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -89,7 +90,10 @@
 				return
 			}
 			for i, s := range searchers[:3] {
-				s.goDark()
+				if err := s.goDark(); err != nil {
+					d.log("%s: %v", s.id, err)
+				}
+				time.AfterFunc(500*time.Millisecond, func() { d.log("a new connection to %s: %v", s.id, probe(s.address)) })
 				// The last heartbeat of each was at its own time.
 				time.AfterFunc(entryLapse-time.Duration(100+400*i)*time.Millisecond, func() {
 					d.store.remove(s.key())
@@ -162,3 +166,13 @@
 		c.served++
 	}
 }
+
+// probe returns what becomes of an attempt to open a connection.
+func probe(address string) string {
+	c, err := net.DialTimeout("tcp", address, 300*time.Millisecond)
+	if err != nil {
+		return err.Error()
+	}
+	_ = c.Close()
+	return "opened"
+}
--- a/review/harness2/searcher.go
+++ b/review/harness2/searcher.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
+	fillers  []net.Conn // of the queue of new connections, while the searcher is dark
 	state    string
 	sequence int
 	dark     bool // it reads nothing and answers nothing
@@ -74,24 +76,49 @@
 	s.beat()
 }
 
-// goDark makes the searcher silent: it reads and answers nothing more.
-func (s *searcher) goDark() {
+// goDark makes the searcher silent: it reads and answers nothing more, and nothing answers those
+// who open a connection. Its queue of new connections is filled, so that the system drops the
+// opening packets as it does for a machine without power.
+func (s *searcher) goDark() error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.dark = true
+	s.mu.Unlock()
+	l := s.listener.(*net.TCPListener)
+	_ = l.SetDeadline(time.Now()) // ends accept
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), 0) }); err != nil {
+		return err
+	}
+	for range 4 {
+		go func() {
+			if c, err := net.DialTimeout("tcp", s.address, 2*time.Second); err == nil {
+				s.mu.Lock()
+				s.fillers = append(s.fillers, c)
+				s.mu.Unlock()
+			}
+		}()
+	}
+	return listenErr
 }
 
 // end ends the searcher as an exit of its process does.
 func (s *searcher) end() {
 	s.mu.Lock()
 	s.ended = true
-	conns := s.conns
-	s.conns = map[net.Conn]struct{}{}
+	conns, fillers := s.conns, s.fillers
+	s.conns, s.fillers = map[net.Conn]struct{}{}, nil
 	s.mu.Unlock()
 	_ = s.listener.Close()
 	for c := range conns {
 		_ = c.Close()
 	}
+	for _, c := range fillers {
+		_ = c.Close()
+	}
 }
 
 // setFailure sets which requests the searcher fails after it ran them.
