httpanswer: one reader of answers for the targets of both interfaces

The edge and the JSON interface each called the parser of net/http on their own connections. The bounded reader of heads moves into the package that both now read answers through, so that a rule about answers has one place. Interim answers share the bound of the head they precede (32 KB) in place of a count of four answers.

No change for answers of one head. internal/backend and internal/target pass.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -9,14 +8,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lacewingyard/lacewingyard/internal/headlimit"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 )
 
 const (
 	// readBufferSize, in bytes, holds the head and body of a typical answer.
 	readBufferSize = 4 << 10
-	// maxResponses bounds the responses read for one request, including interim (1xx)
-	// responses and answers to other requests.
+	// maxResponses bounds the answers read for one request, including those to other
+	// requests.
 	maxResponses = 4
 	// asyncBodyBytes is the size above which a body is written while the answer is
 	// read, because the target may answer before it has read the whole body.
@@ -36,11 +35,10 @@
 type conn struct {
 	nc             *net.TCPConn
 	raw            syscall.RawConn
-	in             *headlimit.Reader // reads from nc
-	br             *bufio.Reader     // reads from in
-	lastUsed       time.Time         // end of the last answer, or when the connection was opened
-	idleTimeout    time.Duration     // how long the target keeps the connection open while idle; 0 if not stated
-	closeRequested bool              // the target requested the close of the connection
+	in             *httpanswer.Reader // reads from nc
+	lastUsed       time.Time          // end of the last answer, or when the connection was opened
+	idleTimeout    time.Duration      // how long the target keeps the connection open while idle; 0 if not stated
+	closeRequested bool               // the target requested the close of the connection
 }
 
 // newConn returns the conn of a TCP connection opened at now.
@@ -49,14 +47,13 @@
 	if err != nil {
 		return nil, err
 	}
-	in := headlimit.NewReader(nc)
-	return &conn{nc: nc, raw: raw, in: in, br: bufio.NewReaderSize(in, readBufferSize), lastUsed: now}, nil
+	return &conn{nc: nc, raw: raw, in: httpanswer.NewReader(nc, readBufferSize), lastUsed: now}, nil
 }
 
 // isIntact reports whether the connection is open and received no bytes while it was
 // idle. Such bytes belong to no request.
 func (c *conn) isIntact() bool {
-	if c.br.Buffered() > 0 {
+	if c.in.Buffered() > 0 {
 		return false
 	}
 	var one [1]byte
@@ -142,14 +139,10 @@
 func (c *conn) readAnswer(shared *Shared, r *Request) (Result, bool) {
 	reusable := true
 	for range maxResponses {
-		c.in.Begin()
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
-		if err := c.in.End(err); err != nil {
+		resp, err := c.in.ReadAnswer(&http.Request{Method: r.Method})
+		if err != nil {
 			return Result{Err: err}, false
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		body := bodyReader{conn: c, resp: resp, bodies: shared.Bodies, compact: r.Compact}
 		if err := body.read(); err != nil {
 			body.hold.release()
@@ -162,7 +155,7 @@
 			continue
 		}
 		c.idleTimeout, c.closeRequested = head.IdleTimeout, resp.Close
-		reusable = reusable && !resp.Close && c.br.Buffered() == 0
+		reusable = reusable && !resp.Close && c.in.Buffered() == 0
 		return resultOf(resp, head, body.bytes, body.hold), reusable
 	}
 	return Result{Err: errMismatched}, false
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lacewingyard/lacewingyard/internal/headlimit"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/pkg/notice"
 )
 
@@ -99,5 +99,5 @@
 // Oversized reports whether the target sent more than any valid answer has: an endless
 // head or body, for example.
 func (r *Result) Oversized() bool {
-	return errors.Is(r.Err, headlimit.ErrTooLarge) || errors.Is(r.Err, errBodyTooLarge)
+	return errors.Is(r.Err, httpanswer.ErrTooLarge) || errors.Is(r.Err, errBodyTooLarge)
 }
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lacewingyard/lacewingyard/internal/headlimit"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 )
 
 // releaseTimeout is how long an abandoned connection waits for the target to close it.
@@ -21,6 +21,9 @@
 // or the target has not detected the end of the request.
 const releaseTimeout = time.Second // a busy target detected the end of a request up to 346 ms late
 
+// readBufferSize, in bytes, holds the head and body of a typical answer.
+const readBufferSize = 4 << 10
+
 // maxPreallocatedBytes limits the buffer that is allocated by the content length of an
 // answer; the buffer of a longer answer grows as bytes arrive.
 const maxPreallocatedBytes = 64 << 10
@@ -39,8 +42,7 @@
 // conn is one connection to a target. It carries at most one request at a time.
 type conn struct {
 	nc               net.Conn
-	in               *headlimit.Reader // reads from nc
-	br               *bufio.Reader     // reads from in
+	in               *httpanswer.Reader // reads from nc
 	bw               *bufio.Writer
 	replies          chan reply
 	ended            chan struct{} // closed when the connection has ended
@@ -59,9 +61,8 @@
 }
 
 func newConn(nc net.Conn, onEnd func(*conn)) *conn {
-	in := headlimit.NewReader(nc)
 	c := &conn{
-		nc: nc, in: in, br: bufio.NewReader(in), bw: bufio.NewWriter(nc), onEnd: onEnd,
+		nc: nc, in: httpanswer.NewReader(nc, readBufferSize), bw: bufio.NewWriter(nc), onEnd: onEnd,
 		replies: make(chan reply, 1), ended: make(chan struct{}),
 	}
 	go c.read()
@@ -86,7 +87,7 @@
 
 func (c *conn) readAnswers() error {
 	for {
-		if _, err := c.br.Peek(1); err != nil {
+		if _, err := c.in.Peek(1); err != nil {
 			return err
 		}
 		req := c.pending.Load()
@@ -106,14 +107,10 @@
 	}
 }
 
-// readAnswer reads one answer with its body and skips interim (1xx) responses.
+// readAnswer reads one answer with its body.
 func (c *conn) readAnswer(req *http.Request) (*http.Response, error) {
-	c.in.Begin()
-	resp, err := http.ReadResponse(c.br, req)
-	for err == nil && resp.StatusCode < http.StatusOK {
-		resp, err = http.ReadResponse(c.br, req)
-	}
-	if err := c.in.End(err); err != nil {
+	resp, err := c.in.ReadAnswer(req)
+	if err != nil {
 		return nil, err
 	}
 	data, err := readBody(resp)
