httpanswer: a status outside 100 to 599 is no answer

Callers saw, from targets that answer with status 000 (internal/edge, one host, time limit 2 s): no answer until their time limit, for single requests whether repeatable or not; if the body of such an answer held an answer, that one as a 200. Status 600 and 999 were passed on, and 999 with the header for it counted as the promise that the request did not run.

The parser of net/http takes any three characters that strconv.Atoi reads as a number from 0 on. Both readers of answers skip what is below 200 as interim, so they waited for the answer after it, or read the body as one.

RFC 9110, 15 calls codes outside 100 to 599 invalid. ReadAnswer keeps the bytes of each head, since the parser drops some of what it reads, and refuses such a head as ErrMalformed.

--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -13,6 +13,9 @@
 // many short header lines take about twenty times their length.
 const MaxHeadBytes = 32 << 10
 
+// maxKeptBytes bounds the memory for a head that a connection keeps for the next one.
+const maxKeptBytes = 4 << 10
+
 // ErrTooLarge is the error of an answer whose head is longer than MaxHeadBytes.
 var ErrTooLarge = errors.New("answer head exceeds the size limit")
 
@@ -29,35 +32,62 @@
 }
 
 // ReadAnswer reads the head of the answer to a request and skips interim (1xx) answers
-// before it. Of the request only the method counts. The body is read from the result.
+// before it. Of the request only the method counts. The body is read from the result. The
+// error is an ErrMalformed if the bytes are no answer, and ErrTooLarge if the head is too long.
 func (r *Reader) ReadAnswer(req *http.Request) (*http.Response, error) {
 	r.in.begin()
 	defer r.in.end()
 	for {
+		buffered, _ := r.Peek(r.Buffered()) // never fails
+		r.in.record(buffered)
 		resp, err := http.ReadResponse(r.Reader, req)
 		switch {
 		case err != nil && r.in.exceeded: // the parser may report that the last line is malformed instead
 			return nil, ErrTooLarge
 		case err != nil:
+			return nil, r.in.cause(err)
+		}
+		if err := checkHead(r.in.recorded[:len(r.in.recorded)-r.Buffered()]); err != nil {
 			return nil, err
-		case resp.StatusCode >= http.StatusOK:
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
 }
 
-// source is the connection of a Reader.
+// source is the connection of a Reader. While a head is read, it keeps the bytes, because
+// the parser of net/http drops what it cannot use.
 type source struct {
 	r        io.Reader
 	left     int64 // bytes that may be read
 	exceeded bool
+	failed   bool   // a read returned an error
+	heads    bool   // heads are being read
+	recorded []byte // of the current head, and what was read beyond it
 }
 
 // begin bounds the following reads to MaxHeadBytes.
-func (s *source) begin() { s.left, s.exceeded = MaxHeadBytes, false }
+func (s *source) begin() { s.left, s.exceeded, s.failed, s.heads = MaxHeadBytes, false, false, true }
+
+// record begins to keep the bytes of a head, of which some are buffered already.
+func (s *source) record(buffered []byte) { s.recorded = append(s.recorded[:0], buffered...) }
+
+// end removes the bound and keeps no more bytes.
+func (s *source) end() {
+	s.left, s.heads = math.MaxInt64, false
+	if cap(s.recorded) > maxKeptBytes {
+		s.recorded = nil
+	}
+}
 
-// end removes the bound.
-func (s *source) end() { s.left = math.MaxInt64 }
+// cause returns err, the error of a parser, as an ErrMalformed unless a read failed.
+func (s *source) cause(err error) error {
+	if s.failed {
+		return err
+	}
+	return malformed("%w", err)
+}
 
 // Read implements io.Reader.
 func (s *source) Read(p []byte) (int, error) {
@@ -67,5 +97,9 @@
 	}
 	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
+	s.failed = s.failed || err != nil
+	if s.heads {
+		s.recorded = append(s.recorded, p[:n]...)
+	}
 	return n, err
 }
--- /dev/null
+++ b/internal/httpanswer/reader_test.go
@@ -0,0 +1,103 @@
+package httpanswer_test
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
+	. "github.com/onsi/gomega"
+)
+
+// read reads an answer with its body. The bytes come as one segment, or one by one.
+func read(text string, oneByOne bool) (*http.Response, string, error) {
+	var in io.Reader = strings.NewReader(text)
+	if oneByOne {
+		in = iotest.OneByteReader(in)
+	}
+	resp, err := httpanswer.NewReader(in, 16).ReadAnswer(&http.Request{Method: http.MethodGet})
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// refused are texts that a client must not or need not take as an answer. "ok" is the body.
+var refused = map[string]string{
+	"status 000":             "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 099":             "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 600":             "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 999":             "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a signed status":        "HTTP/1.1 +99 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a negative status":      "HTTP/1.1 -99 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a status of two digits": "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a status of four":       "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a hexadecimal status":   "HTTP/1.1 0xC8 OK\r\nContent-Length: 2\r\n\r\nok",
+	"no status":              "HTTP/1.1\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// sound are texts that a client has to or may take, with the body "ok".
+var sound = map[string]string{
+	"a length":                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status 599":                 "HTTP/1.1 599 x\r\nContent-Length: 2\r\n\r\nok",
+	"no reason":                  "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok",
+	"no blank before its reason": "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
+	"several blanks":             "HTTP/1.1  200  OK\r\nContent-Length: 2\r\n\r\nok",
+	"an interim answer":          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"several interim answers":    strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 6) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"the end of the connection":  "HTTP/1.1 200 OK\r\n\r\nok",
+	"lines without CR":           "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+}
+
+func TestReadAnswerRefusesMalformedAnswers(t *testing.T) {
+	for _, fault := range slices.Sorted(maps.Keys(refused)) {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			for _, oneByOne := range []bool{false, true} {
+				g := NewWithT(t)
+				_, body, err := read(before+refused[fault], oneByOne)
+				g.Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeTrue(), "%s: %v, body %q", fault, err, body)
+			}
+		}
+	}
+}
+
+func TestReadAnswerTakesSoundAnswers(t *testing.T) {
+	for _, name := range slices.Sorted(maps.Keys(sound)) {
+		for _, oneByOne := range []bool{false, true} {
+			g := NewWithT(t)
+			resp, body, err := read(sound[name], oneByOne)
+			g.Expect(err).NotTo(HaveOccurred(), name)
+			g.Expect(body).To(Equal("ok"), name)
+			g.Expect(resp.StatusCode).To(BeNumerically(">=", 200), name)
+		}
+	}
+}
+
+// Guards against the end of a connection that counts as a malformed answer: it may mean that
+// the target ended.
+func TestReadAnswerTellsTheEndOfTheConnection(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for i := range len(text) {
+		_, _, err := read(text[:i], false)
+		g := NewWithT(t)
+		g.Expect(err).To(HaveOccurred(), "%q", text[:i])
+		g.Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeFalse(), "%q", text[:i])
+	}
+}
+
+// Guards against heads that take memory without bound, whatever interim answers come before.
+func TestReadAnswerBoundsHeads(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", httpanswer.MaxHeadBytes),
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", httpanswer.MaxHeadBytes),
+	} {
+		_, _, err := read(text, false)
+		NewWithT(t).Expect(errors.Is(err, httpanswer.ErrTooLarge)).To(BeTrue(), "%v", err)
+	}
+}
