httpanswer: a field name with a blank is no field name

Callers saw, from targets that answer with a blank in or after a field name, a 200 with that line passed on. After "Content-Length : 16" they got 128 bytes where the target had stated 16; after "Transfer-Encoding : chunked" the body with its chunk sizes, 139 bytes for 128, and the same as a part of a fan-out. On a connection that stays open they got nothing until their time limit of 2 s.

The parser of net/http takes blanks in field names and keeps such a name as it came, so that it is not the field that states the length or the coding. It refuses control bytes in names and in values; the tests keep that.

RFC 9110, 5.1 and 5.5 say which bytes a name and a value have. RFC 9112, 5.1 also lets a proxy drop a blank before the colon, and so believe the length; a server that sends one has shown that its heads are not to be relied on, and another target can answer.

The reader's tests have 15 heads that are refused and six that are taken, in one piece and byte by byte.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -39,6 +39,16 @@
 	"a signed status":                          "HTTP/1.1 +99 OK\r\nFIELDSLENGTH\r\nBODY",
 	"status 600":                               "HTTP/1.1 600 OK\r\nFIELDSLENGTH\r\nBODY",
 	"status 999 that says not run":             "HTTP/1.1 999 Full\r\nFIELDSNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"a blank before a colon":                   "HTTP/1.1 200 OK\r\nFIELDSLENGTHX-A : b\r\n\r\nBODY",
+	"a blank in a name":                        "HTTP/1.1 200 OK\r\nFIELDSLENGTHX A: b\r\n\r\nBODY",
+	"a tab in a name":                          "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\tA: b\r\n\r\nBODY",
+	"a NUL in a name":                          "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\x00A: b\r\n\r\nBODY",
+	"a carriage return in a name":              "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\rA: b\r\n\r\nBODY",
+	"a blank after the name of the length":     "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 16\r\nConnection: close\r\n\r\nBODY",
+	"the same, and no end of the connection":   "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 128\r\n\r\nBODY",
+	"a blank after the name of the coding":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
+	"a malformed name that says not run":       "HTTP/1.1 503 Full\r\nFIELDSNot-Executed: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+	"a malformed name in an interim head":      "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 }
 
 // malformedCase is one of malformedAnswers in a fixture.
--- a/internal/httpanswer/reader_test.go
+++ b/internal/httpanswer/reader_test.go
@@ -40,6 +40,22 @@
 	"a status of four":       "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
 	"a hexadecimal status":   "HTTP/1.1 0xC8 OK\r\nContent-Length: 2\r\n\r\nok",
 	"no status":              "HTTP/1.1\r\nContent-Length: 2\r\n\r\nok",
+
+	"a blank before a colon":      "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+	"a blank in a name":           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX A: b\r\n\r\nok",
+	"a tab before a colon":        "HTTP/1.1 200 OK\r\nContent-Length\t: 2\r\n\r\nok",
+	"a NUL in a name":             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\x00: b\r\n\r\nok",
+	"a DEL in a name":             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\x7f: b\r\n\r\nok",
+	"a carriage return in a name": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\rA: b\r\n\r\nok",
+	"a separator in a name":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX(A): b\r\n\r\nok",
+	"a letter beyond ASCII":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\xe4: b\r\n\r\nok",
+	"an empty name":               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n: b\r\n\r\nok",
+	"no colon":                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\r\n\r\nok",
+	"a name in two lines":         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX\r\n A: b\r\n\r\nok",
+	"a blank before the first":    "HTTP/1.1 200 OK\r\n Content-Length: 2\r\n\r\nok",
+	"a NUL in a value":            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\x00\r\n\r\nok",
+	"a carriage return in one":    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\rb\r\n\r\nok",
+	"a control byte in a folded":  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\r\n \x01\r\n\r\nok",
 }
 
 // sound are texts that a client has to or may take, with the body "ok".
@@ -53,6 +69,12 @@
 	"several interim answers":    strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 6) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"the end of the connection":  "HTTP/1.1 200 OK\r\n\r\nok",
 	"lines without CR":           "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+	"all bytes of a name":        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n\r\nok",
+	"a value beyond ASCII":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: \xe4\xff\t b\r\n\r\nok",
+	"an empty value":             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX:\r\nY: \r\n\r\nok",
+	"blanks around a value":      "HTTP/1.1 200 OK\r\nContent-Length: \t 2 \t\r\n\r\nok",
+	"a value in two lines":       "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length:\r\n 2\r\n\r\nok",
+	"colons in a value":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a:b : c\r\n\r\nok",
 }
 
 func TestReadAnswerRefusesMalformedAnswers(t *testing.T) {
