httpanswer: other protocols and control bytes in a status line are no answer

Callers saw, from targets that answer so: after 101, which no request asked for, the bytes that follow in the other protocol as a 200 if they look like one; a 200 from HTTP/2.0 text on a connection of HTTP/1.1; a 200 whose reason holds a NUL.

Both readers skipped 101 like an interim answer, but it ends HTTP on the connection. The parser of net/http takes any major version and any byte in a reason.

The status line is held to RFC 9112, 4 where that is no matter of taste: major version 1, and a reason of visible characters, blanks and bytes beyond ASCII. As 9112 allows, several blanks, a missing reason and the blank before it are taken, as are HTTP/1.0 and later minor versions.

The specs failed before (control byte in the reason: 200 where 502 is expected).

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -54,8 +54,14 @@
 
 // parseStatus returns the status code of a status line.
 func parseStatus(line []byte) (int, error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		return 0, malformed("version %q", excerpt(version))
+	}
+	if !httpguts.ValidHeaderFieldValue(string(line)) { // a reason has the same bytes
+		return 0, malformed("status line %q", excerpt(line))
+	}
 	status := 0
 	for _, c := range code {
 		if c < '0' || c > '9' {
@@ -63,8 +69,11 @@
 		}
 		status = 10*status + int(c-'0')
 	}
-	if status < http.StatusContinue || status > lastStatus {
+	switch {
+	case status < http.StatusContinue || status > lastStatus:
 		return 0, malformed("status %q is outside the range of status codes", excerpt(code))
+	case status == http.StatusSwitchingProtocols:
+		return 0, malformed("status %q without a request to switch protocols", excerpt(code))
 	}
 	return status, nil
 }
