httpanswer: a head that contradicts itself on the length is no answer

Callers saw, from targets that send chunks in HTTP/1.0, a 200 with the chunk sizes in its body (139 bytes for 128), also as part of a fan-out; with a coding and a length, or with content under 204, a success although the two disagree on where the answer ends. A length in an interim head was ignored, so its content was read as the answer.

The parser of net/http ignores a coding in HTTP/1.0, drops the length beside a coding, and has no content for 1xx and 204. It refuses different, signed, listed and empty lengths and other codings; the tests keep that.

RFC 9112, 6.1 and 6.3 call these framings faulty, 9110, 8.6 forbids the length. The head is refused if a coding stands in HTTP/1.0 or beside a length, or if 1xx or 204 announce content. Length 0 there, the same length twice, and 304 or answers to HEAD with a length are taken as before.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -50,6 +50,12 @@
 	"a blank after the name of the length":     "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 16\r\nConnection: close\r\n\r\nBODY",
 	"the same, and no end of the connection":   "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 128\r\n\r\nBODY",
 	"a blank after the name of the coding":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
+	"a coding in HTTP/1.0":                     "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
+	"a coding and a length":                    "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nCHUNKS\r\n",
+	"two lengths":                              "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 16\r\nLENGTH\r\nBODY",
+	"a signed length":                          "HTTP/1.1 200 OK\r\nFIELDSContent-Length: +128\r\n\r\nBODY",
+	"a length, but no content":                 "HTTP/1.1 204 No Content\r\nFIELDSLENGTH\r\nBODY",
+	"a length in an interim head":              "HTTP/1.1 103 Early Hints\r\nLENGTH\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 	"a malformed name that says not run":       "HTTP/1.1 503 Full\r\nFIELDSNot-Executed: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
 	"a malformed name in an interim head":      "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 }
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -24,32 +24,67 @@
 // a client take it. head is a head that the parser accepted, up to its empty line.
 func checkHead(head []byte) error {
 	line, rest := cutLine(head)
-	if _, err := parseStatus(line); err != nil {
+	status, err := parseStatus(line)
+	if err != nil {
 		return err
 	}
+	f := framing{status: status, old: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
 	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
-		if err := checkField(line); err != nil {
+		name, err := checkField(line)
+		if err != nil {
 			return err
 		}
+		f.add(name, line)
+	}
+	return f.check()
+}
+
+// framing is what a head says about the end of its answer.
+type framing struct {
+	status                  int
+	old                     bool // HTTP/1.0
+	coded, length, hasBytes bool // a coding, a length, and one other than 0 is stated
+	inLength                bool // the last field states a length
+}
+
+// add adds a line of a field; name is empty if the line continues the one before.
+func (f *framing) add(name, line []byte) {
+	if len(name) > 0 {
+		f.coded = f.coded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		f.inLength = bytes.EqualFold(name, []byte("Content-Length"))
+		f.length = f.length || f.inLength
+	}
+	f.hasBytes = f.hasBytes || f.inLength && bytes.ContainsAny(line, "123456789")
+}
+
+// check refuses a head of which recipients can disagree where the answer ends.
+func (f *framing) check() error {
+	switch {
+	case f.coded && f.old:
+		return malformed("transfer coding in HTTP/1.0")
+	case f.coded && f.length:
+		return malformed("both a transfer coding and a length")
+	case (f.coded || f.hasBytes) && (f.status < http.StatusOK || f.status == http.StatusNoContent):
+		return malformed("content with status %d", f.status)
 	}
 	return nil
 }
 
-// checkField checks one line of a field. The parser of net/http takes a blank in a name, and
-// then knows neither the length nor the coding that the field states.
-func checkField(line []byte) error {
+// checkField checks one line of a field and returns the field's name, which is empty if the
+// line continues the one before. The parser of net/http takes a blank in a name, and then
+// knows neither the length nor the coding that the field states.
+func checkField(line []byte) (name []byte, err error) {
 	value := line
-	if line[0] != ' ' && line[0] != '\t' { // else the value of the line before continues
-		name, rest, _ := bytes.Cut(line, []byte(":"))
+	if line[0] != ' ' && line[0] != '\t' {
+		name, value, _ = bytes.Cut(line, []byte(":"))
 		if !httpguts.ValidHeaderFieldName(string(name)) {
-			return malformed("field name %q", excerpt(name))
+			return nil, malformed("field name %q", excerpt(name))
 		}
-		value = rest
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return malformed("field line %q", excerpt(line))
+		return nil, malformed("field line %q", excerpt(line))
 	}
-	return nil
+	return name, nil
 }
 
 // parseStatus returns the status code of a status line.
--- a/internal/httpanswer/reader_test.go
+++ b/internal/httpanswer/reader_test.go
@@ -66,6 +66,22 @@
 	"a NUL in a value":            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\x00\r\n\r\nok",
 	"a carriage return in one":    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\rb\r\n\r\nok",
 	"a control byte in a folded":  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\r\n \x01\r\n\r\nok",
+
+	"a coding in HTTP/1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a coding and a length":        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nTRANSFER-ENCODING: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a coding that is not chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+	"two codings":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"two lengths":                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+	"a list of lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok",
+	"a signed length":              "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+	"a negative length":            "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok",
+	"a hexadecimal length":         "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\nok",
+	"an empty length":              "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nok",
+	"a length beyond 63 bits":      "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775808\r\n\r\nok",
+	"a length with status 204":     "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+	"a coding with status 204":     "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a length in an interim head":  "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"a coding in an interim head":  "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 }
 
 // sound are texts that a client has to or may take, with the body "ok".
@@ -87,6 +103,10 @@
 	"an empty value":             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX:\r\nY: \r\n\r\nok",
 	"blanks around a value":      "HTTP/1.1 200 OK\r\nContent-Length: \t 2 \t\r\n\r\nok",
 	"a value in two lines":       "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length:\r\n 2\r\n\r\nok",
+	"chunks":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: CHUNKED\r\n\r\n1\r\no\r\n01;a=\"b\"\r\nk\r\n0\r\n\r\n",
+	"the same length twice":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+	"a length with zeros":        "HTTP/1.1 200 OK\r\nContent-Length: 0002\r\n\r\nok",
+	"length 0 in an interim":     "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"colons in a value":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a:b : c\r\n\r\nok",
 }
 
