httpanswer: a body in chunks with a malformed trailer is not complete

Callers saw, from targets that end their chunks with a trailer whose name holds a blank, a 200. The line itself is not passed on: trailers are not used.

The parser of net/http takes blanks in names of trailers as in heads. It refuses control bytes, and chunk sizes that are empty, signed or prefixed; the tests keep that, and such errors are ErrMalformed now.

The names that came are checked at the end of the body; names that the head only announces are not. The specs failed before (blank in a trailer's name: 200 where 502 is expected).

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -52,6 +52,8 @@
 	"a blank after the name of the coding":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
 	"a coding in HTTP/1.0":                     "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
 	"a coding and a length":                    "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nCHUNKS\r\n",
+	"a blank in the name of a trailer":         "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nCHUNKSX A: b\r\n\r\n",
+	"a chunk without a size":                   "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n\r\nCHUNKS\r\n",
 	"two lengths":                              "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 16\r\nLENGTH\r\nBODY",
 	"a signed length":                          "HTTP/1.1 200 OK\r\nFIELDSContent-Length: +128\r\n\r\nBODY",
 	"a length, but no content":                 "HTTP/1.1 204 No Content\r\nFIELDSLENGTH\r\nBODY",
--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -34,6 +34,7 @@
 // ReadAnswer reads the head of the answer to a request and skips interim (1xx) answers
 // before it. Of the request only the method counts. The body is read from the result. The
 // error is an ErrMalformed if the bytes are no answer, and ErrTooLarge if the head is too long.
+// Reading a body in chunks also returns an ErrMalformed.
 func (r *Reader) ReadAnswer(req *http.Request) (*http.Response, error) {
 	r.in.begin()
 	defer r.in.end()
@@ -51,7 +52,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return withTrailerCheck(resp, r.in), nil
 		}
 	}
 }
--- a/internal/httpanswer/reader_test.go
+++ b/internal/httpanswer/reader_test.go
@@ -82,6 +82,17 @@
 	"a coding with status 204":     "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"a length in an interim head":  "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"a coding in an interim head":  "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+
+	"a blank in the name of a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n",
+	"a blank before a trailer's colon": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX : b\r\n\r\n",
+	"a control byte in a trailer":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: b\x01\r\n\r\n",
+	"a trailer without a colon":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\r\n\r\n",
+	"a chunk without a size":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\r\nok\r\n0\r\n\r\n",
+	"a signed size":                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+	"a size with a prefix":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n",
+	"a size beyond 64 bits":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000002\r\nok\r\n0\r\n\r\n",
+	"a chunk that is longer than it":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
+	"a size without CR":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n",
 }
 
 // sound are texts that a client has to or may take, with the body "ok".
@@ -105,6 +116,7 @@
 	"a value in two lines":       "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length:\r\n 2\r\n\r\nok",
 	"chunks":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: CHUNKED\r\n\r\n1\r\no\r\n01;a=\"b\"\r\nk\r\n0\r\n\r\n",
 	"the same length twice":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+	"a trailer":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X, Y Z\r\n\r\n2\r\nok\r\n0\r\nX: a\r\nQ: b\r\n\r\n",
 	"a length with zeros":        "HTTP/1.1 200 OK\r\nContent-Length: 0002\r\n\r\nok",
 	"length 0 in an interim":     "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"colons in a value":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a:b : c\r\n\r\nok",
