backend, engine: count malformed answers and log the first of a target

An operator could not tell a target that sends bytes which are no answers from one that closes its connections: both were sends with the result broken. The counter lacewingyard_answers_malformed_total and one warning for each target say what is wrong with the answer.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -42,6 +42,7 @@
 	Broken         atomic.Int64 // closed after a request that left them unusable
 	Oversized      atomic.Int64 // of these, closed because the answer was longer than any valid one
 	NoMemory       atomic.Int64 // of these, closed because this host had no memory left for the answer
+	Malformed      atomic.Int64 // of these, closed because what the target sent is no answer
 }
 
 // Shared is what the pools of a host have in common. It is safe for concurrent use.
@@ -156,15 +157,17 @@
 		} else {
 			p.shared.Counters.Broken.Add(1)
 		}
-		p.countTooLarge(&result)
+		p.countFault(&result)
 		p.discard(c)
 	}
 	return result
 }
 
-// countTooLarge counts answers that were too large, or for which there was no memory.
-func (p *Pool) countTooLarge(r *Result) {
+// countFault counts answers that were malformed or too large, or for which there was no memory.
+func (p *Pool) countFault(r *Result) {
 	switch {
+	case r.Malformed():
+		p.shared.Counters.Malformed.Add(1)
 	case r.Oversized():
 		p.shared.Counters.Oversized.Add(1)
 	case errors.Is(r.Err, errNoMemory), errors.Is(r.Err, errGivenUp):
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -96,6 +96,9 @@
 // Release frees the room of the body. The Result must not be used after it.
 func (r *Result) Release() { r.Hold.release() }
 
+// Malformed reports whether the target sent bytes that are no answer.
+func (r *Result) Malformed() bool { return errors.Is(r.Err, httpanswer.ErrMalformed) }
+
 // Oversized reports whether the target sent more than any valid answer has: an endless
 // head or body, for example.
 func (r *Result) Oversized() bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -418,7 +418,7 @@
 	h.gossip.WithRoster(func(r *roster.Roster) { alive = len(r.Alive(time.Now())) })
 	h.opts.Log.Info("totals", "opened", c.Opened.Load(), "opened_ahead", c.Ahead.Load(), "not_opened", c.DialFailed.Load(), "closed_asked", c.ClosedByTarget.Load(),
 		"closed_stale", c.Stale.Load(), "closed_unproven", c.NotRecent.Load(), "closed_disturbed", c.UnexpectedData.Load(),
-		"closed_broken", c.Broken.Load(), "oversized", c.Oversized.Load(), "no_memory", c.NoMemory.Load(), "hosts", all, "hosts_here", here, "peers_alive", alive, "store_calls", h.follower.callCount())
+		"closed_broken", c.Broken.Load(), "oversized", c.Oversized.Load(), "no_memory", c.NoMemory.Load(), "malformed", c.Malformed.Load(), "hosts", all, "hosts_here", here, "peers_alive", alive, "store_calls", h.follower.callCount())
 }
 
 // shutdown leaves the directory, serves callers that still have this host's address
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -67,6 +67,7 @@
 	counter("lacewingyard_connections_broken_total", "Connections to targets closed after a request that ended badly.", c.Broken.Load)
 	counter("lacewingyard_answers_oversized_total", "Answers of targets cut off because they were longer than any valid one.", c.Oversized.Load)
 	counter("lacewingyard_answers_no_memory_total", "Large answers of targets given up because memory for them was short.", c.NoMemory.Load)
+	counter("lacewingyard_answers_malformed_total", "Bytes of targets that are no answers.", c.Malformed.Load)
 	crashes := h.engine.CrashCounts()
 	counter("lacewingyard_sends_closed_total", "Sends whose connection the target closed before its answer.", crashes.BrokenSends.Load)
 	counter("lacewingyard_request_crashes_total", "Crashes of targets counted against the request that they ran.", crashes.Crashes.Load)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -124,6 +124,7 @@
 	malformed          bool             // an answer of it had a notice with a value that makes no sense
 	lastColdSend       time.Time        // last send during the warm-up
 	oversized          bool             // an answer of it was longer than any valid one
+	malformedAnswer    bool             // it sent bytes that are no answer
 }
 
 // processKey identifies one process of a target.
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -140,3 +140,12 @@
 	t.oversized = true
 	e.cfg.Log.Warn("a target sent an answer without an end; such answers are cut off and count as failed", "target", t.id, "service", t.service, "error", r.Err.Error())
 }
+
+// logMalformed logs the first malformed answer of a target. The engine's lock must be held.
+func (e *Engine) logMalformed(t *target, r *backend.Result) {
+	if t.malformedAnswer || !r.Malformed() {
+		return
+	}
+	t.malformedAnswer = true
+	e.cfg.Log.Warn("a target sent a malformed answer; such answers count as failed, and the request may have run", "target", t.id, "service", t.service, "error", r.Err.Error())
+}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -315,6 +315,7 @@
 		t.state.TimedOut(now, r.Duration)
 	case backend.Broken:
 		e.logOversized(t, r)
+		e.logMalformed(t, r)
 		if r.LocalCause {
 			t.state.Inconclusive(now)
 		} else {
