--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -21,22 +21,50 @@
 const lastStatus = 599
 
 // checkHead checks what the parser of net/http accepts although RFC 9110 and 9112 do not let
-// a client take it. head is a head that the parser accepted, up to its empty line.
-func checkHead(head []byte) error {
-	line, rest := cutLine(head)
-	status, err := parseStatus(line)
-	if err != nil {
-		return err
+// a client take it. b begins with a head that the parser accepted. checkHead returns the
+// status and what follows the head.
+func checkHead(b []byte) (status int, rest []byte, err error) {
+	line, rest, ok := cutLine(b)
+	if status, err = parseStatus(line); err != nil {
+		return 0, nil, err
 	}
 	f := framing{status: status, old: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
-	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
+	for line, rest, ok = cutLine(rest); len(line) > 0; line, rest, ok = cutLine(rest) {
 		name, err := checkField(line)
 		if err != nil {
-			return err
+			return 0, nil, err
 		}
 		f.add(name, line)
 	}
-	return f.check()
+	if !ok {
+		return 0, nil, malformed("no end of the head")
+	}
+	return status, rest, f.check()
+}
+
+// checkHeads checks the heads of interim answers and of the answer after them.
+func checkHeads(b []byte) error {
+	for {
+		status, rest, err := checkHead(b)
+		if err != nil || status >= http.StatusOK {
+			return err
+		}
+		b = rest
+	}
+}
+
+// checkParsed checks an answer of which the bytes are not known: what the parser ignores,
+// such as a second statement of the length, is not seen.
+func checkParsed(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > lastStatus {
+		return malformed("status %d", resp.StatusCode)
+	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformed("field name %q", excerpt([]byte(name)))
+		}
+	}
+	return nil
 }
 
 // framing is what a head says about the end of its answer.
@@ -118,9 +146,9 @@
 
 func excerpt(b []byte) []byte { return b[:min(len(b), maxExcerptBytes)] }
 
-// cutLine returns the first line, without its end, and what follows. A line may end without
-// a carriage return (RFC 9112, 2.2).
-func cutLine(b []byte) (line, rest []byte) {
-	line, rest, _ = bytes.Cut(b, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest
+// cutLine returns the first line, without its end, and what follows; ok is false if the line
+// has no end. It may end without a carriage return (RFC 9112, 2.2).
+func cutLine(b []byte) (line, rest []byte, ok bool) {
+	line, rest, ok = bytes.Cut(b, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest, ok
 }
--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -48,8 +48,12 @@
 		case err != nil:
 			return nil, r.in.cause(err)
 		}
-		if err := checkHead(r.in.recorded[:len(r.in.recorded)-r.Buffered()]); err != nil {
+		_, rest, err := checkHead(r.in.recorded[:len(r.in.recorded)-r.Buffered()])
+		switch {
+		case err != nil:
 			return nil, err
+		case len(rest) > 0:
+			return nil, malformed("head with two ends")
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return withTrailerCheck(resp, r.in), nil
