gossip: a malformed answer of a peer is no state

A host that pulls the state from a peer took an update from an answer whose field name holds a blank, whose reason holds a NUL or whose framing contradicts itself, and the addresses to ask next from a refusal with such a line.

The client of net/http parses as the readers of targets did; it has the transport of httpanswer now. The error is one of a pull that failed: another peer is asked, or the store. Heartbeats are datagrams with a decoder of their own and are not concerned.

The spec failed before (NUL in the reason: an update and no error). Twelve malformed answers and a sound one pass.

--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 )
 
 const (
@@ -163,9 +164,9 @@
 
 // NewPuller returns a Puller that opens a connection for each pull.
 func NewPuller() *Puller {
-	return &Puller{client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
+	return &Puller{client: &http.Client{Timeout: pullTimeout, Transport: httpanswer.NewTransport(&http.Transport{
 		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})}}
 }
 
 // Pull requests what a host at a position lacks from the peer at an IP:port. It returns a
