platform client: a malformed answer of the configuration service is no value

A host of the JSON interface took the configuration or the host list from an answer whose field name holds a blank or whose framing contradicts itself, and "no newer version" from a 304 with such a line. After 101 it waited for the bytes of another protocol, and the call did not end with its context.

The client of net/http parses as the readers of targets did; for 101 it gives up the connection, on which no deadline is set any more. It has the transport of httpanswer now: the call fails, its connection ends, and Watch calls again after 500 ms with the values in force unchanged.

The test failed before: the first answers were values without an error, and the one with 101 ended with the time limit of go test.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 )
 
 // WatchWait is the time for which the service holds one long poll of Watch. It is
@@ -53,7 +54,7 @@
 	c := &Client{url: url}
 	// With DisableCompression unset, the transport requests gzip and decompresses
 	// the answers.
-	c.http = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4, DialContext: c.dial}}
+	c.http = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxConnsPerHost: 4, DialContext: c.dial})}
 	return c
 }
 
