--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/internal/wire"
 	"github.com/lacewingyard/lacewingyard/pkg/coverage"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
@@ -95,19 +96,19 @@
 // the given number of connections of its own, 0 for no limit. With a nil dial, net/http
 // dials. Unlike Pool, the client does not probe connections or detect silent ones.
 func NewClient(address string, connections int, dial Dialer) *Client {
-	return &Client{base: "http://" + address, transport: &http.Transport{
+	return &Client{base: "http://" + address, transport: httpanswer.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}
+	})}
 }
 
 // Close closes the idle connections of a client from NewClient. It has no effect on a
 // client from Pool.Acquire.
 func (c *Client) Close() {
-	if t, ok := c.transport.(*http.Transport); ok {
+	if t, ok := c.transport.(*httpanswer.Transport); ok {
 		t.CloseIdleConnections()
 	}
 }
