Command line, demo and load tool: a malformed answer of a host is an error

The commands that ask a host (edge-status, entries and others) printed an empty state and succeeded after an answer whose field name holds a blank, whose reason holds a NUL or whose framing contradicts itself, and "no error body" after status 000.

They used net/http as it is. callHost, the demo's clients and the callers of the load tool have the transport of httpanswer now, and ReadAnswer reads a body to its end.

--- a/cmd/lacewingyard/client.go
+++ b/cmd/lacewingyard/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/spf13/cobra"
 )
 
@@ -31,7 +32,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err := (&http.Client{Timeout: clientTimeout}).Do(req)
+	resp, err := (&http.Client{Transport: httpanswer.DefaultTransport, Timeout: clientTimeout}).Do(req)
 	if err != nil {
 		return err
 	}
--- a/cmd/lacewingyard/demo.go
+++ b/cmd/lacewingyard/demo.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/lacewingyard/lacewingyard/internal/demo"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/spf13/cobra"
 )
@@ -109,7 +110,7 @@
 		return usageError{err}
 	}
 	opts := demo.Options{
-		Queries: f.queries, Timeout: demoCheckTimeout, HTTPClient: http.DefaultClient, Progress: os.Stderr,
+		Queries: f.queries, Timeout: demoCheckTimeout, HTTPClient: &http.Client{Transport: httpanswer.DefaultTransport}, Progress: os.Stderr,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "lacewingyard", Level: hclog.LevelFromString(string(*f.logLevel)), Output: os.Stderr}),
 		Rand:   rand.New(rand.NewPCG(deployment.Model.Seed, 2)),
 	}
--- a/internal/api/handle.go
+++ b/internal/api/handle.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -120,5 +121,9 @@
 	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
 		return fmt.Errorf("decode answer: %w", err)
 	}
+	// The decoder stops before the last chunk and the trailer.
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("end of the answer: %w", err)
+	}
 	return nil
 }
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lacewingyard/lacewingyard/internal/api"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/pkg/outcome"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
@@ -57,10 +58,10 @@
 func newCaller(delay time.Duration, seeds func() []string, rng *rand.Rand) *caller {
 	return &caller{
 		delay: delay, seeds: seeds, rng: rng,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			MaxIdleConnsPerHost: 1024, DisableCompression: true,
-		}},
+		})},
 	}
 }
 
--- a/internal/demo/tenants.go
+++ b/internal/demo/tenants.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/api"
 	"github.com/lacewingyard/lacewingyard/internal/daemon"
 	"github.com/lacewingyard/lacewingyard/internal/fleet"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 	"github.com/lacewingyard/lacewingyard/pkg/tenant"
 )
@@ -54,7 +55,7 @@
 func (k keyTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req = req.Clone(req.Context())
 	req.Header.Set(api.HeaderAuthorization, tenant.Scheme+" "+string(k))
-	return http.DefaultTransport.RoundTrip(req)
+	return httpanswer.DefaultTransport.RoundTrip(req)
 }
 
 // write writes each key to a file of its own.
