--- a/cmd/lacewingyard/edgestop_test.go
+++ b/cmd/lacewingyard/edgestop_test.go
@@ -24,6 +24,7 @@
 	cmd    *exec.Cmd
 	output bytes.Buffer
 	target *platformtest.Target
+	store  *platformtest.Store
 }
 
 // edgeGrace is the grace period of an edgeProcess.
@@ -41,7 +42,7 @@
 	store, err := platformtest.NewStore("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(store.Close)
-	p := &edgeProcess{}
+	p := &edgeProcess{store: store}
 	p.target, err = platformtest.NewTarget("127.0.0.1:0", "once-0", platformtest.AtMostOnceService, "a", time.Millisecond, &platformtest.RunLog{})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(p.target.Close)
