--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -5,15 +5,18 @@
 	"context"
 	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer/answertest"
+	"golang.org/x/net/http/httpguts"
 )
 
 // FuzzTargetAnswer sends arbitrary bytes as the answer of a target. It guards against an
-// answer that ends the process, that fills its memory, or that counts as the answer to a
-// request which it does not name.
+// answer that ends the process, that fills its memory, that counts as the answer to a request
+// which it does not name, or that counts as an answer or a refusal although it is malformed.
 func FuzzTargetAnswer(f *testing.F) {
 	head := "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p-1\r\n"
 	for _, seed := range []string{
@@ -31,6 +34,10 @@
 	} {
 		f.Add([]byte(seed))
 	}
+	for _, text := range answertest.Malformed("ok") {
+		line, rest, _ := strings.Cut(text, "\r\n")
+		f.Add([]byte(line + "\r\nId: 1\r\nProof: p-1\r\n" + rest))
+	}
 	shared := &backend.Shared{Codec: codec{}, Bodies: backend.NewBodies(0)}
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -58,6 +65,17 @@
 		if used := after.TotalAlloc - before.TotalAlloc; used > 2<<20+8*uint64(len(answer)) {
 			t.Fatalf("%d bytes for an answer of %d bytes", used, len(answer))
 		}
+		if result.Kind < backend.Refused {
+			return
+		}
+		if result.Status < 200 || result.Status > 599 {
+			t.Fatalf("%v with status %d", result.Kind, result.Status)
+		}
+		for name, values := range result.Header {
+			if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(strings.Join(values, "")) {
+				t.Fatalf("%v with field %q: %q", result.Kind, name, values)
+			}
+		}
 		if result.Kind != backend.Success {
 			return
 		}
