httpanswer: ErrMalformed is found by the standard library's errors.Is

A mark is seen only by the errors package that sets it. The errors wrap ErrMalformed now, and quote the parser's error as text, so that nothing in it decides.

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -14,7 +14,7 @@
 
 // malformed returns an ErrMalformed that states what is wrong.
 func malformed(format string, args ...any) error {
-	return errors.Mark(errors.Newf("malformed answer: "+format, args...), ErrMalformed)
+	return errors.Newf("%w: "+format, append([]any{ErrMalformed}, args...)...)
 }
 
 // lastStatus is the highest status code of HTTP (RFC 9110, 15).
--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -91,7 +91,7 @@
 	if s.failed {
 		return err
 	}
-	return malformed("%w", err)
+	return malformed("%v", err)
 }
 
 // Read implements io.Reader.
