Soak: targets and stores whose answers are malformed

A link fault in which answers get an impossible status, a malformed field name or length, a malformed interim head or 101, in turn. A caller that gets bytes which are no answer, or another body than the target's under its digest, is a violation; the checker compared bodies of fan-outs only. Specs of the checker that have a success give it its body.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
@@ -98,12 +101,19 @@
 	defer c.mu.Unlock()
 	call := c.calls[id]
 	call.Reply = r
-	if r.Status != 200 {
+	switch {
+	case errors.Is(r.Err, httpanswer.ErrMalformed):
+		c.fail("call %s was answered with bytes that are no answer: %v", id, r.Err)
+		return
+	case r.Status != 200:
 		return
 	}
 	if call.forwarded() {
-		if r.Digest != platformtest.Digest(platformtest.AtMostOnceService, id) {
+		switch {
+		case r.Digest != platformtest.Digest(platformtest.AtMostOnceService, id):
 			c.fail("call %s was answered with the digest %q of another request", id, r.Digest)
+		case !bytes.Equal(r.Body, platformtest.Body(platformtest.AtMostOnceService, call.URI)):
+			c.fail("call %s was answered with a body of %d bytes that is not the target's", id, len(r.Body))
 		}
 		return
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/internal/soak"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 	. "github.com/onsi/ginkgo/v2"
@@ -40,9 +41,17 @@
 	}
 
 	It("reports nothing if all guarantees hold", func() {
-		c.RecordReply("p", platformtest.Reply{Status: 200, Digest: platformtest.Digest(platformtest.AtMostOnceService, "p")})
+		c.RecordReply("p", platformtest.Reply{Status: 200, Digest: platformtest.Digest(platformtest.AtMostOnceService, "p"), Body: platformtest.Body(platformtest.AtMostOnceService, "/once/p")})
 		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p")})).To(BeEmpty())
 	})
+	It("reports a body that is not the target's", func() {
+		c.RecordReply("p", platformtest.Reply{Status: 200, Digest: platformtest.Digest(platformtest.AtMostOnceService, "p"), Body: platformtest.Body(platformtest.AtMostOnceService, "/once/q")})
+		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p")})).To(HaveLen(1))
+	})
+	It("reports bytes that are no answer", func() {
+		c.RecordReply("p", platformtest.Reply{Err: fmt.Errorf("call: %w", httpanswer.ErrMalformed)})
+		Expect(c.Finish(nil)).To(HaveLen(1))
+	})
 	It("reports a request that ran twice", func() {
 		Expect(c.Finish([]platformtest.Run{run("p", "POST", "/once/p"), run("p", "POST", "/once/p")})).To(HaveLen(1))
 	})
@@ -93,7 +102,7 @@
 			next++
 			id := fmt.Sprint("n", next)
 			c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once", Host: host, Sent: now.Add(at), Killer: killer})
-			c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id)})
+			c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id), Body: platformtest.Body(platformtest.AtMostOnceService, "/once")})
 			received = append(received, platformtest.Run{Target: "t", Service: platformtest.AtMostOnceService, ID: id, At: now.Add(at)})
 		}
 		notice := func(n soak.Notice) {
@@ -185,7 +194,7 @@
 		It("counts the answers of a stopping host by what they promise, until it has ended", func() {
 			for id, status := range map[string]int{"a": 200, "b": 503, "c": 502, "d": 0} {
 				c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once/" + id, Host: host, Sent: now.Add(time.Second)})
-				c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id)})
+				c.RecordReply(id, platformtest.Reply{Status: status, Digest: platformtest.Digest(platformtest.AtMostOnceService, id), Body: platformtest.Body(platformtest.AtMostOnceService, "/once/"+id)})
 			}
 			for id, err := range map[string]error{"crossed": io.EOF, "late": context.DeadlineExceeded, "no listener": &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}} {
 				c.RecordCall(soak.Call{ID: id, Method: "POST", URI: "/once/" + id, Host: host, Sent: now.Add(time.Second)})
--- a/internal/soak/corrupt.go
+++ b/internal/soak/corrupt.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -34,6 +35,10 @@
 			time.Sleep(trickleInterval)
 		}
 		return true
+	case Malformed:
+		malform := malformations[p.malformed.Add(1)%uint64(len(malformations))]
+		_, err := io.WriteString(to, malform(string(data)))
+		return err == nil
 	default: // LateCopy
 		second := append([]byte(nil), data...)
 		time.AfterFunc(lateCopyDelay, func() { _, _ = to.Write(second) })
@@ -42,6 +47,29 @@
 	}
 }
 
+// malformations turn an answer into one that is malformed but still has what identifies it.
+var malformations = []func(answer string) string{
+	func(answer string) string { return replaceStatus(answer, "000") },
+	func(answer string) string { return replaceStatus(answer, "999") },
+	func(answer string) string { return insertLine(answer, "Spoilt Name: x") },
+	func(answer string) string { return insertLine(answer, "Spoilt\x01Name: x") },
+	func(answer string) string { return strings.Replace(answer, "Content-Length:", "Content-Length :", 1) },
+	func(answer string) string { return insertLine(answer, "Transfer-Encoding : chunked") },
+	func(answer string) string { return "HTTP/1.1 103 Early Hints\r\nSpoilt Name: x\r\n\r\n" + answer },
+	func(answer string) string { return "HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer },
+}
+
+// replaceStatus replaces the status code of an answer.
+func replaceStatus(answer, code string) string {
+	version, rest, _ := strings.Cut(answer, " ")
+	return version + " " + code + rest[min(len(rest), len(code)):]
+}
+
+// insertLine inserts a line after the status line of an answer.
+func insertLine(answer, line string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1)
+}
+
 // fill writes a head and then filler until the other side closes the connection or the
 // mode ends.
 func (p *Proxy) fill(to net.Conn, head, filler string) bool {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,7 @@
 	LateCopy    // each answer is followed by a second copy
 	CutOff      // answers break off
 	Trickle     // answers arrive byte by byte
+	Malformed   // answers have one of malformations, in turn
 	linkModes   // number of modes
 )
 
@@ -51,6 +53,7 @@
 	// resumed is when SuspendAccept last ended. Connections that were accepted before are stale.
 	resumed time.Time
 
+	malformed atomic.Uint64 // answers sent in mode Malformed
 	accepting chan struct{} // holds a token while connections are accepted
 }
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/internal/soak"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -62,6 +63,10 @@
 		Expect(len(read(soak.CutOff, within, atMost))).To(BeNumerically("<", len(answer)))
 		Expect(len(read(soak.Trickle, within, atMost))).To(BeNumerically("<", 4))
 		Expect(read(soak.OneWay, within, atMost)).To(BeEmpty())
+		malformed := read(soak.Malformed, within, atMost)
+		Expect(malformed).To(ContainSubstring("hello"))
+		_, err := httpanswer.NewReader(bytes.NewReader(malformed), 4096).ReadAnswer(&http.Request{})
+		Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeTrue(), "%v", err)
 	})
 
 	It("lets connections time out while it accepts none, and accepts them again", func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
@@ -72,7 +73,7 @@
 	var nextID atomic.Int64
 	for i := range o.Callers {
 		c := &caller{fleet: s, place: fmt.Sprint("p", i%places), rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
-			client: &http.Client{Transport: &http.Transport{}}, nextID: &nextID, tenant: i}
+			client: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{})}, nextID: &nextID, tenant: i}
 		callers.Go(func() { c.run(calling) })
 	}
 	s.startKeepers(calling, &callers, o.Keepers, o.Seed, &nextID)
--- a/internal/soak/tenantcheck_test.go
+++ b/internal/soak/tenantcheck_test.go
@@ -30,7 +30,7 @@
 		next++
 		call := soak.Call{ID: fmt.Sprint("t", next), Method: "POST", URI: uri, Host: host, Key: key, Sent: start.Add(at)}
 		c.RecordCall(call)
-		c.RecordReply(call.ID, platformtest.Reply{Status: status, Challenge: "Bearer", RetryAfter: time.Second, Digest: platformtest.Digest(platformtest.AtMostOnceService, call.ID)})
+		c.RecordReply(call.ID, platformtest.Reply{Status: status, Challenge: "Bearer", RetryAfter: time.Second, Digest: platformtest.Digest(platformtest.AtMostOnceService, call.ID), Body: platformtest.Body(platformtest.AtMostOnceService, uri)})
 		if status != 200 {
 			return nil
 		}
