httpanswer: a malformed line ends an answer when it arrives

Callers got nothing until their time limit of 2 s from a target that sends a status line with 000, or a field name with a blank, and then no end of the head: a head was checked once it was complete, and the parser waits for the rest.

The bytes are now checked line by line as they arrive, below the parser, on own connections and on those of net/http alike. A connection of net/http passes the malformed line on before the error, because the client sends a request again whose connection fails without a byte.

No copy of the heads is kept any more.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -42,6 +42,8 @@
 	"another protocol that nobody asked for":   "HTTP/1.1 101 Switching Protocols\r\nFIELDSUpgrade: x\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 	"another major version":                    "HTTP/2.0 200 OK\r\nFIELDSLENGTH\r\nBODY",
 	"a control byte in the reason":             "HTTP/1.1 200 O\x00K\r\nFIELDSLENGTH\r\nBODY",
+	"status 000 and then nothing":              "HTTP/1.1 000 OK\r\nFIELDS",
+	"a malformed name and then nothing":        "HTTP/1.1 200 OK\r\nFIELDSX A: b\r\n",
 	"a blank before a colon":                   "HTTP/1.1 200 OK\r\nFIELDSLENGTHX-A : b\r\n\r\nBODY",
 	"a blank in a name":                        "HTTP/1.1 200 OK\r\nFIELDSLENGTHX A: b\r\n\r\nBODY",
 	"a tab in a name":                          "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\tA: b\r\n\r\nBODY",
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -20,37 +20,71 @@
 // lastStatus is the highest status code of HTTP (RFC 9110, 15).
 const lastStatus = 599
 
-// checkHead checks what the parser of net/http accepts although RFC 9110 and 9112 do not let
-// a client take it. b begins with a head that the parser accepted. checkHead returns the
-// status and what follows the head.
-func checkHead(b []byte) (status int, rest []byte, err error) {
-	line, rest, ok := cutLine(b)
-	if status, err = parseStatus(line); err != nil {
-		return 0, nil, err
+// headScanner checks the heads of an answer, and of interim answers before it, while their
+// bytes arrive: a malformed line counts although the rest of the head does not come. It checks
+// what the parser of net/http accepts although RFC 9110 and 9112 do not let a client take it.
+type headScanner struct {
+	line    []byte  // what has come of a line that arrives in parts
+	inHead  bool    // a status line has come, and the empty line after the fields has not
+	framing framing // of the head
+	done    bool    // the head of the answer is complete
+	err     error   // an ErrMalformed once a line is malformed
+}
+
+// maxKeptLine bounds the memory for a line that a connection keeps for the next answer.
+const maxKeptLine = 1 << 10
+
+// reset prepares for the next answer.
+func (s *headScanner) reset() {
+	kept := s.line[:0]
+	if cap(kept) > maxKeptLine {
+		kept = nil
 	}
-	f := framing{status: status, old: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
-	for line, rest, ok = cutLine(rest); len(line) > 0; line, rest, ok = cutLine(rest) {
-		name, err := checkField(line)
-		if err != nil {
-			return 0, nil, err
+	*s = headScanner{line: kept}
+}
+
+// scan checks the bytes after those that it has got before. It ignores what follows the head of
+// the answer.
+func (s *headScanner) scan(b []byte) {
+	for !s.done && s.err == nil {
+		line, rest, ok := bytes.Cut(b, []byte("\n"))
+		if !ok {
+			s.line = append(s.line, b...)
+			return
 		}
-		f.add(name, line)
+		if len(s.line) > 0 {
+			s.line = append(s.line, line...)
+			line, s.line = s.line, s.line[:0]
+		}
+		// A line may end without a carriage return (RFC 9112, 2.2).
+		s.err = s.endLine(bytes.TrimSuffix(line, []byte("\r")))
+		b = rest
 	}
-	if !ok {
-		return 0, nil, malformed("no end of the head")
+}
+
+// endLine checks a line.
+func (s *headScanner) endLine(line []byte) error {
+	switch {
+	case !s.inHead:
+		status, err := parseStatus(line)
+		s.inHead, s.framing = true, framing{status: status, old: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
+		return err
+	case len(line) > 0:
+		name, err := checkField(line)
+		s.framing.add(name, line)
+		return err
+	default:
+		s.inHead, s.done = false, s.framing.status >= http.StatusOK
+		return s.framing.check()
 	}
-	return status, rest, f.check()
 }
 
-// checkHeads checks the heads of interim answers and of the answer after them.
-func checkHeads(b []byte) error {
-	for {
-		status, rest, err := checkHead(b)
-		if err != nil || status >= http.StatusOK {
-			return err
-		}
-		b = rest
+// result returns the error of an answer that the parser of net/http accepted.
+func (s *headScanner) result() error {
+	if s.err == nil && !s.done {
+		return malformed("no end of the head")
 	}
+	return s.err
 }
 
 // checkParsed checks an answer of which the bytes are not known: what the parser ignores,
@@ -119,7 +153,7 @@
 func parseStatus(line []byte) (int, error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) {
 		return 0, malformed("version %q", excerpt(version))
 	}
 	if !httpguts.ValidHeaderFieldValue(string(line)) { // a reason has the same bytes
@@ -133,7 +167,7 @@
 		status = 10*status + int(c-'0')
 	}
 	switch {
-	case status < http.StatusContinue || status > lastStatus:
+	case len(code) != 3 || status < http.StatusContinue || status > lastStatus:
 		return 0, malformed("status %q is outside the range of status codes", excerpt(code))
 	case status == http.StatusSwitchingProtocols:
 		return 0, malformed("status %q without a request to switch protocols", excerpt(code))
@@ -145,10 +179,3 @@
 const maxExcerptBytes = 40
 
 func excerpt(b []byte) []byte { return b[:min(len(b), maxExcerptBytes)] }
-
-// cutLine returns the first line, without its end, and what follows; ok is false if the line
-// has no end. It may end without a carriage return (RFC 9112, 2.2).
-func cutLine(b []byte) (line, rest []byte, ok bool) {
-	line, rest, ok = bytes.Cut(b, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest, ok
-}
--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -13,9 +13,6 @@
 // many short header lines take about twenty times their length.
 const MaxHeadBytes = 32 << 10
 
-// maxKeptBytes bounds the memory for a head that a connection keeps for the next one.
-const maxKeptBytes = 4 << 10
-
 // ErrTooLarge is the error of an answer whose head is longer than MaxHeadBytes.
 var ErrTooLarge = errors.New("answer head exceeds the size limit")
 
@@ -36,56 +33,49 @@
 // error is an ErrMalformed if the bytes are no answer, and ErrTooLarge if the head is too long.
 // Reading a body in chunks also returns an ErrMalformed.
 func (r *Reader) ReadAnswer(req *http.Request) (*http.Response, error) {
-	r.in.begin()
+	buffered, _ := r.Peek(r.Buffered()) // never fails
+	r.in.begin(buffered)
 	defer r.in.end()
 	for {
-		buffered, _ := r.Peek(r.Buffered()) // never fails
-		r.in.record(buffered)
 		resp, err := http.ReadResponse(r.Reader, req)
 		switch {
+		case r.in.head.err != nil:
+			return nil, r.in.head.err
 		case err != nil && r.in.exceeded: // the parser may report that the last line is malformed instead
 			return nil, ErrTooLarge
 		case err != nil:
 			return nil, r.in.cause(err)
+		case resp.StatusCode < http.StatusOK:
+			continue
 		}
-		_, rest, err := checkHead(r.in.recorded[:len(r.in.recorded)-r.Buffered()])
-		switch {
-		case err != nil:
+		if err := r.in.head.result(); err != nil {
 			return nil, err
-		case len(rest) > 0:
-			return nil, malformed("head with two ends")
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return withTrailerCheck(resp, r.in), nil
 		}
+		return withTrailerCheck(resp, r.in), nil
 	}
 }
 
-// source is the connection of a Reader. While a head is read, it keeps the bytes, because
-// the parser of net/http drops what it cannot use.
+// source is the connection of a Reader.
 type source struct {
 	r        io.Reader
 	left     int64 // bytes that may be read
 	exceeded bool
-	failed   bool   // a read returned an error
-	heads    bool   // heads are being read
-	recorded []byte // of the current head, and what was read beyond it
+	failed   bool // a read returned an error
+	inHeads  bool // heads are being read
+	head     headScanner
 }
 
-// begin bounds the following reads to MaxHeadBytes.
-func (s *source) begin() { s.left, s.exceeded, s.failed, s.heads = MaxHeadBytes, false, false, true }
-
-// record begins to keep the bytes of a head, of which some are buffered already.
-func (s *source) record(buffered []byte) { s.recorded = append(s.recorded[:0], buffered...) }
-
-// end removes the bound and keeps no more bytes.
-func (s *source) end() {
-	s.left, s.heads = math.MaxInt64, false
-	if cap(s.recorded) > maxKeptBytes {
-		s.recorded = nil
-	}
+// begin bounds the following reads to MaxHeadBytes, and checks them after the bytes that are
+// buffered already.
+func (s *source) begin(buffered []byte) {
+	s.left, s.exceeded, s.failed, s.inHeads = MaxHeadBytes, false, false, true
+	s.head.reset()
+	s.head.scan(buffered)
 }
 
+// end removes the bound.
+func (s *source) end() { s.left, s.inHeads = math.MaxInt64, false }
+
 // cause returns err, the error of a parser, as an ErrMalformed unless a read failed.
 func (s *source) cause(err error) error {
 	if s.failed {
@@ -96,15 +86,18 @@
 
 // Read implements io.Reader.
 func (s *source) Read(p []byte) (int, error) {
-	if s.left <= 0 {
+	switch {
+	case s.inHeads && s.head.err != nil:
+		return 0, s.head.err
+	case s.left <= 0:
 		s.exceeded = true
 		return 0, ErrTooLarge
 	}
 	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
 	s.failed = s.failed || err != nil
-	if s.heads {
-		s.recorded = append(s.recorded, p[:n]...)
+	if s.inHeads {
+		s.head.scan(p[:n])
 	}
 	return n, err
 }
--- a/internal/httpanswer/reader_test.go
+++ b/internal/httpanswer/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -158,6 +159,24 @@
 	}
 }
 
+// Guards against a request that waits for the rest of a head of which a line is malformed.
+func TestReadAnswerRefusesAMalformedLineAtOnce(t *testing.T) {
+	for _, start := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nA: b\r\nX A: b\r\n", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 999 x\r\n"} {
+		g := NewWithT(t)
+		client, server := net.Pipe()
+		go func() { _, _ = io.WriteString(server, start) }()
+		result := make(chan error, 1)
+		go func() {
+			_, err := httpanswer.NewReader(client, 16).ReadAnswer(&http.Request{})
+			result <- err
+		}()
+		var err error
+		g.Eventually(result, "5s").Should(Receive(&err), "%q", start)
+		g.Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeTrue(), "%q: %v", start, err)
+		_, _ = client.Close(), server.Close()
+	}
+}
+
 // Guards against heads that take memory without bound, whatever interim answers come before.
 func TestReadAnswerBoundsHeads(t *testing.T) {
 	for _, text := range []string{
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &recordedConn{Conn: c}, nil
+		return &checkedConn{Conn: c}, nil
 	}
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
@@ -41,19 +41,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn *recordedConn // nil over TLS
+	var conn *checkedConn // nil over TLS
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, _ = info.Conn.(*recordedConn); conn != nil {
+		if conn, _ = info.Conn.(*checkedConn); conn != nil {
 			conn.begin()
 		}
 	}}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
-	}
-	if conn != nil {
-		err = checkHeads(conn.end())
-	} else {
+	case conn != nil:
+		err = conn.end()
+	default:
 		err = checkParsed(resp)
 	}
 	if err != nil {
@@ -66,38 +66,52 @@
 	return withTrailerCheck(resp, nil), nil
 }
 
-// recordedConn is a connection of a Transport. From the start of a request to the head of its
-// answer it keeps what it reads.
-type recordedConn struct {
+// checkedConn is a connection of a Transport. From the start of a request to the head of its
+// answer it checks what it reads.
+type checkedConn struct {
 	net.Conn
-	mu        sync.Mutex
-	recording bool
-	recorded  []byte
+	mu      sync.Mutex
+	inHeads bool
+	head    headScanner
+}
+
+// begin begins to check what is read.
+func (c *checkedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHeads = true
+	c.head.reset()
 }
 
-// begin begins to keep what is read.
-func (c *recordedConn) begin() {
+// end returns the error of the heads, and checks no more.
+func (c *checkedConn) end() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recording, c.recorded = true, nil
+	c.inHeads = false
+	return c.head.result()
 }
 
-// end returns what was read, which begins with the heads, and keeps no more.
-func (c *recordedConn) end() []byte {
+// fault returns the error of the heads so far.
+func (c *checkedConn) fault() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	recorded := c.recorded
-	c.recording, c.recorded = false, nil
-	return recorded
+	if !c.inHeads {
+		return nil
+	}
+	return c.head.err
 }
 
-// Read implements net.Conn.
-func (c *recordedConn) Read(p []byte) (int, error) {
+// Read implements net.Conn. It returns a malformed line before the error: net/http takes an
+// error without bytes for a connection that was closed while idle, and sends the request again.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	if err := c.fault(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.recording {
-		c.recorded = append(c.recorded, p[:n]...)
+	if c.inHeads {
+		c.head.scan(p[:n])
 	}
 	return n, err
 }
--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,6 +69,30 @@
 	}
 }
 
+// Guards against a call that waits for the rest of a head of which a line is malformed, and
+// against one that net/http sends again.
+func TestTransportRefusesAMalformedLineAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	var requests atomic.Int64
+	s, err := answertest.NewServer(func(r *http.Request) string {
+		requests.Add(1)
+		if r.URL.Query().Get("text") == "sound" {
+			return answertest.Sound("ok")
+		}
+		return "HTTP/1.1 200 OK\r\nX A: b\r\n"
+	}, false)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = s.Close() }()
+	client := &http.Client{Transport: httpanswer.NewTransport(&http.Transport{}), Timeout: 5 * time.Second}
+	_, err = get(client, s, "sound") // so that the connection is used again
+	g.Expect(err).NotTo(HaveOccurred())
+	began := time.Now()
+	_, err = get(client, s, "malformed")
+	g.Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeTrue(), "%v", err)
+	g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	g.Expect(requests.Load()).To(BeEquivalentTo(2))
+}
+
 // Guards against a connection that goes on after a malformed answer without a body, and against
 // one that ends after a sound answer.
 func TestTransportEndsTheConnectionOfAMalformedAnswerOnly(t *testing.T) {
