Soak: chunks under a malformed field name, which show in the body

The proxy's malformed answers had a sound length beside them, so that hosts which take them passed sound bodies on. One in eight has chunks under a malformed name of the coding now, and ends its connection.

--- a/internal/soak/corrupt.go
+++ b/internal/soak/corrupt.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -37,8 +38,9 @@
 		return true
 	case Malformed:
 		malform := malformations[p.malformed.Add(1)%uint64(len(malformations))]
-		_, err := io.WriteString(to, malform(string(data)))
-		return err == nil
+		answer := malform(string(data))
+		_, err := io.WriteString(to, answer)
+		return err == nil && !strings.Contains(answer, connectionClose)
 	default: // LateCopy
 		second := append([]byte(nil), data...)
 		time.AfterFunc(lateCopyDelay, func() { _, _ = to.Write(second) })
@@ -47,6 +49,9 @@
 	}
 }
 
+// connectionClose is a field of answers after which the connection ends.
+const connectionClose = "Connection: close\r\n"
+
 // malformations turn an answer into one that is malformed but still has what identifies it.
 var malformations = []func(answer string) string{
 	func(answer string) string { return replaceStatus(answer, "000") },
@@ -54,7 +59,7 @@
 	func(answer string) string { return insertLine(answer, "Spoilt Name: x") },
 	func(answer string) string { return insertLine(answer, "Spoilt\x01Name: x") },
 	func(answer string) string { return strings.Replace(answer, "Content-Length:", "Content-Length :", 1) },
-	func(answer string) string { return insertLine(answer, "Transfer-Encoding : chunked") },
+	func(answer string) string { return inChunks(answer, "Transfer-Encoding : chunked") },
 	func(answer string) string { return "HTTP/1.1 103 Early Hints\r\nSpoilt Name: x\r\n\r\n" + answer },
 	func(answer string) string { return "HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer },
 }
@@ -70,6 +75,16 @@
 	return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1)
 }
 
+// inChunks replaces the length of an answer by chunks, which a line announces.
+func inChunks(answer, line string) string {
+	head, body, ok := strings.Cut(answer, "\r\n\r\n")
+	if !ok {
+		return insertLine(answer, line)
+	}
+	head = strings.Replace(head, "Content-Length:", "Former-Length:", 1)
+	return fmt.Sprintf("%s\r\n%s\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", head, line, connectionClose, len(body), body)
+}
+
 // fill writes a head and then filler until the other side closes the connection or the
 // mode ends.
 func (p *Proxy) fill(to net.Conn, head, filler string) bool {
