Test: specs of malformed answers take the platform's names from its test package

The header for "not run" and the fields of routes stood in internal/edge. platformtest.AddRoute adds a route of each kind to a configuration document.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -27,40 +27,40 @@
 )
 
 // malformedAnswers are texts that are no answers, by what is wrong with them. FIELDS stands for
-// the fields that identify an answer, LENGTH for the length of its body, BODY for 128 bytes and
+// the fields that identify an answer, NOTRUN for the one that says "not run", LENGTH for the length of its body, BODY for 128 bytes and
 // CHUNKS for the same in chunks. The target closes the connection after a text with "close".
 var malformedAnswers = map[string]string{
 	"status 000":                               "HTTP/1.1 000 OK\r\nFIELDSLENGTH\r\nBODY",
 	"status 000 without a body":                "HTTP/1.1 000 OK\r\nFIELDSContent-Length: 0\r\n\r\n",
 	"status 000 and the end of the connection": "HTTP/1.1 000 OK\r\nFIELDSConnection: close\r\n\r\nBODY",
 	"status 000 with an answer as its body":    "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
-	"status 000 that says not run":             "HTTP/1.1 000 Full\r\nFIELDSNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"status 000 that says not run":             "HTTP/1.1 000 Full\r\nFIELDSNOTRUNContent-Length: 0\r\n\r\n",
 	"status 099":                               "HTTP/1.1 099 OK\r\nFIELDSLENGTH\r\nBODY",
 	"a signed status":                          "HTTP/1.1 +99 OK\r\nFIELDSLENGTH\r\nBODY",
 	"status 600":                               "HTTP/1.1 600 OK\r\nFIELDSLENGTH\r\nBODY",
-	"status 999 that says not run":             "HTTP/1.1 999 Full\r\nFIELDSNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"status 999 that says not run":             "HTTP/1.1 999 Full\r\nFIELDSNOTRUNContent-Length: 0\r\n\r\n",
 	"another protocol that nobody asked for":   "HTTP/1.1 101 Switching Protocols\r\nFIELDSUpgrade: x\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 	"another major version":                    "HTTP/2.0 200 OK\r\nFIELDSLENGTH\r\nBODY",
 	"a control byte in the reason":             "HTTP/1.1 200 O\x00K\r\nFIELDSLENGTH\r\nBODY",
 	"status 000 and then nothing":              "HTTP/1.1 000 OK\r\nFIELDS",
 	"a malformed name and then nothing":        "HTTP/1.1 200 OK\r\nFIELDSX A: b\r\n",
-	"a blank before a colon":                   "HTTP/1.1 200 OK\r\nFIELDSLENGTHX-A : b\r\n\r\nBODY",
-	"a blank in a name":                        "HTTP/1.1 200 OK\r\nFIELDSLENGTHX A: b\r\n\r\nBODY",
+	"a space before a colon":                   "HTTP/1.1 200 OK\r\nFIELDSLENGTHX-A : b\r\n\r\nBODY",
+	"a space in a name":                        "HTTP/1.1 200 OK\r\nFIELDSLENGTHX A: b\r\n\r\nBODY",
 	"a tab in a name":                          "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\tA: b\r\n\r\nBODY",
 	"a NUL in a name":                          "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\x00A: b\r\n\r\nBODY",
 	"a carriage return in a name":              "HTTP/1.1 200 OK\r\nFIELDSLENGTHX\rA: b\r\n\r\nBODY",
-	"a blank after the name of the length":     "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 16\r\nConnection: close\r\n\r\nBODY",
+	"a space after the name of the length":     "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 16\r\nConnection: close\r\n\r\nBODY",
 	"the same, and no end of the connection":   "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 128\r\n\r\nBODY",
-	"a blank after the name of the coding":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
+	"a space after the name of the coding":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
 	"a coding in HTTP/1.0":                     "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nConnection: close\r\n\r\nCHUNKS\r\n",
 	"a coding and a length":                    "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nCHUNKS\r\n",
-	"a blank in the name of a trailer":         "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nCHUNKSX A: b\r\n\r\n",
+	"a space in the name of a trailer":         "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nCHUNKSX A: b\r\n\r\n",
 	"a chunk without a size":                   "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n\r\nCHUNKS\r\n",
 	"two lengths":                              "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 16\r\nLENGTH\r\nBODY",
 	"a signed length":                          "HTTP/1.1 200 OK\r\nFIELDSContent-Length: +128\r\n\r\nBODY",
 	"a length, but no content":                 "HTTP/1.1 204 No Content\r\nFIELDSLENGTH\r\nBODY",
 	"a length in an interim head":              "HTTP/1.1 103 Early Hints\r\nLENGTH\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
-	"a malformed name that says not run":       "HTTP/1.1 503 Full\r\nFIELDSNot-Executed: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+	"a malformed name that says not run":       "HTTP/1.1 503 Full\r\nFIELDSNOTRUNX A: b\r\nContent-Length: 0\r\n\r\n",
 	"a malformed name in an interim head":      "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSLENGTH\r\nBODY",
 }
 
@@ -105,21 +105,11 @@
 // addMalformedRoutes publishes a configuration with routes for each case and kind.
 func (f *fixture) addMalformedRoutes(cases []malformedCase) {
 	document := platformtest.Config(2, shards, malformedTimeout)
-	routes, services := document["routes"].([]map[string]any), document["services"].([]map[string]any)
-	fanOut, single, service := routes[0], routes[1], services[0]
-	add := func(c malformedCase, kind string, like, with map[string]any) {
-		route, s := maps.Clone(like), maps.Clone(service)
-		route["name"], route["prefix"] = c.service(kind), c.prefix(kind)
-		maps.Copy(route, with)
-		s["name"] = c.service(kind)
-		routes, services = append(routes, route), append(services, s)
-	}
 	for _, c := range cases {
-		add(c, itemKind, single, map[string]any{"service": c.service(itemKind), "route_type": "idempotent"})
-		add(c, onceKind, single, map[string]any{"service": c.service(onceKind)})
-		add(c, partKind, fanOut, map[string]any{"gather": c.shards()})
+		platformtest.AddRoute(document, c.service(itemKind), c.prefix(itemKind), true)
+		platformtest.AddRoute(document, c.service(onceKind), c.prefix(onceKind), false)
+		platformtest.AddRoute(document, c.service(partKind)+"s", c.prefix(partKind), true, c.shards()...)
 	}
-	document["routes"], document["services"] = routes, services
 	f.store.Put(platformtest.ConfigKey, document)
 	last := cases[len(cases)-1]
 	Eventually(func() int {
@@ -141,7 +131,7 @@
 			}
 			body := string(platformtest.Records(service, r.RequestURI, 8))
 			_, fields, _ := strings.Cut(platformtest.AnswerHead(service, r), "\r\n")
-			_, err := io.WriteString(c, strings.NewReplacer("FIELDS", fields, "LENGTH", fmt.Sprintf("Content-Length: %d\r\n", len(body)),
+			_, err := io.WriteString(c, strings.NewReplacer("FIELDS", fields, "NOTRUN", platformtest.NotRunField, "LENGTH", fmt.Sprintf("Content-Length: %d\r\n", len(body)),
 				"BODY", body, "CHUNKS", fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)).Replace(answer))
 			return err == nil && !strings.Contains(answer, "close")
 		})
