httpanswer: check the bytes of answers over TLS as well

A host whose configuration service has an https URL took malformed answers that the parser of net/http accepts: over TLS only the parsed answer was checked.

Transport opens TLS connections itself and checks what they decrypt; it speaks HTTP/1.1 on them. Behind a proxy net/http still opens them.

--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,8 +13,8 @@
 var DefaultTransport = NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 
 // Transport is an http.RoundTripper that returns an ErrMalformed for bytes that are no answer.
-// It bounds heads by MaxHeadBytes. Over TLS it does not see fields that the parser of net/http
-// ignores. It is safe for concurrent use.
+// It bounds heads by MaxHeadBytes and speaks HTTP/1.1 only. Behind a proxy it does not see, over
+// TLS, fields that the parser of net/http ignores. It is safe for concurrent use.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that uses base, which must not be used otherwise. A
@@ -30,18 +31,48 @@
 		}
 		return &checkedConn{Conn: c}, nil
 	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return handshake(ctx, c, base, address)
+	}
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
 	}
 	return &Transport{base}
 }
 
+// handshake returns a checked connection over TLS, or closes c.
+func handshake(ctx context.Context, c net.Conn, base *http.Transport, address string) (net.Conn, error) {
+	config := base.TLSClientConfig.Clone() // nil if there is none
+	if config == nil {
+		config = &tls.Config{}
+	}
+	config.NextProtos = []string{"http/1.1"}
+	if config.ServerName == "" {
+		config.ServerName, _, _ = net.SplitHostPort(address) // net/http always adds a port
+	}
+	if base.TLSHandshakeTimeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, base.TLSHandshakeTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	secure := tls.Client(c, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return &checkedConn{Conn: secure}, nil
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn *checkedConn // nil over TLS
+	var conn *checkedConn // nil over TLS behind a proxy
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, _ = info.Conn.(*checkedConn); conn != nil {
 			conn.begin()
--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -1,9 +1,12 @@
 package httpanswer_test
 
 import (
+	"crypto/tls"
 	"io"
 	"maps"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"slices"
 	"sync/atomic"
@@ -69,6 +72,54 @@
 	}
 }
 
+// Guards against answers over TLS of which only what the parser returns is checked.
+func TestTransportChecksAnswersOverTLS(t *testing.T) {
+	g := NewWithT(t)
+	texts := answertest.Malformed("ok")
+	texts["sound"] = answertest.Sound("ok")
+	plain := serveTexts(t, texts, true)
+	secure := httptest.NewTLSServer(nil) // for its certificate
+	defer secure.Close()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: secure.TLS.Certificates})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go forward(l, plain.Address())
+	base := secure.Client().Transport.(*http.Transport).Clone()
+	client := &http.Client{Transport: httpanswer.NewTransport(base), Timeout: 5 * time.Second}
+	for fault := range texts {
+		resp, err := client.Get("https://" + l.Addr().String() + "?" + url.Values{"text": {fault}}.Encode())
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		if fault == "sound" {
+			g.Expect(err).NotTo(HaveOccurred())
+			continue
+		}
+		g.Expect(errors.Is(err, httpanswer.ErrMalformed)).To(BeTrue(), "%s: %v", fault, err)
+	}
+}
+
+// forward passes the connections of a listener on to an address.
+func forward(l net.Listener, address string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			to, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			defer func() { _ = to.Close() }()
+			go func() { _, _ = io.Copy(to, c) }()
+			_, _ = io.Copy(c, to)
+		}()
+	}
+}
+
 // Guards against a call that waits for the rest of a head of which a line is malformed, and
 // against one that net/http sends again.
 func TestTransportRefusesAMalformedLineAtOnce(t *testing.T) {
