--- a/internal/soak/keeper.go
+++ b/internal/soak/keeper.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
@@ -26,6 +26,8 @@
 	maxLeaveDelay = 200 * time.Millisecond
 	// maxUnused is the longest time that a keeper leaves a new connection without a request.
 	maxUnused = 6 * time.Second
+	// readBufferSize, in bytes, holds a typical answer.
+	readBufferSize = 4 << 10
 )
 
 // keeper is a caller that opens connections ahead of its requests and goes on using them
@@ -40,7 +42,7 @@
 type keptConnection struct {
 	address string
 	conn    *net.TCPConn
-	in      *bufio.Reader
+	in      *httpanswer.Reader
 	useFrom time.Time // no request is sent on it before
 }
 
@@ -87,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &keptConnection{address: address, conn: conn.(*net.TCPConn), in: bufio.NewReader(conn)}, nil
+	return &keptConnection{address: address, conn: conn.(*net.TCPConn), in: httpanswer.NewReader(conn, readBufferSize)}, nil
 }
 
 // send makes a call on a connection and reports whether the connection can be used again.
@@ -122,7 +124,7 @@
 	if err := req.Write(c.conn); err != nil {
 		return failed(err)
 	}
-	resp, err := http.ReadResponse(c.in, req)
+	resp, err := c.in.ReadAnswer(req)
 	if err != nil {
 		return failed(err)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lacewingyard/lacewingyard/internal/httpanswer"
 	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
@@ -68,7 +69,7 @@
 )
 
 func newTestFleet(binary, dir string, hosts int, grace time.Duration) (*testFleet, error) {
-	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), book: newTenantBook(), client: &http.Client{Timeout: routeTimeout}}
+	s := &testFleet{dir: dir, binary: binary, grace: grace, runLog: &platformtest.RunLog{}, checker: NewChecker(), book: newTenantBook(), client: &http.Client{Transport: httpanswer.DefaultTransport, Timeout: routeTimeout}}
 	var err error
 	if s.raceDetector, err = hasRaceDetector(binary); err != nil {
 		return nil, errors.Wrapf(err, "read the build settings of %s", binary)
