--- a/internal/gossip/malformed_test.go
+++ b/internal/gossip/malformed_test.go
@@ -39,7 +39,7 @@
 		Expect(err).NotTo(HaveOccurred())
 
 		texts := answertest.Malformed(string(update))
-		texts["a blank in the refusal of a busy peer"] = "HTTP/1.1 429 Too Many Requests\r\nPeers: 10.0.0.1:1\r\nX A: b\r\nContent-Length: 0\r\n\r\n"
+		texts["a space in the refusal of a busy peer"] = "HTTP/1.1 429 Too Many Requests\r\nPeers: 10.0.0.1:1\r\nX A: b\r\nContent-Length: 0\r\n\r\n"
 		texts["sound"] = answertest.Sound(string(update))
 		for _, fault := range slices.Sorted(maps.Keys(texts)) {
 			server, err := answertest.NewServer(func(*http.Request) string { return texts[fault] }, true)
--- a/internal/httpanswer/answertest/answertest.go
+++ b/internal/httpanswer/answertest/answertest.go
@@ -24,13 +24,13 @@
 		"status 999":                     "HTTP/1.1 999 OK\r\n" + length + "\r\n" + body,
 		"status 101":                     "HTTP/1.1 101 OK\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + Sound(body),
 		"a NUL in the reason":            "HTTP/1.1 200 \x00\r\n" + length + "\r\n" + body,
-		"a blank in a name":              "HTTP/1.1 200 OK\r\n" + length + "X A: b\r\n\r\n" + body,
-		"a blank after the length":       "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nConnection: close\r\n\r\n" + body,
+		"a space in a name":              "HTTP/1.1 200 OK\r\n" + length + "X A: b\r\n\r\n" + body,
+		"a space after the length":       "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nConnection: close\r\n\r\n" + body,
 		"a malformed interim head":       "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + Sound(body),
 		"a coding and a length":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + length + "\r\n" + chunks + "\r\n",
-		"a blank in a trailer":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X A: b\r\n\r\n",
-		"a blank in a refusal":           "HTTP/1.1 503 Full\r\n" + length + "X A: b\r\n\r\n" + body,
-		"a blank in a status of absence": "HTTP/1.1 410 Gone\r\n" + length + "X A: b\r\n\r\n" + body,
+		"a space in a trailer":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X A: b\r\n\r\n",
+		"a space in a refusal":           "HTTP/1.1 503 Full\r\n" + length + "X A: b\r\n\r\n" + body,
+		"a space in a status of absence": "HTTP/1.1 410 Gone\r\n" + length + "X A: b\r\n\r\n" + body,
 	}
 }
 
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -67,7 +67,7 @@
 	switch {
 	case !s.inHead:
 		status, err := parseStatus(line)
-		s.inHead, s.framing = true, framing{status: status, old: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
+		s.inHead, s.framing = true, framing{status: status, http10: bytes.HasPrefix(line, []byte("HTTP/1.0 "))}
 		return err
 	case len(line) > 0:
 		name, err := checkField(line)
@@ -103,10 +103,10 @@
 
 // framing is what a head says about the end of its answer.
 type framing struct {
-	status                  int
-	old                     bool // HTTP/1.0
-	coded, length, hasBytes bool // a coding, a length, and one other than 0 is stated
-	inLength                bool // the last field states a length
+	status                 int
+	http10                 bool
+	coded, length, content bool // a transfer coding, a length, and one other than 0 is stated
+	inLength               bool // the last field states a length
 }
 
 // add adds a line of a field; name is empty if the line continues the one before.
@@ -116,24 +116,24 @@
 		f.inLength = bytes.EqualFold(name, []byte("Content-Length"))
 		f.length = f.length || f.inLength
 	}
-	f.hasBytes = f.hasBytes || f.inLength && bytes.ContainsAny(line, "123456789")
+	f.content = f.content || f.inLength && bytes.ContainsAny(line, "123456789")
 }
 
 // check refuses a head of which recipients can disagree where the answer ends.
 func (f *framing) check() error {
 	switch {
-	case f.coded && f.old:
+	case f.coded && f.http10:
 		return malformed("transfer coding in HTTP/1.0")
 	case f.coded && f.length:
 		return malformed("both a transfer coding and a length")
-	case (f.coded || f.hasBytes) && (f.status < http.StatusOK || f.status == http.StatusNoContent):
+	case (f.coded || f.content) && (f.status < http.StatusOK || f.status == http.StatusNoContent):
 		return malformed("content with status %d", f.status)
 	}
 	return nil
 }
 
 // checkField checks one line of a field and returns the field's name, which is empty if the
-// line continues the one before. The parser of net/http takes a blank in a name, and then
+// line continues the one before. The parser of net/http takes a space in a name, and then
 // knows neither the length nor the coding that the field states.
 func checkField(line []byte) (name []byte, err error) {
 	value := line
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -17,7 +17,7 @@
 // from bytes that are no answer.
 func TestMalformedAnswersAreNoValues(t *testing.T) {
 	texts := answertest.Malformed("{}")
-	texts["a blank in an answer without a value"] = "HTTP/1.1 304 Not Modified\r\nX A: b\r\n\r\n"
+	texts["a space in an answer without a value"] = "HTTP/1.1 304 Not Modified\r\nX A: b\r\n\r\n"
 	for fault, text := range texts {
 		for _, closes := range []bool{false, true} {
 			text := strings.Replace(text, "Content-Length", "ETag: \"7\"\r\nContent-Length", 1)
