daemon: decide to borrow a slot under the lock that grants slots

Callers saw: of six searches that start together on a target with four slots, two of each owner, up to five waited at the first owner while slots of the other were idle, so they took three service times instead of two.

Cause: whether this host has a free slot was read under the target's lock, then the request was queued under the lock again. Requests that came in between counted on the same free slot, found it taken and waited; only the first check leads to the other owner.

Fix: a request that would have to wait ends with shouldBorrow at the moment at which it would have got its slot, and is queued only when the other owner gave none.

--- a/internal/daemon/borrow.go
+++ b/internal/daemon/borrow.go
@@ -21,15 +21,12 @@
 // no result. Heartbeats show only after seconds that a host has crashed or is paused.
 const borrowFailureBackoff = 100 * time.Millisecond
 
-// borrow runs a part in a slot of the target's other owner if this host's own
-// share is in use and that owner has a free slot. At 60 % of capacity, requests
-// wait three times as long for two shares of two slots as for one share of four.
-// Each owner still enforces its own share, so the target's limit is kept.
-// borrow returns false if the other owner was not asked or did not run the part.
+// borrow runs a part for which this host has no free slot in a slot of the target's
+// other owner, if that has one. At 60 % of capacity, requests wait three times as
+// long for two shares of two slots as for one share of four. Each owner still
+// enforces its own share, so the target's limit is kept. borrow returns false if the
+// other owner was not asked or did not run the part.
 func (b *branch) borrow(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, bool) {
-	if b.peers == nil || req.Borrow || req.Canary {
-		return wire.PartResult{}, false
-	}
 	t, lender, ok := b.dispatcher.lender(part.Target)
 	if !ok || !b.peers.mayBorrowFrom(lender) {
 		return wire.PartResult{}, false
@@ -82,8 +79,8 @@
 	return "refused"
 }
 
-// lender returns the target and its other owner if this host's share is in use
-// and the other owner may be asked for a slot now; ok is false otherwise.
+// lender returns a target of this host and its other owner; ok is false if there is
+// none.
 func (d *dispatcher) lender(id string) (t *ownedTarget, at ordinalID, ok bool) {
 	info, known := d.config.tree().Target(id)
 	if !known || info.Place != d.self.Place || len(info.Owners) < 2 {
@@ -92,7 +89,7 @@
 	d.mu.Lock()
 	t = d.owned[id]
 	d.mu.Unlock()
-	if t == nil || !t.shouldBorrow(time.Now()) {
+	if t == nil {
 		return nil, ordinalID{}, false
 	}
 	return t, ordinalID{info.Place, otherOwner(info, d.self.Ordinal)}, true
--- a/internal/daemon/borrow_test.go
+++ b/internal/daemon/borrow_test.go
@@ -53,20 +53,23 @@
 		Eventually(func() bool { return clients[0].mayBorrowFrom(ordinalID{"b", 1}) }, eventuallyTimeout).Should(BeTrue())
 		metrics := telemetry.NewMetrics()
 		clients[0].local.observer.metrics = metrics
-		for i := range spec.Slots + 2 {
-			go ask(ctx, 0, 10+i)
-		}
-		for range spec.Slots + 2 {
-			Expect((<-results).Outcome).To(Equal(outcome.OK()))
+		const bursts = 5 // requests that start together must not all count on one free slot
+		for burst := range bursts {
+			for i := range spec.Slots + 2 {
+				go ask(ctx, 0, 10*(burst+1)+i)
+			}
+			for range spec.Slots + 2 {
+				Expect((<-results).Outcome).To(Equal(outcome.OK()))
+			}
 		}
 		page := httptest.NewRecorder()
 		metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-		Expect(page.Body.String()).To(ContainSubstring(`lacewingyard_borrowed_slots_total{result="granted",service="s"} 2`))
+		Expect(page.Body.String()).To(ContainSubstring(`lacewingyard_borrowed_slots_total{result="granted",service="s"} %d`, 2*bursts))
 		Expect(searcher.Counts().OverSlots.Load()).To(BeZero())
 
 		t.check(clients[1].transport.Close()) // without the other owner, requests wait for a slot of this one
 		for i := range spec.Slots {
-			go ask(ctx, 0, 20+i)
+			go ask(ctx, 0, 100+i)
 		}
 		for range spec.Slots {
 			Expect((<-results).Outcome).To(Equal(outcome.OK()))
--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -205,13 +205,10 @@
 		return result
 	}
 	defer release()
-	if borrowed, ok := b.borrow(ctx, req, part, parent); ok {
-		return borrowed
-	}
 	body := target.SearchBody{Service: req.Service, Terms: req.Terms, Limit: req.Limit, Version: req.Version}
 	work := &work{
 		target: part.Target, service: req.Service, class: settings.Priority(req.Class), maxWaitServiceTimes: part.MaxWaitServiceTimes,
-		borrow: req.Borrow, retry: part.Cause == wire.CauseRetry,
+		borrow: req.Borrow, mayBorrow: b.peers != nil && !req.Borrow && !req.Canary, retry: part.Cause == wire.CauseRetry,
 		send: func(ctx context.Context, c *target.Client, timeout time.Duration) (wire.TargetStatus, outcome.Outcome) {
 			if refused, ok := b.config.refusal(); ok {
 				return wire.TargetStatus{}, refused
@@ -222,6 +219,13 @@
 		},
 	}
 	done := b.dispatcher.do(ctx, work)
+	if done.shouldBorrow {
+		if borrowed, ok := b.borrow(ctx, req, part, parent); ok {
+			return borrowed
+		}
+		work.mayBorrow = false
+		done = b.dispatcher.do(ctx, work)
+	}
 	result.Outcome, result.Status = done.outcome, done.status
 	b.guard.annotate(fp, req, &result)
 	result.QueueUS, result.TargetUS = done.queueTime.Microseconds(), done.serviceTime.Microseconds()
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -44,6 +44,7 @@
 	class               settings.Priority
 	once                bool  // the request is the lookup of a command, which may not be repeated
 	borrow              bool  // sent by the other owner; refused unless a slot is free
+	mayBorrow           bool  // ends with shouldBorrow instead of a wait if the other owner may be asked for a slot
 	retry               bool  // an earlier attempt failed, so little time is left for another
 	maxWaitServiceTimes uint8 // longest wait for a slot, in service times; 0 means no bound
 	// recheck returns a refusal if the request may no longer be sent. It runs
@@ -60,6 +61,10 @@
 	status      wire.TargetStatus
 	queueTime   time.Duration // wait for a slot and a connection
 	serviceTime time.Duration // from sending to the answer
+
+	// shouldBorrow means that the request was not sent, for want of a slot that the
+	// other owner may have.
+	shouldBorrow bool
 }
 
 func newDispatcher(self *settings.Process, config *config, dial target.Dialer) *dispatcher {
--- a/internal/daemon/owned.go
+++ b/internal/daemon/owned.go
@@ -87,8 +87,8 @@
 // run waits for a slot and a connection, sends the request and returns its result.
 func (t *ownedTarget) run(ctx context.Context, w *work) workResult {
 	start := time.Now()
-	if o := t.waitForSlot(ctx, w, start); o.Reason != outcome.None {
-		return workResult{outcome: o, queueTime: time.Since(start)}
+	if o, shouldBorrow := t.waitForSlot(ctx, w, start); o.Reason != outcome.None || shouldBorrow {
+		return workResult{outcome: o, queueTime: time.Since(start), shouldBorrow: shouldBorrow}
 	}
 	client, o := t.acquireConnection(ctx, w)
 	if client == nil {
--- a/internal/daemon/ownedqueue.go
+++ b/internal/daemon/ownedqueue.go
@@ -23,15 +23,15 @@
 }
 
 // waitForSlot queues a request and waits for a slot. An empty outcome means that it
-// holds one.
-func (t *ownedTarget) waitForSlot(ctx context.Context, w *work, now time.Time) outcome.Outcome {
+// holds one, unless shouldBorrow is true.
+func (t *ownedTarget) waitForSlot(ctx context.Context, w *work, now time.Time) (refusal outcome.Outcome, shouldBorrow bool) {
 	p := &waiter{result: make(chan outcome.Outcome, 1), lateReason: outcome.Overload}
-	if o := t.enqueue(ctx, p, w, now); o.Reason != outcome.None {
-		return o
+	if refusal, shouldBorrow = t.enqueue(ctx, p, w, now); refusal.Reason != outcome.None || shouldBorrow {
+		return refusal, shouldBorrow
 	}
 	select {
 	case o := <-p.result:
-		return o
+		return o, false
 	case <-ctx.Done():
 	}
 	t.mu.Lock()
@@ -39,31 +39,35 @@
 	t.mu.Unlock()
 	if !waiting {
 		if o := <-p.result; o.Reason != outcome.None {
-			return o
+			return o, false
 		}
 		t.releaseSlot(false)
 	}
-	return notSent(ctx, "while waiting for a slot of target %s", t.id)
+	return notSent(ctx, "while waiting for a slot of target %s", t.id), false
 }
 
 // enqueue puts a request in the queue, or returns a refusal. The wait is bounded
 // by the deadline, by the request's maxWaitServiceTimes and, for a cold target, by
 // coldWaitDivisor. The limiter's deadline includes the service, so one service time is
-// added to the longest wait.
-func (t *ownedTarget) enqueue(ctx context.Context, p *waiter, w *work, now time.Time) outcome.Outcome {
+// added to the longest wait. Whether to borrow is decided under the lock that grants
+// slots, so that requests that arrive together do not all count on one free slot.
+func (t *ownedTarget) enqueue(ctx context.Context, p *waiter, w *work, now time.Time) (refusal outcome.Outcome, shouldBorrow bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyState(now)
 	if o := t.refusalAt(now); o.Reason != outcome.None {
 		t.probeIfDue(now)
-		return o
+		return o, false
 	}
 	if w.borrow && !t.mayLend(now) {
-		return t.newRefusal(outcome.Overload, "no slot is free to lend")
+		return t.newRefusal(outcome.Overload, "no slot is free to lend"), false
+	}
+	if w.mayBorrow && t.isWarm() && t.freeSlots(now) == 0 && !now.Before(t.borrowAfter) {
+		return outcome.Outcome{}, true
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return outcome.Refused(outcome.Invalid, "request to target %s has no deadline", t.id)
+		return outcome.Refused(outcome.Invalid, "request to target %s has no deadline", t.id), false
 	}
 	if t.ramp.State() == warmup.Cold && t.limiter.InUse()+t.limiter.Waiting() >= t.limiter.Slots() {
 		deadline = now.Add(deadline.Sub(now) / coldWaitDivisor)
@@ -79,16 +83,16 @@
 	}
 	switch {
 	case errors.Is(err, limit.ErrFull):
-		return t.newRefusal(outcome.Overload, "the queue is full")
+		return t.newRefusal(outcome.Overload, "the queue is full"), false
 	case errors.Is(err, limit.ErrTooLate) && now.Add(t.limiter.ServiceTime(now)).After(deadline):
-		return t.newRefusal(outcome.Deadline, "the service time exceeds the deadline")
+		return t.newRefusal(outcome.Deadline, "the service time exceeds the deadline"), false
 	case err != nil && p.lateReason == outcome.Busy:
-		return t.newRefusal(outcome.Busy, "the expected wait is longer than the request allows")
+		return t.newRefusal(outcome.Busy, "the expected wait is longer than the request allows"), false
 	case err != nil:
-		return t.newRefusal(outcome.Overload, "the queue is too long for the deadline")
+		return t.newRefusal(outcome.Overload, "the queue is too long for the deadline"), false
 	}
 	t.grantSlots(now)
-	return outcome.Outcome{}
+	return outcome.Outcome{}, false
 }
 
 // freeSlots returns how many further requests would get a slot without waiting:
@@ -112,14 +116,6 @@
 // without waiting. Only slots of a warm target are lent. The caller holds t.mu.
 func (t *ownedTarget) mayLend(now time.Time) bool { return t.isWarm() && t.freeSlots(now) > 0 }
 
-// shouldBorrow reports whether a request would wait here for a slot of a warm
-// target and the other owner may be asked again.
-func (t *ownedTarget) shouldBorrow(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isWarm() && t.freeSlots(now) == 0 && !now.Before(t.borrowAfter)
-}
-
 // newRefusal returns a refusal with the time after which a slot should be free. The
 // caller holds t.mu.
 func (t *ownedTarget) newRefusal(reason outcome.Reason, why string) outcome.Outcome {
