--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -27,8 +27,9 @@
 )
 
 // malformedAnswers are texts that are no answers, by what is wrong with them. FIELDS stands for
-// the fields that identify an answer, NOTRUN for the one that says "not run", LENGTH for the length of its body, BODY for 128 bytes and
-// CHUNKS for the same in chunks. The target closes the connection after a text with "close".
+// the fields that identify an answer, NOTRUN for the one that says "not run", LENGTH for the
+// length of its body, BODY for 128 bytes and CHUNKS for the same in chunks. The target closes
+// the connection after a text with "close".
 var malformedAnswers = map[string]string{
 	"status 000":                               "HTTP/1.1 000 OK\r\nFIELDSLENGTH\r\nBODY",
 	"status 000 without a body":                "HTTP/1.1 000 OK\r\nFIELDSContent-Length: 0\r\n\r\n",
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -121,7 +121,7 @@
 	wrongTarget        bool             // another target answers at its address
 	unanswered         []unansweredSend // since its last answer
 	ended              bool             // it is no longer published, or another process is in its place
-	malformed          bool             // an answer of it had a notice with a value that makes no sense
+	malformedNotice    bool             // an answer of it had a notice with a value that makes no sense
 	lastColdSend       time.Time        // last send during the warm-up
 	oversized          bool             // an answer of it was longer than any valid one
 	malformedAnswer    bool             // it sent bytes that are no answer
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -18,8 +18,8 @@
 	if current := e.targets[t.id]; current != nil && current.key() == t.key() {
 		t = current
 	}
-	if r.Head.Notices.Malformed && !t.malformed {
-		t.malformed = true
+	if r.Head.Notices.Malformed && !t.malformedNotice {
+		t.malformedNotice = true
 		e.cfg.Log.Warn("a target gives a notice with a value that makes no sense; it is ignored, and further ones are not logged", "target", t.id, "service", t.service)
 	}
 	position := func() notice.Position { return e.cfg.Fleet.LimitPosition(t.id, t.place) }
--- a/internal/httpanswer/reader_test.go
+++ b/internal/httpanswer/reader_test.go
@@ -104,7 +104,7 @@
 	"a later minor version":      "HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"a reason beyond ASCII":      "HTTP/1.1 200 \xe4\tOK\r\nContent-Length: 2\r\n\r\nok",
 	"no reason":                  "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok",
-	"no blank before its reason": "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
+	"no space before its reason": "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
 	"several spaces":             "HTTP/1.1  200  OK\r\nContent-Length: 2\r\n\r\nok",
 	"an interim answer":          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"several interim answers":    strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 6) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
--- a/internal/httpanswer/trailer.go
+++ b/internal/httpanswer/trailer.go
@@ -16,8 +16,8 @@
 	in   *source // nil if it is not known whether a read failed
 }
 
-// withTrailerCheck returns the answer with a body that fails if the trailer is malformed. in is the
-// connection, or nil.
+// withTrailerCheck returns the answer with a body that fails if the trailer is malformed. in is
+// the connection, or nil.
 func withTrailerCheck(resp *http.Response, in *source) *http.Response {
 	if len(resp.TransferEncoding) > 0 {
 		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, in: in}
