Test: hosts in processes of their own listen below the ephemeral ports

The error of the search was not printed.

Cause: the tests drew the ports of a host by listening on port 0 and closing again.

--- a/cmd/lacewingyard/process_test.go
+++ b/cmd/lacewingyard/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	"github.com/lacewingyard/lacewingyard/internal/standin"
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
 // runMainVariable is the environment variable that makes the test binary run main, so
@@ -59,9 +61,11 @@
 	dir := t.TempDir()
 	files, err := f.Authority.WriteFiles(dir, "host")
 	g.Expect(err).NotTo(HaveOccurred())
+	callers, operators, peers, err := platformtest.FreeAddresses("127.0.0.1")
+	g.Expect(err).NotTo(HaveOccurred())
 	p := &hostProcess{settings: settings.Process{
 		Name: place, Place: place, Ordinal: ordinal, TLS: files, LogLevel: "info",
-		Listen:   settings.Listen{Callers: freeTCP(g), Operators: freeTCP(g), Peers: freeUDP(g)},
+		Listen:   settings.Listen{Callers: callers, Operators: operators, Peers: peers},
 		Platform: settings.Platform{ConfigURL: f.Platform.URL(fleet.ConfigKey), HostsURL: f.Platform.URL(fleet.HostsKey)},
 	}}
 	data, err := json.Marshal(p.settings)
@@ -120,20 +124,6 @@
 	return answer, err
 }
 
-func freeTCP(g Gomega) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
-}
-
-func freeUDP(g Gomega) string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // smallDeployment returns two places with one host each and four shard groups, two
 // in each place.
 func smallDeployment() *fleet.Deployment {
@@ -249,7 +239,14 @@
 		_, err := host.search("red")
 		ended <- err
 	}()
-	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(BeNumerically(">", 0))
+	g.Eventually(func() int64 { return f.Searchers["northa-0"].Counts().Searches.Load() }, "5s", "5ms").Should(BeNumerically(">", 0), func() string {
+		select {
+		case err := <-ended:
+			return fmt.Sprintf("the search ended: %v", err)
+		default:
+			return "the search is open"
+		}
+	})
 	return ended
 }
 
--- a/internal/daemon/pause_test.go
+++ b/internal/daemon/pause_test.go
@@ -23,6 +23,7 @@
 	"github.com/lacewingyard/lacewingyard/pkg/keyspace"
 	"github.com/lacewingyard/lacewingyard/pkg/membership"
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
+	"github.com/lacewingyard/lacewingyard/platform/platformtest"
 )
 
 // Environment variables with which the test binary runs a host in a process of its
@@ -181,9 +182,13 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	callers, operators, peers, err := platformtest.FreeAddresses("127.0.0.1")
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	at := ordinalID{placeName(1), 0}
 	process := &settings.Process{Name: "child", Place: at.place, Ordinal: at.ordinal, TLS: keys, LogLevel: "info",
-		Listen: settings.Listen{Callers: freeTCP(s.t), Operators: freeTCP(s.t), Peers: freeUDP(s.t)},
+		Listen: settings.Listen{Callers: callers, Operators: operators, Peers: peers},
 		Platform: settings.Platform{
 			ConfigURL: s.platform.ReaderURL(readerName(at), "config"), HostsURL: s.platform.ReaderURL("list", "hosts")}}
 	data, err := json.Marshal(process)
@@ -208,21 +213,3 @@
 		State: platform.HostLive, Callers: process.Listen.Callers, Peers: process.Listen.Peers})
 	return process, cmd.Process
 }
-
-func freeTCP(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-func freeUDP(t testing.TB) string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String()
-}
