Logs and metrics tell which status a caller got, and whose answer it was

A refusal of the host, a send taken for refused and a failure passed on could not be told apart.

"request finished" has answer_status and answer_from (target, merge or host), each of its tries the status of the target's answer, and lacewingyard_answers_total counts answers by both.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lacewingyard/lacewingyard/internal/backend"
@@ -20,6 +21,7 @@
 	sends    *prometheus.CounterVec
 	sendTime *prometheus.HistogramVec
 	requests *prometheus.CounterVec
+	answers  *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	notices  *prometheus.CounterVec
 	tenants  *tenantMetrics
@@ -39,12 +41,14 @@
 			Name: "lacewingyard_send_duration_seconds", Help: "Time from a send to the end of its answer.", Buckets: latencyBuckets}, []string{"result"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingyard_requests_total", Help: "Requests of callers by outcome and reason."}, []string{"outcome", "reason"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingyard_answers_total", Help: "Answers to requests of callers by status and by whose answer it is."}, []string{"status", "from"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lacewingyard_request_duration_seconds", Help: "Time from the head of a request to its answer.", Buckets: latencyBuckets}, []string{"outcome"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingyard_target_notices_total", Help: "Starts and changes of notices that targets give about themselves, by kind."}, []string{"kind", "service"}),
 	}
-	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.duration,
+	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.answers, m.duration,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.tenants = newTenantMetrics(m.registry)
 	return m
@@ -126,6 +130,16 @@
 	m.duration.WithLabelValues(a.Outcome.Kind.String()).Observe(took.Seconds())
 }
 
+// Answered implements engine.Observer. It counts an answer to a caller. Statuses without a
+// name count as one, because targets choose them.
+func (m *Metrics) Answered(a *engine.Answer) {
+	status := "other"
+	if http.StatusText(a.Status) != "" {
+		status = strconv.Itoa(a.Status)
+	}
+	m.answers.WithLabelValues(status, string(a.Source())).Inc()
+}
+
 // Noticed implements engine.Observer. It counts the starts and changes of notices.
 func (m *Metrics) Noticed(service string, c notice.Change) {
 	if c.Value > 0 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,6 +70,8 @@
 	// empty for a request that was refused because there was no configuration or no
 	// route, because the request is quarantined or because the host stops.
 	Finished(route string, a *Answer, took time.Duration)
+	// Answered is called for each answer of the engine once it has been written.
+	Answered(a *Answer)
 	// Noticed is called for each start, change and end of a notice of a target.
 	Noticed(service string, c notice.Change)
 }
@@ -246,6 +248,7 @@
 func (e *Engine) Do(ctx context.Context, r *Request) Answer {
 	ctx, span := e.startRequestSpan(ctx, r)
 	a := e.do(ctx, r)
+	a.engine = e
 	endRequestSpan(span, &a)
 	return a
 }
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -15,15 +15,16 @@
 	began  time.Time
 	took   time.Duration
 	extra  bool // a hedge, or a retry that counts against the budget of extra sends
-	done   bool // whether the result is known; took and kind are set only then
+	done   bool // whether the result is known; took, kind and status are set only then
 	kind   backend.Kind
+	status int // of the target's answer; 0 if there is none
 }
 
 // recordEnd records the result of a send for the log line.
 func (x *execution) recordEnd(result sendResult) {
 	for i := range x.history {
 		if t := &x.history[i]; t.shard == result.shard && t.target == result.target.id && !t.done {
-			t.done, t.kind, t.took = true, result.result.Kind, time.Since(t.began)
+			t.done, t.kind, t.status, t.took = true, result.result.Kind, result.result.Status, time.Since(t.began)
 			return
 		}
 	}
@@ -46,7 +47,7 @@
 	reasons, missing := x.missingShards()
 	fields := []any{
 		"request", x.r.ID, "route", x.route.Name, "config", x.view.Config.Version, "revision", x.view.Revision,
-		"outcome", a.Outcome.Kind.String(), "reason", string(a.Outcome.Reason), "ms", x.decided.Sub(x.r.Received).Milliseconds(), "written_ms", time.Since(x.r.Received).Milliseconds(),
+		"outcome", a.Outcome.Kind.String(), "reason", string(a.Outcome.Reason), "answer_status", a.Status, "answer_from", string(a.Source()), "ms", x.decided.Sub(x.r.Received).Milliseconds(), "written_ms", time.Since(x.r.Received).Milliseconds(),
 		"limit_ms", x.deadline.Sub(x.r.Received).Milliseconds(), "answer_by_ms", x.answerBy.Sub(x.r.Received).Milliseconds(),
 		"sends", len(x.history), "extra", extra, "shards", len(x.shards), "missing", missing,
 	}
@@ -107,15 +108,23 @@
 		if sends[t.shard] < 2 && s.part != nil || len(lines) >= maxLogItems {
 			continue
 		}
-		result := "open"
-		if t.done {
-			result = fmt.Sprintf("%s after %d ms", t.kind, t.took.Milliseconds())
-		}
-		lines = append(lines, fmt.Sprintf("%d ms: %s to %s: %s", t.began.Sub(x.r.Received).Milliseconds(), s.service, t.target, result))
+		lines = append(lines, fmt.Sprintf("%d ms: %s to %s: %s", t.began.Sub(x.r.Received).Milliseconds(), s.service, t.target, t.result()))
 	}
 	return lines
 }
 
+// result describes the result of a send.
+func (t *sendRecord) result() string {
+	switch {
+	case !t.done:
+		return "open"
+	case t.status != 0:
+		return fmt.Sprintf("%s with status %d after %d ms", t.kind, t.status, t.took.Milliseconds())
+	default:
+		return fmt.Sprintf("%s after %d ms", t.kind, t.took.Milliseconds())
+	}
+}
+
 // logReachability logs the change of a target from reachable to unreachable or back. r
 // is the result that may have caused it, wasReachable the state before.
 func (e *Engine) logReachability(t *target, r *backend.Result, wasReachable bool) {
--- a/internal/engine/notices_test.go
+++ b/internal/engine/notices_test.go
@@ -17,6 +17,7 @@
 
 func (silentObserver) Sent(string, *backend.Result, bool)      {}
 func (silentObserver) Finished(string, *Answer, time.Duration) {}
+func (silentObserver) Answered(*Answer)                        {}
 func (silentObserver) Noticed(string, notice.Change)           {}
 
 var _ = Describe("The notice of a target that leaves", func() {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -33,12 +33,38 @@
 	Forwarded *backend.Result
 	Merged    *Merged
 	Tenant    string     // of the request; empty if it has none
+	Status    int        // HTTP status that the caller got; the front sets it before Done
+	engine    *Engine    // nil for an answer that no engine gave
 	execution *execution // nil for a request that was refused before its execution
 }
 
-// Done logs the request and frees the memory of the answer, which must not be used after
-// it.
+// Source is whose answer a caller got.
+type Source string
+
+// Sources of answers.
+const (
+	FromTarget Source = "target" // the answer of a target, passed on unchanged
+	FromMerge  Source = "merge"  // the merged answer to a fan-out
+	FromHost   Source = "host"   // this host's own answer
+)
+
+// Source returns whose answer the caller gets.
+func (a *Answer) Source() Source {
+	switch {
+	case a.Forwarded != nil:
+		return FromTarget
+	case a.Merged != nil:
+		return FromMerge
+	default:
+		return FromHost
+	}
+}
+
+// Done logs and counts the answer and frees its memory; it must not be used after it.
 func (a *Answer) Done() {
+	if a.engine != nil {
+		a.engine.cfg.Observer.Answered(a)
+	}
 	if a.execution != nil {
 		a.execution.delivered(a)
 	}
