engine: a target's 503 is a refusal to callers only if the target said so

Callers of requests that may run once got 503, 429 or 408 with a target's digest although the target had run the request. These statuses promise that it has not run and never will; such callers send the request again, and it runs twice.

Cause: failureAnswer passed on the only target's failure whatever its status. From a target, 503 says nothing about a run without the header for it; to a caller it is a promise. The engine knew that the request may have run (outcome unknown) and gave the answer of the target precedence.

A failure with one of them is not passed on: the caller gets 502 of the host, without digest, body and Retry-After of the target; no rule is broken for a failure that bears a digest, because this one bears none. Requests that may be repeated go to another target as before, and a failure that may be passed on is preferred to one that may not.

--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -45,6 +45,7 @@
 	Digest             string        // the target's digest of the answer
 	NotRun             bool          // the target did not run the request
 	WrongTarget        bool          // another target answers at the address; the request did not run
+	PromisesNotRun     bool          // the status tells callers that the request did not run and will not
 	IdleTimeout        time.Duration // how long the target keeps an idle connection; 0 if not stated
 	UnexpectedEncoding bool          // the body has a content encoding that was not requested
 	Instance           string        // ID of the target that answered; empty if not stated
@@ -96,6 +97,10 @@
 // Release frees the room of the body. The Result must not be used after it.
 func (r *Result) Release() { r.Hold.release() }
 
+// Unstated reports whether a target failed with a status that would tell the caller that the
+// request did not run, although the target did not say so.
+func (r *Result) Unstated() bool { return r.Kind == Failure && r.Head.PromisesNotRun }
+
 // Malformed reports whether the target sent bytes that are no answer.
 func (r *Result) Malformed() bool { return errors.Is(r.Err, httpanswer.ErrMalformed) }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,6 +24,7 @@
 	answers  *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	notices  *prometheus.CounterVec
+	unstated *prometheus.CounterVec
 	tenants  *tenantMetrics
 }
 
@@ -47,8 +48,10 @@
 			Name: "lacewingyard_request_duration_seconds", Help: "Time from the head of a request to its answer.", Buckets: latencyBuckets}, []string{"outcome"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingyard_target_notices_total", Help: "Starts and changes of notices that targets give about themselves, by kind."}, []string{"kind", "service"}),
+		unstated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingyard_failures_unstated_total", Help: "Failures of targets with a status that means \"not run\" to callers, without the statement that the request did not run."}, []string{"service", "status"}),
 	}
-	m.registry.MustRegister(m.notices, m.sends, m.sendTime, m.requests, m.answers, m.duration,
+	m.registry.MustRegister(m.notices, m.unstated, m.sends, m.sendTime, m.requests, m.answers, m.duration,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.tenants = newTenantMetrics(m.registry)
 	return m
@@ -112,13 +115,16 @@
 
 // Sent implements engine.Observer. It counts a send by its result and by whether it was
 // extra: a hedge, or a retry after a send that may have reached a target.
-func (m *Metrics) Sent(_ string, r *backend.Result, extra bool) {
+func (m *Metrics) Sent(service string, r *backend.Result, extra bool) {
 	extraLabel := "false"
 	if extra {
 		extraLabel = "true"
 	}
 	m.sends.WithLabelValues(r.Kind.String(), extraLabel).Inc()
 	m.sendTime.WithLabelValues(r.Kind.String()).Observe(r.Duration.Seconds())
+	if r.Unstated() {
+		m.unstated.WithLabelValues(service, strconv.Itoa(r.Status)).Inc()
+	}
 }
 
 // Finished implements engine.Observer. It counts a request of a caller.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -127,6 +127,7 @@
 	lastColdSend       time.Time        // last send during the warm-up
 	oversized          bool             // an answer of it was longer than any valid one
 	malformedAnswer    bool             // it sent bytes that are no answer
+	unstatedFailure    bool             // it failed with a status that means "not run" and did not say so
 }
 
 // processKey identifies one process of a target.
--- a/internal/engine/log.go
+++ b/internal/engine/log.go
@@ -158,3 +158,13 @@
 	t.malformedAnswer = true
 	e.cfg.Log.Warn("a target sent a malformed answer; such answers count as failed, and the request may have run", "target", t.id, "service", t.service, "error", r.Err.Error())
 }
+
+// logUnstated logs the first failure of a target whose status would tell the caller more than the
+// target did. The engine's lock must be held.
+func (e *Engine) logUnstated(t *target, r *backend.Result) {
+	if t.unstatedFailure || !r.Unstated() {
+		return
+	}
+	t.unstatedFailure = true
+	e.cfg.Log.Warn("a target failed with a status that means \"not run\" to callers, without the statement that the request did not run; such failures are not passed on", "target", t.id, "service", t.service, "status", r.Status)
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -58,7 +58,7 @@
 	notBefore        time.Time       // when the first target that wants no request now takes one; zero if there is none
 	waiting          bool            // for a target that takes a request; counted in Engine.waiting
 	part             *backend.Result // the answer of the shard; nil until there is one
-	failure          *backend.Result // a target's own failure, or the last result
+	failure          *backend.Result // a target's own failure that may be passed on, or the last result
 	failedTarget     string          // the target of failure
 	exhausted        bool            // can no longer be answered
 	reason           outcome.Reason
@@ -414,6 +414,10 @@
 	return a
 }
 
+// mayPassOn reports whether a caller may get a result other than a success unchanged. The status
+// must not state more than the target did about whether the request ran.
+func mayPassOn(r *backend.Result) bool { return r.Kind == backend.Failure && !r.Unstated() }
+
 // failureAnswer returns the answer to a request without enough parts. Its outcome is
 // NotRun only if no send can have run or can still run.
 func (x *execution) failureAnswer(now time.Time) Answer {
@@ -426,7 +430,7 @@
 			reason = s.reason
 		}
 	}
-	if len(x.shards) == 1 && x.shards[0].failure != nil && x.shards[0].failure.Kind == backend.Failure {
+	if len(x.shards) == 1 && x.shards[0].failure != nil && mayPassOn(x.shards[0].failure) {
 		return Answer{Outcome: outcome.Uncertain(outcome.Internal, "the target failed"), Forwarded: x.shards[0].failure}
 	}
 	switch {
@@ -434,6 +438,8 @@
 		return Answer{Outcome: x.e.refusal(reason, x.retryAfter(now), "no target took the request")}
 	case !now.Before(x.deadline):
 		return Answer{Outcome: outcome.Uncertain(outcome.Deadline, "no answer within the time limit")}
+	case len(x.shards) == 1 && x.shards[0].failure != nil && x.shards[0].failure.Unstated():
+		return Answer{Outcome: outcome.Uncertain(reason, "the target failed with status %d and did not say whether the request ran", x.shards[0].failure.Status)}
 	default:
 		return Answer{Outcome: outcome.Uncertain(reason, "the targets failed")}
 	}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -324,6 +324,7 @@
 	case backend.Canceled:
 		t.state.Canceled(now, r.Duration, x.expected)
 	default:
+		e.logUnstated(t, r)
 		t.state.Failed(now)
 	}
 }
@@ -366,7 +367,7 @@
 		x.recordPart(time.Now())
 		return
 	}
-	if s.failure == nil || s.failure.Kind != backend.Failure {
+	if s.failure == nil || !mayPassOn(s.failure) {
 		if s.failure != nil {
 			s.failure.Release()
 		}
