daemon: a search whose lender was lost may have run

Callers of the JSON interface could get 429 or 503, outcome not_run, for a search that a target had run: a host without a free slot asked the target's other owner for one, the connection was lost while the target ran the search, and the host then refused the part itself.

Cause: searchAtLender took a lost connection for a refusal, so that the search is repeated here; the outcome of the repeat alone was reported.

A lender that refuses, or is not reached, still leaves a refusal. The metric of borrowed slots tells lost and undelivered requests from refused ones.

--- a/internal/daemon/borrow.go
+++ b/internal/daemon/borrow.go
@@ -21,62 +21,68 @@
 // no result. Heartbeats show only after seconds that a host has crashed or is paused.
 const borrowFailureBackoff = 100 * time.Millisecond
 
+// borrowResult is what became of a request for a slot of a target's other owner. Its text
+// is a label of the metric of borrowed slots.
+type borrowResult string
+
+const (
+	borrowNotAsked     borrowResult = "not_asked"     // there is no other owner to ask now
+	borrowNotDelivered borrowResult = "not_delivered" // the other owner did not receive the part
+	borrowRefused      borrowResult = "refused"       // the other owner did not run the part
+	borrowLost         borrowResult = "lost"          // the other owner returned no result; it may have run the part
+	borrowGranted      borrowResult = "granted"
+)
+
 // borrow runs a part for which this host has no free slot in a slot of the target's
 // other owner, if that has one. At 60 % of capacity, requests wait three times as
 // long for two shares of two slots as for one share of four. Each owner still
-// enforces its own share, so the target's limit is kept. borrow returns false if the
-// other owner was not asked or did not run the part.
-func (b *branch) borrow(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, bool) {
+// enforces its own share, so the target's limit is kept. Unless the slot was granted, the
+// part can run here.
+func (b *branch) borrow(ctx context.Context, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, borrowResult) {
 	t, lender, ok := b.dispatcher.lender(part.Target)
 	if !ok || !b.peers.mayBorrowFrom(lender) {
-		return wire.PartResult{}, false
+		return wire.PartResult{}, borrowNotAsked
 	}
 	start := time.Now()
-	result, err := b.searchAtLender(ctx, lender, req, part, parent)
-	granted := !result.Outcome.DidNotRun()
+	result, got := b.searchAtLender(ctx, lender, req, part, parent)
 	if b.observer.metrics != nil {
-		b.observer.metrics.BorrowedSlots.WithLabelValues(req.Service, borrowResult(granted)).Inc()
+		b.observer.metrics.BorrowedSlots.WithLabelValues(req.Service, string(got)).Inc()
 	}
-	switch {
-	case err != nil:
+	switch got {
+	case borrowLost, borrowNotDelivered:
 		t.setBorrowAfter(time.Now().Add(borrowFailureBackoff))
-	case !granted:
+	case borrowRefused:
 		t.setBorrowAfter(time.Now().Add(t.serviceTime() / borrowBackoffDivisor))
 	}
-	if !granted {
-		return wire.PartResult{}, false
-	}
 	result.Group, result.Target, result.Borrowed = part.Group, part.Target, true
 	result.QueueUS = max(0, time.Since(start).Microseconds()-result.TargetUS)
-	return result, true
+	return result, got
 }
 
-// searchAtLender sends a part to the target's other owner. It returns an error if
-// that owner returned no result. A lost connection then counts as a refusal, because
-// a search that may have run there can be repeated here; after the deadline or a
-// cancellation the outcome is unknown.
-func (b *branch) searchAtLender(ctx context.Context, at ordinalID, req *wire.SearchRequest, part wire.PartRequest, parent string) (wire.PartResult, error) {
+// searchAtLender sends a part to the target's other owner. The result is valid if that owner
+// granted a slot. After the deadline or a cancellation its outcome is unknown. A search of
+// which no result came back before can be repeated here.
+func (b *branch) searchAtLender(ctx context.Context, at ordinalID, req *wire.SearchRequest, part wire.PartRequest, parent string) (result wire.PartResult, got borrowResult) {
 	lenderReq := *req
 	lenderReq.Borrow, lenderReq.Traceparent = true, parent
 	lenderReq.Parts = []wire.PartRequest{part}
 	lenderReq.TimeoutMS = remaining(ctx).Milliseconds()
-	result := wire.PartResult{Outcome: outcome.Refused(outcome.Unavailable, "the other owner of target %s returned no result", part.Target)}
 	err := b.peers.search(ctx, at, &lenderReq, nil, func(parts []wire.PartResult) { result = parts[0] })
+	var notDelivered *notDeliveredError
 	switch {
-	case err == nil || ctx.Err() == nil:
+	case err == nil && result.Outcome.DidNotRun():
+		return result, borrowRefused
+	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
 		result.Outcome = outcome.Uncertain(outcome.Canceled, "canceled at the other owner of target %s", part.Target)
-	default:
+	case ctx.Err() != nil:
 		result.Outcome = outcome.Uncertain(outcome.Deadline, "the other owner of target %s did not answer in time", part.Target)
+	case errors.As(err, &notDelivered):
+		return result, borrowNotDelivered
+	default:
+		return result, borrowLost
 	}
-	return result, err
-}
-
-func borrowResult(granted bool) string {
-	if granted {
-		return "granted"
-	}
-	return "refused"
+	return result, borrowGranted
 }
 
 // lender returns a target of this host and its other owner; ok is false if there is
--- a/internal/daemon/branch.go
+++ b/internal/daemon/branch.go
@@ -219,14 +219,20 @@
 		},
 	}
 	done := b.dispatcher.do(ctx, work)
+	mayHaveRun := false // in a slot of the target's other owner
 	if done.shouldBorrow {
-		if borrowed, ok := b.borrow(ctx, req, part, parent); ok {
+		borrowed, got := b.borrow(ctx, req, part, parent)
+		if got == borrowGranted {
 			return borrowed
 		}
+		mayHaveRun = got == borrowLost
 		work.mayBorrow = false
 		done = b.dispatcher.do(ctx, work)
 	}
 	result.Outcome, result.Status = done.outcome, done.status
+	if mayHaveRun && result.Outcome.DidNotRun() {
+		result.Outcome = result.Outcome.AsUnknown("the other owner of the target may have run it")
+	}
 	b.guard.annotate(fp, req, &result)
 	result.QueueUS, result.TargetUS = done.queueTime.Microseconds(), done.serviceTime.Microseconds()
 	return result
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,7 +31,7 @@
 	Hedges      *prometheus.CounterVec   // by service, result: won, lost
 
 	SubRequestResults *prometheus.CounterVec // on the branch host, by service, outcome, reason
-	BorrowedSlots     *prometheus.CounterVec // on the branch host, by service, result: granted, refused
+	BorrowedSlots     *prometheus.CounterVec // on the branch host, by service, result: granted, refused, not_delivered, lost
 
 	Recent Recent // answers and failures of the last minute
 }
@@ -58,7 +58,7 @@
 		Hedges:      newCounterVec("hedges_total", "Hedged sub-requests by result, won or lost.", "service", "result"),
 
 		SubRequestResults: newCounterVec("subrequest_results_total", "Requests to targets that ended on this branch host, by outcome and reason.", "service", "outcome", "reason"),
-		BorrowedSlots:     newCounterVec("borrowed_slots_total", "Slots that this branch host asked the other owner of a target for, granted or refused.", "service", "result"),
+		BorrowedSlots:     newCounterVec("borrowed_slots_total", "Slots that this branch host asked the other owner of a target for, by result.", "service", "result"),
 	}
 	m.registry.MustRegister(m.Requests, m.Duration, m.Coverage, m.SubRequests, m.Hedges, m.SubRequestResults, m.BorrowedSlots,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
