Test: retries are played in the spec of outcomes in the JSON interface

With a second target in each group it fails in that trial ("r79: not_run, 1 targets refused it and 1 failed"), and with the last outcome of a search's parts taken for all; 2 of 2 runs of the product with the race detector pass.

--- a/internal/daemon/statement_test.go
+++ b/internal/daemon/statement_test.go
@@ -22,6 +22,18 @@
 	"github.com/lacewingyard/lacewingyard/pkg/settings"
 )
 
+// twoTargets returns scriptedDocument with a second target in each group.
+func twoTargets(address string) string {
+	document := fmt.Sprintf(scriptedDocument, address)
+	for _, id := range []string{"t0", "t1"} {
+		first := fmt.Sprintf(`{"id": "%s", `, id)
+		target := document[strings.Index(document, first):]
+		target = target[:strings.Index(target, "}")+1]
+		document = strings.Replace(document, target, target+", "+strings.Replace(target, id, id+"b", 1), 1)
+	}
+	return document
+}
+
 var _ = Describe("NotRunIsTrue: targets that fail with a status of refusals", func() {
 	// Guards against "not run" for a search or lookup that one of its targets may have run, and
 	// against another outcome for one that all of them refused.
@@ -72,7 +84,10 @@
 			}
 			clients[ordinal], hosts[ordinalID{"b", ordinal}] = newTestHost(t, authority, self, server.Address(), serve)
 		}
+		tree, err := settings.Parse([]byte(twoTargets(server.Address())))
+		t.check(err)
 		for _, c := range clients {
+			c.local.config.current.Store(tree)
 			c.setHosts(hosts)
 			DeferCleanup(c.local.close)
 		}
