Soak: targets that fail with a status of refusals after they ran the request

The rule that a request answered 503, 429 or 408 has not run was checked, but targets never failed with these. A target with a fault of its answers may now answer every third request so after it has run.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,8 +5,10 @@
 //
 // Faults are drawn from a seed and overlap: connections to targets and to the store
 // that are delayed, reset, blackholed or blocked in one direction; hosts that are
-// paused, killed, stopped and restarted; targets that drain, are slow, refuse requests
-// or drop answers; a store that is unavailable or compacts its history; callers that hold
-// large bodies open; and changes of the configuration. Callers use keys of tenants, whose keys
-// and limits change all the time, and some send more than their limits. Run returns once its callers and host processes have ended.
+// paused, killed, stopped and restarted; targets that drain, are slow, refuse requests,
+// drop answers or fail with a status that means "not run" to callers; a store that is
+// unavailable or compacts its history; callers that hold large bodies open; and changes of
+// the configuration. Callers use keys of tenants, whose keys and limits change all the time,
+// and some send more than their limits. Run returns once its callers and host processes have
+// ended.
 package soak
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -255,9 +256,13 @@
 	})
 }
 
-// answerFault makes a target slow, refuse requests or drop every third answer.
+// promisingStatuses are those with which a target fails although they mean "not run" to callers.
+var promisingStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// answerFault makes a target slow, refuse requests, drop every third answer or fail every third
+// request after it has run.
 func (f *injector) answerFault(ctx context.Context, t *target, length time.Duration) {
-	kind := f.rng.IntN(3)
+	kind, status := f.rng.IntN(4), promisingStatuses[f.rng.IntN(len(promisingStatuses))]
 	f.logf("answers of %s with fault %d for %v", t.ID, kind, length)
 	f.wg.Go(func() {
 		switch kind {
@@ -265,13 +270,16 @@
 			t.SetServiceTime(20 * serviceTime)
 		case 1:
 			t.SetRefuse(true)
-		default:
+		case 2:
 			t.SetDropEvery(3)
+		default:
+			t.SetFailEvery(3, status)
 		}
 		sleep(ctx, length)
 		t.SetServiceTime(serviceTime)
 		t.SetRefuse(false)
 		t.SetDropEvery(0)
+		t.SetFailEvery(0, 0)
 	})
 }
 
