--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -256,13 +256,13 @@
 	})
 }
 
-// promisingStatuses are those with which a target fails although they mean "not run" to callers.
-var promisingStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+// notRunStatuses mean "not run" to callers.
+var notRunStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
 // answerFault makes a target slow, refuse requests, drop every third answer or fail every third
 // request after it has run.
 func (f *injector) answerFault(ctx context.Context, t *target, length time.Duration) {
-	kind, status := f.rng.IntN(4), promisingStatuses[f.rng.IntN(len(promisingStatuses))]
+	kind, status := f.rng.IntN(4), notRunStatuses[f.rng.IntN(len(notRunStatuses))]
 	f.logf("answers of %s with fault %d for %v", t.ID, kind, length)
 	f.wg.Go(func() {
 		switch kind {
