--- a/internal/daemon/borrow_test.go
+++ b/internal/daemon/borrow_test.go
@@ -90,8 +90,10 @@
 		authority, err := standin.NewAuthority()
 		t.check(err)
 		var lender *branchClient
+		ready := make(chan struct{}) // closed when lender is set
 		var refuses atomic.Bool
 		serve := func(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
+			<-ready
 			var req wire.SearchRequest
 			switch {
 			case exchange == wire.ExchangeQuarantine:
@@ -117,6 +119,7 @@
 		}
 		client, first := newTestHost(t, authority, settings.Process{Name: "b-0", Place: "b", Ordinal: 0}, searcher.Address(), nil)
 		lender, second := newTestHost(t, authority, settings.Process{Name: "b-1", Place: "b", Ordinal: 1}, searcher.Address(), serve)
+		close(ready)
 		hosts := map[ordinalID]string{{"b", 0}: first, {"b", 1}: second}
 		ask := func(owner *branchClient, id string, timeout time.Duration) wire.PartResult {
 			req := &wire.SearchRequest{
--- a/internal/daemon/scripted_test.go
+++ b/internal/daemon/scripted_test.go
@@ -58,9 +58,14 @@
 			c.local.serveSearch(ctx, s)
 		}
 	}
-	c.transport, err = peer.Listen(conn, conf, serve)
+	complete := make(chan struct{}) // streams of other hosts wait until the fields below are set
+	c.transport, err = peer.Listen(conn, conf, func(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
+		<-complete
+		serve(ctx, exchange, s)
+	})
 	t.check(err)
 	c.local.guard.transport, c.local.peers = c.transport, c
+	close(complete)
 	t.cleanup(func() { _ = c.transport.Close() })
 	return c, conn.LocalAddr().String()
 }
--- a/internal/daemon/statement_test.go
+++ b/internal/daemon/statement_test.go
@@ -70,9 +70,11 @@
 		t.check(err)
 		hosts := map[ordinalID]string{}
 		var clients [2]*branchClient
+		ready := make(chan struct{}) // closed when clients are set
 		for ordinal := range clients {
 			self := settings.Process{Name: fmt.Sprint("b-", ordinal), Place: "b", Ordinal: ordinal}
 			serve := func(ctx context.Context, exchange wire.Exchange, s *peer.Stream) {
+				<-ready
 				switch branch := clients[ordinal].local; exchange {
 				case wire.ExchangeQuarantine:
 					branch.guard.serveNotice(s)
@@ -91,6 +93,7 @@
 			c.setHosts(hosts)
 			DeferCleanup(c.local.close)
 		}
+		close(ready)
 		e := newEntry(clients[0].self, clients[0].local.config, clients[0].directory, clients[0])
 		e.guard = clients[0].local.guard
 		outcomes := map[string]outcome.Outcome{}
