--- a/internal/edge/unstated_test.go
+++ b/internal/edge/unstated_test.go
@@ -159,7 +159,7 @@
 		platformtest.AddRoute(document, p.name, p.prefix(), p.kind != onceKind, p.shards...)
 	}
 	first := f.scriptTarget("first", "none", "p0", func(c net.Conn, r *http.Request) bool {
-		service, _, _ := strings.Cut(r.Header.Get("Expect-Instance"), "-")
+		service, _, _ := strings.Cut(platformtest.ExpectedTarget(r), "-")
 		if platformtest.RequestID(r) == probeID {
 			return writeReply(c, r, service, targetReply{status: 200})
 		}
@@ -191,7 +191,7 @@
 		fields += platformtest.NotRunField
 	}
 	if reply.retryAfter {
-		fields += "Retry-After: 0.05\r\n"
+		fields += platformtest.RetryAfterField(50 * time.Millisecond)
 	}
 	body := "failed"
 	if reply.status == 200 {
