engine: a stopping host does not say that no target has answered

A request whose target failed with a status that is not passed on, and whose retry is open when the host stops, was answered 502 with "no target has answered yet". The status was right, the text was not. It says now that there is no answer to pass on.

--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -69,7 +69,7 @@
 	case a.Outcome.Kind == outcome.NotRun:
 		a.Outcome = x.e.leavingRefusal("this host stops and has not sent the request to a target")
 	default:
-		a.Outcome = outcome.Uncertain(outcome.Draining, "this host stops and no target has answered yet")
+		a.Outcome = outcome.Uncertain(outcome.Draining, "this host stops and has no answer to pass on")
 	}
 	return a
 }
